Build the environment and run every check with one command

make test runs the formatter, the linter, the layer contracts, the unit tests and the features as processes of one fixed environment, and ends with the counts. KNOWN-RED.txt lists the failures that do not fail the run.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# VENV may name an environment that several checkouts share.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+# The stamp carries the pins' checksum, so that an environment is set up once
+# for each set of pins, whatever the age of the checkout's files.
+PINS := $(shell cat requirements.txt requirements-dev.txt | sha256sum | cut -c1-16)
+STAMP := $(VENV)/.pins-$(PINS)
+
+.PHONY: demo test bench dist format setup
+
+demo: $(STAMP)
+	$(PYTHON) -m amaranthpulley demo
+
+test: $(STAMP)
+	$(PYTHON) -m tests.run
+
+bench: $(STAMP)
+	$(PYTHON) -m amaranthpulley bench
+
+dist: $(STAMP)
+	$(PYTHON) -m tools.build_archive dist/amaranthpulley
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt
+	touch $@
