Set down the four layers and one path through them

A search and an order travel from a caller's HTTP request through transport, protocol, coordination and state to the targets and back. Decisions are pure: engine.step turns one event into commands. The demo runs the whole path in one process over loopback.

--- /dev/null
+++ b/amaranthpulley/cli.py
@@ -0,0 +1,128 @@
+"""amaranthpulley: a query tier between callers and many shards.
+
+Usage:
+  amaranthpulley daemon --settings FILE
+  amaranthpulley leaf [--address ADDRESS] [--shard NUMBER] [--shards COUNT]
+  amaranthpulley store [--address ADDRESS]
+  amaranthpulley demo
+  amaranthpulley settings check FILE
+  amaranthpulley version
+  amaranthpulley --help
+
+Options:
+  --settings FILE    The daemon's settings in JSON.
+  --address ADDRESS  IP:port to listen on; port 0 takes a free one
+                     [default: 127.0.0.1:0].
+  --shard NUMBER     Which shard the stand-in leaf holds, from 0 [default: 0].
+  --shards COUNT     How many shards there are [default: 1].
+  --help             Show this text.
+
+Exit codes:
+  0  success
+  1  the work could not be done
+  2  wrong usage, settings or input; nothing was started or written
+"""
+
+import sys
+from collections.abc import Callable
+from typing import Any, Final
+
+import docopt
+
+import amaranthpulley
+from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.protocol import settings as settings_protocol
+from amaranthpulley.transport import errors, loop
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+
+Arguments = dict[str, Any]
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return its exit code.
+
+    Parameters
+    ----------
+    argv : list of str or None
+        The arguments; None takes those of the process.
+    """
+    words = sys.argv[1:] if argv is None else argv
+    try:
+        arguments = docopt.docopt(__doc__, words, version=amaranthpulley.__version__)
+    except docopt.DocoptExit as error:
+        print(error.usage, file=sys.stderr)
+        return EXIT_USAGE
+    except SystemExit:
+        return EXIT_OK
+    run = next(command for name, command in _COMMANDS.items() if arguments[name])
+    try:
+        return run(arguments)
+    except (protocol_errors.InvalidSettings, protocol_errors.InvalidTicket) as error:
+        return _fail(error, EXIT_USAGE)
+    except errors.TransportError as error:
+        return _fail(error, EXIT_FAILED)
+
+
+def _fail(error: Exception, code: int) -> int:
+    print(f"amaranthpulley: {error}", file=sys.stderr)
+    return code
+
+
+def _run_daemon(arguments: Arguments) -> int:
+    settings = settings_protocol.read(arguments["--settings"])
+    loop.prepare_loop()
+    from amaranthpulley.transport import daemon_process
+
+    process = daemon_process.DaemonProcess(settings)
+    process.drain_on_signals()
+    return process.wait()
+
+
+def _run_leaf(arguments: Arguments) -> int:
+    loop.prepare_loop()
+    from amaranthpulley.transport import standins
+
+    return standins.run_leaf(
+        arguments["--address"],
+        int(arguments["--shard"]),
+        int(arguments["--shards"]),
+        print,
+    )
+
+
+def _run_store(arguments: Arguments) -> int:
+    loop.prepare_loop()
+    from amaranthpulley.transport import standins
+
+    return standins.run_store(arguments["--address"], print)
+
+
+def _run_demo(arguments: Arguments) -> int:
+    loop.prepare_loop()
+    from amaranthpulley.transport import demo
+
+    return demo.run(print)
+
+
+def _check_settings(arguments: Arguments) -> int:
+    settings_protocol.read(arguments["FILE"])
+    print(f"{arguments['FILE']}: the settings are in order")
+    return EXIT_OK
+
+
+def _show_version(arguments: Arguments) -> int:
+    print(f"amaranthpulley {amaranthpulley.__version__}")
+    return EXIT_OK
+
+
+_COMMANDS: Final[dict[str, Callable[[Arguments], int]]] = {
+    "daemon": _run_daemon,
+    "leaf": _run_leaf,
+    "store": _run_store,
+    "demo": _run_demo,
+    "settings": _check_settings,
+    "version": _show_version,
+}
--- /dev/null
+++ b/amaranthpulley/coordination/admission.py
@@ -0,0 +1,58 @@
+"""Whether a request is taken on at all."""
+
+from typing import NamedTuple
+
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import requests, topology
+
+
+class Admitted(NamedTuple):
+    """A request that is taken on, with its service and its deadline."""
+
+    service: topology.Service
+    deadline_ms: int
+
+
+def admit(
+    daemon: daemon_state.Daemon,
+    request: requests.SearchRequest | requests.OrderRequest,
+    kind: topology.ServiceKind,
+    now_ms: int,
+) -> Admitted | requests.Refusal:
+    """Take a request on or refuse it before anything of it has run.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    request : SearchRequest or OrderRequest
+        What the caller asked for.
+    kind : ServiceKind
+        The kind of service that can answer it.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
+    """
+    codes = requests.RefusalCode
+    service = daemon.configuration.service(request.service)
+    if daemon.draining:
+        return _refusal(codes.SHUTTING_DOWN, "send the request to another VM")
+    if service is None:
+        return _refusal(
+            codes.UNKNOWN_SERVICE,
+            f"no service {request.service!r} is configured; check the name",
+        )
+    if service.kind is not kind:
+        return _refusal(
+            codes.WRONG_KIND,
+            f"service {service.name!r} takes {service.kind.value} requests only",
+        )
+    if request.deadline_ms is not None and request.deadline_ms <= 0:
+        return _refusal(codes.DEADLINE_PASSED, "the deadline had passed on arrival")
+    if daemon.requests_in_progress >= daemon.limits.maximum_requests_in_progress:
+        return _refusal(codes.OVERLOADED, "too many requests at once; try again later")
+    wait_ms = request.deadline_ms or service.deadline_ms
+    return Admitted(service, now_ms + min(wait_ms, service.hard_deadline_ms))
+
+
+def _refusal(code: requests.RefusalCode, message: str) -> requests.Refusal:
+    return requests.Refusal(code, message, not_run=True)
--- /dev/null
+++ b/amaranthpulley/coordination/answering.py
@@ -0,0 +1,52 @@
+"""The end of a request: its answer, its log event and its counters."""
+
+from amaranthpulley.coordination import commands
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events, requests
+
+
+def answer(
+    daemon: daemon_state.Daemon,
+    request: requests.SearchRequest | requests.OrderRequest,
+    outcome: requests.Outcome,
+    elapsed_ms: int,
+) -> list[commands.Command]:
+    """Return the commands that end a request.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    request : SearchRequest or OrderRequest
+        The request that ends.
+    outcome : Outcome
+        What the caller gets.
+    elapsed_ms : int
+        Time since the request arrived, in milliseconds.
+    """
+    kind = type(outcome).__name__
+    daemon.counters.add("requests_total", service=request.service, outcome=kind)
+    event = log_events.REQUEST_ANSWERED
+    fields = {"request_id": request.request_id, "elapsed_ms": elapsed_ms}
+    if isinstance(outcome, requests.Refusal):
+        event = log_events.REQUEST_REFUSED
+        fields |= {"code": outcome.code.value, "not_run": outcome.not_run}
+    if isinstance(outcome, requests.SearchAnswer):
+        fields |= {"coverage": outcome.coverage, "version": outcome.version}
+    return [
+        commands.AnswerCaller(request, outcome, elapsed_ms),
+        commands.log(event, service=request.service, outcome=kind, **fields),
+    ]
+
+
+def refuse(
+    daemon: daemon_state.Daemon,
+    request: requests.SearchRequest | requests.OrderRequest,
+    code: requests.RefusalCode,
+    message: str,
+    not_run: bool = True,
+    elapsed_ms: int = 0,
+) -> list[commands.Command]:
+    """Return the commands that refuse a request."""
+    refusal = requests.Refusal(code, message, not_run)
+    return answer(daemon, request, refusal, elapsed_ms)
--- /dev/null
+++ b/amaranthpulley/coordination/commands.py
@@ -0,0 +1,109 @@
+"""Commands: all that a decision can ask its surroundings to do."""
+
+from typing import NamedTuple
+
+from amaranthpulley.state import log_events, requests, store, topology
+
+
+class SearchCall(NamedTuple):
+    """What a leaf is asked; version None leaves the choice to the leaf."""
+
+    query: str
+    key: str | None
+    version: int | None
+
+
+class OrderCall(NamedTuple):
+    """What a target is asked to run."""
+
+    idempotency_key: str
+    payload: str
+
+
+class SendAttempt(NamedTuple):
+    """Send a request to a target.
+
+    The end is reported by exactly one `events.AttemptAnswered` or
+    `events.AttemptFailed`.
+
+    Attributes
+    ----------
+    attempt_id, request_id : str
+        Identify the attempt and the caller's request.
+    target : Target
+        Where to send it.
+    call : SearchCall or OrderCall
+        What to send.
+    timeout_ms : int
+        Time after which the attempt fails; also told to the target.
+    """
+
+    attempt_id: str
+    request_id: str
+    target: topology.Target
+    call: SearchCall | OrderCall
+    timeout_ms: int
+
+
+class CancelAttempt(NamedTuple):
+    """Tell a target that nobody waits for an attempt any more."""
+
+    attempt_id: str
+    target: topology.Target
+
+
+class AnswerCaller(NamedTuple):
+    """Answer a caller's request; sent exactly once for each request.
+
+    Attributes
+    ----------
+    request : SearchRequest or OrderRequest
+        The request that ends.
+    outcome : Outcome
+        What the caller gets.
+    elapsed_ms : int
+        Time since the request arrived.
+    """
+
+    request: requests.SearchRequest | requests.OrderRequest
+    outcome: requests.Outcome
+    elapsed_ms: int
+
+
+class SetTimer(NamedTuple):
+    """Report `events.TimerDue` with this purpose at a reading of the clock.
+
+    A timer cannot be cancelled; its handler ignores it when it is out of date.
+    """
+
+    purpose: NamedTuple
+    due_ms: int
+
+
+class CallStore(NamedTuple):
+    """Call the platform's store; ends with one `events.StoreReplied`."""
+
+    purpose: NamedTuple
+    operation: store.Operation
+    timeout_ms: int
+
+
+class Log(NamedTuple):
+    """Write a log event with its fields."""
+
+    event: log_events.LogEvent
+    fields: tuple[tuple[str, str | int | float | bool], ...]
+
+
+class Exit(NamedTuple):
+    """End the process."""
+
+    code: int
+
+
+Command = SendAttempt | CancelAttempt | AnswerCaller | SetTimer | CallStore | Log | Exit
+
+
+def log(event: log_events.LogEvent, **fields: str | int | float | bool) -> Log:
+    """Return the command that writes a log event."""
+    return Log(event, tuple(fields.items()))
--- /dev/null
+++ b/amaranthpulley/coordination/engine.py
@@ -0,0 +1,77 @@
+"""The one entry point of all decisions.
+
+A front end (the daemon's transport, a test under virtual time, another protocol) calls
+`step` for everything that happens and carries out the commands that it returns:
+
+>>> commands = step(daemon, event, now_ms, random)  # doctest: +SKIP
+
+Handlers are found by the type of the event, or, for a timer or a reply, by the type of
+its purpose, which the decision that asked for it has chosen.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from amaranthpulley.coordination import (
+    commands,
+    configuring,
+    draining,
+    errors,
+    events,
+    ordering,
+    searching,
+)
+from amaranthpulley.state import daemon as daemon_state
+
+Random = Callable[[], float]
+Handler = Callable[
+    [daemon_state.Daemon, events.Event, int, Random], list[commands.Command]
+]
+
+_MODULES: Final = (searching, ordering, configuring, draining)
+
+
+def _collect_handlers() -> dict[type, list[Handler]]:
+    handlers: dict[type, list[Handler]] = {}
+    for module in _MODULES:
+        for kind, handler in module.HANDLERS.items():
+            handlers.setdefault(kind, []).append(handler)
+    return handlers
+
+
+_HANDLERS: Final = _collect_handlers()
+
+
+def step(
+    daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
+) -> list[commands.Command]:
+    """Decide what to do about an event.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables; changed in place.
+    event : Event
+        What has happened.
+    now_ms : int
+        Reading of the daemon's monotonic clock, in milliseconds.
+    random : callable
+        Returns a number drawn evenly from ``[0.0, 1.0)``.
+
+    Returns
+    -------
+    list of Command
+        What is to be done, in this order.
+    """
+    purpose = getattr(event, "purpose", event)
+    handlers = _HANDLERS.get(type(purpose))
+    if handlers is None:
+        raise errors.UnknownEvent(
+            f"no handler for {type(purpose).__name__}: enter one in the HANDLERS of "
+            "the module that decides about it"
+        )
+    return [
+        command
+        for handler in handlers
+        for command in handler(daemon, event, now_ms, random)
+    ]
--- /dev/null
+++ b/amaranthpulley/coordination/events.py
@@ -0,0 +1,90 @@
+"""Events: all that can happen to a daemon."""
+
+import enum
+from typing import NamedTuple
+
+from amaranthpulley.state import requests, searches, store, targets
+
+
+class Started(NamedTuple):
+    """The process runs and its sockets are open."""
+
+
+class SearchReceived(NamedTuple):
+    """A caller sent a search or a look-up."""
+
+    request: requests.SearchRequest
+
+
+class OrderReceived(NamedTuple):
+    """A caller sent an order."""
+
+    request: requests.OrderRequest
+
+
+class OrderReceipt(NamedTuple):
+    """A target's reply to an order that it has run."""
+
+    result: str
+
+
+class AttemptAnswered(NamedTuple):
+    """A target answered an attempt."""
+
+    attempt_id: str
+    answer: searches.SearchPart | OrderReceipt
+    load: targets.TargetLoad
+
+
+class Failure(enum.StrEnum):
+    """Why an attempt has no answer."""
+
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    VERSION_GONE = "version_gone"
+    CONNECTION_LOST = "connection_lost"
+    TIMED_OUT = "timed_out"
+    MALFORMED = "malformed"
+
+    @property
+    def not_run(self) -> bool:
+        """Whether it is certain that the target did not run the attempt."""
+        return self in (Failure.REFUSED, Failure.UNREACHABLE, Failure.VERSION_GONE)
+
+
+class AttemptFailed(NamedTuple):
+    """An attempt ended without an answer; `load` is known only if a reply came."""
+
+    attempt_id: str
+    failure: Failure
+    load: targets.TargetLoad | None = None
+
+
+class TimerDue(NamedTuple):
+    """A timer set with `commands.SetTimer` ran out; the purpose tells which."""
+
+    purpose: NamedTuple
+
+
+class StoreReplied(NamedTuple):
+    """A store call ended; the purpose tells which one it was."""
+
+    purpose: NamedTuple
+    operation: store.Operation
+    result: store.Result
+
+
+class DrainRequested(NamedTuple):
+    """The process was asked to stop once its requests are answered."""
+
+
+Event = (
+    Started
+    | SearchReceived
+    | OrderReceived
+    | AttemptAnswered
+    | AttemptFailed
+    | TimerDue
+    | StoreReplied
+    | DrainRequested
+)
--- /dev/null
+++ b/amaranthpulley/protocol/errors.py
@@ -0,0 +1,37 @@
+"""Errors of the protocol layer."""
+
+
+class ProtocolError(Exception):
+    """A message does not keep to its protocol.
+
+    Attributes
+    ----------
+    code : str
+        Stable name of the error, in lower case with underscores.
+    """
+
+    code = "protocol_error"
+
+
+class MalformedMessage(ProtocolError):
+    """A message cannot be decoded; the text names the path of the fault."""
+
+    code = "malformed_message"
+
+
+class MessageTooLarge(ProtocolError):
+    """A message is over its size limit."""
+
+    code = "message_too_large"
+
+
+class InvalidSettings(ProtocolError):
+    """The settings file is wrong; the text names the path of the fault."""
+
+    code = "invalid_settings"
+
+
+class InvalidTicket(ProtocolError):
+    """A change ticket is wrong; the text names the path of the fault."""
+
+    code = "invalid_ticket"
--- /dev/null
+++ b/amaranthpulley/state/clock.py
@@ -0,0 +1,50 @@
+"""The clock of the project: two readings, both in milliseconds."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+
+class Clock(NamedTuple):
+    """A source of time.
+
+    Attributes
+    ----------
+    monotonic_ms : callable
+        Returns milliseconds from an arbitrary start; never runs backwards.
+    wall_ms : callable
+        Returns milliseconds since the Unix epoch; may jump.
+    """
+
+    monotonic_ms: Callable[[], int]
+    wall_ms: Callable[[], int]
+
+
+class VirtualClock:
+    """Time that stands still until it is advanced.
+
+    Parameters
+    ----------
+    now_ms : int
+        The first reading of the monotonic clock, in milliseconds.
+    """
+
+    _WALL_OFFSET_MS = 1_700_000_000_000
+
+    def __init__(self, now_ms: int = 0) -> None:
+        self._now_ms = now_ms
+
+    @property
+    def now_ms(self) -> int:
+        """The present reading, in milliseconds."""
+        return self._now_ms
+
+    def advance_to(self, now_ms: int) -> None:
+        """Move to a later reading; an earlier one is ignored."""
+        self._now_ms = max(self._now_ms, now_ms)
+
+    def as_clock(self) -> Clock:
+        """Return the readings as a `Clock`."""
+        return Clock(
+            monotonic_ms=lambda: self._now_ms,
+            wall_ms=lambda: self._WALL_OFFSET_MS + self._now_ms,
+        )
--- /dev/null
+++ b/amaranthpulley/state/errors.py
@@ -0,0 +1,19 @@
+"""Errors of the state layer."""
+
+
+class StateError(Exception):
+    """A table was asked for something that it cannot do.
+
+    Attributes
+    ----------
+    code : str
+        Stable name of the error, in lower case with underscores.
+    """
+
+    code = "state_error"
+
+
+class InvalidKeyRange(StateError):
+    """A key range is empty, reversed or outside the key space."""
+
+    code = "invalid_key_range"
--- /dev/null
+++ b/amaranthpulley/state/log_events.py
@@ -0,0 +1,46 @@
+"""The catalogue of log events; docs/EVENTS.md explains each one."""
+
+import enum
+from typing import Final, NamedTuple
+
+
+class Level(enum.IntEnum):
+    """Severities, with the values that `logging` gives them."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+class LogEvent(NamedTuple):
+    """One kind of log event.
+
+    Attributes
+    ----------
+    number : int
+        Stable number; never used again for another event.
+    name : str
+        Stable name in lower case with underscores.
+    level : Level
+        Severity.
+    """
+
+    number: int
+    name: str
+    level: Level
+
+
+DAEMON_STARTED: Final = LogEvent(100, "daemon_started", Level.INFO)
+DAEMON_LISTENING: Final = LogEvent(101, "daemon_listening", Level.INFO)
+DAEMON_STOPPED: Final = LogEvent(102, "daemon_stopped", Level.INFO)
+INTERNAL_ERROR: Final = LogEvent(199, "internal_error", Level.ERROR)
+REQUEST_RECEIVED: Final = LogEvent(200, "request_received", Level.DEBUG)
+REQUEST_ANSWERED: Final = LogEvent(201, "request_answered", Level.INFO)
+REQUEST_REFUSED: Final = LogEvent(202, "request_refused", Level.WARNING)
+ATTEMPT_SENT: Final = LogEvent(300, "attempt_sent", Level.DEBUG)
+ATTEMPT_ANSWERED: Final = LogEvent(301, "attempt_answered", Level.DEBUG)
+ATTEMPT_FAILED: Final = LogEvent(302, "attempt_failed", Level.INFO)
+ANSWER_DISCARDED: Final = LogEvent(303, "answer_discarded", Level.DEBUG)
+TICKET_IN_FORCE: Final = LogEvent(400, "ticket_in_force", Level.INFO)
+STORE_CALL_FAILED: Final = LogEvent(500, "store_call_failed", Level.WARNING)
--- /dev/null
+++ b/amaranthpulley/state/topology.py
@@ -0,0 +1,110 @@
+"""What the operators configure: services, failure domains and targets."""
+
+import enum
+from typing import NamedTuple
+
+
+class GiveWay(enum.StrEnum):
+    """What a search gives up first when not every leaf answers in time."""
+
+    COVERAGE = "coverage"
+    TIME = "time"
+
+
+class ServiceKind(enum.StrEnum):
+    """Whether a service may run a request more than once."""
+
+    SEARCH = "search"
+    ORDER = "order"
+
+
+class Service(NamedTuple):
+    """The settings of one service.
+
+    Attributes
+    ----------
+    name : str
+        Name that callers give.
+    kind : ServiceKind
+        Searches and look-ups are idempotent; orders are not.
+    deadline_ms : int
+        Time in which a request is to be answered.
+    hard_deadline_ms : int
+        Latest time for an answer when time gives way to coverage.
+    minimum_coverage : float
+        Least share of the key space, from 0.0 to 1.0, that a search waits for.
+    give_way : GiveWay
+        What is given up when the deadline comes before the minimum coverage.
+    hedge_budget : float
+        Largest share of extra attempts, for example 0.05 for 5%.
+    """
+
+    name: str
+    kind: ServiceKind
+    deadline_ms: int = 200
+    hard_deadline_ms: int = 1_000
+    minimum_coverage: float = 0.9
+    give_way: GiveWay = GiveWay.COVERAGE
+    hedge_budget: float = 0.05
+
+
+class FailureDomain(NamedTuple):
+    """A failure domain and whether the operators let it take work."""
+
+    name: str
+    region: str
+    in_service: bool = True
+
+
+class TargetStatus(enum.StrEnum):
+    """Whether a target may get new work."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    REMOVED = "removed"
+
+
+class Target(NamedTuple):
+    """One back-end server; a leaf is a target that holds one shard of an index.
+
+    Attributes
+    ----------
+    name : str
+        Unique name, for example ``"dispatch-3-1"``.
+    service : str
+        Name of the service that it belongs to.
+    instance : int
+        Number of the copy of the index that it belongs to.
+    shard : str
+        Name of the shard that it holds; targets with the same service and shard
+        are replicas of each other.
+    failure_domain : str
+        Name of its failure domain.
+    address : str
+        ``IP:port`` that it listens on.
+    slots : int
+        Requests that it runs at the same time.
+    connections : int
+        Connections that it accepts from all VMs together.
+    status : TargetStatus
+        Whether it may get new work.
+    """
+
+    name: str
+    service: str
+    instance: int
+    shard: str
+    failure_domain: str
+    address: str
+    slots: int = 2
+    connections: int = 25
+    status: TargetStatus = TargetStatus.SERVING
+
+
+class ChangeTicket(NamedTuple):
+    """A numbered change that carries the whole new state of what it touches."""
+
+    number: int
+    services: tuple[Service, ...] = ()
+    failure_domains: tuple[FailureDomain, ...] = ()
+    targets: tuple[Target, ...] = ()
--- /dev/null
+++ b/amaranthpulley/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line and the whole path."""
--- /dev/null
+++ b/amaranthpulley/transport/callers.py
@@ -0,0 +1,59 @@
+"""The HTTP front end for callers."""
+
+import http
+from collections.abc import Callable
+
+from amaranthpulley.coordination import events
+from amaranthpulley.protocol import caller_api
+from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.transport import errors, runtime, web
+
+Decode = Callable[[bytes, str], runtime.Request]
+
+
+def routes(driver: runtime.Runtime) -> dict[tuple[str, str], web.Handler]:
+    """Return the handlers of the callers' port."""
+    return {
+        ("POST", "/v1/search"): _handler(
+            driver, caller_api.decode_search, events.SearchReceived
+        ),
+        ("POST", "/v1/order"): _handler(
+            driver, caller_api.decode_order, events.OrderReceived
+        ),
+        ("GET", "/ready"): lambda environ: _ready(driver),
+    }
+
+
+def _handler(driver: runtime.Runtime, decode: Decode, received: type) -> web.Handler:
+    def handle(environ: web.Environ) -> web.Reply:
+        request_id = driver.daemon.next_id("request")
+        try:
+            body = web.read_body(environ, caller_api.MAXIMUM_BODY_BYTES)
+            request = decode(body, request_id)
+        except (errors.TransportError, protocol_errors.ProtocolError) as error:
+            return _refuse(request_id, error)
+        outcome = driver.ask(received(request))
+        response = caller_api.encode_outcome(request_id, outcome)
+        return web.Reply(response.status, response.body)
+
+    return handle
+
+
+_STATUS = {
+    errors.BodyTooLarge.code: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    errors.BodyTooSlow.code: http.HTTPStatus.REQUEST_TIMEOUT,
+}
+
+
+def _refuse(
+    request_id: str, error: errors.TransportError | protocol_errors.ProtocolError
+) -> web.Reply:
+    status = _STATUS.get(error.code, http.HTTPStatus.BAD_REQUEST)
+    response = caller_api.encode_error(status, request_id, error.code, str(error))
+    return web.Reply(response.status, response.body)
+
+
+def _ready(driver: runtime.Runtime) -> web.Reply:
+    if driver.daemon.draining:
+        return web.Reply(http.HTTPStatus.SERVICE_UNAVAILABLE, b'{"ready":false}')
+    return web.Reply(http.HTTPStatus.OK, b'{"ready":true}')
--- /dev/null
+++ b/amaranthpulley/transport/daemon_process.py
@@ -0,0 +1,121 @@
+"""A whole daemon: its sockets, its runtime and its end."""
+
+import http
+import random
+import secrets
+import signal
+
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.protocol import settings as settings_protocol
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events
+from amaranthpulley.transport import (
+    callers,
+    log_sink,
+    metrics,
+    runtime,
+    store_client,
+    system_clock,
+    web,
+)
+
+
+class DaemonProcess:
+    """A daemon with open sockets.
+
+    Parameters
+    ----------
+    settings : Settings
+        The checked settings.
+
+    Raises
+    ------
+    AddressInUse
+        When one of its addresses cannot be bound; nothing is left open.
+    """
+
+    def __init__(self, settings: settings_protocol.Settings) -> None:
+        listen = settings["listen"]
+        clock = system_clock.system_clock()
+        write_log = log_sink.open_log(
+            settings["vm_name"], clock, settings.get("log_file")
+        )
+        sockets = _listen_all(listen["ip"], listen["caller_port"], listen["admin_port"])
+        identity = daemon_state.Identity(
+            settings["vm_name"],
+            f"{listen['ip']}:{listen['peer_port']}",
+            settings["failure_domain"],
+            settings["region"],
+            secrets.token_hex(4),
+        )
+        daemon = daemon_state.Daemon(identity, settings_protocol.limits_of(settings))
+        self._metrics = metrics.Metrics(daemon.counters)
+        self.runtime = runtime.Runtime(
+            daemon,
+            clock,
+            random.Random().random,
+            write_log,
+            store_client.StoreClient(settings["platform"]["store_address"]),
+            self._metrics.observe,
+        )
+        self._callers = web.WebServer(
+            sockets[0], web.application(callers.routes(self.runtime))
+        )
+        self._admin = web.WebServer(
+            sockets[1], web.application({("GET", "/metrics"): self._show_metrics})
+        )
+        write_log(
+            commands.log(
+                log_events.DAEMON_LISTENING,
+                callers=self._callers.address,
+                admin=self._admin.address,
+            )
+        )
+        write_log(commands.log(log_events.DAEMON_STARTED, life=identity.life))
+        self.runtime.feed(events.Started())
+
+    @property
+    def caller_address(self) -> str:
+        """The ``IP:port`` for callers."""
+        return self._callers.address
+
+    @property
+    def admin_address(self) -> str:
+        """The ``IP:port`` for metrics and operators."""
+        return self._admin.address
+
+    def drain_on_signals(self) -> None:
+        """Leave without cutting a request on SIGTERM and SIGINT."""
+
+        def drain(number: int, frame: object) -> None:
+            self.runtime.feed(events.DrainRequested())
+
+        signal.signal(signal.SIGTERM, drain)
+        signal.signal(signal.SIGINT, drain)
+
+    def wait(self) -> int:
+        """Serve until the daemon has drained, and return the exit code."""
+        code = self.runtime.exit_code.wait()
+        self.close()
+        return code
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._callers.stop()
+        self._admin.stop()
+        self.runtime.close()
+
+    def _show_metrics(self, environ: web.Environ) -> web.Reply:
+        return web.Reply(http.HTTPStatus.OK, self._metrics.text(), "text/plain")
+
+
+def _listen_all(ip: str, *ports: int) -> list:
+    sockets: list = []
+    try:
+        for port in ports:
+            sockets.append(web.listen(f"{ip}:{port}"))
+    except Exception:
+        for opened in sockets:
+            opened.close()
+        raise
+    return sockets
--- /dev/null
+++ b/amaranthpulley/transport/runtime.py
@@ -0,0 +1,113 @@
+"""The front end that drives the decisions: events in, commands out, one at a time."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import eventlet
+import eventlet.event
+
+from amaranthpulley.coordination import commands, engine, events
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import requests
+from amaranthpulley.transport import log_sink, store_client, target_client
+
+Request = requests.SearchRequest | requests.OrderRequest
+Observer = Callable[[commands.AnswerCaller], None]
+
+
+class Runtime:
+    """Feeds events to one daemon's decisions and carries out their commands.
+
+    `feed` never yields to another green thread between an event and its commands, so
+    that each decision sees the state that the one before it has left.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    clock : Clock
+        Source of time.
+    random : callable
+        Returns a number drawn evenly from ``[0.0, 1.0)``.
+    write_log : callable
+        Writes log events.
+    store : StoreClient
+        Calls the platform's store.
+    observe : callable
+        Told of every answer, for the metrics.
+    """
+
+    def __init__(
+        self,
+        daemon: daemon_state.Daemon,
+        clock: clock_state.Clock,
+        random: Callable[[], float],
+        write_log: log_sink.WriteLog,
+        store: store_client.StoreClient,
+        observe: Observer,
+    ) -> None:
+        self.daemon = daemon
+        self.exit_code = eventlet.event.Event()
+        self._clock = clock
+        self._random = random
+        self._write_log = write_log
+        self._store = store
+        self._observe = observe
+        self._targets = target_client.TargetClient()
+        self._waiting: dict[str, eventlet.event.Event] = {}
+        self._carry_out: Final[dict[type, Callable[[Any], None]]] = {
+            commands.SendAttempt: self._send_attempt,
+            commands.CancelAttempt: self._cancel_attempt,
+            commands.AnswerCaller: self._answer_caller,
+            commands.SetTimer: self._set_timer,
+            commands.CallStore: self._call_store,
+            commands.Log: write_log,
+            commands.Exit: self._exit,
+        }
+
+    def feed(self, event: events.Event) -> None:
+        """Decide about an event and carry out what was decided."""
+        now_ms = self._clock.monotonic_ms()
+        for command in engine.step(self.daemon, event, now_ms, self._random):
+            self._carry_out[type(command)](command)
+
+    def ask(self, event: events.SearchReceived | events.OrderReceived) -> Any:
+        """Feed a caller's request and wait for its outcome."""
+        done = eventlet.event.Event()
+        self._waiting[event.request.request_id] = done
+        self.feed(event)
+        return done.wait()
+
+    def close(self) -> None:
+        """Close the connections to targets and store."""
+        self._targets.close()
+        self._store.close()
+
+    def _send_attempt(self, command: commands.SendAttempt) -> None:
+        eventlet.spawn_n(lambda: self.feed(self._targets.attempt(command)))
+
+    def _cancel_attempt(self, command: commands.CancelAttempt) -> None:
+        eventlet.spawn_n(self._targets.cancel, command)
+
+    def _answer_caller(self, command: commands.AnswerCaller) -> None:
+        self._observe(command)
+        done = self._waiting.pop(command.request.request_id, None)
+        if done is not None:
+            done.send(command.outcome)
+
+    def _set_timer(self, command: commands.SetTimer) -> None:
+        wait_ms = max(0, command.due_ms - self._clock.monotonic_ms())
+        due = events.TimerDue(command.purpose)
+        eventlet.spawn_after(wait_ms / 1000, self.feed, due)
+
+    def _call_store(self, command: commands.CallStore) -> None:
+        def call() -> None:
+            result = self._store.call(command.operation, command.timeout_ms)
+            self.feed(events.StoreReplied(command.purpose, command.operation, result))
+
+        eventlet.spawn_n(call)
+
+    def _exit(self, command: commands.Exit) -> None:
+        if not self.exit_code.ready():
+            self.exit_code.send(command.code)
--- /dev/null
+++ b/amaranthpulley/transport/store_client.py
@@ -0,0 +1,57 @@
+"""Calls to the platform's store over HTTP."""
+
+import urllib3
+
+from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.protocol import store_api
+from amaranthpulley.state import store
+
+
+class StoreClient:
+    """Connections to the store.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, port = address.rsplit(":", 1)
+        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=8)
+
+    def call(self, operation: store.Operation, timeout_ms: int) -> store.Result:
+        """Carry out an operation; every failure comes back as `StoreFailed`.
+
+        Parameters
+        ----------
+        operation : Operation
+            What to do.
+        timeout_ms : int
+            Time to wait for the reply, in milliseconds.
+        """
+        try:
+            response = self._pool.urlopen(
+                "POST",
+                store_api.path_of(operation),
+                body=store_api.encode(operation),
+                timeout=urllib3.Timeout(total=timeout_ms / 1000),
+                retries=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            return store.StoreFailed("the store cannot be reached", unknown=False)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return store.StoreFailed(type(error).__name__, unknown=True)
+        if response.status != 200:
+            return store.StoreFailed(f"status {response.status}", unknown=False)
+        try:
+            return store_api.decode_result(operation, response.data)
+        except protocol_errors.ProtocolError as error:
+            return store.StoreFailed(str(error), unknown=True)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
--- /dev/null
+++ b/amaranthpulley/transport/target_client.py
@@ -0,0 +1,110 @@
+"""Requests to targets over HTTP, with connections that are kept open."""
+
+import urllib3
+
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.protocol import leaf_api
+from amaranthpulley.state import topology
+
+AttemptEnd = events.AttemptAnswered | events.AttemptFailed
+
+_HEADERS = {"Content-Type": "application/json"}
+
+
+class TargetClient:
+    """Connection pools by target address."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def attempt(self, command: commands.SendAttempt) -> AttemptEnd:
+        """Send an attempt and wait for its end; blocks only the green thread."""
+        is_order = isinstance(command.call, commands.OrderCall)
+        path = "/order" if is_order else "/search"
+        try:
+            response = self._post(
+                command.target,
+                path,
+                leaf_api.encode_call(command),
+                command.timeout_ms,
+            )
+            return _end_of(command, response)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            return _failed(command, events.Failure.UNREACHABLE)
+        except urllib3.exceptions.ReadTimeoutError:
+            return _failed(command, events.Failure.TIMED_OUT)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return _failed(command, events.Failure.CONNECTION_LOST)
+        except protocol_errors.ProtocolError:
+            return _failed(command, events.Failure.MALFORMED)
+
+    def cancel(self, command: commands.CancelAttempt, timeout_ms: int = 1000) -> None:
+        """Tell a target that nobody waits for an attempt; errors do not matter."""
+        body = leaf_api.encode_cancel(command.attempt_id)
+        try:
+            self._post(command.target, "/cancel", body, timeout_ms)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def _post(
+        self, target: topology.Target, path: str, body: bytes, timeout_ms: int
+    ) -> urllib3.BaseHTTPResponse:
+        seconds = max(timeout_ms, 1) / 1000
+        return self._pool(target).urlopen(
+            "POST",
+            path,
+            body=body,
+            headers=_HEADERS,
+            timeout=urllib3.Timeout(total=seconds),
+            retries=False,
+        )
+
+    def _pool(self, target: topology.Target) -> urllib3.HTTPConnectionPool:
+        pool = self._pools.get(target.address)
+        if pool is None:
+            host, port = target.address.rsplit(":", 1)
+            pool = urllib3.HTTPConnectionPool(
+                host, int(port), maxsize=target.connections
+            )
+            self._pools[target.address] = pool
+        return pool
+
+
+def _end_of(
+    command: commands.SendAttempt, response: urllib3.BaseHTTPResponse
+) -> AttemptEnd:
+    if response.status != 200:
+        attempt_id, failure, load = leaf_api.decode_refusal(response.data)
+        _check_attempt(command, attempt_id)
+        return _failed(command, failure, load)
+    is_order = isinstance(command.call, commands.OrderCall)
+    decode = leaf_api.decode_order_answer if is_order else leaf_api.decode_search_answer
+    attempt_id, answer, load = decode(response.data)
+    _check_attempt(command, attempt_id)
+    return events.AttemptAnswered(attempt_id, answer, leaf_api.load_of(load))
+
+
+def _check_attempt(command: commands.SendAttempt, attempt_id: str) -> None:
+    if attempt_id != command.attempt_id:
+        raise protocol_errors.MalformedMessage(
+            f"target {command.target.name} answered attempt {attempt_id} instead of "
+            f"{command.attempt_id}"
+        )
+
+
+def _failed(
+    command: commands.SendAttempt,
+    failure: events.Failure,
+    load: leaf_api.LoadBody | None = None,
+) -> events.AttemptFailed:
+    typed = leaf_api.load_of(load) if load else None
+    return events.AttemptFailed(command.attempt_id, failure, typed)
--- /dev/null
+++ b/amaranthpulley/transport/web.py
@@ -0,0 +1,137 @@
+"""HTTP servers on the one loop: eventlet's WSGI server, JSON in and out."""
+
+import http
+from collections.abc import Callable, Iterable
+from typing import Any, Final, NamedTuple
+
+import eventlet
+import eventlet.wsgi
+
+from amaranthpulley.transport import errors
+
+READ_TIMEOUT_SECONDS: Final = 5
+IDLE_TIMEOUT_SECONDS: Final = 120
+JSON_TYPE: Final = "application/json"
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+class Reply(NamedTuple):
+    """What a handler returns: a status, a body and the body's media type."""
+
+    status: http.HTTPStatus
+    body: bytes
+    media_type: str = JSON_TYPE
+
+
+Handler = Callable[[Environ], Reply]
+
+
+class WebServer:
+    """A listening server.
+
+    Parameters
+    ----------
+    listener : socket
+        A listening socket.
+    application : callable
+        The WSGI application that it serves.
+    """
+
+    def __init__(self, listener: Any, application: Application) -> None:
+        self._listener = listener
+        host, port = listener.getsockname()[:2]
+        self._address = f"{host}:{port}"
+        self._thread = eventlet.spawn(
+            eventlet.wsgi.server,
+            listener,
+            application,
+            log_output=False,
+            socket_timeout=IDLE_TIMEOUT_SECONDS,
+            debug=False,
+        )
+
+    @property
+    def address(self) -> str:
+        """The ``IP:port`` that it listens on."""
+        return self._address
+
+    def stop(self) -> None:
+        """Accept no more connections; those that are open are left to end."""
+        self._thread.kill()
+        self._listener.close()
+
+
+def listen(address: str) -> Any:
+    """Return a listening socket.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``; port 0 takes a free one.
+
+    Raises
+    ------
+    AddressInUse
+        When the address cannot be bound.
+    """
+    ip, port = address.rsplit(":", 1)
+    try:
+        return eventlet.listen((ip, int(port)), backlog=1024, reuse_port=False)
+    except (OSError, OverflowError) as error:
+        raise errors.AddressInUse(
+            f"cannot listen on {address}: {error}; free the port or change the settings"
+        ) from error
+
+
+def application(routes: dict[tuple[str, str], Handler]) -> Application:
+    """Return a WSGI application.
+
+    Parameters
+    ----------
+    routes : dict
+        Handlers by method and path.
+    """
+
+    def serve(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        key = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        handler = routes.get(key)
+        if handler is None:
+            reply = Reply(http.HTTPStatus.NOT_FOUND, b'{"code":"no_such_path"}')
+        else:
+            reply = handler(environ)
+        status = f"{reply.status.value} {reply.status.phrase}"
+        headers = [
+            ("Content-Type", reply.media_type),
+            ("Content-Length", str(len(reply.body))),
+        ]
+        start_response(status, headers)
+        return [reply.body]
+
+    return serve
+
+
+def read_body(environ: Environ, maximum_bytes: int) -> bytes:
+    """Return the body of a request.
+
+    Raises
+    ------
+    BodyTooLarge
+        When it is over the limit.
+    BodyTooSlow
+        When it has not arrived after `READ_TIMEOUT_SECONDS`.
+    """
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+    except ValueError:
+        length = 0
+    if length > maximum_bytes:
+        raise errors.BodyTooLarge(f"the body is over {maximum_bytes} bytes")
+    slow = errors.BodyTooSlow(f"the body took over {READ_TIMEOUT_SECONDS} s to arrive")
+    with eventlet.Timeout(READ_TIMEOUT_SECONDS, slow):
+        body = environ["wsgi.input"].read(length)
+    if len(body) < length:
+        raise errors.BodyTooSlow("the body ended early; send all of Content-Length")
+    return body
