--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -60,7 +60,10 @@
     run = next(command for name, command in _COMMANDS.items() if arguments[name])
     try:
         return run(arguments)
-    except (protocol_errors.InvalidSettings, protocol_errors.InvalidTicket) as error:
+    except (
+        protocol_errors.InvalidSettingsError,
+        protocol_errors.InvalidTicketError,
+    ) as error:
         return _fail(error, EXIT_USAGE)
     except errors.TransportError as error:
         return _fail(error, EXIT_FAILED)
--- a/amaranthpulley/coordination/answering.py
+++ b/amaranthpulley/coordination/answering.py
@@ -1,9 +1,13 @@
 """The end of a request: its answer, its log event and its counters."""
 
+from typing import Final
+
 from amaranthpulley.coordination import commands
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events, requests
 
+UNKNOWN_SERVICE: Final = "unknown"
+
 
 def answer(
     daemon: daemon_state.Daemon,
@@ -25,7 +29,9 @@
         Time since the request arrived, in milliseconds.
     """
     kind = type(outcome).__name__
-    daemon.counters.add("requests_total", service=request.service, outcome=kind)
+    known = daemon.configuration.service(request.service) is not None
+    service = request.service if known else UNKNOWN_SERVICE
+    daemon.counters.add("requests_total", service=service, outcome=kind)
     event = log_events.REQUEST_ANSWERED
     fields = {"request_id": request.request_id, "elapsed_ms": elapsed_ms}
     if isinstance(outcome, requests.Refusal):
@@ -35,7 +41,7 @@
         fields |= {"coverage": outcome.coverage, "version": outcome.version}
     return [
         commands.AnswerCaller(request, outcome, elapsed_ms),
-        commands.log(event, service=request.service, outcome=kind, **fields),
+        commands.log(event, service=service, outcome=kind, **fields),
     ]
 
 
--- a/amaranthpulley/coordination/commands.py
+++ b/amaranthpulley/coordination/commands.py
@@ -76,18 +76,40 @@
     A timer cannot be cancelled; its handler ignores it when it is out of date.
     """
 
-    purpose: NamedTuple
+    purpose: tuple
     due_ms: int
 
 
 class CallStore(NamedTuple):
     """Call the platform's store; ends with one `events.StoreReplied`."""
 
-    purpose: NamedTuple
+    purpose: tuple
     operation: store.Operation
     timeout_ms: int
 
 
+class CallPeer(NamedTuple):
+    """Send a message to a peer; ends with one `events.PeerReplied`."""
+
+    purpose: tuple
+    address: str
+    message: tuple
+    timeout_ms: int
+
+
+class ReplyPeer(NamedTuple):
+    """Reply to a peer's call; each `events.PeerCalled` gets exactly one."""
+
+    call_id: str
+    reply: tuple
+
+
+class ListVms(NamedTuple):
+    """Read the platform's VM list; ends with one `events.VmsListed`."""
+
+    timeout_ms: int
+
+
 class Log(NamedTuple):
     """Write a log event with its fields."""
 
@@ -101,7 +123,18 @@
     code: int
 
 
-Command = SendAttempt | CancelAttempt | AnswerCaller | SetTimer | CallStore | Log | Exit
+Command = (
+    SendAttempt
+    | CancelAttempt
+    | AnswerCaller
+    | SetTimer
+    | CallStore
+    | CallPeer
+    | ReplyPeer
+    | ListVms
+    | Log
+    | Exit
+)
 
 
 def log(event: log_events.LogEvent, **fields: str | int | float | bool) -> Log:
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -5,8 +5,9 @@
 
 >>> commands = step(daemon, event, now_ms, random)  # doctest: +SKIP
 
-Handlers are found by the type of the event, or, for a timer or a reply, by the type of
-its purpose, which the decision that asked for it has chosen.
+Handlers are found by the type of the event; for a timer or a reply by the type of its
+purpose, which the decision that asked for it has chosen; for a peer's call by the type
+of its message.
 """
 
 from collections.abc import Callable
@@ -63,11 +64,11 @@
     list of Command
         What is to be done, in this order.
     """
-    purpose = getattr(event, "purpose", event)
-    handlers = _HANDLERS.get(type(purpose))
+    subject = _subject_of(event)
+    handlers = _HANDLERS.get(type(subject))
     if handlers is None:
-        raise errors.UnknownEvent(
-            f"no handler for {type(purpose).__name__}: enter one in the HANDLERS of "
+        raise errors.UnknownEventError(
+            f"no handler for {type(subject).__name__}: enter one in the HANDLERS of "
             "the module that decides about it"
         )
     return [
@@ -75,3 +76,11 @@
         for handler in handlers
         for command in handler(daemon, event, now_ms, random)
     ]
+
+
+def _subject_of(event: events.Event) -> tuple:
+    if isinstance(event, events.TimerDue | events.StoreReplied | events.PeerReplied):
+        return event.purpose
+    if isinstance(event, events.PeerCalled):
+        return event.message
+    return event
--- a/amaranthpulley/coordination/errors.py
+++ b/amaranthpulley/coordination/errors.py
@@ -13,13 +13,13 @@
     code = "coordination_error"
 
 
-class UnknownEvent(CoordinationError):
+class UnknownEventError(CoordinationError):
     """No handler is registered for an event."""
 
     code = "unknown_event"
 
 
-class CorruptStoreValue(CoordinationError):
+class CorruptStoreValueError(CoordinationError):
     """A value read from the store is not what the daemons write there."""
 
     code = "corrupt_store_value"
--- a/amaranthpulley/coordination/events.py
+++ b/amaranthpulley/coordination/events.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from amaranthpulley.state import requests, searches, store, targets
+from amaranthpulley.state import members, requests, searches, store, targets
 
 
 class Started(NamedTuple):
@@ -63,17 +63,57 @@
 class TimerDue(NamedTuple):
     """A timer set with `commands.SetTimer` ran out; the purpose tells which."""
 
-    purpose: NamedTuple
+    purpose: tuple
 
 
 class StoreReplied(NamedTuple):
     """A store call ended; the purpose tells which one it was."""
 
-    purpose: NamedTuple
+    purpose: tuple
     operation: store.Operation
     result: store.Result
 
 
+class PeerCalled(NamedTuple):
+    """A peer sent a message and waits for the `commands.ReplyPeer` of this call.
+
+    Attributes
+    ----------
+    call_id : str
+        Identifies the call for the reply.
+    sender_ip : str
+        IP number that the connection came from.
+    message : tuple
+        One of the messages that the coordination modules define.
+    """
+
+    call_id: str
+    sender_ip: str
+    message: tuple
+
+
+class PeerFailure(enum.StrEnum):
+    """Why a call to a peer has no reply."""
+
+    UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed_out"
+    REJECTED = "rejected"
+
+
+class PeerReplied(NamedTuple):
+    """A call to a peer ended; the purpose tells which one it was."""
+
+    purpose: tuple
+    address: str
+    reply: tuple | PeerFailure
+
+
+class VmsListed(NamedTuple):
+    """The platform's VM list was read; None when it gave no answer."""
+
+    vms: tuple[members.Vm, ...] | None
+
+
 class DrainRequested(NamedTuple):
     """The process was asked to stop once its requests are answered."""
 
@@ -86,5 +126,8 @@
     | AttemptFailed
     | TimerDue
     | StoreReplied
+    | PeerCalled
+    | PeerReplied
+    | VmsListed
     | DrainRequested
 )
--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/ordering.py
@@ -264,7 +264,7 @@
 
 
 def _call(
-    daemon: daemon_state.Daemon, purpose: NamedTuple, operation: store.Operation
+    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
 ) -> commands.CallStore:
     return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
 
--- a/amaranthpulley/coordination/stored_values.py
+++ b/amaranthpulley/coordination/stored_values.py
@@ -34,7 +34,7 @@
     try:
         return msgspec.msgpack.decode(value, type=kind)
     except msgspec.MsgspecError as error:
-        raise errors.CorruptStoreValue(
+        raise errors.CorruptStoreValueError(
             f"stored {kind.__name__} cannot be read ({error}); was it written by "
             "another release?"
         ) from error
--- a/amaranthpulley/protocol/caller_api.py
+++ b/amaranthpulley/protocol/caller_api.py
@@ -163,6 +163,6 @@
 
 def _check_length(name: str, text: str, maximum: int) -> None:
     if not 1 <= len(text) <= maximum:
-        raise errors.MalformedMessage(
+        raise errors.MalformedMessageError(
             f"`$.{name}` must have 1 to {maximum} characters, not {len(text)}"
         )
--- a/amaranthpulley/protocol/errors.py
+++ b/amaranthpulley/protocol/errors.py
@@ -13,25 +13,25 @@
     code = "protocol_error"
 
 
-class MalformedMessage(ProtocolError):
+class MalformedMessageError(ProtocolError):
     """A message cannot be decoded; the text names the path of the fault."""
 
     code = "malformed_message"
 
 
-class MessageTooLarge(ProtocolError):
+class MessageTooLargeError(ProtocolError):
     """A message is over its size limit."""
 
     code = "message_too_large"
 
 
-class InvalidSettings(ProtocolError):
+class InvalidSettingsError(ProtocolError):
     """The settings file is wrong; the text names the path of the fault."""
 
     code = "invalid_settings"
 
 
-class InvalidTicket(ProtocolError):
+class InvalidTicketError(ProtocolError):
     """A change ticket is wrong; the text names the path of the fault."""
 
     code = "invalid_ticket"
--- a/amaranthpulley/protocol/json_codec.py
+++ b/amaranthpulley/protocol/json_codec.py
@@ -1,6 +1,6 @@
 """JSON to and from the typed dictionaries of the protocols."""
 
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import msgspec
 
@@ -9,7 +9,7 @@
 Wire = TypeVar("Wire")
 
 
-def encode(message: Any) -> bytes:
+def encode(message: object) -> bytes:
     """Return the JSON text of a message."""
     return msgspec.json.encode(message)
 
@@ -26,10 +26,10 @@
 
     Raises
     ------
-    MalformedMessage
+    MalformedMessageError
         When the text is not JSON or does not fit `kind`; names the path.
     """
     try:
         return msgspec.json.decode(body, type=kind)
     except msgspec.MsgspecError as error:
-        raise errors.MalformedMessage(str(error)) from error
+        raise errors.MalformedMessageError(str(error)) from error
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -57,14 +57,14 @@
 
     Raises
     ------
-    InvalidSettings
+    InvalidSettingsError
         Names the path of the first fault, for example ``$.listen.peer_port``.
     """
     try:
         raw = msgspec.json.decode(text)
         settings = msgspec.convert(raw, Settings)
     except msgspec.MsgspecError as error:
-        raise errors.InvalidSettings(f"settings: {error}") from error
+        raise errors.InvalidSettingsError(f"settings: {error}") from error
     _refuse_unknown_keys(raw, Settings, "$")
     return settings
 
@@ -74,13 +74,13 @@
 
     Raises
     ------
-    InvalidSettings
+    InvalidSettingsError
         When the file cannot be read or is wrong.
     """
     try:
         text = pathlib.Path(path).read_bytes()
     except OSError as error:
-        raise errors.InvalidSettings(
+        raise errors.InvalidSettingsError(
             f"settings: cannot read {path}: {error.strerror}"
         ) from error
     return decode(text)
@@ -96,7 +96,7 @@
     for key, value in raw.items():
         if key not in fields:
             known = ", ".join(sorted(fields))
-            raise errors.InvalidSettings(
+            raise errors.InvalidSettingsError(
                 f"settings: unknown key - at `{path}.{key}`; known here: {known}"
             )
         nested = _typed_dict_of(fields[key])
--- a/amaranthpulley/protocol/store_api.py
+++ b/amaranthpulley/protocol/store_api.py
@@ -39,7 +39,7 @@
     """Return the operation that was posted to a path."""
     kinds = _OPERATIONS.get(path.removeprefix(PATH_PREFIX))
     if kinds is None:
-        raise errors.MalformedMessage(f"the store has no operation {path}")
+        raise errors.MalformedMessageError(f"the store has no operation {path}")
     return _decode(body, kinds[0])
 
 
@@ -52,4 +52,4 @@
     try:
         return msgspec.json.decode(body, type=kind)
     except msgspec.MsgspecError as error:
-        raise errors.MalformedMessage(f"store: {error}") from error
+        raise errors.MalformedMessageError(f"store: {error}") from error
--- a/amaranthpulley/protocol/ticket_file.py
+++ b/amaranthpulley/protocol/ticket_file.py
@@ -11,14 +11,14 @@
 
     Raises
     ------
-    InvalidTicket
+    InvalidTicketError
         Names the path of the first fault, for example ``$.targets[3].address``.
     """
     try:
         raw = msgspec.json.decode(text)
         return _ticket_of(raw)
     except msgspec.MsgspecError as error:
-        raise errors.InvalidTicket(f"ticket: {error}") from error
+        raise errors.InvalidTicketError(f"ticket: {error}") from error
 
 
 def encode(ticket: topology.ChangeTicket) -> bytes:
@@ -43,9 +43,9 @@
     body = msgspec.convert(raw, dict)
     unknown = sorted(set(body) - {"number", *_LISTS})
     if unknown:
-        raise errors.InvalidTicket(f"ticket: unknown key - at `$.{unknown[0]}`")
+        raise errors.InvalidTicketError(f"ticket: unknown key - at `$.{unknown[0]}`")
     if "number" not in body:
-        raise errors.InvalidTicket("ticket: missing key - at `$.number`")
+        raise errors.InvalidTicketError("ticket: missing key - at `$.number`")
     lists = {
         name: tuple(
             _entry_of(item, kind, f"$.{name}[{index}]")
@@ -61,16 +61,16 @@
     given = msgspec.convert(item, dict)
     for key in given:
         if key not in fields:
-            raise errors.InvalidTicket(f"ticket: unknown key - at `{path}.{key}`")
+            raise errors.InvalidTicketError(f"ticket: unknown key - at `{path}.{key}`")
     for key in fields:
         if key not in given and key not in kind._field_defaults:
-            raise errors.InvalidTicket(f"ticket: missing key - at `{path}.{key}`")
+            raise errors.InvalidTicketError(f"ticket: missing key - at `{path}.{key}`")
     values = {}
     for key, value in given.items():
         try:
             values[key] = msgspec.convert(value, fields[key])
         except msgspec.MsgspecError as error:
-            raise errors.InvalidTicket(
+            raise errors.InvalidTicketError(
                 f"ticket: {error} - at `{path}.{key}`"
             ) from error
     return kind(**values)
--- a/amaranthpulley/state/errors.py
+++ b/amaranthpulley/state/errors.py
@@ -13,7 +13,7 @@
     code = "state_error"
 
 
-class InvalidKeyRange(StateError):
+class InvalidKeyRangeError(StateError):
     """A key range is empty, reversed or outside the key space."""
 
     code = "invalid_key_range"
--- a/amaranthpulley/state/keyspace.py
+++ b/amaranthpulley/state/keyspace.py
@@ -1,6 +1,7 @@
 """The key space that a service's index is partitioned over, and sets of its ranges."""
 
 import hashlib
+import itertools
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -39,7 +40,7 @@
 def split_evenly(count: int) -> list[KeyRange]:
     """Cut the key space into `count` adjoining ranges of nearly equal size."""
     bounds = [KEY_SPACE_SIZE * index // count for index in range(count + 1)]
-    return [KeyRange(*pair) for pair in zip(bounds, bounds[1:])]
+    return [KeyRange(*pair) for pair in itertools.pairwise(bounds)]
 
 
 class RangeSet:
@@ -69,7 +70,7 @@
         """Add the positions of a range."""
         start, end = key_range
         if not 0 <= start < end <= KEY_SPACE_SIZE:
-            raise errors.InvalidKeyRange(
+            raise errors.InvalidKeyRangeError(
                 f"key range [{start}, {end}) must lie in [0, {KEY_SPACE_SIZE}) "
                 "and hold at least one position"
             )
--- a/amaranthpulley/transport/callers.py
+++ b/amaranthpulley/transport/callers.py
@@ -40,8 +40,8 @@
 
 
 _STATUS = {
-    errors.BodyTooLarge.code: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    errors.BodyTooSlow.code: http.HTTPStatus.REQUEST_TIMEOUT,
+    errors.BodyTooLargeError.code: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    errors.BodyTooSlowError.code: http.HTTPStatus.REQUEST_TIMEOUT,
 }
 
 
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -30,7 +30,7 @@
 
     Raises
     ------
-    AddressInUse
+    AddressInUseError
         When one of its addresses cannot be bound; nothing is left open.
     """
 
--- a/amaranthpulley/transport/log_sink.py
+++ b/amaranthpulley/transport/log_sink.py
@@ -37,7 +37,7 @@
 
     Raises
     ------
-    LogFileUnwritable
+    LogFileUnwritableError
         When the file cannot be opened.
     """
     logger = logging.getLogger(f"{LOGGER_NAME}.{process}")
@@ -67,7 +67,7 @@
     try:
         return logging.FileHandler(path)
     except OSError as error:
-        raise errors.LogFileUnwritable(
+        raise errors.LogFileUnwritableError(
             f"cannot write the log file {path}: {error.strerror}; change `log_file` "
             "in the settings"
         ) from error
--- a/amaranthpulley/transport/loop.py
+++ b/amaranthpulley/transport/loop.py
@@ -9,7 +9,7 @@
     Called first thing at the start of the process, before sockets are imported
     elsewhere.
     """
-    with warnings.catch_warnings():
-        warnings.simplefilter("ignore", DeprecationWarning)
-        import eventlet
+    warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
+    import eventlet
+
     eventlet.monkey_patch()
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -72,7 +72,9 @@
         for command in engine.step(self.daemon, event, now_ms, self._random):
             self._carry_out[type(command)](command)
 
-    def ask(self, event: events.SearchReceived | events.OrderReceived) -> Any:
+    def ask(
+        self, event: events.SearchReceived | events.OrderReceived
+    ) -> requests.Outcome:
         """Feed a caller's request and wait for its outcome."""
         done = eventlet.event.Event()
         self._waiting[event.request.request_id] = done
--- a/amaranthpulley/transport/target_client.py
+++ b/amaranthpulley/transport/target_client.py
@@ -95,7 +95,7 @@
 
 def _check_attempt(command: commands.SendAttempt, attempt_id: str) -> None:
     if attempt_id != command.attempt_id:
-        raise protocol_errors.MalformedMessage(
+        raise protocol_errors.MalformedMessageError(
             f"target {command.target.name} answered attempt {attempt_id} instead of "
             f"{command.attempt_id}"
         )
--- a/amaranthpulley/transport/web.py
+++ b/amaranthpulley/transport/web.py
@@ -1,6 +1,7 @@
 """HTTP servers on the one loop: eventlet's WSGI server, JSON in and out."""
 
 import http
+import socket
 from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple
 
@@ -40,7 +41,7 @@
         The WSGI application that it serves.
     """
 
-    def __init__(self, listener: Any, application: Application) -> None:
+    def __init__(self, listener: socket.socket, application: Application) -> None:
         self._listener = listener
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
@@ -64,7 +65,7 @@
         self._listener.close()
 
 
-def listen(address: str) -> Any:
+def listen(address: str) -> socket.socket:
     """Return a listening socket.
 
     Parameters
@@ -74,14 +75,14 @@
 
     Raises
     ------
-    AddressInUse
+    AddressInUseError
         When the address cannot be bound.
     """
     ip, port = address.rsplit(":", 1)
     try:
         return eventlet.listen((ip, int(port)), backlog=1024, reuse_port=False)
     except (OSError, OverflowError) as error:
-        raise errors.AddressInUse(
+        raise errors.AddressInUseError(
             f"cannot listen on {address}: {error}; free the port or change the settings"
         ) from error
 
@@ -118,9 +119,9 @@
 
     Raises
     ------
-    BodyTooLarge
+    BodyTooLargeError
         When it is over the limit.
-    BodyTooSlow
+    BodyTooSlowError
         When it has not arrived after `READ_TIMEOUT_SECONDS`.
     """
     try:
@@ -128,10 +129,14 @@
     except ValueError:
         length = 0
     if length > maximum_bytes:
-        raise errors.BodyTooLarge(f"the body is over {maximum_bytes} bytes")
-    slow = errors.BodyTooSlow(f"the body took over {READ_TIMEOUT_SECONDS} s to arrive")
+        raise errors.BodyTooLargeError(f"the body is over {maximum_bytes} bytes")
+    slow = errors.BodyTooSlowError(
+        f"the body took over {READ_TIMEOUT_SECONDS} s to arrive"
+    )
     with eventlet.Timeout(READ_TIMEOUT_SECONDS, slow):
         body = environ["wsgi.input"].read(length)
     if len(body) < length:
-        raise errors.BodyTooSlow("the body ended early; send all of Content-Length")
+        raise errors.BodyTooSlowError(
+            "the body ended early; send all of Content-Length"
+        )
     return body
