--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt requirements-dev.txt
+$(STAMP):
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
 		-r requirements-dev.txt
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for building and publishing the project."""
