--- a/tests/run.py
+++ b/tests/run.py
@@ -185,13 +185,16 @@
 def main() -> int:
     """Run the jobs that the command line names and print the verdict."""
     arguments = docopt.docopt(__doc__)
+    try:
+        known_reds = outcomes.parse_known_reds((_ROOT / "KNOWN-RED.txt").read_text())
+    except outcomes.KnownRedError as error:
+        sys.exit(f"KNOWN-RED.txt: {error}")
     jobs = _select(_all_jobs(), arguments["JOB"], arguments["--only"])
     found: list[outcomes.Outcome] = []
     with futures.ThreadPoolExecutor(int(arguments["--jobs"])) as pool:
         for report in pool.map(_run, jobs):
             _print_report(report)
             found += report.outcomes
-    known_reds = outcomes.parse_known_reds((_ROOT / "KNOWN-RED.txt").read_text())
     whole_run = not arguments["JOB"] and arguments["--only"] is None
     verdict = outcomes.judge(found, known_reds, whole_run)
     _print_verdict(verdict, {o.test: o.detail for o in found if not o.passed})
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -184,15 +184,23 @@
         self.assertEqual((exit_code, lines[-1]), (1, "1 passed, 1 failed"))
         self.assertIn("take it out", lines[-2])
 
-    def test_unknown_job_is_refused(self) -> None:
+    def _run_refused(self, *arguments: str) -> str:
         result = subprocess.run(
-            [sys.executable, "-m", "tests.run", "tests.test_missing"],
+            [sys.executable, "-m", "tests.run", *arguments],
             cwd=self.root,
             capture_output=True,
             text=True,
         )
-        self.assertEqual(result.returncode, 1)
-        self.assertEqual(result.stderr, "no such job: tests.test_missing\n")
+        self.assertEqual((result.returncode, result.stdout), (1, ""))
+        return result.stderr
+
+    def test_unknown_job_is_refused(self) -> None:
+        reason = self._run_refused("tests.test_missing")
+        self.assertEqual(reason, "no such job: tests.test_missing\n")
+
+    def test_malformed_known_reds_are_refused(self) -> None:
+        self._write("KNOWN-RED.txt", "test: a.b\n")
+        self.assertIn("KNOWN-RED.txt: entry", self._run_refused())
 
     def test_a_clean_run_passes_and_counts_each_check(self) -> None:
         shutil.copyfile(_TESTS.parent / "pyproject.toml", self.root / "pyproject.toml")
