--- a/amaranthpulley/coordination/configuring.py
+++ b/amaranthpulley/coordination/configuring.py
@@ -35,6 +35,7 @@
     daemon: daemon_state.Daemon, event: events.Started, now_ms: int, random: Random
 ) -> Commands:
     """Watch the tickets from the first one on."""
+    daemon.wall_offset_ms = event.wall_offset_ms
     return [_watch(after_revision=0)]
 
 
--- a/amaranthpulley/coordination/events.py
+++ b/amaranthpulley/coordination/events.py
@@ -7,7 +7,15 @@
 
 
 class Started(NamedTuple):
-    """The process runs and its sockets are open."""
+    """The process runs and its sockets are open.
+
+    Attributes
+    ----------
+    wall_offset_ms : int
+        What to add to the monotonic clock for milliseconds since the Unix epoch.
+    """
+
+    wall_offset_ms: int = 0
 
 
 class SearchReceived(NamedTuple):
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -2,7 +2,15 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.state import configuration, counters, orders, searches, targets
+from amaranthpulley.state import (
+    configuration,
+    counters,
+    facts,
+    members,
+    orders,
+    searches,
+    targets,
+)
 
 
 class Identity(NamedTuple):
@@ -54,6 +62,16 @@
         self.searches = searches.SearchTable()
         self.orders = orders.OrderTable()
         self.counters = counters.Counters()
+        self.members = members.MemberTable(
+            members.Vm(
+                identity.name,
+                identity.address,
+                identity.failure_domain,
+                identity.region,
+            )
+        )
+        self.facts = facts.FactTable()
+        self.wall_offset_ms = 0
         self.draining = False
         self._last_id = 0
 
@@ -62,6 +80,10 @@
         """The number of requests that have no answer yet."""
         return len(self.searches) + len(self.orders)
 
+    def wall_ms(self, now_ms: int) -> int:
+        """Return milliseconds since the Unix epoch for a monotonic reading."""
+        return now_ms + self.wall_offset_ms
+
     def next_id(self, prefix: str) -> str:
         """Return an identifier that no other daemon and no other life uses."""
         self._last_id += 1
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -72,7 +72,8 @@
             )
         )
         write_log(commands.log(log_events.DAEMON_STARTED, life=identity.life))
-        self.runtime.feed(events.Started())
+        wall_offset_ms = clock.wall_ms() - clock.monotonic_ms()
+        self.runtime.feed(events.Started(wall_offset_ms))
 
     @property
     def caller_address(self) -> str:
--- /dev/null
+++ b/amaranthpulley/transport/virtual_network.py
@@ -0,0 +1,211 @@
+"""A front end under virtual time: daemons, targets and the platform in one process.
+
+It drives the same `engine.step` as the daemon's own transport does, without sockets,
+for tests and for measurements of many daemons. Everything that happens is a function
+of the seed.
+
+>>> network = VirtualNetwork(seed=1)  # doctest: +SKIP
+>>> network.add_leaf(target, leaf)  # doctest: +SKIP
+>>> network.start_daemon(identity)  # doctest: +SKIP
+>>> network.search("vm-1", request)  # doctest: +SKIP
+>>> network.run_until(1_000)  # doctest: +SKIP
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from amaranthpulley.coordination import commands, engine, events
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import members, requests, standin_leaf, standin_store
+from amaranthpulley.transport import virtual_platform, virtual_targets
+
+DEFAULT_DELAY_MS = 1
+
+Delay = Callable[[str, str], int | None]
+
+
+class Answered(NamedTuple):
+    """An answer that a caller got, with the time of it."""
+
+    at_ms: int
+    daemon: str
+    command: commands.AnswerCaller
+
+
+class VirtualDaemon:
+    """One daemon with what its process would hold."""
+
+    def __init__(
+        self, identity: daemon_state.Identity, limits: daemon_state.Limits
+    ) -> None:
+        self.state = daemon_state.Daemon(identity, limits)
+        self.alive = True
+        self.paused_until_ms = 0
+        self.exit_code: int | None = None
+
+
+class VirtualNetwork:
+    """Daemons, targets, store and VM list that share one virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+        Decides all chance.
+
+    Attributes
+    ----------
+    delay : callable
+        Given the addresses of sender and receiver returns the one-way delay in
+        milliseconds, or None when the message is lost. Replace it to cut or slow links.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.clock = clock_state.VirtualClock()
+        self.daemons: dict[str, VirtualDaemon] = {}
+        self.answers: list[Answered] = []
+        self.logs: list[tuple[int, str, commands.Log]] = []
+        self.vms: tuple[members.Vm, ...] | None = ()
+        self.delay: Delay = lambda sender, receiver: DEFAULT_DELAY_MS
+        self.platform = virtual_platform.VirtualPlatform(self)
+        self.targets = virtual_targets.VirtualTargets(self)
+        self._due: list[tuple[int, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._calls: dict[str, Callable[[tuple], None]] = {}
+
+    @property
+    def now_ms(self) -> int:
+        """The present time, in milliseconds."""
+        return self.clock.now_ms
+
+    @property
+    def store(self) -> standin_store.StandInStore:
+        """The stand-in store."""
+        return self.platform.store
+
+    def at(self, due_ms: int, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._due, (due_ms, next(self._sequence), action))
+
+    def after(self, wait_ms: int, action: Callable[[], None]) -> None:
+        """Do something after a while."""
+        self.at(self.now_ms + wait_ms, action)
+
+    def run_until(self, end_ms: int) -> None:
+        """Let everything happen that is due up to a time."""
+        while self._due and self._due[0][0] <= end_ms:
+            due_ms, _, action = heapq.heappop(self._due)
+            self.clock.advance_to(due_ms)
+            action()
+        self.clock.advance_to(end_ms)
+
+    def add_leaf(self, address: str, leaf: standin_leaf.StandInLeaf) -> None:
+        """Put a stand-in target on an address."""
+        self.targets.leaves[address] = leaf
+
+    def start_daemon(
+        self,
+        identity: daemon_state.Identity,
+        limits: daemon_state.Limits | None = None,
+    ) -> VirtualDaemon:
+        """Start a daemon; one of the same name must have ended before."""
+        daemon = VirtualDaemon(identity, limits or daemon_state.Limits())
+        self.daemons[identity.name] = daemon
+        clock = self.clock.as_clock()
+        wall_offset_ms = clock.wall_ms() - clock.monotonic_ms()
+        self.feed(daemon, events.Started(wall_offset_ms))
+        return daemon
+
+    def crash(self, name: str) -> None:
+        """End a daemon at once; its callers get no answer."""
+        self.daemons[name].alive = False
+
+    def pause(self, name: str, for_ms: int) -> None:
+        """Stop a daemon for a while; what arrives meanwhile waits."""
+        self.daemons[name].paused_until_ms = self.now_ms + for_ms
+
+    def search(self, name: str, request: requests.SearchRequest) -> None:
+        """Send a search to a daemon."""
+        self.feed(self.daemons[name], events.SearchReceived(request))
+
+    def order(self, name: str, request: requests.OrderRequest) -> None:
+        """Send an order to a daemon."""
+        self.feed(self.daemons[name], events.OrderReceived(request))
+
+    def feed(self, daemon: VirtualDaemon, event: events.Event) -> None:
+        """Give an event to a daemon, later if it is paused, never if it is dead."""
+        if not daemon.alive:
+            return
+        if daemon.paused_until_ms > self.now_ms:
+            self.at(daemon.paused_until_ms, lambda: self.feed(daemon, event))
+            return
+        decided = engine.step(daemon.state, event, self.now_ms, self.random.random)
+        for command in decided:
+            self._carry_out(daemon, command)
+
+    def _carry_out(self, daemon: VirtualDaemon, command: commands.Command) -> None:
+        name = daemon.state.identity.name
+        match command:
+            case commands.SendAttempt():
+                self.targets.send(daemon, command)
+            case commands.CancelAttempt():
+                self.targets.cancel(daemon, command)
+            case commands.AnswerCaller():
+                self.answers.append(Answered(self.now_ms, name, command))
+            case commands.SetTimer():
+                due = events.TimerDue(command.purpose)
+                self.at(command.due_ms, lambda: self.feed(daemon, due))
+            case commands.CallStore():
+                self.platform.call_store(daemon, command)
+            case commands.ListVms():
+                self.platform.list_vms(daemon, command)
+            case commands.CallPeer():
+                self._call_peer(daemon, command)
+            case commands.ReplyPeer():
+                self._calls.pop(command.call_id)(command.reply)
+            case commands.Log():
+                self.logs.append((self.now_ms, name, command))
+            case commands.Exit():
+                daemon.alive = False
+                daemon.exit_code = command.code
+
+    def _call_peer(self, caller: VirtualDaemon, command: commands.CallPeer) -> None:
+        own = caller.state.identity.address
+        ended = False
+
+        def end(reply: tuple | events.PeerFailure) -> None:
+            nonlocal ended
+            if not ended:
+                ended = True
+                replied = events.PeerReplied(command.purpose, command.address, reply)
+                self.feed(caller, replied)
+
+        def arrive() -> None:
+            peer = self._daemon_at(command.address)
+            if peer is None:
+                self.after(1, lambda: end(events.PeerFailure.UNREACHABLE))
+                return
+            call_id = f"call-{next(self._sequence)}"
+            self._calls[call_id] = send_back
+            sender_ip = own.rsplit(":", 1)[0]
+            self.feed(peer, events.PeerCalled(call_id, sender_ip, command.message))
+
+        def send_back(reply: tuple) -> None:
+            back_ms = self.delay(command.address, own)
+            if back_ms is not None:
+                self.after(back_ms, lambda: end(reply))
+
+        there_ms = self.delay(own, command.address)
+        if there_ms is not None:
+            self.after(there_ms, arrive)
+        self.after(command.timeout_ms, lambda: end(events.PeerFailure.TIMED_OUT))
+
+    def _daemon_at(self, address: str) -> VirtualDaemon | None:
+        for daemon in self.daemons.values():
+            if daemon.alive and daemon.state.identity.address == address:
+                return daemon
+        return None
