--- a/amaranthpulley/transport/log_sink.py
+++ b/amaranthpulley/transport/log_sink.py
@@ -40,10 +40,7 @@
     LogFileUnwritableError
         When the file cannot be opened.
     """
-    logger = logging.getLogger(f"{LOGGER_NAME}.{process}")
-    logger.setLevel(level)
-    logger.propagate = False
-    logger.handlers = [_handler(path)]
+    logger = _logger(process, path, level)
 
     def write(command: commands.Log) -> None:
         event = command.event
@@ -61,6 +58,14 @@
     return write
 
 
+def _logger(process: str, path: str | None, level: log_events.Level) -> logging.Logger:
+    logger = logging.getLogger(f"{LOGGER_NAME}.{process}")
+    logger.setLevel(level)
+    logger.propagate = False
+    logger.handlers = [_handler(path)]
+    return logger
+
+
 def _handler(path: str | None) -> logging.Handler:
     if path is None:
         return logging.StreamHandler(sys.stderr)
