Add the experiment tool with the straggler experiment

No measurement could be repeated by a command yet. The tool runs sites of both users under virtual time, checks each answer against what the leaves hold, and writes rows as a table and as JSON lines with command and seed.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	$(PYTHON) -m tests.run
 
 bench: $(STAMP)
-	$(PYTHON) -m amaranthpulley bench
+	$(PYTHON) -m amaranthpulley bench --out build/bench \
+		--revision "$$(git rev-parse --short HEAD 2>/dev/null)"
 
 dist: $(STAMP)
 	$(PYTHON) -m tools.build_archive dist/amaranthpulley
--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -5,6 +5,8 @@
   amaranthpulley leaf [--address ADDRESS] [--shard NUMBER] [--shards COUNT]
   amaranthpulley store [--address ADDRESS]
   amaranthpulley demo
+  amaranthpulley bench [--only NAME] [--seed N] [--out DIR] [--quick]
+                       [--revision TEXT]
   amaranthpulley settings check FILE
   amaranthpulley version
   amaranthpulley --help
@@ -15,6 +17,11 @@
                      [default: 127.0.0.1:0].
   --shard NUMBER     Which shard the stand-in leaf holds, from 0 [default: 0].
   --shards COUNT     How many shards there are [default: 1].
+  --only NAME        Run this experiment alone.
+  --seed N           Decides all chance of an experiment [default: 1].
+  --out DIR          Write the rows as JSON lines into this folder.
+  --quick            Small sizes, to try the tool out.
+  --revision TEXT    Revision of the source, noted with the rows [default: ].
   --help             Show this text.
 
 Exit codes:
@@ -110,6 +117,20 @@
     return demo.run(print)
 
 
+def _run_bench(arguments: Arguments) -> int:
+    loop.prepare_loop()
+    from amaranthpulley.transport.bench import tool
+
+    options = tool.Options(
+        arguments["--only"],
+        int(arguments["--seed"]),
+        arguments["--out"],
+        arguments["--quick"],
+        arguments["--revision"] or "",
+    )
+    return tool.run(options, print)
+
+
 def _check_settings(arguments: Arguments) -> int:
     settings_protocol.read(arguments["FILE"])
     print(f"{arguments['FILE']}: the settings are in order")
@@ -126,6 +147,7 @@
     "leaf": _run_leaf,
     "store": _run_store,
     "demo": _run_demo,
+    "bench": _run_bench,
     "settings": _check_settings,
     "version": _show_version,
 }
--- /dev/null
+++ b/amaranthpulley/transport/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The project's own emulator and experiments, run by ``amaranthpulley bench``."""
--- /dev/null
+++ b/amaranthpulley/transport/bench/histogram.py
@@ -0,0 +1,62 @@
+"""Exact histograms of whole numbers."""
+
+import collections
+import math
+from collections.abc import Iterable
+
+
+class Histogram:
+    """Counts of values.
+
+    Parameters
+    ----------
+    values : iterable of int or float
+        Values to begin with.
+    """
+
+    def __init__(self, values: Iterable[float] = ()) -> None:
+        self._counts: collections.Counter[float] = collections.Counter(values)
+
+    def __len__(self) -> int:
+        return self._counts.total()
+
+    def add(self, value: float) -> None:
+        """Count a value."""
+        self._counts[value] += 1
+
+    @property
+    def mean(self) -> float:
+        """The mean, NaN without a value."""
+        if not self._counts:
+            return math.nan
+        return sum(v * n for v, n in self._counts.items()) / len(self)
+
+    @property
+    def least(self) -> float:
+        """The least value, NaN without one."""
+        return min(self._counts, default=math.nan)
+
+    @property
+    def largest(self) -> float:
+        """The largest value, NaN without one."""
+        return max(self._counts, default=math.nan)
+
+    def quantile(self, share: float) -> float:
+        """Return the least value that `share` of all values do not exceed.
+
+        Parameters
+        ----------
+        share : float
+            From 0.0 to 1.0, for example 0.99 for the 99th percentile.
+
+        Returns
+        -------
+        float
+            NaN without a value.
+        """
+        rank = max(1, math.ceil(share * len(self)))
+        for value in sorted(self._counts):
+            rank -= self._counts[value]
+            if rank <= 0:
+                return value
+        return math.nan
--- /dev/null
+++ b/amaranthpulley/transport/bench/links.py
@@ -0,0 +1,84 @@
+"""Delays between daemons and leaves, with the cost of opening connections."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+if typing.TYPE_CHECKING:
+    from amaranthpulley.transport import virtual_network
+    from amaranthpulley.transport.bench import sites
+
+# A message without a reply holds its connection no longer than this.
+FORGET_MS = 2_000
+
+Pair = tuple[str, str]
+
+
+class Links:
+    """The links of a site and the connections that daemons hold to leaves.
+
+    Parameters
+    ----------
+    shape : Shape
+        Gives the delays.
+    domains : dict
+        Failure domain by address; an address that is not in it is near everywhere.
+    network : VirtualNetwork
+        Gives time and chance.
+    """
+
+    def __init__(
+        self,
+        shape: sites.Shape,
+        domains: dict[str, str],
+        network: virtual_network.VirtualNetwork,
+    ) -> None:
+        self._shape = shape
+        self._domains = domains
+        self._network = network
+        self._busy: dict[Pair, collections.deque[int]] = {}
+        self._open: collections.Counter[Pair] = collections.Counter()
+
+    @property
+    def most_connections(self) -> int:
+        """The largest number of connections that any leaf had, from all daemons."""
+        by_leaf: collections.Counter[str] = collections.Counter()
+        for (_, leaf), count in self._open.items():
+            by_leaf[leaf] += count
+        return max(by_leaf.values(), default=0)
+
+    def delay(self, sender: str, receiver: str) -> int:
+        """Return the one-way delay of a message, in milliseconds."""
+        delay_ms = self._whole_ms(self._distance_ms(sender, receiver))
+        if receiver.startswith(self._shape.service):
+            return delay_ms + self._take_connection((sender, receiver))
+        if sender.startswith(self._shape.service):
+            self._release_connection((receiver, sender))
+        return delay_ms
+
+    def _distance_ms(self, sender: str, receiver: str) -> float:
+        near = self._domains.get(sender) == self._domains.get(receiver)
+        known = sender in self._domains and receiver in self._domains
+        return self._shape.near_ms if near or not known else self._shape.far_ms
+
+    def _whole_ms(self, delay_ms: float) -> int:
+        # The virtual clock counts whole milliseconds: a fraction is drawn by chance.
+        whole = int(delay_ms)
+        return whole + (self._network.random.random() < delay_ms - whole)
+
+    def _take_connection(self, pair: Pair) -> int:
+        busy = self._busy.setdefault(pair, collections.deque())
+        now_ms = self._network.now_ms
+        while busy and busy[0] + FORGET_MS < now_ms:
+            busy.popleft()
+        busy.append(now_ms)
+        if len(busy) <= self._open[pair]:
+            return 0
+        self._open[pair] = len(busy)
+        return self._shape.connect_ms
+
+    def _release_connection(self, pair: Pair) -> None:
+        busy = self._busy.get(pair)
+        if busy:
+            busy.popleft()
--- /dev/null
+++ b/amaranthpulley/transport/bench/measuring.py
@@ -0,0 +1,138 @@
+"""What the callers got, checked against what the leaves held."""
+
+import collections
+from collections.abc import Iterable
+from typing import Final
+
+from amaranthpulley.state import keyspace, requests
+from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport.bench import histogram, sites
+
+COVERAGE_TOLERANCE: Final = 1e-6
+SECOND_MS: Final = 1_000
+
+
+class Collector:
+    """Latency, coverage and truth of the answers in a span of time.
+
+    Parameters
+    ----------
+    shape : Shape
+        The site's sizes and delays.
+    begin_ms, end_ms : int
+        Searches that were sent earlier or later are left out.
+    deadline_ms : int
+        A later answer is of no use to its caller.
+    useful_coverage : float
+        An answer with less coverage is of no use to its caller.
+    """
+
+    def __init__(
+        self,
+        shape: sites.Shape,
+        begin_ms: int,
+        end_ms: int,
+        deadline_ms: int,
+        useful_coverage: float = 0.9,
+    ) -> None:
+        self.begin_ms = begin_ms
+        self.end_ms = end_ms
+        self.sent = 0
+        self.latency_ms = histogram.Histogram()
+        self.coverage = histogram.Histogram()
+        self.refused = 0
+        self.late = 0
+        self.mixed_answers = 0
+        self.coverage_errors = 0
+        self.all_sent = 0
+        self.all_runs = 0
+        self.sent_by_second: collections.Counter[int] = collections.Counter()
+        self.useful_by_second: collections.Counter[int] = collections.Counter()
+        self.latency_by_second: dict[int, histogram.Histogram] = {}
+        self._round_trip_ms = round(2 * shape.client_ms)
+        self._deadline_ms = deadline_ms
+        self._useful_coverage = useful_coverage
+        self._sent_ms: dict[str, int] = {}
+        self._truth = {version: _parts_of(shape.shards, version) for version in (0, 1)}
+
+    @property
+    def lost(self) -> int:
+        """The number of searches that got no reply at all."""
+        return len(self._sent_ms)
+
+    @property
+    def useful(self) -> int:
+        """The number of answers in time with enough coverage."""
+        return self.useful_by_second.total()
+
+    def runs_for_each(self, shards: int) -> float:
+        """Return the leaf calls that ran for each shard of each search.
+
+        The warm-up counts too, so that no search is cut by the ends of the span.
+        """
+        return self.all_runs / (self.all_sent * shards)
+
+    def observe_run(self) -> None:
+        """Count a leaf call that a leaf has run."""
+        self.all_runs += 1
+
+    def note_sent(self, request_id: str, now_ms: int) -> None:
+        """Count a search."""
+        self.all_sent += 1
+        if self.begin_ms <= now_ms < self.end_ms:
+            self.sent += 1
+            self._sent_ms[request_id] = now_ms
+            self.sent_by_second[now_ms // SECOND_MS] += 1
+
+    def take(self, answers: Iterable[virtual_network.Answered]) -> None:
+        """Measure answers."""
+        for answered in answers:
+            request_id = answered.command.request.request_id
+            sent_ms = self._sent_ms.pop(request_id, None)
+            if sent_ms is not None:
+                self._measure(answered, sent_ms)
+
+    def check(self, answer: requests.SearchAnswer) -> None:
+        """Compare an answer with what the leaves hold of its version."""
+        suffix = f" v{answer.version}"
+        if not all(row.value.endswith(suffix) for row in answer.rows):
+            self.mixed_answers += 1
+        found = {row.key for row in answer.rows}
+        covered = 0.0
+        whole_parts = True
+        for share, keys in self._truth[answer.version % 2]:
+            if keys <= found:
+                covered += share
+            elif keys & found:
+                whole_parts = False
+        true = abs(covered - answer.coverage) < COVERAGE_TOLERANCE
+        doubled = len(found) != len(answer.rows)
+        if doubled or not (whole_parts and true):
+            self.coverage_errors += 1
+
+    def _measure(self, answered: virtual_network.Answered, sent_ms: int) -> None:
+        outcome = answered.command.outcome
+        if not isinstance(outcome, requests.SearchAnswer):
+            self.refused += 1
+            return
+        elapsed_ms = answered.at_ms - sent_ms + self._round_trip_ms
+        second = answered.at_ms // SECOND_MS
+        self.latency_ms.add(elapsed_ms)
+        seconds = self.latency_by_second
+        seconds.setdefault(second, histogram.Histogram()).add(elapsed_ms)
+        self.coverage.add(outcome.coverage)
+        self.check(outcome)
+        in_time = elapsed_ms <= self._deadline_ms + self._round_trip_ms
+        if not in_time:
+            self.late += 1
+        elif outcome.coverage >= self._useful_coverage:
+            self.useful_by_second[second] += 1
+
+
+def _parts_of(shards: int, version: int) -> list[tuple[float, frozenset[str]]]:
+    parts = []
+    for start, end in sites.partition(shards, version):
+        keys = [k for k in sites.KEYS if start <= keyspace.position_of(k) < end]
+        share = (end - start) / keyspace.KEY_SPACE_SIZE
+        parts.append((share, frozenset(keys)))
+    return parts
--- /dev/null
+++ b/amaranthpulley/transport/bench/sites.py
@@ -0,0 +1,215 @@
+"""The users' sites under virtual time: daemons, leaves, links and configuration."""
+
+import itertools
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import configuring, stored_values
+from amaranthpulley.state import (
+    daemon,
+    keyspace,
+    members,
+    standin_leaf,
+    store,
+    topology,
+)
+from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport.bench import links
+
+DAEMONS: Final = 6
+FIRST_VERSION: Final = 1
+KEYS: Final = tuple(f"slot-{number:03d}" for number in range(48))
+START_MS: Final = 2_000
+# Shares of the key space at which a repartitioned index is cut.
+SHIFTED_CUTS: Final = (0.4, 0.7)
+
+
+class Shape(NamedTuple):
+    """Sizes and delays of one service of a user.
+
+    Attributes
+    ----------
+    service : str
+        Name of the service.
+    failure_domains : tuple of str
+        Each one is its own region.
+    instances, shards : int
+        Copies of the index, and leaves of each.
+    slots, connections : int
+        Limits of each leaf.
+    connect_ms : int
+        Time to open a connection to a leaf.
+    near_ms, far_ms, client_ms : float
+        One-way delays within a region, between regions, and to the clients.
+    give_way : GiveWay
+        What the user gives up first.
+    """
+
+    service: str
+    failure_domains: tuple[str, ...]
+    instances: int
+    shards: int
+    slots: int
+    connections: int
+    connect_ms: int
+    near_ms: float
+    far_ms: float
+    client_ms: float
+    give_way: topology.GiveWay
+
+    def capacity_per_second(self, service_ms: float) -> float:
+        """Return the searches a second that keep every slot busy."""
+        return self.instances * self.slots * 1_000 / service_ms
+
+
+_BRAZIL: Final = ("Recife", "Fortaleza", "Salvador")
+_NEPAL: Final = ("Kathmandu", "Pokhara", "Biratnagar")
+_TIME: Final = topology.GiveWay.TIME
+_COVERAGE: Final = topology.GiveWay.COVERAGE
+
+DISPATCH: Final = Shape("dispatch", _BRAZIL, 10, 3, 2, 25, 6, 0.5, 12.0, 1.0, _COVERAGE)
+OLD_DESK: Final = DISPATCH._replace(service="old-desk", instances=15)
+COUNTER_DESK: Final = Shape(
+    "counter-desk", _NEPAL, 10, 3, 4, 35, 6, 1.0, 20.0, 1.0, _TIME
+)
+LEDGER_VIEWER: Final = COUNTER_DESK._replace(service="ledger-viewer", instances=15)
+SHAPES: Final = (DISPATCH, OLD_DESK, COUNTER_DESK, LEDGER_VIEWER)
+
+
+class Policy(NamedTuple):
+    """The service settings that an experiment varies."""
+
+    name: str
+    hedge_budget: float
+
+
+FULL: Final = Policy("policy", hedge_budget=0.05)
+PLAIN: Final = Policy("plain", hedge_budget=0.0)
+
+
+class Site:
+    """One user's service with its daemons.
+
+    Parameters
+    ----------
+    shape : Shape
+        Sizes and delays.
+    policy : Policy
+        The service's settings.
+    seed : int
+        Decides all chance.
+    deadline_ms : int
+        The service's deadline.
+    """
+
+    def __init__(
+        self, shape: Shape, policy: Policy, seed: int, deadline_ms: int
+    ) -> None:
+        self.shape = shape
+        self.network = virtual_network.VirtualNetwork(seed)
+        self.leaves: dict[str, standin_leaf.StandInLeaf] = {}
+        self.domains: dict[str, str] = {}
+        self.links = links.Links(shape, self.domains, self.network)
+        self.network.delay = self.links.delay
+        targets = tuple(
+            self._add_leaf(instance, shard)
+            for instance in range(shape.instances)
+            for shard in range(shape.shards)
+        )
+        self._apply(_ticket(shape, policy, targets, deadline_ms))
+        self.vms = tuple(_vm(shape, number) for number in range(DAEMONS))
+        self.network.vms = self.vms
+        for vm in self.vms:
+            self.start_daemon(vm, life="1")
+        self.network.run_until(START_MS)
+
+    def start_daemon(self, vm: members.Vm, life: str) -> None:
+        """Start the daemon of a VM."""
+        self.domains[vm.address] = vm.failure_domain
+        identity = daemon.Identity(
+            vm.name, vm.address, vm.failure_domain, vm.region, life
+        )
+        self.network.start_daemon(identity)
+
+    def load_version(self, leaf: standin_leaf.StandInLeaf, version: int) -> None:
+        """Let a leaf hold a version of the index, by the partition of the version."""
+        shard = int(_shard_of(leaf).rsplit("-", 1)[1])
+        part = partition(self.shape.shards, version)[shard]
+        leaf.hold(version, (part,), list(KEYS))
+
+    def leaves_of(self, failure_domain: str) -> list[standin_leaf.StandInLeaf]:
+        """Return the leaves of a failure domain."""
+        return [
+            leaf
+            for address, leaf in self.leaves.items()
+            if self.domains[address] == failure_domain
+        ]
+
+    def _add_leaf(self, instance: int, shard: int) -> topology.Target:
+        shape = self.shape
+        name = f"{shape.service}-{instance}-{shard}"
+        leaf = standin_leaf.StandInLeaf(f"{name}/1", shape.slots)
+        self.load_version(leaf, FIRST_VERSION)
+        self.leaves[name] = leaf
+        domain = shape.failure_domains[instance % len(shape.failure_domains)]
+        self.domains[name] = domain
+        self.network.add_leaf(name, leaf)
+        return topology.Target(
+            name,
+            shape.service,
+            instance,
+            f"shard-{shard}",
+            domain,
+            address=name,
+            slots=shape.slots,
+            connections=shape.connections,
+        )
+
+    def _apply(self, ticket: topology.ChangeTicket) -> None:
+        value = stored_values.encode_ticket(ticket)
+        swap = store.Swap(configuring.ticket_key(ticket.number), 0, value)
+        self.network.store.call(swap, now_ms=0)
+
+
+def partition(shards: int, version: int) -> list[keyspace.KeyRange]:
+    """Return the parts of an index version; every second one is cut elsewhere."""
+    if version % 2 or shards != len(SHIFTED_CUTS) + 1:
+        return keyspace.split_evenly(shards)
+    size = keyspace.KEY_SPACE_SIZE
+    bounds = [0, *(int(cut * size) for cut in SHIFTED_CUTS), size]
+    return [keyspace.KeyRange(*pair) for pair in itertools.pairwise(bounds)]
+
+
+def restart(leaf: standin_leaf.StandInLeaf) -> None:
+    """Give a leaf a new boot id and nothing to do."""
+    name, life = leaf.boot_id.rsplit("/", 1)
+    leaf.boot_id = f"{name}/{int(life) + 1}"
+    leaf.busy_slots = 0
+
+
+def _shard_of(leaf: standin_leaf.StandInLeaf) -> str:
+    return leaf.boot_id.rsplit("/", 1)[0]
+
+
+def _vm(shape: Shape, number: int) -> members.Vm:
+    domain = shape.failure_domains[number % len(shape.failure_domains)]
+    return members.Vm(f"vm-{number}", f"10.0.0.{number + 1}:7000", domain, domain)
+
+
+def _ticket(
+    shape: Shape,
+    policy: Policy,
+    targets: tuple[topology.Target, ...],
+    deadline_ms: int,
+) -> topology.ChangeTicket:
+    service = topology.Service(
+        shape.service,
+        topology.ServiceKind.SEARCH,
+        deadline_ms=deadline_ms,
+        hard_deadline_ms=2 * deadline_ms,
+        give_way=shape.give_way,
+        hedge_budget=policy.hedge_budget,
+    )
+    domains = tuple(
+        topology.FailureDomain(name, region=name) for name in shape.failure_domains
+    )
+    return topology.ChangeTicket(1, (service,), domains, targets)
--- /dev/null
+++ b/amaranthpulley/transport/bench/tests/test_trial.py
@@ -0,0 +1,60 @@
+"""Tests of one run of a site."""
+
+import unittest
+
+from amaranthpulley.state import requests
+from amaranthpulley.transport.bench import measuring, sites, trial, workload
+
+SHAPE = sites.DISPATCH._replace(instances=3)
+
+
+def _plan(**changes: object) -> trial.Plan:
+    plan = trial.Plan(SHAPE, sites.FULL, workload.constant(60), seconds=2)
+    return plan._replace(**changes)
+
+
+def _rows(seed: int) -> tuple:
+    measured = trial.Trial(_plan(), seed).run()
+    quantiles = [measured.latency_ms.quantile(q / 10) for q in range(1, 11)]
+    return measured.sent, measured.all_runs, quantiles
+
+
+class TrialTest(unittest.TestCase):
+    def test_same_seed_gives_the_same_rows(self) -> None:
+        self.assertEqual(_rows(seed=3), _rows(seed=3))
+
+    def test_other_seed_gives_other_rows(self) -> None:
+        self.assertNotEqual(_rows(seed=3), _rows(seed=4))
+
+    def test_answers_are_true_without_faults(self) -> None:
+        measured = trial.Trial(_plan(), seed=1).run()
+        self.assertGreater(measured.useful, 0)
+        self.assertEqual(measured.mixed_answers, 0)
+        self.assertEqual(measured.coverage_errors, 0)
+        self.assertEqual(measured.lost, 0)
+
+
+class CollectorTest(unittest.TestCase):
+    def _collector(self) -> measuring.Collector:
+        return measuring.Collector(SHAPE, 0, 1_000, deadline_ms=400)
+
+    def _answer(self, **changes: object) -> requests.SearchAnswer:
+        rows = tuple(requests.Row(0, key, f"{key} v1") for key in sites.KEYS)
+        return requests.SearchAnswer(rows, 1, 1.0, 3)._replace(**changes)
+
+    def test_wrong_answers_are_found(self) -> None:
+        whole = self._answer()
+        other = whole.rows[0]._replace(value=f"{whole.rows[0].key} v2")
+        table = {
+            "whole": (whole, 0, 0),
+            "mixed": (whole._replace(rows=(other, *whole.rows[1:])), 1, 0),
+            "row missing": (whole._replace(rows=whole.rows[1:]), 0, 1),
+            "row twice": (whole._replace(rows=(*whole.rows, whole.rows[0])), 0, 1),
+            "coverage too low": (whole._replace(coverage=2 / 3), 0, 1),
+        }
+        for name, (answer, mixed, errors) in table.items():
+            with self.subTest(name):
+                collector = self._collector()
+                collector.check(answer)
+                self.assertEqual(collector.mixed_answers, mixed)
+                self.assertEqual(collector.coverage_errors, errors)
--- /dev/null
+++ b/amaranthpulley/transport/bench/trial.py
@@ -0,0 +1,90 @@
+"""One run of a site under load and faults."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.transport.bench import measuring, sites, workload
+
+WARM_UP_MS: Final = 5_000
+COOL_DOWN_MS: Final = 5_000
+STEP_MS: Final = 1_000
+
+
+class Plan(NamedTuple):
+    """What happens in a trial.
+
+    Attributes
+    ----------
+    shape : Shape
+        The site.
+    policy : Policy
+        The service's settings.
+    rate : callable
+        Searches a second at a time since the first one, in milliseconds.
+    seconds : int
+        Length of the measured span.
+    deadline_ms : int
+        The service's deadline.
+    stragglers : Stragglers
+        The slow leaf calls.
+    """
+
+    shape: sites.Shape
+    policy: sites.Policy
+    rate: workload.Rate
+    seconds: int
+    deadline_ms: int = 400
+    stragglers: workload.Stragglers = workload.Stragglers()
+
+
+class Trial:
+    """A site with its callers.
+
+    Parameters
+    ----------
+    plan : Plan
+        What happens.
+    seed : int
+        Decides all chance.
+
+    Attributes
+    ----------
+    begin_ms, end_ms : int
+        The measured span.
+    """
+
+    def __init__(self, plan: Plan, seed: int) -> None:
+        self.plan = plan
+        self.site = sites.Site(plan.shape, plan.policy, seed, plan.deadline_ms)
+        self.begin_ms = sites.START_MS + WARM_UP_MS
+        self.end_ms = self.begin_ms + plan.seconds * 1_000
+        self.collector = measuring.Collector(
+            plan.shape, self.begin_ms, self.end_ms, plan.deadline_ms
+        )
+        self.callers = workload.Callers(
+            self.site,
+            lambda now_ms: plan.rate(now_ms - self.begin_ms),
+            seed + 1,
+            self.collector,
+        )
+        self.site.network.targets.service_ms = workload.service_time(
+            plan.stragglers, seed + 2, self._observe_run
+        )
+
+    def at(self, since_begin_ms: int, action: Callable[[], None]) -> None:
+        """Let something happen at a time since the begin of the measured span."""
+        self.site.network.at(self.begin_ms + since_begin_ms, action)
+
+    def run(self) -> measuring.Collector:
+        """Run to the end and return what was measured."""
+        network = self.site.network
+        self.callers.start(sites.START_MS, self.end_ms)
+        for now_ms in range(network.now_ms, self.end_ms + COOL_DOWN_MS, STEP_MS):
+            network.run_until(now_ms + STEP_MS)
+            self.collector.take(network.answers)
+            network.answers.clear()
+            network.logs.clear()
+        return self.collector
+
+    def _observe_run(self, leaf: str, work_ms: int) -> None:
+        self.collector.observe_run()
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -59,3 +59,9 @@
     """A peer refused a message."""
 
     code = "peer_rejected"
+
+
+class UnknownExperimentError(TransportError):
+    """There is no experiment of this name."""
+
+    code = "unknown_experiment"
