--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -21,6 +21,7 @@
     events,
     ordering,
     searching,
+    tracing,
 )
 from amaranthpulley.state import daemon as daemon_state
 
@@ -29,7 +30,7 @@
     [daemon_state.Daemon, events.Event, int, Random], list[commands.Command]
 ]
 
-_MODULES: Final = (searching, ordering, configuring, draining)
+_MODULES: Final = (tracing, searching, ordering, configuring, draining)
 
 
 def _collect_handlers() -> dict[type, list[Handler]]:
--- a/amaranthpulley/state/orders.py
+++ b/amaranthpulley/state/orders.py
@@ -81,6 +81,10 @@
         order.attempts_sent += 1
         self._requests_by_attempt[attempt_id] = order.request.request_id
 
+    def request_of(self, attempt_id: str) -> str | None:
+        """Return the request of a running attempt, or None when it is over."""
+        return self._requests_by_attempt.get(attempt_id)
+
     def end_attempt(self, attempt_id: str) -> Order | None:
         """Take an attempt out; None when it was already over or is not an order's."""
         request_id = self._requests_by_attempt.pop(attempt_id, None)
--- a/amaranthpulley/state/searches.py
+++ b/amaranthpulley/state/searches.py
@@ -132,6 +132,10 @@
         search.tried.setdefault(attempt.shard, set()).add(attempt.target.name)
         self._requests_by_attempt[attempt.attempt_id] = search.request.request_id
 
+    def request_of(self, attempt_id: str) -> str | None:
+        """Return the request of a running attempt, or None when it is over."""
+        return self._requests_by_attempt.get(attempt_id)
+
     def end_attempt(self, attempt_id: str) -> tuple[Search, Attempt] | None:
         """Take an attempt out; None when it was already over or is not a search's."""
         request_id = self._requests_by_attempt.pop(attempt_id, None)
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -6,10 +6,10 @@
 import eventlet
 import eventlet.event
 
-from amaranthpulley.coordination import commands, engine, events
+from amaranthpulley.coordination import commands, engine, events, tracing
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import requests
+from amaranthpulley.state import log_events, requests
 from amaranthpulley.transport import log_sink, store_client, target_client
 
 Request = requests.SearchRequest | requests.OrderRequest
@@ -69,7 +69,7 @@
     def feed(self, event: events.Event) -> None:
         """Decide about an event and carry out what was decided."""
         now_ms = self._clock.monotonic_ms()
-        for command in engine.step(self.daemon, event, now_ms, self._random):
+        for command in self._decide(event, now_ms):
             self._carry_out[type(command)](command)
 
     def ask(
@@ -86,7 +86,21 @@
         self._targets.close()
         self._store.close()
 
+    def _decide(self, event: events.Event, now_ms: int) -> list[commands.Command]:
+        try:
+            return engine.step(self.daemon, event, now_ms, self._random)
+        except Exception as error:
+            # Only the types: the text of an error may quote a customer's data.
+            failed = commands.log(
+                log_events.INTERNAL_ERROR,
+                error=type(error).__name__,
+                cause=type(event).__name__,
+            )
+            self._write_log(failed)
+            raise
+
     def _send_attempt(self, command: commands.SendAttempt) -> None:
+        self._write_log(tracing.attempt_sent(command))
         eventlet.spawn_n(lambda: self.feed(self._targets.attempt(command)))
 
     def _cancel_attempt(self, command: commands.CancelAttempt) -> None:
