--- /dev/null
+++ b/amaranthpulley/transport/bench/domain_loss.py
@@ -0,0 +1,169 @@
+"""Experiment: a failure domain lost without warning that comes back cold."""
+
+from typing import Final, NamedTuple
+
+from amaranthpulley.state import members
+from amaranthpulley.transport.bench import measuring, sites, trial, workload
+
+LOAD: Final = 0.4
+LOST_S: Final = 5
+BACK_S: Final = 20
+END_S: Final = 40
+QUICK_S: Final = (1, 3, 5)
+# The balancer's health check finds a dead VM after this time.
+BALANCER_MS: Final = 1_000
+
+
+class SecondRow(NamedTuple):
+    """What callers got in one second of a run."""
+
+    policy: str
+    second: int
+    sent: int
+    useful: int
+    p99_ms: float
+
+
+class DomainLossRow(NamedTuple):
+    """Totals of one run, and the work of leaves in their cold start.
+
+    Attributes
+    ----------
+    unanswered : int
+        Searches whose VM died with the failure domain.
+    least_useful_share : float
+        Least useful answers of a second over the searches of it, from the second
+        after the balancer has left out the dead VMs.
+    seconds_below : int
+        Seconds in which fewer than 0.95 of the searches got a useful answer.
+    most_cold_work : int
+        Largest number of requests that a leaf ran at the same time while cold.
+    cold_bound : int
+        The number that it bears.
+    falls : int
+        Times that a cold leaf fell over because it got more.
+    """
+
+    service: str
+    policy: str
+    sent: int
+    useful: int
+    refused: int
+    unanswered: int
+    least_useful_share: float
+    seconds_below: int
+    p99_ms: float
+    most_cold_work: int
+    cold_bound: int
+    falls: int
+    mixed_answers: int
+    coverage_errors: int
+
+
+def run(seed: int, quick: bool = False) -> list[tuple]:
+    """Return the totals and the seconds of each policy."""
+    times = QUICK_S if quick else (LOST_S, BACK_S, END_S)
+    totals: list[tuple] = []
+    by_second: list[tuple] = []
+    for policy in (sites.PLAIN, sites.FULL):
+        running = _Loss(sites.DISPATCH, policy, seed, *times)
+        measured = running.trial.run()
+        totals.append(_total(running, measured))
+        by_second += _seconds(running, measured)
+    return [*totals, *by_second]
+
+
+class _Loss:
+    """A trial in which the first failure domain is lost and comes back."""
+
+    def __init__(
+        self,
+        shape: sites.Shape,
+        policy: sites.Policy,
+        seed: int,
+        lost_s: int,
+        back_s: int,
+        end_s: int,
+    ) -> None:
+        self.lost_s = lost_s
+        rate = workload.constant(
+            LOAD * shape.capacity_per_second(workload.MEAN_SERVICE_MS)
+        )
+        self.trial = trial.Trial(trial.Plan(shape, policy, rate, end_s), seed)
+        self._site = self.trial.site
+        self._domain = shape.failure_domains[0]
+        self.trial.at(lost_s * 1_000, self._lose)
+        self.trial.at(lost_s * 1_000 + BALANCER_MS, self._leave_out)
+        self.trial.at(back_s * 1_000, self._come_back)
+        self.trial.at(back_s * 1_000 + BALANCER_MS, self._take_in)
+
+    @property
+    def _vms(self) -> list[members.Vm]:
+        return [vm for vm in self._site.vms if vm.failure_domain == self._domain]
+
+    def _lose(self) -> None:
+        self._site.links.cut.add(self._domain)
+        for vm in self._vms:
+            self._site.network.crash(vm.name)
+
+    def _leave_out(self) -> None:
+        dead = {vm.name for vm in self._vms}
+        callers = self.trial.callers
+        callers.balanced = [name for name in callers.balanced if name not in dead]
+
+    def _come_back(self) -> None:
+        self._site.links.cut.clear()
+        for leaf in self._site.leaves_of(self._domain):
+            sites.restart(leaf)
+            self.trial.cold.begin(leaf)
+        for vm in self._vms:
+            self._site.start_daemon(vm, life="2")
+
+    def _take_in(self) -> None:
+        self.trial.callers.balanced = [vm.name for vm in self._site.vms]
+
+
+def _total(running: _Loss, measured: measuring.Collector) -> DomainLossRow:
+    plan = running.trial.plan
+    seconds = _whole_seconds(measured)
+    found = measured.begin_ms // measuring.SECOND_MS + running.lost_s + 2
+    cold = running.trial.cold
+    return DomainLossRow(
+        plan.shape.service,
+        plan.policy.name,
+        measured.sent,
+        measured.useful,
+        measured.refused,
+        measured.lost,
+        min(_useful_share(measured, second) for second in seconds if second >= found),
+        sum(_useful_share(measured, second) < 0.95 for second in seconds),
+        measured.latency_ms.quantile(0.99),
+        cold.most_work,
+        workload.COLD_BOUND,
+        cold.falls,
+        measured.mixed_answers,
+        measured.coverage_errors,
+    )
+
+
+def _seconds(running: _Loss, measured: measuring.Collector) -> list[SecondRow]:
+    first = measured.begin_ms // measuring.SECOND_MS
+    return [
+        SecondRow(
+            running.trial.plan.policy.name,
+            second - first,
+            measured.sent_by_second[second],
+            measured.useful_by_second[second],
+            measured.latency_between(second, second + 1).quantile(0.99),
+        )
+        for second in _whole_seconds(measured)
+    ]
+
+
+def _whole_seconds(measured: measuring.Collector) -> range:
+    second_ms = measuring.SECOND_MS
+    return range(measured.begin_ms // second_ms, measured.end_ms // second_ms)
+
+
+def _useful_share(measured: measuring.Collector, second: int) -> float:
+    return measured.useful_by_second[second] / measured.sent_by_second[second]
--- a/amaranthpulley/transport/bench/histogram.py
+++ b/amaranthpulley/transport/bench/histogram.py
@@ -24,6 +24,10 @@
         """Count a value."""
         self._counts[value] += 1
 
+    def update(self, other: "Histogram") -> None:
+        """Count the values of another histogram too."""
+        self._counts.update(other._counts)
+
     @property
     def mean(self) -> float:
         """The mean, NaN without a value."""
--- a/amaranthpulley/transport/bench/links.py
+++ b/amaranthpulley/transport/bench/links.py
@@ -26,6 +26,11 @@
         Failure domain by address; an address that is not in it is near everywhere.
     network : VirtualNetwork
         Gives time and chance.
+
+    Attributes
+    ----------
+    cut : set of str
+        Failure domains that no message enters or leaves.
     """
 
     def __init__(
@@ -34,6 +39,7 @@
         domains: dict[str, str],
         network: virtual_network.VirtualNetwork,
     ) -> None:
+        self.cut: set[str] = set()
         self._shape = shape
         self._domains = domains
         self._network = network
@@ -48,8 +54,11 @@
             by_leaf[leaf] += count
         return max(by_leaf.values(), default=0)
 
-    def delay(self, sender: str, receiver: str) -> int:
-        """Return the one-way delay of a message, in milliseconds."""
+    def delay(self, sender: str, receiver: str) -> int | None:
+        """Return the one-way delay of a message in milliseconds, None if it is lost."""
+        domains = self._domains.get(sender), self._domains.get(receiver)
+        if self.cut.intersection(domains):
+            return None
         delay_ms = self._whole_ms(self._distance_ms(sender, receiver))
         if receiver.startswith(self._shape.service):
             return delay_ms + self._take_connection((sender, receiver))
--- a/amaranthpulley/transport/bench/measuring.py
+++ b/amaranthpulley/transport/bench/measuring.py
@@ -72,6 +72,14 @@
         """
         return self.all_runs / (self.all_sent * shards)
 
+    def latency_between(self, begin: int, end: int) -> histogram.Histogram:
+        """Return the latency of the answers from second `begin` up to `end`."""
+        merged = histogram.Histogram()
+        for second in range(begin, end):
+            if second in self.latency_by_second:
+                merged.update(self.latency_by_second[second])
+        return merged
+
     def observe_run(self) -> None:
         """Count a leaf call that a leaf has run."""
         self.all_runs += 1
--- /dev/null
+++ b/amaranthpulley/transport/bench/rolling.py
@@ -0,0 +1,113 @@
+"""Experiment: index versions that roll over the leaves under load."""
+
+from typing import Final, NamedTuple
+
+from amaranthpulley.state import standin_leaf
+from amaranthpulley.transport.bench import sites, trial, workload
+
+LOAD: Final = 0.3
+SECONDS: Final = 30
+QUICK_SECONDS: Final = 4
+# Each instance moves on as a whole, one after the other.
+NEXT_INSTANCE_MS: Final = 300
+# For this time a leaf holds the old version and the new one.
+OVERLAP_MS: Final = 1_000
+PAUSE_MS: Final = 1_000
+
+
+class RollingRow(NamedTuple):
+    """Truth and latency of the answers with and without rolling versions."""
+
+    service: str
+    policy: str
+    rolling: str
+    versions: int
+    searches: int
+    mixed_answers: int
+    coverage_errors: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    mean_coverage: float
+    least_coverage: float
+    refused: int
+    extra_load: float
+
+
+def run(seed: int, quick: bool = False) -> list[RollingRow]:
+    """Return a row for each service and policy, with and without rolling."""
+    shapes = (sites.DISPATCH,) if quick else (sites.DISPATCH, sites.COUNTER_DESK)
+    seconds = QUICK_SECONDS if quick else SECONDS
+    return [
+        _row(shape, policy, overlap_ms, seconds, seed)
+        for shape in shapes
+        for policy in (sites.PLAIN, sites.FULL)
+        for overlap_ms in (None, OVERLAP_MS, 0)
+    ]
+
+
+class _Roll:
+    """Moves one instance after the other to the next version, again and again."""
+
+    def __init__(self, running: trial.Trial, overlap_ms: int) -> None:
+        self.version = sites.FIRST_VERSION
+        self._trial = running
+        self._overlap_ms = overlap_ms
+        self._instances = running.plan.shape.instances
+
+    def begin(self) -> None:
+        """Begin with the next version."""
+        network = self._trial.site.network
+        if network.now_ms >= self._trial.end_ms:
+            return
+        self.version += 1
+        for instance in range(self._instances):
+            network.after(instance * NEXT_INSTANCE_MS, self._step(instance))
+        network.after(self._instances * NEXT_INSTANCE_MS + PAUSE_MS, self.begin)
+
+    def _step(self, instance: int) -> trial.Action:
+        version = self.version
+        return lambda: self._move(instance, version)
+
+    def _move(self, instance: int, version: int) -> None:
+        site = self._trial.site
+        for shard in range(site.shape.shards):
+            leaf = site.leaves[f"{site.shape.service}-{instance}-{shard}"]
+            site.load_version(leaf, version)
+            site.network.after(self._overlap_ms, _drop(leaf, version - 1))
+
+
+def _drop(leaf: standin_leaf.StandInLeaf, version: int) -> trial.Action:
+    return lambda: leaf.drop(version)
+
+
+def _row(
+    shape: sites.Shape,
+    policy: sites.Policy,
+    overlap_ms: int | None,
+    seconds: int,
+    seed: int,
+) -> RollingRow:
+    capacity = shape.capacity_per_second(workload.MEAN_SERVICE_MS)
+    rate = workload.constant(LOAD * capacity)
+    running = trial.Trial(trial.Plan(shape, policy, rate, seconds), seed)
+    roll = _Roll(running, overlap_ms or 0)
+    if overlap_ms is not None:
+        running.at(0, roll.begin)
+    measured = running.run()
+    return RollingRow(
+        shape.service,
+        policy.name,
+        "none" if overlap_ms is None else f"{overlap_ms} ms overlap",
+        roll.version - sites.FIRST_VERSION,
+        measured.sent,
+        measured.mixed_answers,
+        measured.coverage_errors,
+        measured.latency_ms.quantile(0.5),
+        measured.latency_ms.quantile(0.99),
+        measured.latency_ms.quantile(0.999),
+        measured.coverage.mean,
+        measured.coverage.least,
+        measured.refused,
+        measured.runs_for_each(shape.shards) - 1.0,
+    )
--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -5,7 +5,13 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.transport import errors
-from amaranthpulley.transport.bench import report, stragglers
+from amaranthpulley.transport.bench import (
+    domain_loss,
+    overload,
+    report,
+    rolling,
+    stragglers,
+)
 
 
 class Options(NamedTuple):
@@ -46,6 +52,21 @@
         "slow leaf calls against the tail of searches",
         lambda options: stragglers.run(options.seed, options.quick),
     ),
+    Experiment(
+        "overload",
+        "twice the load that the leaves can carry, and the time after it",
+        lambda options: overload.run(options.seed, options.quick),
+    ),
+    Experiment(
+        "domain_loss",
+        "a failure domain lost without warning that comes back cold",
+        lambda options: domain_loss.run(options.seed, options.quick),
+    ),
+    Experiment(
+        "rolling",
+        "index versions that roll over the leaves under load",
+        lambda options: rolling.run(options.seed, options.quick),
+    ),
 )
 
 
--- a/amaranthpulley/transport/bench/trial.py
+++ b/amaranthpulley/transport/bench/trial.py
@@ -9,6 +9,8 @@
 COOL_DOWN_MS: Final = 5_000
 STEP_MS: Final = 1_000
 
+Action = Callable[[], None]
+
 
 class Plan(NamedTuple):
     """What happens in a trial.
@@ -51,6 +53,8 @@
     ----------
     begin_ms, end_ms : int
         The measured span.
+    cold : ColdLeaves
+        The leaves in a cold start.
     """
 
     def __init__(self, plan: Plan, seed: int) -> None:
@@ -67,11 +71,12 @@
             seed + 1,
             self.collector,
         )
+        self.cold = workload.ColdLeaves()
         self.site.network.targets.service_ms = workload.service_time(
-            plan.stragglers, seed + 2, self._observe_run
+            plan.stragglers, seed + 2, self.cold, self.collector.observe_run
         )
 
-    def at(self, since_begin_ms: int, action: Callable[[], None]) -> None:
+    def at(self, since_begin_ms: int, action: Action) -> None:
         """Let something happen at a time since the begin of the measured span."""
         self.site.network.at(self.begin_ms + since_begin_ms, action)
 
@@ -85,6 +90,3 @@
             network.answers.clear()
             network.logs.clear()
         return self.collector
-
-    def _observe_run(self, leaf: str, work_ms: int) -> None:
-        self.collector.observe_run()
