Measure the processor time of a search over the real transport

Leaves run in processes of their own that make bench starts and stops, so that the daemon's processor time stands alone. Samples of the stack replace a tracing profiler, which loses its way when green threads are switched.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # VENV may name an environment that several checkouts share.
 VENV ?= .venv
+# Options of `amaranthpulley bench`, for example BENCH="--only stragglers".
+BENCH ?=
 PYTHON := $(VENV)/bin/python
 # The stamp carries the pins' checksum, so that an environment is set up once
 # for each set of pins, whatever the age of the checkout's files.
@@ -15,8 +17,7 @@
 	$(PYTHON) -m tests.run
 
 bench: $(STAMP)
-	$(PYTHON) -m amaranthpulley bench --out build/bench \
-		--revision "$$(git rev-parse --short HEAD 2>/dev/null)"
+	tools/bench.sh $(PYTHON) $(BENCH)
 
 dist: $(STAMP)
 	$(PYTHON) -m tools.build_archive dist/amaranthpulley
--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -3,10 +3,11 @@
 Usage:
   amaranthpulley daemon --settings FILE
   amaranthpulley leaf [--address ADDRESS] [--shard NUMBER] [--shards COUNT]
+                      [--count COUNT]
   amaranthpulley store [--address ADDRESS]
   amaranthpulley demo
   amaranthpulley bench [--only NAME] [--seed N] [--out DIR] [--quick]
-                       [--revision TEXT]
+                       [--leaves DIR] [--revision TEXT]
   amaranthpulley settings check FILE
   amaranthpulley version
   amaranthpulley --help
@@ -17,10 +18,12 @@
                      [default: 127.0.0.1:0].
   --shard NUMBER     Which shard the stand-in leaf holds, from 0 [default: 0].
   --shards COUNT     How many shards there are [default: 1].
+  --count COUNT      How many leaves to serve, with consecutive shards [default: 1].
   --only NAME        Run this experiment alone.
   --seed N           Decides all chance of an experiment [default: 1].
   --out DIR          Write the rows as JSON lines into this folder.
   --quick            Small sizes, to try the tool out.
+  --leaves DIR       Where the files with the addresses of running leaves are.
   --revision TEXT    Revision of the source, noted with the rows [default: ].
   --help             Show this text.
 
@@ -99,6 +102,7 @@
         arguments["--address"],
         int(arguments["--shard"]),
         int(arguments["--shards"]),
+        int(arguments["--count"]),
         print,
     )
 
@@ -126,6 +130,7 @@
         int(arguments["--seed"]),
         arguments["--out"],
         arguments["--quick"],
+        arguments["--leaves"],
         arguments["--revision"] or "",
     )
     return tool.run(options, print)
--- /dev/null
+++ b/amaranthpulley/transport/bench/sampling.py
@@ -0,0 +1,68 @@
+"""A sampling profiler for one thread with many green threads.
+
+The deterministic profiler of the standard library follows one stack of calls and loses
+its way when green threads are switched; a sample of the running stack does not.
+"""
+
+import collections
+import contextlib
+import pathlib
+import signal
+import types
+from collections.abc import Iterator
+from typing import Final
+
+INTERVAL_SECONDS: Final = 0.001
+
+
+class Profile:
+    """Samples of the running code, by module and by function.
+
+    Attributes
+    ----------
+    samples : int
+        Number of samples; each stands for `INTERVAL_SECONDS` of processor time.
+    own : Counter
+        Samples in which the code of a module ran itself.
+    within : Counter
+        Samples in which a function was on the stack.
+    """
+
+    def __init__(self) -> None:
+        self.samples = 0
+        self.own: collections.Counter[str] = collections.Counter()
+        self.within: collections.Counter[str] = collections.Counter()
+
+    def take(self, number: int, frame: types.FrameType | None) -> None:
+        """Enter a sample; has the form of a signal handler."""
+        if frame is None:
+            return
+        self.samples += 1
+        self.own[_module_of(frame)] += 1
+        self.within.update(_functions_of(frame))
+
+
+@contextlib.contextmanager
+def profiling() -> Iterator[Profile]:
+    """Sample the processor time of the process within the context."""
+    profile = Profile()
+    before = signal.signal(signal.SIGPROF, profile.take)
+    signal.setitimer(signal.ITIMER_PROF, INTERVAL_SECONDS, INTERVAL_SECONDS)
+    try:
+        yield profile
+    finally:
+        signal.setitimer(signal.ITIMER_PROF, 0)
+        signal.signal(signal.SIGPROF, before)
+
+
+def _functions_of(frame: types.FrameType | None) -> set[str]:
+    functions = set()
+    while frame is not None:
+        functions.add(f"{_module_of(frame)}:{frame.f_code.co_name}")
+        frame = frame.f_back
+    return functions
+
+
+def _module_of(frame: types.FrameType) -> str:
+    name = frame.f_globals.get("__name__", "")
+    return name or pathlib.Path(frame.f_code.co_filename).stem
--- /dev/null
+++ b/amaranthpulley/transport/bench/tests/test_search_cost.py
@@ -0,0 +1,35 @@
+"""Tests of the experiment over the real transport, without its leaves."""
+
+import pathlib
+import tempfile
+import unittest
+
+from amaranthpulley.transport import errors
+from amaranthpulley.transport.bench import sampling, search_cost
+
+MOST_ROUNDS = 100_000
+
+
+class AddressesTest(unittest.TestCase):
+    def test_missing_or_short_file_is_named(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for text in (None, "127.0.0.1:1\n"):
+                if text is not None:
+                    pathlib.Path(folder, "leaves-3.txt").write_text(text)
+                with (
+                    self.subTest(text),
+                    self.assertRaisesRegex(errors.NoLeavesError, r"leaves-3\.txt"),
+                ):
+                    search_cost.run(folder, seed=1, quick=True)
+
+
+class ProfileTest(unittest.TestCase):
+    def test_busy_code_is_seen(self) -> None:
+        with sampling.profiling() as profile:
+            for _ in range(MOST_ROUNDS):
+                sorted(range(1_000), key=str)
+                if profile.samples >= 3:
+                    break
+        self.assertGreaterEqual(profile.samples, 3)
+        self.assertGreater(profile.own[__name__], 0)
+        self.assertGreater(profile.within[f"{__name__}:test_busy_code_is_seen"], 0)
--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -10,6 +10,7 @@
     overload,
     report,
     rolling,
+    search_cost,
     stragglers,
 )
 
@@ -27,6 +28,8 @@
         Folder for the rows as JSON lines; None to write none.
     quick : bool
         Whether sizes are small, to try the tool out.
+    leaves : str or None
+        Folder with the addresses of running leaves; None when there are none.
     revision : str
         Revision of the source, noted with the rows.
     """
@@ -35,15 +38,27 @@
     seed: int
     out: str | None
     quick: bool
+    leaves: str | None = None
     revision: str = ""
 
 
 class Experiment(NamedTuple):
-    """A measurement that the tool can run."""
+    """A measurement that the tool can run.
+
+    Attributes
+    ----------
+    name, title : str
+        How it is called.
+    run : callable
+        Returns the rows.
+    needs_leaves : bool
+        Whether it asks leaves in processes of their own.
+    """
 
     name: str
     title: str
     run: Callable[[Options], list]
+    needs_leaves: bool = False
 
 
 EXPERIMENTS: Final = (
@@ -67,6 +82,12 @@
         "index versions that roll over the leaves under load",
         lambda options: rolling.run(options.seed, options.quick),
     ),
+    Experiment(
+        "search_cost",
+        "processor time of a search by leaves asked, over loopback",
+        lambda options: search_cost.run(options.leaves, options.seed, options.quick),
+        needs_leaves=True,
+    ),
 )
 
 
@@ -89,6 +110,10 @@
         command = _command_of(experiment, options)
         show(f"{experiment.name}: {experiment.title}")
         show(f"command: {command}")
+        if experiment.needs_leaves and options.leaves is None:
+            show("not run: it needs leaves; `make bench` starts them")
+            show("")
+            continue
         rows = experiment.run(options)
         report.show_table(rows, show)
         if options.out is not None:
@@ -111,4 +136,7 @@
 
 def _command_of(experiment: Experiment, options: Options) -> str:
     quick = " --quick" if options.quick else ""
-    return f"amaranthpulley bench --only {experiment.name} --seed {options.seed}{quick}"
+    words = f"--only {experiment.name} --seed {options.seed}{quick}"
+    if experiment.needs_leaves:
+        return f'make bench BENCH="{words}"'
+    return f"amaranthpulley bench {words}"
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -65,3 +65,9 @@
     """There is no experiment of this name."""
 
     code = "unknown_experiment"
+
+
+class NoLeavesError(TransportError):
+    """The stand-in leaves that an experiment asks are not there."""
+
+    code = "no_leaves"
--- a/amaranthpulley/transport/standins.py
+++ b/amaranthpulley/transport/standins.py
@@ -13,22 +13,29 @@
 SLOTS: Final = 2
 
 
-def run_leaf(address: str, shard: int, shards: int, show: Callable[[str], None]) -> int:
-    """Serve a stand-in target until the process is ended.
+def run_leaf(
+    address: str, shard: int, shards: int, count: int, show: Callable[[str], None]
+) -> int:
+    """Serve stand-in targets until the process is ended.
 
     Parameters
     ----------
     address : str
-        ``IP:port``; port 0 takes a free one.
+        ``IP:port``; port 0 takes a free one, and is needed for more than one target.
     shard, shards : int
-        Which part of the key space it holds, out of how many.
+        Which part of the key space the first one holds, out of how many.
+    count : int
+        How many to serve, with consecutive shards.
     show : callable
-        Called with the address that it listens on.
+        Called with each address that they listen on.
     """
-    leaf = standin_leaf.StandInLeaf(secrets.token_hex(4), SLOTS)
-    leaf.hold(1, (keyspace.split_evenly(shards)[shard],), SAMPLE_KEYS)
-    server = standin_server.LeafServer(address, leaf)
-    show(server.address)
+    parts = keyspace.split_evenly(shards)[shard : shard + count]
+    servers = []
+    for part in parts:
+        leaf = standin_leaf.StandInLeaf(secrets.token_hex(4), SLOTS)
+        leaf.hold(1, (part,), SAMPLE_KEYS)
+        servers.append(standin_server.LeafServer(address, leaf))
+        show(servers[-1].address)
     return eventlet.event.Event().wait()
 
 
