Read each search from one pinned version, by missing ranges and per-service policy

Cause: a leaf that had dropped the pinned version cost its shard's part, a repartition could lose ranges, and the deadline policy of a service was not used. "not run" is said only if no attempt may have run. Ruled out: merging per shard (a moved range is lost or doubled); pinning the newest version anywhere (the first leaf with it carries all load).

--- a/amaranthpulley/coordination/admission.py
+++ b/amaranthpulley/coordination/admission.py
@@ -7,10 +7,22 @@
 
 
 class Admitted(NamedTuple):
-    """A request that is taken on, with its service and its deadline."""
+    """A request that is taken on.
+
+    Attributes
+    ----------
+    service : Service
+        The service's settings.
+    deadline_ms : int
+        Reading of the monotonic clock by which it is to be answered.
+    hard_deadline_ms : int
+        The latest reading for its answer; later than the deadline only for a search
+        of a service whose time gives way to coverage.
+    """
 
     service: topology.Service
     deadline_ms: int
+    hard_deadline_ms: int
 
 
 def admit(
@@ -50,8 +62,16 @@
         return _refusal(codes.DEADLINE_PASSED, "the deadline had passed on arrival")
     if daemon.requests_in_progress >= daemon.limits.maximum_requests_in_progress:
         return _refusal(codes.OVERLOADED, "too many requests at once; try again later")
-    wait_ms = request.deadline_ms or service.deadline_ms
-    return Admitted(service, now_ms + min(wait_ms, service.hard_deadline_ms))
+    return _admitted(service, request.deadline_ms, now_ms)
+
+
+def _admitted(service: topology.Service, asked_ms: int | None, now_ms: int) -> Admitted:
+    hard_ms = min(asked_ms or service.hard_deadline_ms, service.hard_deadline_ms)
+    # A caller that waits longer than the service's deadline gets the longer time.
+    soft_ms = min(asked_ms or service.deadline_ms, hard_ms)
+    if service.give_way is topology.GiveWay.COVERAGE:
+        hard_ms = soft_ms
+    return Admitted(service, now_ms + soft_ms, now_ms + hard_ms)
 
 
 def _refusal(code: requests.RefusalCode, message: str) -> requests.Refusal:
--- a/amaranthpulley/coordination/routing.py
+++ b/amaranthpulley/coordination/routing.py
@@ -53,27 +53,6 @@
     return min(drawn, key=lambda target: daemon.targets.of(target.name).in_flight)
 
 
-def pin_version(daemon: daemon_state.Daemon, service: str) -> int | None:
-    """Return the newest index version that every shard can answer from.
-
-    Returns
-    -------
-    int or None
-        None while no such version has been reported.
-    """
-    shards = daemon.configuration.shards(service)
-    held = []
-    for replicas in shards.values():
-        names = [
-            target.name
-            for target in replicas.values()
-            if daemon.configuration.takes_work(target)
-        ]
-        held.append(set(daemon.targets.newest_versions(names)))
-    common = set.intersection(*held) if held else set()
-    return max(common, default=None)
-
-
 def _may_hold(
     daemon: daemon_state.Daemon, target: topology.Target, version: int | None
 ) -> bool:
--- a/amaranthpulley/coordination/searching.py
+++ b/amaranthpulley/coordination/searching.py
@@ -8,7 +8,8 @@
     answering,
     commands,
     events,
-    routing,
+    fanout,
+    snapshots,
 )
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events, requests, searches, topology
@@ -18,7 +19,7 @@
 
 
 class SearchDeadline(NamedTuple):
-    """Purpose of the timer that ends a search."""
+    """Purpose of the timer that ends a search, or lets it wait for coverage."""
 
     request_id: str
 
@@ -34,9 +35,12 @@
     verdict = admission.admit(daemon, request, topology.ServiceKind.SEARCH, now_ms)
     if isinstance(verdict, requests.Refusal):
         return answering.answer(daemon, request, verdict, elapsed_ms=0)
-    version = routing.pin_version(daemon, request.service)
     search = searches.Search(
-        request, verdict.service, now_ms, verdict.deadline_ms, version
+        request,
+        verdict.service,
+        now_ms,
+        verdict.deadline_ms,
+        verdict.hard_deadline_ms,
     )
     daemon.searches.add(search)
     received = commands.log(
@@ -44,14 +48,13 @@
         request_id=request.request_id,
         service=request.service,
     )
-    deadline = commands.SetTimer(
-        SearchDeadline(request.request_id), verdict.deadline_ms
-    )
+    deadline = SearchDeadline(request.request_id)
+    search.version = snapshots.pin_version(daemon, request.service)
     return [
         received,
-        deadline,
-        *_ask_shards(daemon, search, now_ms, random),
-        *_end_if_finished(daemon, search, now_ms),
+        commands.SetTimer(deadline, search.deadline_ms),
+        *fanout.ask_missing(daemon, search, now_ms, random),
+        *_proceed(daemon, search, now_ms, random),
     ]
 
 
@@ -66,19 +69,22 @@
     if ended is None:
         return []
     search, attempt = ended
-    state = daemon.targets.of(attempt.target.name)
-    state.in_flight -= 1
-    state.load = event.load
+    search.may_have_run = True
+    fanout.end_attempt(daemon, attempt)
+    daemon.targets.report(attempt.target.name, event.load)
     part = event.answer
+    state = daemon.targets.of(attempt.target.name)
+    is_news = state.ranges.get(part.version) != part.ranges
+    state.ranges[part.version] = part.ranges
     if search.version is None:
         search.version = part.version
     if part.version != search.version:
-        return [
-            *_retry_shard(daemon, search, attempt, now_ms, random),
-            *_end_if_finished(daemon, search, now_ms),
-        ]
+        return _ask_pinned(daemon, search, attempt, now_ms, random)
     search.merge(part)
-    return _end_if_finished(daemon, search, now_ms)
+    asked: Commands = []
+    if is_news and not search.complete:
+        asked = fanout.ask_missing(daemon, search, now_ms, random)
+    return [*asked, *_proceed(daemon, search, now_ms, random)]
 
 
 def take_failure(
@@ -92,10 +98,10 @@
     if ended is None:
         return []
     search, attempt = ended
-    state = daemon.targets.of(attempt.target.name)
-    state.in_flight -= 1
+    fanout.end_attempt(daemon, attempt)
+    search.may_have_run |= not event.failure.not_run
     if event.load is not None:
-        state.load = event.load
+        daemon.targets.report(attempt.target.name, event.load)
     failed = commands.log(
         log_events.ATTEMPT_FAILED,
         request_id=search.request.request_id,
@@ -104,87 +110,107 @@
     )
     return [
         failed,
-        *_retry_shard(daemon, search, attempt, now_ms, random),
-        *_end_if_finished(daemon, search, now_ms),
+        *fanout.ask_again(daemon, search, attempt.shard, now_ms, random),
+        *_proceed(daemon, search, now_ms, random),
     ]
 
 
-def end_at_deadline(
+def retry(
     daemon: daemon_state.Daemon,
     event: events.TimerDue,
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Answer with what has been merged when the time is over."""
-    search = daemon.searches.get(event.purpose.request_id)
-    return [] if search is None else _end(daemon, search, now_ms)
+    """Ask a shard again after a pause."""
+    purpose = event.purpose
+    search = daemon.searches.get(purpose.request_id)
+    if search is None or purpose.restarts != search.restarts:
+        return []
+    return [
+        *fanout.end_waiting(daemon, search, purpose.shard, now_ms, random),
+        *_proceed(daemon, search, now_ms, random),
+    ]
 
 
-def _ask_shards(
+def end_at_deadline(
     daemon: daemon_state.Daemon,
-    search: searches.Search,
+    event: events.TimerDue,
     now_ms: int,
     random: Random,
 ) -> Commands:
-    sent = []
-    for shard in daemon.configuration.shards(search.request.service):
-        sent += _ask_shard(daemon, search, shard, now_ms, random)
-    return sent
+    """Answer when the time is over, unless the service waits for coverage."""
+    search = daemon.searches.get(event.purpose.request_id)
+    if search is None:
+        return []
+    if now_ms < search.hard_deadline_ms and fanout.waits_for_coverage(search):
+        return [commands.SetTimer(event.purpose, search.hard_deadline_ms)]
+    return _end(daemon, search, now_ms)
 
 
-def _ask_shard(
+def _ask_pinned(
     daemon: daemon_state.Daemon,
     search: searches.Search,
-    shard: str,
+    attempt: searches.Attempt,
     now_ms: int,
     random: Random,
 ) -> Commands:
-    request = search.request
-    tried = search.tried.get(shard, ())
-    replicas = routing.candidates(daemon, request.service, shard, search.version, tried)
-    target = routing.choose(daemon, replicas, random)
-    if target is None:
-        return []
-    attempt = searches.Attempt(
-        daemon.next_id("attempt"), request.request_id, shard, target, now_ms
-    )
-    daemon.searches.add_attempt(search, attempt)
-    daemon.targets.of(target.name).in_flight += 1
-    call = commands.SearchCall(request.query, request.key, search.version)
+    # The leaf chose another version than the one that was pinned meanwhile; it may
+    # hold the pinned one too.
+    search.tried[attempt.shard].discard(attempt.target.name)
     return [
-        commands.SendAttempt(
-            attempt.attempt_id,
-            request.request_id,
-            target,
-            call,
-            search.deadline_ms - now_ms,
-        )
+        *fanout.ask_again(daemon, search, attempt.shard, now_ms, random),
+        *_proceed(daemon, search, now_ms, random),
     ]
 
 
-def _retry_shard(
+def _proceed(
     daemon: daemon_state.Daemon,
     search: searches.Search,
-    attempt: searches.Attempt,
     now_ms: int,
     random: Random,
 ) -> Commands:
-    return _ask_shard(daemon, search, attempt.shard, now_ms, random)
+    """End a search that has all it can get; begin it again where that helps."""
+    if search.complete or now_ms >= search.hard_deadline_ms:
+        return _end(daemon, search, now_ms)
+    if now_ms >= search.deadline_ms and not fanout.waits_for_coverage(search):
+        return _end(daemon, search, now_ms)
+    if search.attempts:
+        return []
+    version = snapshots.next_version(daemon, search)
+    if version is not None:
+        return _restart(daemon, search, version, now_ms, random)
+    if search.waiting:
+        return []
+    asked = fanout.ask_missing(daemon, search, now_ms, random)
+    return asked or _end(daemon, search, now_ms)
 
 
-def _end_if_finished(
-    daemon: daemon_state.Daemon, search: searches.Search, now_ms: int
+def _restart(
+    daemon: daemon_state.Daemon,
+    search: searches.Search,
+    version: int,
+    now_ms: int,
+    random: Random,
 ) -> Commands:
-    if search.missing and search.attempts:
-        return []
-    return _end(daemon, search, now_ms)
+    restarted = commands.log(
+        log_events.SEARCH_RESTARTED,
+        request_id=search.request.request_id,
+        version=version,
+    )
+    daemon.counters.add("search_restarts_total", service=search.request.service)
+    cancelled = fanout.cancel(daemon, search, list(search.attempts.values()))
+    search.restart(version)
+    return [
+        restarted,
+        *cancelled,
+        *fanout.ask_missing(daemon, search, now_ms, random),
+        *_proceed(daemon, search, now_ms, random),
+    ]
 
 
 def _end(daemon: daemon_state.Daemon, search: searches.Search, now_ms: int) -> Commands:
-    cancelled: Commands = []
-    for attempt in daemon.searches.remove(search):
-        daemon.targets.of(attempt.target.name).in_flight -= 1
-        cancelled.append(commands.CancelAttempt(attempt.attempt_id, attempt.target))
+    cancelled = fanout.cancel(daemon, search, list(search.attempts.values()))
+    daemon.searches.remove(search)
     elapsed_ms = now_ms - search.started_ms
     outcome = _outcome_of(search)
     return [
@@ -194,17 +220,23 @@
 
 
 def _outcome_of(search: searches.Search) -> requests.Outcome:
-    if search.version is not None and search.coverage > 0.0:
-        return requests.SearchAnswer(
-            tuple(sorted(search.rows)),
-            search.version,
-            search.coverage,
-            search.attempts_sent,
+    best = search.best
+    not_run = not search.may_have_run
+    if best is None:
+        return requests.Refusal(
+            requests.RefusalCode.NO_TARGET,
+            "no leaf answered in time; try again later",
+            not_run,
+        )
+    gives_time = search.service.give_way is topology.GiveWay.TIME
+    if gives_time and best.coverage < search.service.minimum_coverage:
+        return requests.Refusal(
+            requests.RefusalCode.INSUFFICIENT_COVERAGE,
+            f"only {best.coverage:.1%} of the index answered in time; try again later",
+            not_run,
         )
-    return requests.Refusal(
-        requests.RefusalCode.NO_TARGET,
-        "no leaf answered in time; try again later",
-        not_run=search.attempts_sent == 0,
+    return requests.SearchAnswer(
+        best.rows, best.version, best.coverage, search.attempts_sent
     )
 
 
@@ -213,4 +245,5 @@
     events.AttemptAnswered: take_answer,
     events.AttemptFailed: take_failure,
     SearchDeadline: end_at_deadline,
+    fanout.RetryDue: retry,
 }
--- a/amaranthpulley/state/keyspace.py
+++ b/amaranthpulley/state/keyspace.py
@@ -1,7 +1,9 @@
 """The key space that a service's index is partitioned over, and sets of its ranges."""
 
+import bisect
 import hashlib
 import itertools
+import operator
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -19,6 +21,9 @@
 
 WHOLE_KEY_SPACE: Final = KeyRange(0, KEY_SPACE_SIZE)
 
+_START = operator.attrgetter("start")
+_END = operator.attrgetter("end")
+
 
 def position_of(key: str) -> int:
     """Return the position of a key in the key space.
@@ -48,6 +53,7 @@
 
     def __init__(self, ranges: Iterable[KeyRange] = ()) -> None:
         self._ranges: list[KeyRange] = []
+        self._size = 0
         for key_range in ranges:
             self.add(key_range)
 
@@ -59,7 +65,7 @@
     @property
     def size(self) -> int:
         """The number of positions in the set."""
-        return sum(end - start for start, end in self._ranges)
+        return self._size
 
     @property
     def share(self) -> float:
@@ -74,23 +80,22 @@
                 f"key range [{start}, {end}) must lie in [0, {KEY_SPACE_SIZE}) "
                 "and hold at least one position"
             )
-        kept = []
-        for other in self._ranges:
-            if other.end < start or end < other.start:
-                kept.append(other)
-            else:
-                start = min(start, other.start)
-                end = max(end, other.end)
-        kept.append(KeyRange(start, end))
-        self._ranges = sorted(kept)
+        ranges = self._ranges
+        first = bisect.bisect_left(ranges, start, key=_END)
+        last = bisect.bisect_right(ranges, end, key=_START)
+        if first < last:
+            start = min(start, ranges[first].start)
+            end = max(end, ranges[last - 1].end)
+        replaced = sum(old.end - old.start for old in ranges[first:last])
+        ranges[first:last] = [KeyRange(start, end)]
+        self._size += end - start - replaced
 
     def missing_from(self, key_range: KeyRange) -> list[KeyRange]:
         """Return the parts of a range that are not in the set, in ascending order."""
         gaps = []
         start = key_range.start
-        for other in self._ranges:
-            if other.end <= start:
-                continue
+        first = bisect.bisect_right(self._ranges, start, key=_END)
+        for other in itertools.islice(self._ranges, first, None):
             if other.start >= key_range.end:
                 break
             if other.start > start:
@@ -100,5 +105,11 @@
             gaps.append(KeyRange(start, key_range.end))
         return gaps
 
+    def overlaps(self, key_range: KeyRange) -> bool:
+        """Tell whether a range has a position in the set."""
+        first = bisect.bisect_right(self._ranges, key_range.start, key=_END)
+        return first < len(self._ranges) and self._ranges[first].start < key_range.end
+
     def __contains__(self, position: int) -> bool:
-        return any(start <= position < end for start, end in self._ranges)
+        first = bisect.bisect_right(self._ranges, position, key=_END)
+        return first < len(self._ranges) and self._ranges[first].start <= position
--- a/amaranthpulley/state/searches.py
+++ b/amaranthpulley/state/searches.py
@@ -1,5 +1,6 @@
 """Searches in progress and the attempts that were sent for them."""
 
+import enum
 from typing import NamedTuple
 
 from amaranthpulley.state import keyspace, requests, topology
@@ -23,6 +24,14 @@
     rows: tuple[requests.Row, ...]
 
 
+class AttemptKind(enum.StrEnum):
+    """Why an attempt was sent."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
 class Attempt(NamedTuple):
     """One request sent to a target."""
 
@@ -31,6 +40,15 @@
     shard: str
     target: topology.Target
     sent_ms: int
+    kind: AttemptKind = AttemptKind.FIRST
+
+
+class Snapshot(NamedTuple):
+    """What was merged of one index version, with its share of what was asked."""
+
+    version: int
+    rows: tuple[requests.Row, ...]
+    coverage: float
 
 
 class Search:
@@ -44,8 +62,22 @@
         The service's settings when the search began.
     started_ms, deadline_ms : int
         Readings of the monotonic clock in milliseconds.
+    hard_deadline_ms : int
+        The latest time for the answer; later than the deadline only for a service
+        whose time gives way.
+
+    Attributes
+    ----------
     version : int or None
-        The pinned index version; None until the first answer.
+        The pinned index version; None until it is known.
+    retries : dict of str to int
+        How often each shard was asked again.
+    waiting : set of str
+        Shards that are asked again after a pause.
+    restarts : int
+        How often the search began again at another version.
+    may_have_run : bool
+        True once an attempt that ended may have run on its target.
     """
 
     def __init__(
@@ -54,57 +86,80 @@
         service: topology.Service,
         started_ms: int,
         deadline_ms: int,
-        version: int | None,
+        hard_deadline_ms: int,
     ) -> None:
         self.request = request
         self.service = service
         self.started_ms = started_ms
         self.deadline_ms = deadline_ms
-        self.version = version
+        self.hard_deadline_ms = hard_deadline_ms
+        self.version: int | None = None
+        self.asked = keyspace.WHOLE_KEY_SPACE
+        if request.key is not None:
+            position = keyspace.position_of(request.key)
+            self.asked = keyspace.KeyRange(position, position + 1)
         self.covered = keyspace.RangeSet()
         self.rows: list[requests.Row] = []
         self.attempts: dict[str, Attempt] = {}
         self.attempts_sent = 0
         self.tried: dict[str, set[str]] = {}
-
-    @property
-    def asked_ranges(self) -> list[keyspace.KeyRange]:
-        """The part of the key space that the caller asked for."""
-        if self.request.key is None:
-            return [keyspace.WHOLE_KEY_SPACE]
-        position = keyspace.position_of(self.request.key)
-        return [keyspace.KeyRange(position, position + 1)]
+        self.retries: dict[str, int] = {}
+        self.waiting: set[str] = set()
+        self.restarts = 0
+        self.may_have_run = False
+        self._best: Snapshot | None = None
 
     @property
     def missing(self) -> list[keyspace.KeyRange]:
         """The asked ranges that no merged part covers yet."""
-        return [
-            gap
-            for asked in self.asked_ranges
-            for gap in self.covered.missing_from(asked)
-        ]
+        return self.covered.missing_from(self.asked)
+
+    @property
+    def complete(self) -> bool:
+        """Whether everything that was asked is covered."""
+        if self.asked is keyspace.WHOLE_KEY_SPACE:
+            return self.covered.size == keyspace.KEY_SPACE_SIZE
+        return self.asked.start in self.covered
 
     @property
     def coverage(self) -> float:
         """The covered share of what was asked, from 0.0 to 1.0."""
-        asked = sum(end - start for start, end in self.asked_ranges)
-        missing = sum(end - start for start, end in self.missing)
-        return (asked - missing) / asked
+        if self.asked is keyspace.WHOLE_KEY_SPACE:
+            return self.covered.share
+        return float(self.asked.start in self.covered)
+
+    @property
+    def best(self) -> Snapshot | None:
+        """The snapshot that covers most; None when nothing was merged."""
+        current = self._current()
+        if current is None or self._best is None:
+            return current or self._best
+        return max(current, self._best, key=lambda snapshot: snapshot.coverage)
 
     def merge(self, part: SearchPart) -> None:
         """Add a part of the pinned version; positions already covered stay as is."""
         for key_range in part.ranges:
             fresh = keyspace.RangeSet(self.covered.missing_from(key_range))
-            rows = [row for row in part.rows if row.position in fresh]
-            self.rows.extend(rows)
+            self.rows.extend(row for row in part.rows if row.position in fresh)
             self.covered.add(key_range)
 
-    def restart(self, version: int | None) -> None:
-        """Drop what was merged and begin again at another index version."""
+    def restart(self, version: int) -> None:
+        """Begin again at another version; keep what was merged as a fallback."""
+        self._best = self.best
         self.version = version
         self.covered = keyspace.RangeSet()
         self.rows = []
         self.tried = {}
+        self.waiting = set()
+        self.restarts += 1
+
+    def _current(self) -> Snapshot | None:
+        coverage = self.coverage
+        if self.version is None or coverage == 0.0:
+            return None
+        start, end = self.asked
+        rows = sorted(row for row in self.rows if start <= row.position < end)
+        return Snapshot(self.version, tuple(rows), coverage)
 
 
 class SearchTable:
@@ -144,9 +199,6 @@
             return None
         return search, search.attempts.pop(attempt_id)
 
-    def remove(self, search: Search) -> list[Attempt]:
-        """End a search and return the attempts that were still in flight."""
+    def remove(self, search: Search) -> None:
+        """End a search, whose attempts have ended before."""
         del self._searches[search.request.request_id]
-        for attempt_id in search.attempts:
-            del self._requests_by_attempt[attempt_id]
-        return list(search.attempts.values())
--- a/amaranthpulley/state/standin_leaf.py
+++ b/amaranthpulley/state/standin_leaf.py
@@ -1,17 +1,52 @@
 """A small stand-in for a target, for the demo and the tests."""
 
+import enum
 from typing import NamedTuple
 
 from amaranthpulley.state import keyspace, requests, searches, targets
 
 
 class LeafFaults(NamedTuple):
-    """What a stand-in does wrong, in milliseconds where it is a time."""
+    """What a stand-in does wrong.
+
+    Attributes
+    ----------
+    delay_ms : int
+        Added to the work on each request.
+    lost : bool
+        Takes requests and never answers.
+    """
 
     delay_ms: int = 0
     lost: bool = False
 
 
+class ColdMode(NamedTuple):
+    """How a stand-in behaves after a start until it is warm.
+
+    Attributes
+    ----------
+    bears : int
+        Requests that it runs at the same time; one more and it falls over.
+    warm_after : int
+        Requests that it has to finish until it is warm.
+    slowness : int
+        Factor on the time of its work.
+    """
+
+    bears: int = 1
+    warm_after: int = 10
+    slowness: int = 4
+
+
+class Verdict(enum.StrEnum):
+    """What a stand-in does with a request that arrives."""
+
+    RUNS = "runs"
+    SHEDS = "sheds"
+    FALLS_OVER = "falls_over"
+
+
 class StandInLeaf:
     """A target with one shard of an index in one or more versions.
 
@@ -21,6 +56,13 @@
         Changes with each restart.
     slots : int
         Requests that it runs at the same time; it sheds the rest.
+
+    Attributes
+    ----------
+    cold : ColdMode or None
+        None once it is warm.
+    falls : int
+        How often it fell over because it got more than it bears while cold.
     """
 
     def __init__(self, boot_id: str, slots: int) -> None:
@@ -29,6 +71,10 @@
         self.busy_slots = 0
         self.faults = LeafFaults()
         self.runs: list[str] = []
+        self.cold: ColdMode | None = None
+        self.falls = 0
+        self._restarts = 0
+        self._finished_cold = 0
         self._parts: dict[int, searches.SearchPart] = {}
 
     @property
@@ -54,6 +100,49 @@
         """Forget a version of the index."""
         self._parts.pop(version, None)
 
+    def restart(self, cold: ColdMode | None = None) -> None:
+        """Lose all work and come up under a new boot id."""
+        self._restarts += 1
+        self.boot_id = f"{self.boot_id.split('/')[0]}/{self._restarts}"
+        self.busy_slots = 0
+        self.cold = cold
+        self._finished_cold = 0
+
+    def begin(self) -> Verdict:
+        """Take a request on, shed it, or fall over."""
+        if self.cold is not None and self.busy_slots >= self.cold.bears:
+            self.falls += 1
+            self.restart(self.cold)
+            return Verdict.FALLS_OVER
+        if self.busy_slots >= self.slots:
+            return Verdict.SHEDS
+        self.busy_slots += 1
+        return Verdict.RUNS
+
+    def work_ms(self, usual_ms: int) -> int:
+        """Return the time that a request takes now."""
+        slowness = 1 if self.cold is None else self.cold.slowness
+        return usual_ms * slowness + self.faults.delay_ms
+
+    def end(self, boot_id: str, finished: bool) -> bool:
+        """Free the slot of a request; return False if a restart has lost it.
+
+        Parameters
+        ----------
+        boot_id : str
+            The boot id when the request began.
+        finished : bool
+            False for a request that was cancelled or ran out of time.
+        """
+        if boot_id != self.boot_id:
+            return False
+        self.busy_slots -= 1
+        if finished and self.cold is not None:
+            self._finished_cold += 1
+            if self._finished_cold >= self.cold.warm_after:
+                self.cold = None
+        return True
+
     def search(
         self, query: str, key: str | None, version: int | None
     ) -> searches.SearchPart | None:
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -25,7 +25,17 @@
 
 
 class TargetState:
-    """The view of one target."""
+    """The view of one target.
+
+    Attributes
+    ----------
+    in_flight : int
+        Attempts that this daemon has sent and that have not ended.
+    load : TargetLoad or None
+        The target's last report.
+    ranges : dict of int to tuple of KeyRange
+        The parts of the key space that it searched, by index version.
+    """
 
     def __init__(self) -> None:
         self.in_flight = 0
@@ -43,15 +53,32 @@
 
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
+        self.versions_revision = 0
 
     def of(self, name: str) -> TargetState:
         """Return the view of a target, a fresh one when it was never seen."""
-        return self._states.setdefault(name, TargetState())
+        state = self._states.get(name)
+        if state is None:
+            state = self._states[name] = TargetState()
+        return state
 
     def forget(self, name: str) -> None:
         """Drop the view of a target."""
         self._states.pop(name, None)
 
+    def report(self, name: str, load: TargetLoad) -> None:
+        """Enter a target's report of itself."""
+        state = self.of(name)
+        if state.versions != load.versions:
+            # Whoever keeps something derived from the versions compares the revision.
+            self.versions_revision = self.versions_revision + 1
+            state.ranges = {
+                version: ranges
+                for version, ranges in state.ranges.items()
+                if version in load.versions
+            }
+        state.load = load
+
     def newest_versions(self, names: Iterable[str]) -> list[int]:
         """Return the versions that any of the targets reported, newest first."""
         return sorted({v for n in names for v in self.of(n).versions}, reverse=True)
--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/virtual_targets.py
@@ -12,25 +12,36 @@
     from amaranthpulley.transport import virtual_network
 
 ServiceTime = Callable[[standin_leaf.StandInLeaf, commands.SendAttempt], int]
+Reply = Callable[[events.Event], None]
 
 
 class VirtualTargets:
     """The stand-in leaves of a `VirtualNetwork`, by address.
 
+    A daemon's connection to a leaf breaks when the leaf restarts: the first attempt
+    over it afterwards is lost before it reaches the leaf, the next one uses a fresh
+    connection.
+
     Attributes
     ----------
     service_ms : callable
         Given a leaf and the attempt returns the time that the leaf works on it, in
         milliseconds, on top of the leaf's own faults.
     duplicates : float
-        Share of the answers, from 0.0 to 1.0, that arrive twice.
+        Share of the answers, from 0.0 to 1.0, that arrive twice, the second time also
+        when the attempt is over.
+    reached : set of str
+        The requests of which some leaf ran a part.
     """
 
     def __init__(self, network: virtual_network.VirtualNetwork) -> None:
         self.leaves: dict[str, standin_leaf.StandInLeaf] = {}
         self.service_ms: ServiceTime = lambda leaf, command: 5
         self.duplicates = 0.0
+        self.reached: set[str] = set()
         self._network = network
+        self._connected_boots: dict[tuple[str, str, str], str] = {}
+        self._running: dict[str, Callable[[], None]] = {}
 
     def send(
         self, daemon: virtual_network.VirtualDaemon, command: commands.SendAttempt
@@ -57,7 +68,7 @@
 
         there_ms = network.delay(own, address)
         if there_ms is not None:
-            network.after(there_ms, lambda: self._arrive(command, send_back))
+            network.after(there_ms, lambda: self._arrive(daemon, command, send_back))
         timed_out = events.AttemptFailed(command.attempt_id, events.Failure.TIMED_OUT)
         network.after(command.timeout_ms, lambda: end(timed_out))
 
@@ -65,34 +76,77 @@
         self, daemon: virtual_network.VirtualDaemon, command: commands.CancelAttempt
     ) -> None:
         """Tell a target that nobody waits for an attempt."""
+        own = daemon.state.identity.address
+        there_ms = self._network.delay(own, command.target.address)
+        if there_ms is not None:
+            self._network.after(there_ms, lambda: self._stop(command.attempt_id))
 
     def _arrive(
-        self, command: commands.SendAttempt, reply: Callable[[events.Event], None]
+        self,
+        daemon: virtual_network.VirtualDaemon,
+        command: commands.SendAttempt,
+        reply: Reply,
     ) -> None:
         leaf = self.leaves.get(command.target.address)
+        failures = events.Failure
         if leaf is None:
-            unreachable = events.Failure.UNREACHABLE
-            reply(events.AttemptFailed(command.attempt_id, unreachable))
+            reply(events.AttemptFailed(command.attempt_id, failures.UNREACHABLE))
+            return
+        if self._connection_is_stale(daemon, command, leaf):
+            reply(events.AttemptFailed(command.attempt_id, failures.CONNECTION_LOST))
             return
         if leaf.faults.lost:
             return
-        if leaf.busy_slots >= leaf.slots:
-            refused = events.Failure.REFUSED
+        verdict = leaf.begin()
+        if verdict is standin_leaf.Verdict.SHEDS:
+            refused = failures.REFUSED
             reply(events.AttemptFailed(command.attempt_id, refused, leaf.load))
-            return
-        leaf.busy_slots += 1
+        elif verdict is standin_leaf.Verdict.FALLS_OVER:
+            reply(events.AttemptFailed(command.attempt_id, failures.CONNECTION_LOST))
+        else:
+            self._work(leaf, command, reply)
+
+    def _connection_is_stale(
+        self,
+        daemon: virtual_network.VirtualDaemon,
+        command: commands.SendAttempt,
+        leaf: standin_leaf.StandInLeaf,
+    ) -> bool:
+        identity = daemon.state.identity
+        connection = identity.name, identity.life, command.target.address
+        before = self._connected_boots.get(connection)
+        self._connected_boots[connection] = leaf.boot_id
+        return before is not None and before != leaf.boot_id
+
+    def _work(
+        self,
+        leaf: standin_leaf.StandInLeaf,
+        command: commands.SendAttempt,
+        reply: Reply,
+    ) -> None:
         boot_id = leaf.boot_id
-        work_ms = self.service_ms(leaf, command) + leaf.faults.delay_ms
+        attempt_id = command.attempt_id
+        self.reached.add(command.request_id)
 
         def finish() -> None:
-            if leaf.boot_id != boot_id:
-                lost = events.Failure.CONNECTION_LOST
-                reply(events.AttemptFailed(command.attempt_id, lost))
+            if self._running.pop(attempt_id, None) is None:
                 return
-            leaf.busy_slots -= 1
-            reply(_run(leaf, command))
+            if leaf.end(boot_id, finished=True):
+                reply(_run(leaf, command))
+                return
+            lost = events.Failure.CONNECTION_LOST
+            reply(events.AttemptFailed(attempt_id, lost))
 
+        self._running[attempt_id] = lambda: leaf.end(boot_id, finished=False)
+        work_ms = leaf.work_ms(self.service_ms(leaf, command))
         self._network.after(work_ms, finish)
+        # A target stops working on a request whose deadline has passed.
+        self._network.after(command.timeout_ms, lambda: self._stop(attempt_id))
+
+    def _stop(self, attempt_id: str) -> None:
+        stop = self._running.pop(attempt_id, None)
+        if stop is not None:
+            stop()
 
 
 def _run(
