--- a/amaranthpulley/coordination/admission.py
+++ b/amaranthpulley/coordination/admission.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from amaranthpulley.coordination import journaling
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import requests, topology
 
@@ -34,8 +35,8 @@
     """
     codes = requests.RefusalCode
     service = daemon.configuration.service(request.service)
-    if daemon.draining:
-        return _refusal(codes.SHUTTING_DOWN, "send the request to another VM")
+    if daemon.draining or journaling.refuses_requests(daemon):
+        return _refuse_any(daemon)
     if service is None:
         return _refusal(
             codes.UNKNOWN_SERVICE,
@@ -54,5 +55,12 @@
     return Admitted(service, now_ms + min(wait_ms, service.hard_deadline_ms))
 
 
+def _refuse_any(daemon: daemon_state.Daemon) -> requests.Refusal:
+    codes = requests.RefusalCode
+    if daemon.draining:
+        return _refusal(codes.SHUTTING_DOWN, "send the request to another VM")
+    return _refusal(codes.STORE_UNAVAILABLE, "no record can be kept; try again later")
+
+
 def _refusal(code: requests.RefusalCode, message: str) -> requests.Refusal:
     return requests.Refusal(code, message, not_run=True)
--- a/amaranthpulley/coordination/answering.py
+++ b/amaranthpulley/coordination/answering.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from amaranthpulley.coordination import commands
+from amaranthpulley.coordination import commands, journaling
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events, requests
 
@@ -14,6 +14,7 @@
     request: requests.SearchRequest | requests.OrderRequest,
     outcome: requests.Outcome,
     elapsed_ms: int,
+    attempts: int | None = None,
 ) -> list[commands.Command]:
     """Return the commands that end a request.
 
@@ -27,6 +28,8 @@
         What the caller gets.
     elapsed_ms : int
         Time since the request arrived, in milliseconds.
+    attempts : int or None
+        How many requests were sent to targets; None takes what the outcome says.
     """
     kind = type(outcome).__name__
     known = daemon.configuration.service(request.service) is not None
@@ -39,9 +42,12 @@
         fields |= {"code": outcome.code.value, "not_run": outcome.not_run}
     if isinstance(outcome, requests.SearchAnswer):
         fields |= {"coverage": outcome.coverage, "version": outcome.version}
+    if attempts is None:
+        attempts = getattr(outcome, "attempts", 0)
     return [
         commands.AnswerCaller(request, outcome, elapsed_ms),
         commands.log(event, service=service, outcome=kind, **fields),
+        *journaling.record(daemon, request, outcome, attempts, elapsed_ms),
     ]
 
 
--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/draining.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination import commands, events, journaling
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events
 
@@ -32,7 +32,7 @@
     daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
 ) -> Commands:
     """End the process once nothing is in progress."""
-    if daemon.requests_in_progress > 0:
+    if daemon.requests_in_progress > 0 or journaling.pending(daemon) > 0:
         return [commands.SetTimer(DrainCheck(), now_ms + CHECK_INTERVAL_MS)]
     return [commands.log(log_events.DAEMON_STOPPED), commands.Exit(0)]
 
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -19,6 +19,8 @@
     draining,
     errors,
     events,
+    journal_writing,
+    journaling,
     ordering,
     searching,
     tracing,
@@ -30,7 +32,15 @@
     [daemon_state.Daemon, events.Event, int, Random], list[commands.Command]
 ]
 
-_MODULES: Final = (tracing, searching, ordering, configuring, draining)
+_MODULES: Final = (
+    journal_writing,
+    journaling,
+    tracing,
+    searching,
+    ordering,
+    configuring,
+    draining,
+)
 
 
 def _collect_handlers() -> dict[type, list[Handler]]:
--- /dev/null
+++ b/amaranthpulley/coordination/journal_writing.py
@@ -0,0 +1,243 @@
+"""Writing the journal to the store, one value at a time.
+
+A value stays unchanged until the store has it, so that repeating a write whose reply
+was lost is harmless.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands, events, stored_values
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import journal, log_events, store
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+LIFE_PREFIX: Final = "journal/lives/"
+BATCH_PREFIX: Final = "journal/batches/"
+BUCKET_MS: Final = 600_000
+BATCH_BYTES: Final = 900_000
+RETRY_MS: Final = 1_000
+CHECKPOINT_MS: Final = 60_000
+# Share of the store's several hundred writes a second that all journals may take.
+FLEET_WRITES_PER_SECOND: Final = 100
+
+
+class WriteRetryDue(NamedTuple):
+    """Purpose of the timer that repeats a write."""
+
+
+class JournalWritten(NamedTuple):
+    """Purpose of the store call that writes a batch or the life."""
+
+
+class LifeRead(NamedTuple):
+    """Purpose of the store call that reads the life back."""
+
+
+def life_key(vm: str, life: str) -> str:
+    """Return the store key of a life."""
+    return f"{LIFE_PREFIX}{vm}/{life}"
+
+
+def bucket_of(time_ms: int) -> int:
+    """Return the start of the time bucket that a time falls into, in milliseconds."""
+    return time_ms - time_ms % BUCKET_MS
+
+
+def batch_key(batch: journal.Batch) -> str:
+    """Return the store key of a batch; keys sort by time bucket."""
+    first, last = batch.chunks[0], batch.chunks[-1]
+    bucket_ms = bucket_of(first.first_ms)
+    numbers = f"{first.first_sequence:012d}-{last.last_sequence:012d}"
+    return f"{BATCH_PREFIX}{bucket_ms:014d}/{batch.vm}/{batch.life}/{numbers}"
+
+
+def flush_interval_ms(daemon: daemon_state.Daemon) -> int:
+    """Return the time between two writes, longer the more daemons there are."""
+    fleet_ms = len(daemon.members.live) * 1_000 // FLEET_WRITES_PER_SECOND
+    return max(daemon.limits.journal_flush_ms, fleet_ms)
+
+
+def write_next(daemon: daemon_state.Daemon, wall_ms: int) -> Commands:
+    """Write what is due next: the life, a batch, or nothing.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    wall_ms : int
+        The present time, in milliseconds since the Unix epoch.
+    """
+    own = daemon.journal
+    if own.pending_write is not None:
+        return []
+    if own.sealed and own.announced:
+        return _write_batch(daemon, wall_ms)
+    if not own.announced:
+        return write_life(daemon, own.life)
+    if daemon.draining and daemon.requests_in_progress == 0 and not own.closed:
+        return write_life(daemon, _life_now(daemon, wall_ms, journal.LifeStatus.CLOSED))
+    interval_ms = max(CHECKPOINT_MS, flush_interval_ms(daemon))
+    if not daemon.draining and wall_ms - own.last_write_ms >= interval_ms:
+        return write_life(daemon, _life_now(daemon, wall_ms, journal.LifeStatus.OPEN))
+    return []
+
+
+def write_life(daemon: daemon_state.Daemon, life: journal.Life) -> Commands:
+    """Write a state of the life."""
+    own = daemon.journal
+    own.pending_write = journal.PendingWrite(
+        life_key(life.vm, life.life),
+        own.life_revision,
+        stored_values.encode_life(life),
+        life=life,
+    )
+    return _call(daemon)
+
+
+def take_written(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Confirm a write, or repeat it."""
+    own = daemon.journal
+    write, result = own.pending_write, event.result
+    wall_ms = daemon.wall_ms(now_ms)
+    if isinstance(result, store.StoreFailed):
+        return [_failed(daemon, result), _retry(daemon, now_ms, random)]
+    if write.batch is not None:
+        # A key that exists already holds this very value: its name carries the life
+        # and the numbers, and a write is repeated unchanged.
+        own.confirm_batch(
+            write.batch, bucket_of(write.batch.chunks[0].first_ms), wall_ms
+        )
+        return [*_log_batch(daemon, write), *write_next(daemon, wall_ms)]
+    if result.succeeded:
+        return _confirm_life(daemon, write.life, result.revision, wall_ms)
+    timeout_ms = daemon.limits.store_timeout_ms
+    return [commands.CallStore(LifeRead(), store.Get(write.key), timeout_ms)]
+
+
+def take_read_life(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Learn whether a write of the life took effect although its reply was lost."""
+    own = daemon.journal
+    write, result = own.pending_write, event.result
+    if isinstance(result, store.StoreFailed):
+        return [_failed(daemon, result), _retry(daemon, now_ms, random)]
+    if result.value == write.value:
+        wall_ms = daemon.wall_ms(now_ms)
+        return _confirm_life(daemon, write.life, result.revision, wall_ms)
+    # Another daemon has taken this life for ended: the present value replaces that.
+    own.pending_write = write._replace(expected_revision=result.revision)
+    reopened = commands.log(log_events.JOURNAL_LIFE_REOPENED, life=daemon.identity.life)
+    return [reopened, *_call(daemon)]
+
+
+def repeat_write(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Send the pending write again."""
+    return _call(daemon) if daemon.journal.pending_write is not None else []
+
+
+def _life_now(
+    daemon: daemon_state.Daemon, wall_ms: int, status: journal.LifeStatus
+) -> journal.Life:
+    own = daemon.journal
+    return own.life._replace(
+        status=status,
+        last_sequence=own.last_sequence,
+        complete_ms=own.complete_ms(wall_ms, chunks_taken=0),
+        ended_ms=wall_ms if status is journal.LifeStatus.CLOSED else 0,
+    )
+
+
+def _write_batch(daemon: daemon_state.Daemon, wall_ms: int) -> Commands:
+    own = daemon.journal
+    bucket_ms = bucket_of(own.sealed[0].first_ms)
+    chunks: list[journal.Chunk] = []
+    size_bytes = 0
+    for chunk in own.sealed:
+        size_bytes += chunk.size_bytes
+        if chunks and (
+            size_bytes > BATCH_BYTES or bucket_of(chunk.first_ms) != bucket_ms
+        ):
+            break
+        chunks.append(chunk)
+    batch = journal.Batch(
+        daemon.identity.name,
+        daemon.identity.life,
+        own.previous_bucket_ms,
+        own.complete_ms(wall_ms, len(chunks)),
+        tuple(chunks),
+    )
+    value = stored_values.encode_batch(batch)
+    own.pending_write = journal.PendingWrite(batch_key(batch), 0, value, batch=batch)
+    return _call(daemon)
+
+
+def _call(daemon: daemon_state.Daemon) -> Commands:
+    write = daemon.journal.pending_write
+    swap = store.Swap(write.key, write.expected_revision, write.value)
+    timeout_ms = daemon.limits.store_timeout_ms
+    return [commands.CallStore(JournalWritten(), swap, timeout_ms)]
+
+
+def _confirm_life(
+    daemon: daemon_state.Daemon, life: journal.Life, revision: int, wall_ms: int
+) -> Commands:
+    first = not daemon.journal.announced
+    daemon.journal.confirm_life(life, revision, wall_ms)
+    logged: Commands = []
+    if first:
+        event = log_events.JOURNAL_LIFE_ANNOUNCED
+        logged = [commands.log(event, life=life.life)]
+    if life.status is journal.LifeStatus.CLOSED:
+        event = log_events.JOURNAL_LIFE_CLOSED
+        logged = [commands.log(event, last=life.last_sequence)]
+    return [*logged, *write_next(daemon, wall_ms)]
+
+
+def _log_batch(daemon: daemon_state.Daemon, write: journal.PendingWrite) -> Commands:
+    daemon.counters.add("journal_batches_written_total")
+    daemon.counters.add("journal_bytes_written_total", len(write.value))
+    written = commands.log(
+        log_events.JOURNAL_BATCH_WRITTEN,
+        first=write.batch.chunks[0].first_sequence,
+        last=write.batch.chunks[-1].last_sequence,
+        size_bytes=len(write.value),
+    )
+    return [written]
+
+
+def _failed(daemon: daemon_state.Daemon, result: store.StoreFailed) -> commands.Log:
+    daemon.counters.add("journal_write_failures_total")
+    return commands.log(
+        log_events.JOURNAL_WRITE_FAILED,
+        reason=result.reason,
+        unwritten=daemon.journal.unwritten_records,
+    )
+
+
+def _retry(
+    daemon: daemon_state.Daemon, now_ms: int, random: Random
+) -> commands.SetTimer:
+    # Spread over an interval, so that a fleet does not come back all at once.
+    wait_ms = RETRY_MS + int(random() * flush_interval_ms(daemon))
+    return commands.SetTimer(WriteRetryDue(), now_ms + wait_ms)
+
+
+HANDLERS: Final = {
+    WriteRetryDue: repeat_write,
+    JournalWritten: take_written,
+    LifeRead: take_read_life,
+}
--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/ordering.py
@@ -260,7 +260,9 @@
 ) -> Commands:
     daemon.orders.remove(order)
     elapsed_ms = now_ms - order.started_ms
-    return answering.answer(daemon, order.request, outcome, elapsed_ms)
+    return answering.answer(
+        daemon, order.request, outcome, elapsed_ms, order.attempts_sent
+    )
 
 
 def _call(
--- a/amaranthpulley/coordination/searching.py
+++ b/amaranthpulley/coordination/searching.py
@@ -188,7 +188,9 @@
     elapsed_ms = now_ms - search.started_ms
     outcome = _outcome_of(search)
     return [
-        *answering.answer(daemon, search.request, outcome, elapsed_ms),
+        *answering.answer(
+            daemon, search.request, outcome, elapsed_ms, search.attempts_sent
+        ),
         *cancelled,
     ]
 
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -7,6 +7,7 @@
 
 from amaranthpulley.protocol import errors
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import journal
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
@@ -38,6 +39,10 @@
     maximum_requests_in_progress: NotRequired[Count]
     maximum_row_count: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
+    journal_flush_ms: NotRequired[Milliseconds]
+    journal_memory_bytes: NotRequired[Count]
+    journal_when_full: NotRequired[journal.FullPolicy]
+    journal_life_first: NotRequired[bool]
 
 
 class Settings(TypedDict):
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -6,6 +6,7 @@
     configuration,
     counters,
     facts,
+    journal,
     members,
     orders,
     searches,
@@ -36,11 +37,31 @@
 
 
 class Limits(NamedTuple):
-    """Bounds on what a daemon takes on; times in milliseconds."""
+    """Bounds on what a daemon takes on; times in milliseconds.
+
+    Attributes
+    ----------
+    maximum_requests_in_progress, maximum_row_count : int
+        Requests at a time, and rows of one answer.
+    store_timeout_ms : int
+        Time to wait for the store's reply.
+    journal_flush_ms : int
+        Time between writes of the journal; longer in a large fleet.
+    journal_memory_bytes : int
+        Memory for records that the store does not take.
+    journal_when_full : FullPolicy
+        What happens to requests when that memory is full.
+    journal_life_first : bool
+        Refuse requests until the store knows of the daemon's life.
+    """
 
     maximum_requests_in_progress: int = 1_000
     maximum_row_count: int = 100_000
     store_timeout_ms: int = 500
+    journal_flush_ms: int = 5_000
+    journal_memory_bytes: int = 32 * 1024 * 1024
+    journal_when_full: journal.FullPolicy = journal.FullPolicy.REFUSE
+    journal_life_first: bool = False
 
 
 class Daemon:
@@ -71,6 +92,7 @@
             )
         )
         self.facts = facts.FactTable()
+        self.journal = journal.Journal()
         self.wall_offset_ms = 0
         self.draining = False
         self._last_id = 0
