Add named leases tied to one store lease per daemon

A duty that one daemon does for all needs a holder that is never two. Ruled out: one swap key per lease with holder, term and expiry (a write for each lease and renewal; a grant to a dead holder needs its clock compared). Found by the property: the stand-in store dropped a key with a lapsed lease although another had written it since; it detaches the key now. Counting from the reply instead of from the asking fails the test of a holder that is cut off.

--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -19,6 +19,7 @@
     draining,
     errors,
     events,
+    leasing,
     ordering,
     searching,
 )
@@ -29,7 +30,7 @@
     [daemon_state.Daemon, events.Event, int, Random], list[commands.Command]
 ]
 
-_MODULES: Final = (searching, ordering, configuring, draining)
+_MODULES: Final = (searching, ordering, configuring, leasing, draining)
 
 
 def _collect_handlers() -> dict[type, list[Handler]]:
--- /dev/null
+++ b/amaranthpulley/coordination/leasing.py
@@ -0,0 +1,298 @@
+"""Named leases: at most one daemon acts under a name at a time.
+
+All leases of a daemon hang on one lease of the store, so that a renewal is one call
+however many there are. A claim is a swap of a key that must not exist; a claim whose
+reply was lost is read back. The holder counts from before it asked and stops
+`MARGIN_MS` short of the end, which covers clocks that run at different speeds.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import leases, log_events, store
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+LEASE_PREFIX: Final = "leases/"
+TTL_MS: Final = 5_000
+MARGIN_MS: Final = 500
+RENEWAL_MS: Final = 1_500
+TICK_MS: Final = 500
+
+
+class LeaseTick(NamedTuple):
+    """Purpose of the timer that renews and tries again."""
+
+
+class StoreLeaseExtended(NamedTuple):
+    """Purpose of the call that grants or renews the store lease."""
+
+    store_lease_id: str
+    asked_ms: int
+
+
+class LeaseClaimed(NamedTuple):
+    """Purpose of the call that claims a named lease."""
+
+    name: str
+    store_lease_id: str
+
+
+class LeaseRead(NamedTuple):
+    """Purpose of the call that reads a claim back."""
+
+    name: str
+    store_lease_id: str
+
+
+class LeaseReleased(NamedTuple):
+    """Purpose of the call that deletes a claim."""
+
+    name: str
+
+
+def want(daemon: daemon_state.Daemon, name: str, now_ms: int) -> Commands:
+    """Ask for a lease until `release`; `daemon.leases.holds` tells when it is held."""
+    table = daemon.leases
+    claim = table.claims.get(name)
+    if claim is not None and claim.wanted:
+        return []
+    known = claim or leases.LeaseClaim()
+    table.claims[name] = known._replace(wanted=True)
+    return [*_advance(daemon, name, now_ms), *_keep_ticking(daemon, now_ms)]
+
+
+def release(daemon: daemon_state.Daemon, name: str, now_ms: int) -> Commands:
+    """Give a lease up; `holds` is false at once."""
+    claim = daemon.leases.claims.get(name)
+    if claim is None:
+        return []
+    daemon.leases.claims[name] = claim._replace(wanted=False)
+    return _advance(daemon, name, now_ms)
+
+
+def release_all(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    """Give all leases up at once by revoking the store lease."""
+    table = daemon.leases
+    table.claims.clear()
+    lease_id = table.store_lease_id
+    table.lapse()
+    if lease_id is None:
+        return []
+    return [_call(daemon, LeaseReleased(""), store.RevokeLease(lease_id))]
+
+
+def tick(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Renew the store lease and try again what is not held."""
+    table = daemon.leases
+    table.ticking = False
+    if not table.claims:
+        return []
+    decided: Commands = []
+    if table.store_lease_id is not None and now_ms >= table.next_renewal_ms:
+        renewal = store.RenewLease(table.store_lease_id)
+        decided += _extend(daemon, table.store_lease_id, renewal, now_ms)
+    for name in list(table.claims):
+        decided += _advance(daemon, name, now_ms)
+    return [*decided, *_keep_ticking(daemon, now_ms)]
+
+
+def take_extension(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Enter the new end of the store lease, or that it has lapsed."""
+    table, purpose = daemon.leases, event.purpose
+    table.call_in_flight = False
+    if isinstance(event.result, store.StoreFailed):
+        return [_failed(event.result)]
+    if event.result.held:
+        end_ms = purpose.asked_ms + TTL_MS - MARGIN_MS
+        table.extend(purpose.store_lease_id, end_ms)
+    elif table.store_lease_id == purpose.store_lease_id:
+        daemon.counters.add("leases_lapsed_total")
+        table.lapse()
+    return [
+        command
+        for name in list(table.claims)
+        for command in _advance(daemon, name, now_ms)
+    ]
+
+
+def take_claim(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Enter whether a claim took effect; read it back when that is not known."""
+    name, result = event.purpose.name, event.result
+    claim = daemon.leases.claims.get(name)
+    if claim is None or claim.phase is not leases.Phase.CLAIMING:
+        return []
+    if isinstance(result, store.StoreFailed):
+        uncertain = claim.uncertain or result.unknown
+        claim = claim._replace(uncertain=uncertain)
+        return [_failed(result), *_read_back(daemon, event, claim)]
+    if not result.succeeded:
+        return _read_back(daemon, event, claim)
+    return _hold(daemon, event, result.revision, now_ms)
+
+
+def take_read(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Recognise an own claim by its value."""
+    name, result = event.purpose.name, event.result
+    claim = daemon.leases.claims.get(name)
+    if claim is None or claim.phase is not leases.Phase.READING:
+        return []
+    if isinstance(result, store.StoreFailed):
+        daemon.leases.claims[name] = claim._replace(phase=leases.Phase.IDLE)
+        return [_failed(result)]
+    if result.value == _token(daemon, event.purpose.store_lease_id):
+        return _hold(daemon, event, result.revision, now_ms)
+    # A claim that is still under way finds its key taken or its lease in use here,
+    # so that the doubt stays until a claim has succeeded or failed for certain.
+    daemon.leases.claims[name] = claim._replace(phase=leases.Phase.IDLE)
+    return []
+
+
+def take_release(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Forget a lease whose key is certainly gone; else delete it again later."""
+    name, result = event.purpose.name, event.result
+    claim = daemon.leases.claims.get(name)
+    if claim is None or claim.phase is not leases.Phase.RELEASING:
+        return []
+    if isinstance(result, store.StoreFailed):
+        # The deletion may still take effect: the key is not used again before that.
+        daemon.leases.claims[name] = claim._replace(uncertain=True)
+        return [_failed(result)]
+    daemon.leases.claims[name] = leases.LeaseClaim(wanted=claim.wanted)
+    return _advance(daemon, name, now_ms)
+
+
+def _advance(daemon: daemon_state.Daemon, name: str, now_ms: int) -> Commands:
+    table = daemon.leases
+    claim = table.claims[name]
+    if _is_to_be_deleted(claim):
+        table.claims[name] = claim._replace(
+            phase=leases.Phase.RELEASING, uncertain=False
+        )
+        delete = store.Swap(LEASE_PREFIX + name, claim.revision, None)
+        return [_call(daemon, LeaseReleased(name), delete)]
+    if claim.phase is not leases.Phase.IDLE:
+        return []
+    if not claim.wanted and not claim.uncertain:
+        del table.claims[name]
+        return []
+    lease_id = table.store_lease_id
+    if lease_id is None or now_ms >= table.valid_until_ms:
+        return _grant(daemon, now_ms)
+    if not claim.wanted:
+        table.claims[name] = claim._replace(phase=leases.Phase.READING)
+        read = store.Get(LEASE_PREFIX + name)
+        return [_call(daemon, LeaseRead(name, lease_id), read)]
+    table.claims[name] = claim._replace(phase=leases.Phase.CLAIMING)
+    swap = store.Swap(LEASE_PREFIX + name, 0, _token(daemon, lease_id), lease_id)
+    return [_call(daemon, LeaseClaimed(name, lease_id), swap)]
+
+
+def _grant(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    # A fresh identifier for each grant: a late grant of an old one is never used.
+    if daemon.leases.store_lease_id is not None:
+        return []
+    lease_id = daemon.next_id("lease")
+    return _extend(daemon, lease_id, store.GrantLease(lease_id, TTL_MS), now_ms)
+
+
+def _extend(
+    daemon: daemon_state.Daemon,
+    lease_id: str,
+    operation: store.Operation,
+    now_ms: int,
+) -> Commands:
+    if daemon.leases.call_in_flight:
+        return []
+    daemon.leases.call_in_flight = True
+    daemon.leases.next_renewal_ms = now_ms + RENEWAL_MS
+    return [_call(daemon, StoreLeaseExtended(lease_id, now_ms), operation)]
+
+
+def _hold(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    revision: int,
+    now_ms: int,
+) -> Commands:
+    table, purpose = daemon.leases, event.purpose
+    claim = table.claims[purpose.name]
+    if purpose.store_lease_id != table.store_lease_id:
+        # The store lease has lapsed meanwhile, and the key with it.
+        table.claims[purpose.name] = claim._replace(phase=leases.Phase.IDLE)
+        return []
+    table.claims[purpose.name] = leases.LeaseClaim(
+        leases.Phase.HELD, claim.wanted, uncertain=False, revision=revision
+    )
+    held = commands.log(log_events.LEASE_HELD, lease=purpose.name)
+    return [held, *_advance(daemon, purpose.name, now_ms)]
+
+
+def _is_to_be_deleted(claim: leases.LeaseClaim) -> bool:
+    if claim.phase is leases.Phase.RELEASING:
+        return claim.uncertain
+    return claim.phase is leases.Phase.HELD and not claim.wanted
+
+
+def _read_back(
+    daemon: daemon_state.Daemon, event: events.StoreReplied, claim: leases.LeaseClaim
+) -> Commands:
+    # The key may be an own earlier claim whose reply was lost.
+    name, lease_id = event.purpose.name, event.purpose.store_lease_id
+    daemon.leases.claims[name] = claim._replace(phase=leases.Phase.READING)
+    return [_call(daemon, LeaseRead(name, lease_id), store.Get(LEASE_PREFIX + name))]
+
+
+def _token(daemon: daemon_state.Daemon, lease_id: str) -> bytes:
+    return f"{daemon.identity.name} {lease_id}".encode()
+
+
+def _keep_ticking(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    if daemon.leases.ticking:
+        return []
+    daemon.leases.ticking = True
+    return [commands.SetTimer(LeaseTick(), now_ms + TICK_MS)]
+
+
+def _failed(result: store.StoreFailed) -> commands.Log:
+    return commands.log(log_events.STORE_CALL_FAILED, reason=result.reason)
+
+
+def _call(
+    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
+) -> commands.CallStore:
+    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
+
+
+HANDLERS: Final = {
+    LeaseTick: tick,
+    StoreLeaseExtended: take_extension,
+    LeaseClaimed: take_claim,
+    LeaseRead: take_read,
+    LeaseReleased: take_release,
+}
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -6,6 +6,7 @@
     configuration,
     counters,
     facts,
+    leases,
     members,
     orders,
     searches,
@@ -71,6 +72,7 @@
             )
         )
         self.facts = facts.FactTable()
+        self.leases = leases.LeaseTable()
         self.wall_offset_ms = 0
         self.draining = False
         self._last_id = 0
--- a/amaranthpulley/state/standin_store.py
+++ b/amaranthpulley/state/standin_store.py
@@ -59,6 +59,8 @@
             return store.Swapped(False, present.revision)
         if swap.lease_id is not None and swap.lease_id not in self._lease_ends:
             return store.StoreFailed("the lease has lapsed", unknown=False)
+        for keys in self._lease_keys.values():
+            keys.discard(swap.key)
         self._write(swap.key, swap.value)
         if swap.lease_id is not None:
             self._lease_keys[swap.lease_id].add(swap.key)
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/virtual_network.py
@@ -145,9 +145,10 @@
             return
         decided = engine.step(daemon.state, event, self.now_ms, self.random.random)
         for command in decided:
-            self._carry_out(daemon, command)
+            self.carry_out(daemon, command)
 
-    def _carry_out(self, daemon: VirtualDaemon, command: commands.Command) -> None:
+    def carry_out(self, daemon: VirtualDaemon, command: commands.Command) -> None:
+        """Carry out what a daemon has decided."""
         name = daemon.state.identity.name
         match command:
             case commands.SendAttempt():
