--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -22,6 +22,7 @@
     leasing,
     ordering,
     searching,
+    tracing,
 )
 from amaranthpulley.state import daemon as daemon_state
 
@@ -30,7 +31,14 @@
     [daemon_state.Daemon, events.Event, int, Random], list[commands.Command]
 ]
 
-_MODULES: Final = (searching, ordering, configuring, leasing, draining)
+_MODULES: Final = (
+    tracing,
+    searching,
+    ordering,
+    configuring,
+    leasing,
+    draining,
+)
 
 
 def _collect_handlers() -> dict[type, list[Handler]]:
