--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -21,6 +21,7 @@
     events,
     journal_writing,
     journaling,
+    leasing,
     ordering,
     searching,
     tracing,
@@ -39,6 +40,7 @@
     searching,
     ordering,
     configuring,
+    leasing,
     draining,
 )
 
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -7,6 +7,7 @@
     counters,
     facts,
     journal,
+    leases,
     members,
     orders,
     searches,
@@ -93,6 +94,7 @@
         )
         self.facts = facts.FactTable()
         self.journal = journal.Journal()
+        self.leases = leases.LeaseTable()
         self.wall_offset_ms = 0
         self.draining = False
         self._last_id = 0
