--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -19,6 +19,9 @@
     draining,
     errors,
     events,
+    journal_writing,
+    journaling,
+    leasing,
     ordering,
     searching,
     tracing,
@@ -30,7 +33,16 @@
     [daemon_state.Daemon, events.Event, int, Random], list[commands.Command]
 ]
 
-_MODULES: Final = (tracing, searching, ordering, configuring, draining)
+_MODULES: Final = (
+    journal_writing,
+    journaling,
+    tracing,
+    searching,
+    ordering,
+    configuring,
+    leasing,
+    draining,
+)
 
 
 def _collect_handlers() -> dict[type, list[Handler]]:
