--- a/amaranthpulley/transport/bench/domain_loss.py
+++ b/amaranthpulley/transport/bench/domain_loss.py
@@ -36,10 +36,10 @@
         after the balancer has left out the dead VMs.
     seconds_below : int
         Seconds in which fewer than 0.95 of the searches got a useful answer.
-    most_cold_work : int
-        Largest number of requests that a leaf ran at the same time while cold.
+    cold_runs : int
+        Requests that leaves ran while cold.
     cold_bound : int
-        The number that it bears.
+        Requests that a cold leaf bears at the same time.
     falls : int
         Times that a cold leaf fell over because it got more.
     """
@@ -53,7 +53,7 @@
     least_useful_share: float
     seconds_below: int
     p99_ms: float
-    most_cold_work: int
+    cold_runs: int
     cold_bound: int
     falls: int
     mixed_answers: int
@@ -114,8 +114,7 @@
     def _come_back(self) -> None:
         self._site.links.cut.clear()
         for leaf in self._site.leaves_of(self._domain):
-            sites.restart(leaf)
-            self.trial.cold.begin(leaf)
+            leaf.restart(workload.COLD)
         for vm in self._vms:
             self._site.start_daemon(vm, life="2")
 
@@ -127,7 +126,6 @@
     plan = running.trial.plan
     seconds = _whole_seconds(measured)
     found = measured.begin_ms // measuring.SECOND_MS + running.lost_s + 2
-    cold = running.trial.cold
     return DomainLossRow(
         plan.shape.service,
         plan.policy.name,
@@ -138,9 +136,9 @@
         min(_useful_share(measured, second) for second in seconds if second >= found),
         sum(_useful_share(measured, second) < 0.95 for second in seconds),
         measured.latency_ms.quantile(0.99),
-        cold.most_work,
-        workload.COLD_BOUND,
-        cold.falls,
+        measured.cold_runs,
+        workload.COLD.bears,
+        sum(leaf.falls for leaf in running.trial.site.leaves.values()),
         measured.mixed_answers,
         measured.coverage_errors,
     )
--- a/amaranthpulley/transport/bench/measuring.py
+++ b/amaranthpulley/transport/bench/measuring.py
@@ -46,6 +46,7 @@
         self.coverage_errors = 0
         self.all_sent = 0
         self.all_runs = 0
+        self.cold_runs = 0
         self.sent_by_second: collections.Counter[int] = collections.Counter()
         self.useful_by_second: collections.Counter[int] = collections.Counter()
         self.latency_by_second: dict[int, histogram.Histogram] = {}
@@ -80,9 +81,10 @@
                 merged.update(self.latency_by_second[second])
         return merged
 
-    def observe_run(self) -> None:
-        """Count a leaf call that a leaf has run."""
+    def observe_run(self, is_cold: bool) -> None:
+        """Count a leaf call that a leaf runs."""
         self.all_runs += 1
+        self.cold_runs += is_cold
 
     def note_sent(self, request_id: str, now_ms: int) -> None:
         """Count a search."""
--- a/amaranthpulley/transport/bench/sites.py
+++ b/amaranthpulley/transport/bench/sites.py
@@ -179,13 +179,6 @@
     return [keyspace.KeyRange(*pair) for pair in itertools.pairwise(bounds)]
 
 
-def restart(leaf: standin_leaf.StandInLeaf) -> None:
-    """Give a leaf a new boot id and nothing to do."""
-    name, life = leaf.boot_id.rsplit("/", 1)
-    leaf.boot_id = f"{name}/{int(life) + 1}"
-    leaf.busy_slots = 0
-
-
 def _shard_of(leaf: standin_leaf.StandInLeaf) -> str:
     return leaf.boot_id.rsplit("/", 1)[0]
 
--- a/amaranthpulley/transport/bench/trial.py
+++ b/amaranthpulley/transport/bench/trial.py
@@ -53,8 +53,6 @@
     ----------
     begin_ms, end_ms : int
         The measured span.
-    cold : ColdLeaves
-        The leaves in a cold start.
     """
 
     def __init__(self, plan: Plan, seed: int) -> None:
@@ -71,9 +69,8 @@
             seed + 1,
             self.collector,
         )
-        self.cold = workload.ColdLeaves()
         self.site.network.targets.service_ms = workload.service_time(
-            plan.stragglers, seed + 2, self.cold, self.collector.observe_run
+            plan.stragglers, seed + 2, self.collector.observe_run
         )
 
     def at(self, since_begin_ms: int, action: Action) -> None:
--- a/amaranthpulley/transport/bench/workload.py
+++ b/amaranthpulley/transport/bench/workload.py
@@ -12,11 +12,8 @@
 
 MEAN_SERVICE_MS: Final = 20.0
 SERVICE_SIGMA: Final = 0.5
-# A leaf is cold for its first runs; it bears this many at a time, each this much
-# slower.
-COLD_RUNS: Final = 20
-COLD_BOUND: Final = 1
-COLD_FACTOR: Final = 3.0
+# How a leaf bears load after a restart.
+COLD: Final = standin_leaf.ColdMode(bears=1, warm_after=20, slowness=3)
 CUSTOMER: Final = "bench"
 
 Rate = Callable[[int], float]
@@ -43,40 +40,6 @@
     slow_leaf_factor: float = 5.0
 
 
-class ColdLeaves:
-    """The leaves in a cold start, which bear little and fall over under more.
-
-    Attributes
-    ----------
-    most_work : int
-        Largest number of requests that a leaf ran at the same time while cold.
-    falls : int
-        How often a leaf fell over.
-    """
-
-    def __init__(self) -> None:
-        self.most_work = 0
-        self.falls = 0
-        self._remaining_runs: dict[str, int] = {}
-
-    def begin(self, leaf: standin_leaf.StandInLeaf) -> None:
-        """Enter a leaf that has just restarted."""
-        self._remaining_runs[leaf.boot_id] = COLD_RUNS
-
-    def observe(self, leaf: standin_leaf.StandInLeaf) -> float:
-        """Note that a leaf begins a request; return how much longer it takes."""
-        remaining = self._remaining_runs.get(leaf.boot_id, 0)
-        if not remaining:
-            return 1.0
-        self.most_work = max(self.most_work, leaf.busy_slots)
-        self._remaining_runs[leaf.boot_id] = remaining - 1
-        if leaf.busy_slots > COLD_BOUND:
-            self.falls += 1
-            sites.restart(leaf)
-            self.begin(leaf)
-        return COLD_FACTOR
-
-
 def constant(per_second: float) -> Rate:
     """Return the rate of an even load."""
     return lambda now_ms: per_second
@@ -90,8 +53,7 @@
 def service_time(
     stragglers: Stragglers,
     seed: int,
-    cold: ColdLeaves,
-    observe: Callable[[], None],
+    observe: Callable[[bool], None],
 ) -> virtual_targets.ServiceTime:
     """Return log-normal service times with stragglers.
 
@@ -101,10 +63,8 @@
         The slow ones.
     seed : int
         Decides the times.
-    cold : ColdLeaves
-        The leaves in a cold start.
     observe : callable
-        Called for each run.
+        Told of each run, whether its leaf is cold.
     """
     chance = random.Random(seed)
     location = math.log(MEAN_SERVICE_MS) - SERVICE_SIGMA**2 / 2
@@ -117,8 +77,7 @@
             work_ms *= stragglers.factor
         if command.target.name == stragglers.slow_leaf:
             work_ms *= stragglers.slow_leaf_factor
-        work_ms *= cold.observe(leaf)
-        observe()
+        observe(leaf.cold is not None)
         return max(1, round(work_ms))
 
     return service_ms
