--- /dev/null
+++ b/amaranthpulley/transport/bench/capacity.py
@@ -0,0 +1,102 @@
+"""Experiment: how state, time and messages grow with the size of the system."""
+
+from collections.abc import Callable, Sequence
+from typing import Final, NamedTuple
+
+from amaranthpulley.transport.bench import (
+    capacity_control,
+    capacity_journal,
+    capacity_searches,
+    capacity_tables,
+    linear_fit,
+    slopes,
+)
+
+QUICK_SIZES: Final = 2
+
+
+class PointRow(NamedTuple):
+    """One measured value at one size."""
+
+    quantity: str
+    unit: str
+    per: str
+    size: int
+    value: float
+
+
+class SlopeRow(NamedTuple):
+    """The line through the values of one quantity.
+
+    Attributes
+    ----------
+    quantity, unit, per : str
+        What grows, in which unit, with what.
+    sizes : str
+        The measured sizes.
+    intercept, slope, slope_error : float
+        The line, and the standard error of its slope.
+    largest_residual : float
+        Largest distance from the line as a share of the value.
+    target_size : int
+        The size that the system is to reach.
+    at_target : float
+        The line's value there: worked out, not measured, when it is beyond the sizes.
+    """
+
+    quantity: str
+    unit: str
+    per: str
+    sizes: str
+    intercept: float
+    slope: float
+    slope_error: float
+    largest_residual: float
+    target_size: int
+    at_target: float
+
+
+def run(seed: int, quick: bool = False) -> list[tuple]:
+    """Return the slope of each quantity, then its points."""
+    groups = (
+        capacity_tables.QUANTITIES,
+        capacity_searches.QUANTITIES,
+        capacity_journal.QUANTITIES,
+        capacity_control.QUANTITIES,
+    )
+    rows: list[tuple] = []
+    points: list[tuple] = []
+    for quantity in (quantity for group in groups for quantity in group):
+        sizes = quantity.sizes[:QUICK_SIZES] if quick else quantity.sizes
+        measured = points_of(quantity, sizes, seed)
+        rows.append(slope_of(quantity, measured))
+        points += measured
+    return [*rows, *points]
+
+
+def points_of(
+    quantity: slopes.Quantity, sizes: Sequence[int], seed: int
+) -> list[PointRow]:
+    """Return the value of a quantity at each size."""
+    measure: Callable[[int, int], float] = quantity.measure
+    return [
+        PointRow(quantity.name, quantity.unit, quantity.per, size, measure(size, seed))
+        for size in sizes
+    ]
+
+
+def slope_of(quantity: slopes.Quantity, points: Sequence[PointRow]) -> SlopeRow:
+    """Return the line through the points of a quantity."""
+    line = linear_fit.fit([(point.size, point.value) for point in points])
+    return SlopeRow(
+        quantity.name,
+        quantity.unit,
+        quantity.per,
+        "/".join(str(point.size) for point in points),
+        line.intercept,
+        line.slope,
+        line.slope_error,
+        line.largest_residual,
+        quantity.target_size,
+        line.at(quantity.target_size),
+    )
--- /dev/null
+++ b/amaranthpulley/transport/bench/capacity_control.py
@@ -0,0 +1,118 @@
+"""Growth of the control plane with the daemons, under virtual time."""
+
+import functools
+import time
+from typing import Final, NamedTuple
+
+import msgspec
+
+from amaranthpulley.coordination import configuring, events, stored_values
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import store
+from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport.bench import capacity_tables, slopes
+
+DAEMONS: Final = (8, 32, 128, 512)
+TARGET_DAEMONS: Final = 8_300
+LEAVES: Final = 90
+WARM_UP_MS: Final = 20_000
+MEASURED_MS: Final = 20_000
+
+
+class ControlLoad(NamedTuple):
+    """What the control plane does in a second, with nothing to change.
+
+    Attributes
+    ----------
+    store_calls : float
+        Of all daemons together.
+    messages, received_bytes : float
+        Of one daemon: events from peers, and the bytes of these.
+    cpu_ms : float
+        Of one daemon, the emulator's own time included.
+    """
+
+    store_calls: float
+    messages: float
+    received_bytes: float
+    cpu_ms: float
+
+
+class _Fleet:
+    """Idle daemons with a small configuration."""
+
+    def __init__(self, daemons: int, seed: int) -> None:
+        self.messages = 0
+        self.received_bytes = 0
+        self.network = virtual_network.VirtualNetwork(seed)
+        self.network.observe = self._observe
+        value = stored_values.encode_ticket(capacity_tables.ticket(LEAVES))
+        swap = store.Swap(configuring.ticket_key(1), 0, value)
+        self.network.store.call(swap, now_ms=0)
+        self.network.vms = tuple(
+            capacity_tables.vm(number) for number in range(daemons)
+        )
+        for vm in self.network.vms:
+            identity = daemon_state.Identity(
+                vm.name, vm.address, vm.failure_domain, vm.region, "1"
+            )
+            self.network.start_daemon(identity)
+
+    def _observe(
+        self, daemon: virtual_network.VirtualDaemon, event: events.Event
+    ) -> None:
+        if isinstance(event, events.PeerCalled):
+            self._count(event.message)
+        elif isinstance(event, events.PeerReplied):
+            self._count(event.reply)
+
+    def _count(self, message: object) -> None:
+        self.messages += 1
+        self.received_bytes += len(msgspec.msgpack.encode(message))
+
+
+@functools.cache
+def control_load(daemons: int, seed: int) -> ControlLoad:
+    """Return the load of an idle fleet.
+
+    Parameters
+    ----------
+    daemons : int
+        Number of daemons.
+    seed : int
+        Decides all chance.
+    """
+    fleet = _Fleet(daemons, seed)
+    network = fleet.network
+    network.run_until(WARM_UP_MS)
+    fleet.messages = fleet.received_bytes = 0
+    calls = network.store.calls
+    begun = time.process_time()
+    network.run_until(WARM_UP_MS + MEASURED_MS)
+    cpu_ms = (time.process_time() - begun) * 1_000
+    seconds = MEASURED_MS / 1_000
+    return ControlLoad(
+        (network.store.calls - calls) / seconds,
+        fleet.messages / seconds / daemons,
+        fleet.received_bytes / seconds / daemons,
+        cpu_ms / seconds / daemons,
+    )
+
+
+def _quantity(name: str, unit: str, field: str) -> slopes.Quantity:
+    return slopes.Quantity(
+        name,
+        unit,
+        "daemons",
+        DAEMONS,
+        TARGET_DAEMONS,
+        lambda daemons, seed: getattr(control_load(daemons, seed), field),
+    )
+
+
+QUANTITIES: Final = (
+    _quantity("store calls of an idle fleet", "calls/s", "store_calls"),
+    _quantity("messages to an idle daemon", "messages/s", "messages"),
+    _quantity("bytes to an idle daemon", "bytes/s", "received_bytes"),
+    _quantity("processor time of an idle daemon", "cpu ms/s", "cpu_ms"),
+)
--- /dev/null
+++ b/amaranthpulley/transport/bench/capacity_journal.py
@@ -0,0 +1,81 @@
+"""Growth of the journal with the records."""
+
+import random
+from typing import Final
+
+from amaranthpulley.coordination import journaling, stored_values
+from amaranthpulley.state import journal
+from amaranthpulley.transport.bench import slopes
+
+RECORDS: Final = (256, 2_560, 25_600, 102_400)
+# Searches a second of one daemon: 4.1 million over 8,300 daemons.
+TARGET_RECORDS: Final = 494
+CUSTOMERS: Final = 2
+ITEMS: Final = 100_000
+WORDS: Final = ("egg", "sand", "hour", "glass", "timer", "blue", "steel", "wood")
+
+
+def _records(count: int, seed: int) -> list[journal.NumberedRecord]:
+    chance = random.Random(seed)
+    found = []
+    for sequence in range(count):
+        arrived_ms = 1_700_000_000_000 + 2 * sequence + int(chance.random() * 5)
+        record = journal.JournalRecord(
+            f"request-vm-17-a1b2c3d4-{sequence}",
+            f"customer-{chance.randrange(CUSTOMERS)}",
+            "stock",
+            "search",
+            arrived_ms,
+            f"item-{chance.randrange(ITEMS):05d} {chance.choice(WORDS)}",
+            "",
+            "vm-17",
+            "SearchAnswer",
+            7,
+            1.0 if chance.random() < 0.98 else 80 / 81,
+            81 + (chance.random() < 0.3),
+        )
+        ended_ms = arrived_ms + int(chance.lognormvariate(4, 0.5))
+        found.append(journal.NumberedRecord(sequence, ended_ms, record))
+    return found
+
+
+def _chunks(
+    records: list[journal.NumberedRecord],
+) -> list[list[journal.NumberedRecord]]:
+    size = journaling.CHUNK_RECORDS
+    return [records[begin : begin + size] for begin in range(0, len(records), size)]
+
+
+def _compressed_bytes(count: int, seed: int) -> float:
+    return sum(
+        len(stored_values.compress_records(chunk))
+        for chunk in _chunks(_records(count, seed))
+    )
+
+
+def _compress_ms(count: int, seed: int) -> float:
+    def compress(chunks: list[list[journal.NumberedRecord]]) -> None:
+        for chunk in chunks:
+            stored_values.compress_records(chunk)
+
+    return slopes.cpu_ms(lambda: _chunks(_records(count, seed)), compress)
+
+
+QUANTITIES: Final = (
+    slopes.Quantity(
+        "journal records, compressed",
+        "bytes",
+        "records",
+        RECORDS,
+        TARGET_RECORDS,
+        _compressed_bytes,
+    ),
+    slopes.Quantity(
+        "compression of journal records",
+        "cpu ms",
+        "records",
+        RECORDS,
+        TARGET_RECORDS,
+        _compress_ms,
+    ),
+)
--- /dev/null
+++ b/amaranthpulley/transport/bench/capacity_searches.py
@@ -0,0 +1,94 @@
+"""Growth of the decisions' processor time for searches."""
+
+from typing import Final
+
+from amaranthpulley.coordination import commands, engine, events
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import keyspace, requests, searches, targets, topology
+from amaranthpulley.transport.bench import capacity_tables, slopes
+
+ASKED: Final = (3, 30, 81, 243)
+TARGET_ASKED: Final = 81
+REPLICAS: Final = (4, 12, 62, 309, 926)
+TARGET_REPLICAS: Final = 926
+INSTANCES: Final = 4
+SEARCHES: Final = 20
+SERVICE: Final = "stock"
+LOAD: Final = targets.TargetLoad("boot-1", 0, (1,))
+NOW_MS: Final = 1_000
+
+
+class _Decisions:
+    """One daemon's decisions, with answers from leaves that never fail."""
+
+    def __init__(self, shards: int, replicas: int) -> None:
+        identity = daemon_state.Identity(
+            "vm-1", "10.0.0.1:7000", "domain-0", "region-0", "1"
+        )
+        self._daemon = daemon_state.Daemon(identity, daemon_state.Limits())
+        self._parts = {
+            f"shard-{shard}": searches.SearchPart(1, (part,), ())
+            for shard, part in enumerate(keyspace.split_evenly(shards))
+        }
+        known = [
+            capacity_tables.target(number, SERVICE, shards)
+            for number in range(shards * replicas)
+        ]
+        service = topology.Service(SERVICE, topology.ServiceKind.SEARCH)
+        self._daemon.configuration.apply(
+            topology.ChangeTicket(1, (service,), (), tuple(known))
+        )
+        for target in known:
+            self._daemon.targets.report(target.name, LOAD)
+        self._searches = 0
+
+    def search(self) -> None:
+        """Take a search from its arrival to its answer."""
+        self._searches += 1
+        request = requests.SearchRequest(
+            f"search-{self._searches}", "bench", SERVICE, query=""
+        )
+        decided = self._step(events.SearchReceived(request))
+        for command in decided:
+            if isinstance(command, commands.SendAttempt):
+                self._step(
+                    events.AttemptAnswered(
+                        command.attempt_id, self._parts[command.target.shard], LOAD
+                    )
+                )
+
+    def _step(self, event: events.Event) -> list[commands.Command]:
+        return engine.step(self._daemon, event, NOW_MS, lambda: 0.5)
+
+
+def _search_ms(shards: int, replicas: int) -> float:
+    def warm() -> _Decisions:
+        decisions = _Decisions(shards, replicas)
+        decisions.search()
+        return decisions
+
+    def work(decisions: _Decisions) -> None:
+        for _ in range(SEARCHES):
+            decisions.search()
+
+    return slopes.cpu_ms(warm, work) / SEARCHES
+
+
+QUANTITIES: Final = (
+    slopes.Quantity(
+        "decisions of a search, 4 replicas of each shard",
+        "cpu ms",
+        "leaves asked",
+        ASKED,
+        TARGET_ASKED,
+        lambda asked, seed: _search_ms(asked, INSTANCES),
+    ),
+    slopes.Quantity(
+        "decisions of a search over 81 shards",
+        "cpu ms",
+        "replicas of each shard",
+        REPLICAS,
+        TARGET_REPLICAS,
+        lambda replicas, seed: _search_ms(TARGET_ASKED, replicas),
+    ),
+)
--- /dev/null
+++ b/amaranthpulley/transport/bench/capacity_tables.py
@@ -0,0 +1,189 @@
+"""Growth of the tables with the leaves and the daemons that they know."""
+
+from typing import Final
+
+from amaranthpulley.coordination import stored_values
+from amaranthpulley.state import (
+    configuration,
+    members,
+    rendezvous,
+    targets,
+    topology,
+)
+from amaranthpulley.transport.bench import slopes
+
+LEAVES: Final = (1_000, 5_000, 25_000, 75_000)
+TARGET_LEAVES: Final = 75_000
+DAEMONS: Final = (8, 64, 512, 4_096, 8_300)
+TARGET_DAEMONS: Final = 8_300
+CHANGES: Final = (10, 100, 1_000, 10_000)
+TARGET_CHANGES: Final = 18_000
+SHARDS: Final = 81
+FAILURE_DOMAINS: Final = 10
+OWNED_KEYS: Final = 100
+
+
+def target(
+    number: int, service: str = "stock", shards: int = SHARDS
+) -> topology.Target:
+    """Return the target of a number, in one service of many instances."""
+    instance, shard = divmod(number, shards)
+    return topology.Target(
+        f"{service}-{instance}-{shard}",
+        service,
+        instance,
+        f"shard-{shard}",
+        f"domain-{instance % FAILURE_DOMAINS}",
+        f"10.{instance >> 8}.{instance & 255}.{shard}:7000",
+        connections=35,
+    )
+
+
+def ticket(leaves: int, number: int = 1) -> topology.ChangeTicket:
+    """Return a ticket with all leaves of a service."""
+    return topology.ChangeTicket(
+        number,
+        services=(topology.Service("stock", topology.ServiceKind.SEARCH),),
+        targets=tuple(target(index) for index in range(leaves)),
+    )
+
+
+def _configured(leaves: int) -> configuration.Configuration:
+    configured = configuration.Configuration()
+    configured.apply(ticket(leaves))
+    return configured
+
+
+def _known_targets(leaves: int) -> targets.TargetTable:
+    table = targets.TargetTable()
+    for index in range(leaves):
+        load = targets.TargetLoad(f"boot-{index}", index % 2, (6, 7))
+        table.report(f"stock-{index}", load)
+    return table
+
+
+def _member_table(daemons: int) -> members.MemberTable:
+    vms = [vm(number) for number in range(daemons)]
+    table = members.MemberTable(vms[0])
+    table.replace(vms)
+    return table
+
+
+def vm(number: int) -> members.Vm:
+    """Return the VM of a number."""
+    domain = number % FAILURE_DOMAINS
+    return members.Vm(
+        f"vm-{number}",
+        f"10.1.{number >> 8}.{number & 255}:7000",
+        f"domain-{domain}",
+        f"region-{domain % 4}",
+    )
+
+
+def _configuration_bytes(leaves: int, seed: int) -> float:
+    return slopes.bytes_of(lambda: _configured(leaves))
+
+
+def _target_table_bytes(leaves: int, seed: int) -> float:
+    return slopes.bytes_of(lambda: _known_targets(leaves))
+
+
+def _encoded_bytes(leaves: int, seed: int) -> float:
+    return len(stored_values.encode_ticket(ticket(leaves)))
+
+
+def _apply_ms(leaves: int, seed: int) -> float:
+    return slopes.cpu_ms(
+        lambda: stored_values.encode_ticket(ticket(leaves)),
+        lambda value: configuration.Configuration().apply(
+            stored_values.decode_ticket(value)
+        ),
+    )
+
+
+def _change_ms(changes: int, seed: int) -> float:
+    values = [
+        stored_values.encode_ticket(
+            topology.ChangeTicket(number + 2, targets=(target(number),))
+        )
+        for number in range(changes)
+    ]
+
+    def apply(configured: configuration.Configuration) -> None:
+        for value in values:
+            configured.apply(stored_values.decode_ticket(value))
+
+    return slopes.cpu_ms(lambda: _configured(TARGET_LEAVES), apply)
+
+
+def _member_bytes(daemons: int, seed: int) -> float:
+    return slopes.bytes_of(lambda: _member_table(daemons))
+
+
+def _owner_ms(daemons: int, seed: int) -> float:
+    def rank(table: members.MemberTable) -> None:
+        names = [vm.name for vm in table.live]
+        for key in range(OWNED_KEYS):
+            max(names, key=lambda name: rendezvous.weight_of(name, f"key-{key}"))
+
+    return slopes.cpu_ms(lambda: _member_table(daemons), rank) / OWNED_KEYS
+
+
+QUANTITIES: Final = (
+    slopes.Quantity(
+        "configuration in memory",
+        "bytes",
+        "leaves",
+        LEAVES,
+        TARGET_LEAVES,
+        _configuration_bytes,
+    ),
+    slopes.Quantity(
+        "configuration on the wire",
+        "bytes",
+        "leaves",
+        LEAVES,
+        TARGET_LEAVES,
+        _encoded_bytes,
+    ),
+    slopes.Quantity(
+        "whole configuration decoded and merged",
+        "cpu ms",
+        "leaves",
+        LEAVES,
+        TARGET_LEAVES,
+        _apply_ms,
+    ),
+    slopes.Quantity(
+        "target table in memory",
+        "bytes",
+        "leaves",
+        LEAVES,
+        TARGET_LEAVES,
+        _target_table_bytes,
+    ),
+    slopes.Quantity(
+        "changes of one target decoded and merged",
+        "cpu ms",
+        "changes",
+        CHANGES,
+        TARGET_CHANGES,
+        _change_ms,
+    ),
+    slopes.Quantity(
+        "member table in memory",
+        "bytes",
+        "daemons",
+        DAEMONS,
+        TARGET_DAEMONS,
+        _member_bytes,
+    ),
+    slopes.Quantity(
+        "owner of a key among the daemons",
+        "cpu ms",
+        "daemons",
+        DAEMONS,
+        TARGET_DAEMONS,
+        _owner_ms,
+    ),
+)
--- /dev/null
+++ b/amaranthpulley/transport/bench/slopes.py
@@ -0,0 +1,69 @@
+"""Quantities that grow with a size, and how time and memory are taken."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Final, NamedTuple, TypeVar
+
+REPEATS: Final = 3
+
+T = TypeVar("T")
+
+
+class Quantity(NamedTuple):
+    """Something to be measured at several sizes.
+
+    Attributes
+    ----------
+    name, unit, per : str
+        What is measured, its unit, and what the size counts.
+    sizes : tuple of int
+        At least four sizes, in ascending order.
+    target_size : int
+        The size that the system is to reach.
+    measure : callable
+        Given a size and a seed returns the value.
+    """
+
+    name: str
+    unit: str
+    per: str
+    sizes: tuple[int, ...]
+    target_size: int
+    measure: Callable[[int, int], float]
+
+
+def bytes_of(build: Callable[[], object]) -> int:
+    """Return the memory that the result of `build` takes, in bytes."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        built = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del built
+    return after - before
+
+
+def cpu_ms(prepare: Callable[[], T], work: Callable[[T], object]) -> float:
+    """Return the least processor time of `work` in a few runs, in milliseconds.
+
+    Parameters
+    ----------
+    prepare : callable
+        Returns what a run works on; its time does not count.
+    work : callable
+        What is measured.
+    """
+    least = float("inf")
+    for _ in range(REPEATS):
+        subject = prepare()
+        gc.collect()
+        begun = time.process_time()
+        work(subject)
+        least = min(least, time.process_time() - begun)
+    return least * 1_000
--- /dev/null
+++ b/amaranthpulley/transport/bench/tests/test_capacity.py
@@ -0,0 +1,52 @@
+"""Tests of the measured slopes."""
+
+import unittest
+
+from amaranthpulley.transport.bench import (
+    capacity,
+    capacity_control,
+    capacity_journal,
+    capacity_searches,
+    capacity_tables,
+    slopes,
+)
+
+GROUPS = (capacity_tables, capacity_searches, capacity_journal, capacity_control)
+
+
+class QuantityTest(unittest.TestCase):
+    def test_each_has_four_sizes_in_ascending_order(self) -> None:
+        for group in GROUPS:
+            for quantity in group.QUANTITIES:
+                with self.subTest(quantity.name):
+                    self.assertGreaterEqual(len(quantity.sizes), 4)
+                    self.assertEqual(sorted(set(quantity.sizes)), [*quantity.sizes])
+
+    def test_names_are_unique(self) -> None:
+        names = [q.name for group in GROUPS for q in group.QUANTITIES]
+        self.assertEqual(len(names), len(set(names)))
+
+
+class SlopeTest(unittest.TestCase):
+    def test_line_is_extended_to_the_target(self) -> None:
+        quantity = slopes.Quantity(
+            "rows",
+            "bytes",
+            "leaves",
+            (1, 2, 3, 4),
+            100,
+            lambda size, seed: 5 + 2 * size,
+        )
+        row = capacity.slope_of(quantity, capacity.points_of(quantity, (1, 2, 3), 1))
+        self.assertAlmostEqual(row.slope, 2.0)
+        self.assertAlmostEqual(row.at_target, 205.0)
+        self.assertEqual(row.sizes, "1/2/3")
+
+
+class ControlLoadTest(unittest.TestCase):
+    def test_same_seed_gives_the_same_messages(self) -> None:
+        capacity_control.control_load.cache_clear()
+        first = capacity_control.control_load(3, seed=1)
+        capacity_control.control_load.cache_clear()
+        second = capacity_control.control_load(3, seed=1)
+        self.assertEqual(first[:3], second[:3])
--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -6,6 +6,7 @@
 
 from amaranthpulley.transport import errors
 from amaranthpulley.transport.bench import (
+    capacity,
     domain_loss,
     overload,
     report,
@@ -88,6 +89,11 @@
         lambda options: search_cost.run(options.leaves, options.seed, options.quick),
         needs_leaves=True,
     ),
+    Experiment(
+        "capacity",
+        "growth of state, time and messages with the size of the system",
+        lambda options: capacity.run(options.seed, options.quick),
+    ),
 )
 
 
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/virtual_network.py
@@ -26,6 +26,7 @@
 DEFAULT_DELAY_MS = 1
 
 Delay = Callable[[str, str], int | None]
+Observe = Callable[["VirtualDaemon", events.Event], None]
 
 
 class Answered(NamedTuple):
@@ -61,6 +62,8 @@
     delay : callable
         Given the addresses of sender and receiver returns the one-way delay in
         milliseconds, or None when the message is lost. Replace it to cut or slow links.
+    observe : callable
+        Told of each event that a daemon takes, before it does.
     """
 
     def __init__(self, seed: int) -> None:
@@ -71,6 +74,7 @@
         self.logs: list[tuple[int, str, commands.Log]] = []
         self.vms: tuple[members.Vm, ...] | None = ()
         self.delay: Delay = lambda sender, receiver: DEFAULT_DELAY_MS
+        self.observe: Observe = lambda daemon, event: None
         self.platform = virtual_platform.VirtualPlatform(self)
         self.targets = virtual_targets.VirtualTargets(self)
         self._due: list[tuple[int, int, Callable[[], None]]] = []
@@ -143,6 +147,7 @@
         if daemon.paused_until_ms > self.now_ms:
             self.at(daemon.paused_until_ms, lambda: self.feed(daemon, event))
             return
+        self.observe(daemon, event)
         decided = engine.step(daemon.state, event, self.now_ms, self.random.random)
         for command in decided:
             self.carry_out(daemon, command)
