--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -21,7 +21,7 @@
   --count COUNT      How many leaves to serve, with consecutive shards [default: 1].
   --only NAME        Run this experiment alone.
   --seed N           Decides all chance of an experiment [default: 1].
-  --out DIR          Write the rows as JSON lines into this folder.
+  --out DIR          Write the rows as JSON lines, and plots, into this folder.
   --quick            Small sizes, to try the tool out.
   --leaves DIR       Where the files with the addresses of running leaves are.
   --revision TEXT    Revision of the source, noted with the rows [default: ].
--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -9,6 +9,7 @@
     capacity,
     domain_loss,
     overload,
+    plots,
     report,
     rolling,
     search_cost,
@@ -26,7 +27,7 @@
     seed : int
         Decides all chance.
     out : str or None
-        Folder for the rows as JSON lines; None to write none.
+        Folder for the rows as JSON lines and the plots; None to write none.
     quick : bool
         Whether sizes are small, to try the tool out.
     leaves : str or None
@@ -126,7 +127,9 @@
             origin = report.Origin(
                 experiment.name, command, options.seed, options.revision
             )
-            report.write_lines(rows, origin, pathlib.Path(options.out))
+            folder = pathlib.Path(options.out)
+            report.write_lines(rows, origin, folder)
+            plots.save(experiment.name, rows, folder)
     return 0
 
 
