--- /dev/null
+++ b/amaranthpulley/coordination/journal_gaps.py
@@ -0,0 +1,228 @@
+"""What is missing from a customer's records: the gaps in the journals of all lives.
+
+The functions look at a window of time and at the batches whose time bucket lies in or
+after it. A gap names the times at which a missing request may have arrived.
+"""
+
+import enum
+import itertools
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from amaranthpulley.coordination import journal_writing, journaling
+from amaranthpulley.state import journal
+
+
+class Window(NamedTuple):
+    """Requests that arrived from a time on and before another one.
+
+    Both are in milliseconds since the Unix epoch.
+    """
+
+    from_ms: int
+    to_ms: int
+
+    @property
+    def first_bucket_ms(self) -> int:
+        """The first time bucket that can hold a record of the window."""
+        from_ms = self.from_ms - journal_writing.BUCKET_MS
+        return max(0, journal_writing.bucket_of(from_ms))
+
+    @property
+    def last_bucket_ms(self) -> int:
+        """The last time bucket that can hold a record of the window."""
+        to_ms = self.to_ms + journaling.LONGEST_REQUEST_MS
+        return journal_writing.bucket_of(to_ms)
+
+    def holds(self, received_ms: int) -> bool:
+        """Tell whether a time lies in the window."""
+        return self.from_ms <= received_ms < self.to_ms
+
+
+class GapReason(enum.StrEnum):
+    """Why records are missing.
+
+    `DROPPED`: the daemon had no memory left or never answered. `MISSING`: a batch that
+    was written is not in the store. `UNWRITTEN`: the daemon ended before it wrote.
+    `OPEN`: the daemon still runs, or nobody knows of its end. `EXPIRED`: erased when
+    the retention was over.
+    """
+
+    DROPPED = "dropped"
+    MISSING = "missing"
+    UNWRITTEN = "unwritten"
+    OPEN = "open"
+    EXPIRED = "expired"
+
+
+class Gap(NamedTuple):
+    """Requests without a record.
+
+    Attributes
+    ----------
+    vm, life : str
+        Whose records are missing.
+    first_sequence, last_sequence : int or None
+        Their numbers; None where the number is not known.
+    since_ms, until_ms : int or None
+        When they arrived, both inclusive, in milliseconds since the Unix epoch; None
+        for an open end.
+    reason : GapReason
+        Why they are missing.
+    """
+
+    vm: str
+    life: str
+    first_sequence: int | None
+    last_sequence: int | None
+    since_ms: int
+    until_ms: int | None
+    reason: GapReason
+
+    def overlaps(self, window: Window) -> bool:
+        """Tell whether a request of the window may be among the missing ones."""
+        ends_before = self.until_ms is not None and self.until_ms < window.from_ms
+        return self.since_ms < window.to_ms and not ends_before
+
+
+class Trail:
+    """The batches of one life, taken in the order of their keys.
+
+    Parameters
+    ----------
+    vm, life : str
+        Identify the life.
+    window : Window
+        What the caller looks at.
+    """
+
+    def __init__(self, vm: str, life: str, window: Window) -> None:
+        self._gaps: list[Gap] = []
+        self._vm = vm
+        self._life = life
+        self._window = window
+        self._last_sequence: int | None = None
+        self._complete_ms = 0
+
+    def take(self, batch: journal.Batch) -> list[journal.Chunk]:
+        """Enter a batch and return the chunks that are new."""
+        chunks = [
+            chunk
+            for chunk in batch.chunks
+            if chunk.last_sequence > (self._last_sequence or 0)
+        ]
+        if not chunks:
+            return []
+        self._look_before(batch, chunks[0])
+        for chunk in chunks:
+            if chunk.dropped:
+                self._add(
+                    chunk.first_sequence - chunk.dropped,
+                    chunk.first_sequence - 1,
+                    chunk.dropped_since_ms,
+                    chunk.first_ms,
+                    GapReason.DROPPED,
+                )
+        self._last_sequence = chunks[-1].last_sequence
+        self._complete_ms = batch.complete_ms
+        return chunks
+
+    def finish(self, life: journal.Life, successor_ms: int | None) -> list[Gap]:
+        """Return all gaps of the life that overlap the window.
+
+        Parameters
+        ----------
+        life : Life
+            What the store holds of it.
+        successor_ms : int or None
+            When the next life on the same VM began.
+        """
+        if life.status is journal.LifeStatus.CLOSED:
+            self._look_after_close(life)
+        else:
+            self._look_after_last_write(life, successor_ms)
+        return [gap for gap in self._gaps if gap.overlaps(self._window)]
+
+    def _look_before(self, batch: journal.Batch, chunk: journal.Chunk) -> None:
+        before = chunk.first_sequence - chunk.dropped - 1
+        if self._last_sequence is None:
+            if batch.previous_bucket_ms < self._window.first_bucket_ms or before == 0:
+                return
+            since_ms = batch.previous_bucket_ms - journaling.LONGEST_REQUEST_MS
+            self._add(None, before, since_ms, chunk.first_ms, GapReason.MISSING)
+        elif before > self._last_sequence:
+            first = self._last_sequence + 1
+            since_ms = self._complete_ms
+            self._add(first, before, since_ms, chunk.first_ms, GapReason.MISSING)
+
+    def _look_after_last_write(
+        self, life: journal.Life, successor_ms: int | None
+    ) -> None:
+        ends_ms = [life.ended_ms] if life.ended_ms else []
+        ends_ms += [] if successor_ms is None else [successor_ms]
+        until_ms = min(ends_ms, default=None)
+        reason = GapReason.OPEN if until_ms is None else GapReason.UNWRITTEN
+        first = (self._last_sequence or life.last_sequence) + 1
+        since_ms = max(self._complete_ms, life.complete_ms)
+        self._add(first, None, since_ms, until_ms, reason)
+
+    def _look_after_close(self, life: journal.Life) -> None:
+        if life.complete_ms < life.ended_ms:
+            first = (self._last_sequence or life.last_sequence) + 1
+            self._add(
+                min(first, life.last_sequence),
+                life.last_sequence,
+                life.complete_ms,
+                life.ended_ms,
+                GapReason.DROPPED,
+            )
+            return
+        seen = self._last_sequence
+        listed = journal_writing.bucket_of(life.ended_ms) <= self._window.last_bucket_ms
+        if seen is not None and listed and life.last_sequence > seen:
+            self._add(
+                seen + 1,
+                life.last_sequence,
+                self._complete_ms,
+                life.ended_ms,
+                GapReason.MISSING,
+            )
+
+    def _add(
+        self,
+        first_sequence: int | None,
+        last_sequence: int | None,
+        since_ms: int,
+        until_ms: int | None,
+        reason: GapReason,
+    ) -> None:
+        self._gaps.append(
+            Gap(
+                self._vm,
+                self._life,
+                first_sequence,
+                last_sequence,
+                since_ms,
+                until_ms,
+                reason,
+            )
+        )
+
+
+def successors(lives: Iterable[journal.Life]) -> dict[tuple[str, str], int]:
+    """Return when the next life on the same VM began, by VM and life."""
+    by_vm: dict[str, list[journal.Life]] = {}
+    for life in lives:
+        by_vm.setdefault(life.vm, []).append(life)
+    found = {}
+    for same_vm in by_vm.values():
+        ordered = sorted(same_vm, key=lambda life: (life.started_ms, life.life))
+        for earlier, later in itertools.pairwise(ordered):
+            found[earlier.vm, earlier.life] = later.started_ms
+    return found
+
+
+def concerns(life: journal.Life, window: Window) -> bool:
+    """Tell whether requests of the window can belong to a life."""
+    ended_before = 0 < life.ended_ms < window.from_ms
+    return life.started_ms < window.to_ms and not ended_before
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -65,3 +65,15 @@
     """There is no experiment of this name."""
 
     code = "unknown_experiment"
+
+
+class ExportUnwritableError(TransportError):
+    """The file of an export cannot be written."""
+
+    code = "export_unwritable"
+
+
+class InvalidTimeError(TransportError):
+    """A time given on the command line cannot be read."""
+
+    code = "invalid_time"
