--- /dev/null
+++ b/amaranthpulley/coordination/claim_commit.py
@@ -0,0 +1,289 @@
+"""The owner of a claim range: operations are collected and written in batches.
+
+Each batch is one compare-and-swap of the range's open segment. It succeeds only if the
+owner has seen all that was written before, so that a former or paused owner cannot
+grant a key twice. A batch whose reply is lost is decided again after the segment has
+been read back: operations may be repeated, so that those that took effect are granted
+without another write.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import (
+    claim_rules,
+    claim_segments,
+    commands,
+    events,
+    stored_values,
+)
+from amaranthpulley.state import claims, log_events, store
+from amaranthpulley.state import daemon as daemon_state
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+GATHER_MS: Final = 3
+COMMIT_INTERVAL_MS: Final = 150
+CONFIRM_INTERVAL_MS: Final = 60_000
+IDLE_RANGE_MS: Final = 600_000
+SEGMENT_BYTES: Final = 128 * 1024
+MAXIMUM_BATCH_BYTES: Final = 512 * 1024
+OPERATION_OVERHEAD_BYTES: Final = 512
+MAXIMUM_TRIES: Final = 5
+
+_Kind = claims.VerdictKind
+
+
+class BatchWritten(NamedTuple):
+    """Purpose of the store call that writes a batch."""
+
+    index: int
+
+
+class CommitDue(NamedTuple):
+    """Purpose of the timer that starts the next batch."""
+
+    index: int
+
+
+class VerdictReady(NamedTuple):
+    """Purpose of the timer that tells the daemon itself of a verdict."""
+
+    operation: claims.Operation
+    verdict: claims.Verdict
+
+
+def accept(
+    daemon: daemon_state.Daemon,
+    operation: claims.Operation,
+    call_id: str | None,
+    now_ms: int,
+) -> Commands:
+    """Take an operation on.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    operation : Operation
+        What is asked.
+    call_id : str or None
+        The peer's call that waits for the verdict; None for the daemon itself.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
+    """
+    daemon.claims.forget_idle(now_ms - IDLE_RANGE_MS)
+    claim_range = daemon.claims.of(claims.range_of(operation.key))
+    if not claim_range.waiting:
+        gathered_ms = now_ms + GATHER_MS
+        claim_range.next_commit_ms = max(claim_range.next_commit_ms, gathered_ms)
+    waiting = claims.Waiting(operation, call_id, now_ms + operation.wait_ms)
+    claim_range.waiting.append(waiting)
+    daemon.counters.add("claim_operations_total", status=operation.status.value)
+    return _advance(daemon, claim_range, now_ms)
+
+
+def commit_when_due(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Start the next batch of a range."""
+    claim_range = daemon.claims.of(event.purpose.index)
+    claim_range.timer_due_ms = None
+    return _advance(daemon, claim_range, now_ms)
+
+
+def take_batch_result(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Give the verdicts of a written batch, or decide it again."""
+    claim_range = daemon.claims.of(event.purpose.index)
+    result = event.result
+    if isinstance(result, store.Swapped) and result.succeeded:
+        return _finish_batch(daemon, claim_range, result.revision, now_ms)
+    failed = isinstance(result, store.StoreFailed)
+    if failed and not result.unknown:
+        _requeue(claim_range, uncertain=False)
+        return [
+            commands.log(log_events.STORE_CALL_FAILED, reason=result.reason),
+            *give_up(claim_range, now_ms),
+        ]
+    _requeue(claim_range, uncertain=failed)
+    reason = "lost_reply" if failed else "fenced"
+    daemon.counters.add("claim_batches_repeated_total", reason=reason)
+    repeated = commands.log(
+        log_events.CLAIM_BATCH_REPEATED, range=claim_range.index, reason=reason
+    )
+    return [repeated, *claim_segments.refresh(daemon, claim_range)]
+
+
+def go_on(
+    daemon: daemon_state.Daemon,
+    event: events.TimerDue,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Commit after the segments of a range have been read."""
+    claim_range = daemon.claims.of(event.purpose.index)
+    return _advance(daemon, claim_range, now_ms)
+
+
+def fail_range(
+    daemon: daemon_state.Daemon,
+    event: events.TimerDue,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Refuse what waits because the segments of a range cannot be read."""
+    return give_up(daemon.claims.of(event.purpose.index), now_ms)
+
+
+def give_up(claim_range: claims.ClaimRange, now_ms: int) -> Commands:
+    """Tell all that wait that their operation was not, or perhaps not, carried out."""
+    waiting, claim_range.waiting = claim_range.waiting, []
+    return [_deliver(entry, _failure_of(entry), now_ms) for entry in waiting]
+
+
+def _advance(
+    daemon: daemon_state.Daemon, claim_range: claims.ClaimRange, now_ms: int
+) -> Commands:
+    if claim_range.busy or not claim_range.waiting:
+        return []
+    if not claim_range.loaded:
+        return claim_segments.load(daemon, claim_range)
+    if now_ms - claim_range.confirmed_ms > CONFIRM_INTERVAL_MS:
+        return claim_segments.refresh(daemon, claim_range)
+    due_ms = claim_range.next_commit_ms
+    if now_ms < due_ms:
+        if claim_range.timer_due_ms is not None:
+            return []
+        claim_range.timer_due_ms = due_ms
+        return [commands.SetTimer(CommitDue(claim_range.index), due_ms)]
+    return _commit(daemon, claim_range, now_ms)
+
+
+def _commit(
+    daemon: daemon_state.Daemon, claim_range: claims.ClaimRange, now_ms: int
+) -> Commands:
+    wall_ms = daemon.wall_ms(now_ms)
+    oldest_ms = wall_ms - daemon.limits.order_retention_ms
+    claim_range.forget_before(oldest_ms)
+    refused = _drop_hopeless(claim_range, now_ms)
+    taken = _take_batch(claim_range)
+    changed: dict[str, claims.Claim] = {}
+    verdicts = []
+    for entry in taken:
+        key = entry.operation.key
+        claim = changed.get(key) or claim_range.standing(key, oldest_ms)
+        decision = claim_rules.decide(claim, entry.operation, wall_ms)
+        verdicts.append(decision.verdict)
+        if decision.changed is not None:
+            changed[key] = decision.changed
+    if not changed:
+        pairs = zip(taken, verdicts, strict=True)
+        given = [_deliver(entry, verdict, now_ms) for entry, verdict in pairs]
+        return [*refused, *given, *_advance(daemon, claim_range, now_ms)]
+    value, sealed = _encode(claim_range, changed)
+    claim_range.batch = claims.Batch(tuple(taken), tuple(verdicts), changed, sealed)
+    claim_range.busy = True
+    claim_range.next_commit_ms = now_ms + COMMIT_INTERVAL_MS
+    daemon.counters.add("claim_commits_total")
+    key = claim_segments.segment_key(claim_range.index, claim_range.open_number)
+    swap = store.Swap(key, claim_range.open_revision, value)
+    write = commands.CallStore(
+        BatchWritten(claim_range.index), swap, daemon.limits.store_timeout_ms
+    )
+    return [*refused, write]
+
+
+def _encode(
+    claim_range: claims.ClaimRange, changed: dict[str, claims.Claim]
+) -> tuple[bytes, bool]:
+    segment = claims.Segment(False, claim_range.open_claims(changed))
+    value = stored_values.encode_segment(segment)
+    if len(value) <= SEGMENT_BYTES:
+        return value, False
+    return stored_values.encode_segment(segment._replace(sealed=True)), True
+
+
+def _drop_hopeless(claim_range: claims.ClaimRange, now_ms: int) -> Commands:
+    dropped = [entry for entry in claim_range.waiting if _is_hopeless(entry, now_ms)]
+    claim_range.waiting = [
+        entry for entry in claim_range.waiting if not _is_hopeless(entry, now_ms)
+    ]
+    return [_deliver(entry, _failure_of(entry), now_ms) for entry in dropped]
+
+
+def _is_hopeless(entry: claims.Waiting, now_ms: int) -> bool:
+    # A claim whose sender has given up would only keep the key from others.
+    is_claim = entry.operation.status is claims.ClaimStatus.CLAIMED
+    expired = is_claim and entry.expires_ms <= now_ms
+    return expired or entry.tries >= MAXIMUM_TRIES
+
+
+def _take_batch(claim_range: claims.ClaimRange) -> list[claims.Waiting]:
+    size = 0
+    taken = []
+    while claim_range.waiting and size < MAXIMUM_BATCH_BYTES:
+        entry = claim_range.waiting.pop(0)
+        operation = entry.operation
+        texts = (operation.record.asked, operation.result)
+        size += OPERATION_OVERHEAD_BYTES + sum(len(text.encode()) for text in texts)
+        taken.append(entry)
+    return taken
+
+
+def _finish_batch(
+    daemon: daemon_state.Daemon,
+    claim_range: claims.ClaimRange,
+    revision: int,
+    now_ms: int,
+) -> Commands:
+    batch = claim_range.batch
+    claim_range.batch = None
+    claim_range.busy = False
+    claim_range.confirmed_ms = now_ms
+    claim_range.claims |= batch.changed
+    claim_range.open_keys |= set(batch.changed)
+    claim_range.open_revision = revision
+    if batch.sealed:
+        claim_range.begin_segment(claim_range.open_number + 1)
+    pairs = zip(batch.waiting, batch.verdicts, strict=True)
+    given = [_deliver(entry, verdict, now_ms) for entry, verdict in pairs]
+    return [*given, *_advance(daemon, claim_range, now_ms)]
+
+
+def _requeue(claim_range: claims.ClaimRange, uncertain: bool) -> None:
+    batch = claim_range.batch
+    claim_range.batch = None
+    claim_range.busy = False
+    again = [
+        entry._replace(
+            tries=entry.tries + 1, uncertain=entry.uncertain or uncertain
+        )
+        for entry in batch.waiting
+    ]
+    claim_range.waiting = again + claim_range.waiting
+
+
+def _failure_of(entry: claims.Waiting) -> claims.Verdict:
+    return claims.Verdict(_Kind.UNCERTAIN if entry.uncertain else _Kind.FAILED)
+
+
+def _deliver(
+    entry: claims.Waiting, verdict: claims.Verdict, now_ms: int
+) -> commands.Command:
+    if entry.call_id is not None:
+        return commands.ReplyPeer(entry.call_id, verdict)
+    return commands.SetTimer(VerdictReady(entry.operation, verdict), now_ms)
+
+
+HANDLERS: Final = {
+    BatchWritten: take_batch_result,
+    CommitDue: commit_when_due,
+    claim_segments.RangeReady: go_on,
+    claim_segments.RangeUnreadable: fail_range,
+}
--- /dev/null
+++ b/amaranthpulley/coordination/claim_segments.py
@@ -0,0 +1,198 @@
+"""Reading the segments of a claim range from the store.
+
+A range is loaded from its newest segment back to the first one that holds nothing
+younger than the retention of keys. The segment after a sealed one need not be looked
+for: the first write to it expects that it does not exist.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands, events, stored_values
+from amaranthpulley.state import claims, log_events, store
+from amaranthpulley.state import daemon as daemon_state
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+PREFIX: Final = "claims/"
+LIST_LIMIT: Final = 1_000
+
+
+class RangeListed(NamedTuple):
+    """Purpose of the store call that lists the segments of a range."""
+
+    index: int
+
+
+class SegmentLoaded(NamedTuple):
+    """Purpose of the store call that reads a segment, newest first.
+
+    `newest` marks the last segment of the chain.
+    """
+
+    index: int
+    number: int
+    newest: bool
+
+
+class SegmentRefreshed(NamedTuple):
+    """Purpose of the store call that reads the open segment again."""
+
+    index: int
+    number: int
+
+
+class RangeReady(NamedTuple):
+    """Purpose of the timer that reports that a range has been read."""
+
+    index: int
+
+
+class RangeUnreadable(NamedTuple):
+    """Purpose of the timer that reports that a range cannot be read."""
+
+    index: int
+
+
+def segment_key(index: int, number: int) -> str:
+    """Return the store key of a segment; keys sort by number."""
+    return f"{PREFIX}{index:04d}/{number:08d}"
+
+
+def load(daemon: daemon_state.Daemon, claim_range: claims.ClaimRange) -> Commands:
+    """Read a range from the beginning."""
+    claim_range.busy = True
+    claim_range.claims = {}
+    claim_range.begin_segment(1)
+    return [_list(daemon, claim_range.index, after="")]
+
+
+def refresh(daemon: daemon_state.Daemon, claim_range: claims.ClaimRange) -> Commands:
+    """Read what was written after the known state of a range."""
+    claim_range.busy = True
+    return [_read_again(daemon, claim_range)]
+
+
+def take_list(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Read the newest segment of a listed range."""
+    claim_range = daemon.claims.of(event.purpose.index)
+    result = event.result
+    if isinstance(result, store.StoreFailed):
+        return _fail(claim_range, result, now_ms)
+    if len(result.keys) == LIST_LIMIT:
+        return [_list(daemon, claim_range.index, after=result.keys[-1])]
+    # The keys of an earlier page only matter when this one is empty.
+    last_key = result.keys[-1] if result.keys else event.operation.after
+    if not last_key:
+        return _succeed(claim_range, now_ms)
+    return [_read_older(daemon, claim_range.index, _number_of(last_key), newest=True)]
+
+
+def take_older(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Enter a segment and read the one before it, as long as keys are kept."""
+    purpose = event.purpose
+    claim_range = daemon.claims.of(purpose.index)
+    result = event.result
+    if isinstance(result, store.StoreFailed):
+        return _fail(claim_range, result, now_ms)
+    if result.value is None:
+        return _succeed(claim_range, now_ms)
+    segment = stored_values.decode_segment(result.value)
+    if purpose.newest:
+        claim_range.add_newest(purpose.number, result.revision, segment)
+    else:
+        claim_range.add_older(segment)
+    newest_ms = max((claim.claimed_ms for claim in segment.claims), default=0)
+    oldest_kept_ms = daemon.wall_ms(now_ms) - daemon.limits.order_retention_ms
+    if purpose.number == 1 or newest_ms < oldest_kept_ms:
+        return _succeed(claim_range, now_ms)
+    return [_read_older(daemon, purpose.index, purpose.number - 1, newest=False)]
+
+
+def take_again(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Enter the open segment as it is now, and the segments after it."""
+    claim_range = daemon.claims.of(event.purpose.index)
+    result = event.result
+    if isinstance(result, store.StoreFailed):
+        return _fail(claim_range, result, now_ms)
+    if result.value is None:
+        if claim_range.open_revision > 0:
+            return load(daemon, claim_range)
+        return _succeed(claim_range, now_ms)
+    number = claim_range.open_number
+    segment = stored_values.decode_segment(result.value)
+    claim_range.add_newest(number, result.revision, segment)
+    if segment.sealed:
+        return [_read_again(daemon, claim_range)]
+    return _succeed(claim_range, now_ms)
+
+
+def _succeed(claim_range: claims.ClaimRange, now_ms: int) -> Commands:
+    claim_range.busy = False
+    claim_range.loaded = True
+    claim_range.confirmed_ms = now_ms
+    return [commands.SetTimer(RangeReady(claim_range.index), now_ms)]
+
+
+def _fail(
+    claim_range: claims.ClaimRange, failed: store.StoreFailed, now_ms: int
+) -> Commands:
+    claim_range.busy = False
+    return [
+        commands.log(log_events.STORE_CALL_FAILED, reason=failed.reason),
+        commands.SetTimer(RangeUnreadable(claim_range.index), now_ms),
+    ]
+
+
+def _list(daemon: daemon_state.Daemon, index: int, after: str) -> commands.CallStore:
+    operation = store.ListKeys(f"{PREFIX}{index:04d}/", after, LIST_LIMIT)
+    return _call(daemon, RangeListed(index), operation)
+
+
+def _read_older(
+    daemon: daemon_state.Daemon, index: int, numbers: tuple[int, ...]
+) -> commands.CallStore:
+    number = numbers[-1]
+    purpose = SegmentLoaded(index, number, numbers[:-1])
+    return _call(daemon, purpose, store.Get(segment_key(index, number)))
+
+
+def _read_again(
+    daemon: daemon_state.Daemon, claim_range: claims.ClaimRange
+) -> commands.CallStore:
+    index, number = claim_range.index, claim_range.open_number
+    key = segment_key(index, number)
+    return _call(daemon, SegmentRefreshed(index, number), store.Get(key))
+
+
+def _call(
+    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
+) -> commands.CallStore:
+    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
+
+
+def _number_of(key: str) -> int:
+    return int(key.rpartition("/")[2])
+
+
+HANDLERS: Final = {
+    RangeListed: take_list,
+    SegmentLoaded: take_older,
+    SegmentRefreshed: take_again,
+}
--- a/amaranthpulley/coordination/commands.py
+++ b/amaranthpulley/coordination/commands.py
@@ -14,10 +14,11 @@
 
 
 class OrderCall(NamedTuple):
-    """What a target is asked to run."""
+    """What a target is asked to run, with the time in which it may begin."""
 
     idempotency_key: str
     payload: str
+    deadline_ms: int
 
 
 class SendAttempt(NamedTuple):
--- a/amaranthpulley/coordination/stored_values.py
+++ b/amaranthpulley/coordination/stored_values.py
@@ -7,17 +7,26 @@
 import msgspec
 
 from amaranthpulley.coordination import errors
-from amaranthpulley.state import orders, topology
+from amaranthpulley.state import claims, journal, topology
 
 
-def encode_claim(claim: orders.Claim) -> bytes:
-    """Return the stored form of a claim."""
-    return msgspec.msgpack.encode(claim)
+def encode_segment(segment: claims.Segment) -> bytes:
+    """Return the stored form of a segment of claims."""
+    return msgspec.msgpack.encode(segment)
 
 
-def decode_claim(value: bytes) -> orders.Claim:
-    """Return the claim of a stored value."""
-    return _decode(value, orders.Claim)
+def decode_segment(value: bytes) -> claims.Segment:
+    """Return the segment of a stored value."""
+    return _decode(value, claims.Segment)
+
+
+def journal_records(value: bytes) -> list[journal.JournalRecord]:
+    """Return the records of the orders in a stored segment of claims.
+
+    Each one has the latest outcome that the segment knows. A later segment may hold
+    the same order, by its request, with a newer outcome.
+    """
+    return [claim.record for claim in decode_segment(value).claims]
 
 
 def encode_ticket(ticket: topology.ChangeTicket) -> bytes:
--- a/amaranthpulley/protocol/leaf_api.py
+++ b/amaranthpulley/protocol/leaf_api.py
@@ -78,7 +78,7 @@
                 request_id=command.request_id,
                 idempotency_key=call.idempotency_key,
                 payload=call.payload,
-                deadline_ms=command.timeout_ms,
+                deadline_ms=call.deadline_ms,
             )
         )
     body = SearchBody(
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -13,6 +13,7 @@
 IpAddress = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
 HostPort = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+RetentionMilliseconds = Annotated[int, msgspec.Meta(ge=600_000, le=604_800_000)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -38,6 +39,7 @@
     maximum_requests_in_progress: NotRequired[Count]
     maximum_row_count: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
+    order_retention_ms: NotRequired[RetentionMilliseconds]
 
 
 class Settings(TypedDict):
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from amaranthpulley.state import (
+    claims,
     configuration,
     counters,
     facts,
@@ -41,6 +42,7 @@
     maximum_requests_in_progress: int = 1_000
     maximum_row_count: int = 100_000
     store_timeout_ms: int = 500
+    order_retention_ms: int = 86_400_000
 
 
 class Daemon:
@@ -61,6 +63,7 @@
         self.targets = targets.TargetTable()
         self.searches = searches.SearchTable()
         self.orders = orders.OrderTable()
+        self.claims = claims.RangeTable()
         self.counters = counters.Counters()
         self.members = members.MemberTable(
             members.Vm(
