--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -7,6 +7,7 @@
     configuration,
     counters,
     facts,
+    leases,
     members,
     orders,
     searches,
@@ -74,6 +75,7 @@
             )
         )
         self.facts = facts.FactTable()
+        self.leases = leases.LeaseTable()
         self.wall_offset_ms = 0
         self.draining = False
         self._last_id = 0
--- a/amaranthpulley/state/log_events.py
+++ b/amaranthpulley/state/log_events.py
@@ -49,4 +49,5 @@
 TARGET_DIED: Final = LogEvent(360, "target_died", Level.WARNING)
 REQUEST_BLAMED: Final = LogEvent(361, "request_blamed", Level.ERROR)
 TICKET_IN_FORCE: Final = LogEvent(400, "ticket_in_force", Level.INFO)
+LEASE_HELD: Final = LogEvent(410, "lease_held", Level.INFO)
 STORE_CALL_FAILED: Final = LogEvent(500, "store_call_failed", Level.WARNING)
