Claim orders in ranges, committed in groups by the owner of each range

Each order cost two writes of its own and left holes: a claim whose reply was lost twice was refused although it might stand, a released claim could not be run by a repeat, and an outcome whose write failed was forgotten.

The rendezvous owner of a range collects operations and writes one compare-and-swap for each batch; the swap fences a former or paused owner. Ruled out: a lease for each range (costs renewals and trusts clocks), a head key with sealed copies (two writes to seal). A segment is sealed by its own last write and the next one is created with the expectation that it does not exist. Operations may be repeated, so that lost replies, two owners and direct writes need no further protocol. A holder that gives up releases its claim, also when it cannot know whether it was written; late messages of a released holder claim nothing.

--- a/amaranthpulley/coordination/claim_commit.py
+++ b/amaranthpulley/coordination/claim_commit.py
@@ -261,9 +261,7 @@
     claim_range.batch = None
     claim_range.busy = False
     again = [
-        entry._replace(
-            tries=entry.tries + 1, uncertain=entry.uncertain or uncertain
-        )
+        entry._replace(tries=entry.tries + 1, uncertain=entry.uncertain or uncertain)
         for entry in batch.waiting
     ]
     claim_range.waiting = again + claim_range.waiting
--- a/amaranthpulley/coordination/claim_segments.py
+++ b/amaranthpulley/coordination/claim_segments.py
@@ -166,10 +166,9 @@
 
 
 def _read_older(
-    daemon: daemon_state.Daemon, index: int, numbers: tuple[int, ...]
+    daemon: daemon_state.Daemon, index: int, number: int, newest: bool
 ) -> commands.CallStore:
-    number = numbers[-1]
-    purpose = SegmentLoaded(index, number, numbers[:-1])
+    purpose = SegmentLoaded(index, number, newest)
     return _call(daemon, purpose, store.Get(segment_key(index, number)))
 
 
--- /dev/null
+++ b/amaranthpulley/coordination/claiming.py
@@ -0,0 +1,168 @@
+"""Claims and outcomes on their way from a daemon to the owner of their range.
+
+The owner is the live daemon that the rendezvous hash gives. When it does not answer,
+the daemon does the owner's work for this operation itself: the compare-and-swap keeps
+the two apart, and repeating an operation does no harm.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import claim_commit, commands, events
+from amaranthpulley.state import claims, log_events
+from amaranthpulley.state import daemon as daemon_state
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+OWNER_TIMEOUT_MS: Final = 600
+RECORD_WAIT_MS: Final = 1_000
+FIRST_RECORD_RETRY_MS: Final = 100
+LAST_RECORD_RETRY_MS: Final = 10_000
+MAXIMUM_RECORD_TRIES: Final = 100
+
+_Kind = claims.VerdictKind
+
+
+class OperationSent(NamedTuple):
+    """Purpose of the peer call that asks the owner."""
+
+    operation: claims.Operation
+    expires_ms: int
+
+
+class RecordAgain(NamedTuple):
+    """Purpose of the timer that sends an outcome again."""
+
+    operation: claims.Operation
+
+
+class ToldVerdict(NamedTuple):
+    """What is known of an operation; verdict None while it is still being tried."""
+
+    operation: claims.Operation
+    verdict: claims.Verdict | None
+    retried: Commands
+
+
+def submit(
+    daemon: daemon_state.Daemon, operation: claims.Operation, now_ms: int
+) -> Commands:
+    """Send an operation to the owner of its range.
+
+    It ends with `OperationSent` or `claim_commit.VerdictReady`; `read_reply` makes a
+    verdict of the former.
+    """
+    owner = daemon.members.owner_of(owner_key(claims.range_of(operation.key)))
+    if owner.name == daemon.identity.name:
+        return claim_commit.accept(daemon, operation, None, now_ms)
+    purpose = OperationSent(operation, now_ms + operation.wait_ms)
+    timeout_ms = min(operation.wait_ms, OWNER_TIMEOUT_MS)
+    return [commands.CallPeer(purpose, owner.address, operation, timeout_ms)]
+
+
+def owner_key(index: int) -> str:
+    """Return the key by which the rendezvous hash finds the owner of a range."""
+    return f"claims/{index:04d}"
+
+
+def take_operation(
+    daemon: daemon_state.Daemon, event: events.PeerCalled, now_ms: int, random: Random
+) -> Commands:
+    """Carry out an operation for a peer."""
+    return claim_commit.accept(daemon, event.message, event.call_id, now_ms)
+
+
+def read_reply(
+    daemon: daemon_state.Daemon, event: events.PeerReplied, now_ms: int
+) -> ToldVerdict:
+    """Return the owner's verdict, or do the owner's work when there is none."""
+    operation, expires_ms = event.purpose
+    if not isinstance(event.reply, events.PeerFailure):
+        return ToldVerdict(operation, event.reply, [])
+    daemon.counters.add("claim_owner_failures_total", reason=event.reply.value)
+    remaining_ms = expires_ms - now_ms
+    if remaining_ms <= 0:
+        return ToldVerdict(operation, claims.Verdict(_Kind.UNCERTAIN), [])
+    again = operation._replace(wait_ms=remaining_ms)
+    retried = claim_commit.accept(daemon, again, None, now_ms)
+    return ToldVerdict(operation, None, retried)
+
+
+def record(
+    daemon: daemon_state.Daemon,
+    claim: claims.Operation,
+    status: claims.ClaimStatus,
+    result: str,
+    now_ms: int,
+) -> Commands:
+    """Record the outcome of a claimed order; tried again until the store has it.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    claim : Operation
+        The operation that claimed the order, with its record brought up to date.
+    status : ClaimStatus
+        The outcome.
+    result : str
+        The target's reply when the order is done.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
+    """
+    operation = claim._replace(status=status, result=result, wait_ms=RECORD_WAIT_MS)
+    return _send_record(daemon, operation, 0, now_ms)
+
+
+def take_record_verdict(
+    daemon: daemon_state.Daemon,
+    operation: claims.Operation,
+    verdict: claims.Verdict,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Drop an outcome that is recorded, or send it again after a while."""
+    entry = daemon.orders.unrecorded(operation)
+    if entry is None:
+        return []
+    if verdict.kind in (_Kind.GRANTED, _Kind.FOUND):
+        daemon.orders.note_recorded(operation)
+        return []
+    if entry.tries >= MAXIMUM_RECORD_TRIES:
+        daemon.orders.note_recorded(operation)
+        return [_dropped(daemon)]
+    daemon.orders.add_unrecorded(operation, entry.tries + 1)
+    longest_ms = min(FIRST_RECORD_RETRY_MS << entry.tries, LAST_RECORD_RETRY_MS)
+    wait_ms = int(longest_ms * (0.5 + random() / 2))
+    return [commands.SetTimer(RecordAgain(operation), now_ms + wait_ms)]
+
+
+def record_again(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Send an outcome again that is not recorded yet."""
+    operation = event.purpose.operation
+    entry = daemon.orders.unrecorded(operation)
+    if entry is None:
+        return []
+    return _send_record(daemon, operation, entry.tries, now_ms)
+
+
+def _send_record(
+    daemon: daemon_state.Daemon, operation: claims.Operation, tries: int, now_ms: int
+) -> Commands:
+    kept_all = daemon.orders.add_unrecorded(operation, tries)
+    dropped = [] if kept_all else [_dropped(daemon)]
+    return [*dropped, *submit(daemon, operation, now_ms)]
+
+
+def _dropped(daemon: daemon_state.Daemon) -> commands.Log:
+    daemon.counters.add("order_outcomes_dropped_total")
+    return commands.log(log_events.ORDER_OUTCOME_DROPPED)
+
+
+HANDLERS: Final = {
+    claims.Operation: take_operation,
+    RecordAgain: record_again,
+}
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -14,6 +14,9 @@
 from typing import Final
 
 from amaranthpulley.coordination import (
+    claim_commit,
+    claim_segments,
+    claiming,
     commands,
     configuring,
     draining,
@@ -35,6 +38,9 @@
     tracing,
     searching,
     ordering,
+    claiming,
+    claim_commit,
+    claim_segments,
     configuring,
     leasing,
     draining,
--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/ordering.py
@@ -1,7 +1,14 @@
-"""Orders: claimed in the store before they are sent, and sent once.
+"""Orders: claimed before they are sent, and run at most once.
 
-An order's claim is written by compare-and-swap with the expectation that its key does
-not exist. Whoever finds a claim of another repeats its outcome and sends nothing.
+Only the daemon whose claim is known to be in the store sends an order. It sends it to
+another target only when the one before has certainly not run it. An order that was
+never sent, or that each target refused, is given up: the caller is told "not run", and
+the claim is released so that a repeat may run. After a send without a reply the
+outcome is unknown and the claim stays, so that a repeat runs nothing.
+
+"Not run" is about the request that is answered. Whether an earlier request with the
+same key ran is learnt by a repeat with the same key, for as long as
+`Limits.order_retention_ms`; after that a repeat counts as a new order.
 """
 
 import hashlib
@@ -11,42 +18,43 @@
 from amaranthpulley.coordination import (
     admission,
     answering,
+    claim_commit,
+    claiming,
     commands,
     events,
-    routing,
-    stored_values,
+    sending,
 )
+from amaranthpulley.state import claims, journal, log_events, orders, requests, topology
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import orders, requests, store, topology
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
 
-CLAIM_PREFIX: Final = "orders/"
-
+OUTCOME_WAIT_MS: Final = 400
+FIRST_ASK_AGAIN_MS: Final = 40
+LAST_ASK_AGAIN_MS: Final = 320
 
-class ClaimWritten(NamedTuple):
-    """Purpose of the store call that claims an order."""
+_Kind = claims.VerdictKind
+_Phase = orders.OrderPhase
+_Status = claims.ClaimStatus
 
-    request_id: str
 
+class OrderDeadline(NamedTuple):
+    """Purpose of the timer that ends an order."""
 
-class ClaimRead(NamedTuple):
-    """Purpose of the store call that reads a claim back."""
-
-    request_id: str
+    claim_id: str
 
 
-class OutcomeWritten(NamedTuple):
-    """Purpose of the store call that records an order's outcome."""
+class OutcomeDue(NamedTuple):
+    """Purpose of the timer that answers before the outcome is recorded."""
 
-    request_id: str
+    claim_id: str
 
 
-class OrderDeadline(NamedTuple):
-    """Purpose of the timer that ends an order."""
+class AskAgain(NamedTuple):
+    """Purpose of the timer that asks again for a claim that another one holds."""
 
-    request_id: str
+    claim_id: str
 
 
 def fingerprint_of(request: requests.OrderRequest) -> str:
@@ -56,10 +64,9 @@
 
 
 def claim_key(request: requests.OrderRequest) -> str:
-    """Return the store key of an order's claim."""
+    """Return the key of an order's claim."""
     text = f"{request.customer}\n{request.idempotency_key}"
-    digest = hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
-    return f"{CLAIM_PREFIX}{digest}"
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
 
 
 def receive(
@@ -73,56 +80,54 @@
     verdict = admission.admit(daemon, request, topology.ServiceKind.ORDER, now_ms)
     if isinstance(verdict, requests.Refusal):
         return answering.answer(daemon, request, verdict, elapsed_ms=0)
-    claim = orders.Claim(
-        daemon.next_id("claim"), fingerprint_of(request), orders.ClaimStatus.CLAIMED
+    claim = claims.Operation(
+        claim_key(request),
+        daemon.next_id("claim"),
+        fingerprint_of(request),
+        _Status.CLAIMED,
+        _record_of(daemon, request, now_ms),
     )
     order = orders.Order(request, verdict.service, now_ms, verdict.deadline_ms, claim)
     daemon.orders.add(order)
-    swap = store.Swap(claim_key(request), 0, stored_values.encode_claim(claim))
-    return [
-        commands.SetTimer(OrderDeadline(request.request_id), verdict.deadline_ms),
-        _call(daemon, ClaimWritten(request.request_id), swap),
-    ]
+    deadline = commands.SetTimer(OrderDeadline(order.claim_id), order.deadline_ms)
+    return [deadline, *_ask_claim(daemon, order, now_ms)]
 
 
-def take_claim_result(
+def take_peer_verdict(
     daemon: daemon_state.Daemon,
-    event: events.StoreReplied,
+    event: events.PeerReplied,
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Send the order once its claim is known to be written."""
-    order = daemon.orders.get(event.purpose.request_id)
-    if order is None:
-        return []
-    result = event.result
-    if isinstance(result, store.Swapped) and result.succeeded:
-        order.claim_revision = result.revision
-        return _send(daemon, order, now_ms, random)
-    if isinstance(result, store.StoreFailed) and not result.unknown:
-        return _refuse_without_store(daemon, order, now_ms)
-    read = store.Get(event.operation.key)
-    return [_call(daemon, ClaimRead(order.request.request_id), read)]
+    """Act on what the owner of the claim's range replied."""
+    told = claiming.read_reply(daemon, event, now_ms)
+    if told.verdict is not None:
+        return _take_verdict(daemon, told.operation, told.verdict, now_ms, random)
+    order = daemon.orders.get(told.operation.claim_id)
+    if order is not None:
+        order.uncertain = True
+    return told.retried
 
 
-def take_read_claim(
+def take_own_verdict(
     daemon: daemon_state.Daemon,
-    event: events.StoreReplied,
+    event: events.TimerDue,
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Resolve whose claim stands, and act on it."""
-    order = daemon.orders.get(event.purpose.request_id)
-    if order is None:
+    """Act on a verdict that the daemon itself gave."""
+    operation, verdict = event.purpose
+    return _take_verdict(daemon, operation, verdict, now_ms, random)
+
+
+def ask_again(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Ask whether the holder of the claim has come to an end."""
+    order = daemon.orders.get(event.purpose.claim_id)
+    if order is None or now_ms >= order.deadline_ms:
         return []
-    result = event.result
-    if isinstance(result, store.StoreFailed) or result.value is None:
-        return _refuse_without_store(daemon, order, now_ms)
-    stored = stored_values.decode_claim(result.value)
-    if stored.claim_id == order.claim.claim_id:
-        order.claim_revision = result.revision
-        return _send(daemon, order, now_ms, random)
-    return _end(daemon, order, _outcome_of_foreign(order, stored), now_ms)
+    return _ask_claim(daemon, order, now_ms)
 
 
 def take_receipt(
@@ -131,17 +136,19 @@
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Record the outcome of an order that ran, and answer the caller."""
-    order = daemon.orders.end_attempt(event.attempt_id)
+    """Record the outcome of an order that ran; the caller is answered after that."""
+    order = sending.end_attempt(daemon, event.attempt_id, event.load)
     if order is None:
         return []
     result = event.answer.result
-    done = order.claim._replace(status=orders.ClaimStatus.DONE, result=result)
-    outcome = requests.OrderDone(result, repeated=False)
-    return [
-        _record(daemon, order, done),
-        *_end(daemon, order, outcome, now_ms),
-    ]
+    order.phase = _Phase.SETTLING
+    order.outcome = requests.OrderDone(result, repeated=False)
+    recorded = _record(daemon, order, _Status.DONE, result, now_ms)
+    if order.answered:
+        daemon.orders.remove(order)
+        return recorded
+    due_ms = min(now_ms + OUTCOME_WAIT_MS, order.deadline_ms)
+    return [*recorded, commands.SetTimer(OutcomeDue(order.claim_id), due_ms)]
 
 
 def take_failure(
@@ -151,12 +158,39 @@
     random: Random,
 ) -> Commands:
     """Send elsewhere if the order certainly did not run; else say that it may have."""
-    order = daemon.orders.end_attempt(event.attempt_id)
+    order = sending.end_attempt(daemon, event.attempt_id, event.load)
     if order is None:
         return []
     if event.failure.not_run:
         return _send(daemon, order, now_ms, random)
-    return _end(daemon, order, _unknown(), now_ms)
+    order.outcome = _unknown()
+    return [
+        commands.log(
+            log_events.ORDER_OUTCOME_UNKNOWN,
+            request_id=order.request.request_id,
+            failure=event.failure.value,
+        ),
+        *_record(daemon, order, _Status.UNKNOWN, "", now_ms),
+        *_end(daemon, order, order.outcome, now_ms),
+    ]
+
+
+def send_again(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Try the targets again after all of them have refused."""
+    order = daemon.orders.get(event.purpose.claim_id)
+    if order is None or order.phase is not _Phase.HELD or order.attempt_id:
+        return []
+    return _send(daemon, order, now_ms, random)
+
+
+def answer_unrecorded(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Answer with an outcome that the store has not confirmed in time."""
+    order = daemon.orders.get(event.purpose.claim_id)
+    return [] if order is None else _end(daemon, order, order.outcome, now_ms)
 
 
 def end_at_deadline(
@@ -166,90 +200,115 @@
     random: Random,
 ) -> Commands:
     """Answer a caller whose order has not come to its end in time."""
-    order = daemon.orders.get(event.purpose.request_id)
-    if order is None:
+    order = daemon.orders.get(event.purpose.claim_id)
+    if order is None or order.answered:
         return []
-    if order.attempts_sent == 0:
-        return _refuse_without_store(daemon, order, now_ms)
-    return _end(daemon, order, _unknown(), now_ms)
+    if order.phase is _Phase.SETTLING:
+        return _end(daemon, order, order.outcome, now_ms)
+    if order.attempt_id is not None:
+        # The order stays until its attempt ends: a late receipt is still recorded.
+        return _answer(daemon, order, _unknown(), now_ms)
+    if order.asked_again:
+        return _give_up(daemon, order, _unknown(), now_ms)
+    if order.phase is _Phase.HELD:
+        return _give_up(daemon, order, _no_target(), now_ms)
+    return _give_up(daemon, order, _no_store(), now_ms)
+
+
+def _ask_claim(
+    daemon: daemon_state.Daemon, order: orders.Order, now_ms: int
+) -> Commands:
+    order.asking = True
+    operation = order.claim._replace(wait_ms=order.deadline_ms - now_ms)
+    return claiming.submit(daemon, operation, now_ms)
 
 
-def ignore_reply(
+def _take_verdict(
     daemon: daemon_state.Daemon,
-    event: events.StoreReplied,
+    operation: claims.Operation,
+    verdict: claims.Verdict,
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Do nothing about a reply that nobody waits for."""
-    return []
-
-
-def _send(
-    daemon: daemon_state.Daemon, order: orders.Order, now_ms: int, random: Random
-) -> Commands:
-    request = order.request
-    tried = () if order.target is None else (order.target.name,)
-    replicas = [
-        target
-        for shard in daemon.configuration.shards(request.service)
-        for target in routing.candidates(daemon, request.service, shard, None, tried)
-    ]
-    target = routing.choose(daemon, replicas, random)
-    if target is None or now_ms >= order.deadline_ms:
-        not_run = order.claim._replace(status=orders.ClaimStatus.NOT_RUN)
-        refusal = requests.Refusal(
-            requests.RefusalCode.NO_TARGET, "no target takes orders now", not_run=True
+    order = daemon.orders.get(operation.claim_id)
+    if operation.status is not _Status.CLAIMED:
+        decided = claiming.take_record_verdict(
+            daemon, operation, verdict, now_ms, random
         )
-        return [
-            _record(daemon, order, not_run),
-            *_end(daemon, order, refusal, now_ms),
-        ]
-    order.target = target
-    attempt_id = daemon.next_id("attempt")
-    daemon.orders.add_attempt(order, attempt_id)
-    call = commands.OrderCall(request.idempotency_key, request.payload)
-    timeout_ms = order.deadline_ms - now_ms
-    return [
-        commands.SendAttempt(attempt_id, request.request_id, target, call, timeout_ms)
-    ]
+        recorded = daemon.orders.unrecorded(operation) is None
+        if order is not None and order.phase is _Phase.SETTLING and recorded:
+            return [*decided, *_end(daemon, order, order.outcome, now_ms)]
+        return decided
+    if order is None or order.phase is not _Phase.CLAIMING:
+        return []
+    order.asking = False
+    if verdict.kind is _Kind.GRANTED:
+        order.phase = _Phase.HELD
+        return _send(daemon, order, now_ms, random)
+    if verdict.kind is _Kind.FOUND:
+        return _take_foreign(daemon, order, verdict, now_ms, random)
+    order.uncertain = order.uncertain or verdict.kind is _Kind.UNCERTAIN
+    return _give_up(daemon, order, _no_store(), now_ms)
 
 
-def _outcome_of_foreign(order: orders.Order, stored: orders.Claim) -> requests.Outcome:
-    if stored.fingerprint != order.claim.fingerprint:
-        return requests.Refusal(
-            requests.RefusalCode.KEY_REUSED,
-            "another order used this idempotency key; choose a new key",
-            not_run=True,
-        )
-    if stored.status is orders.ClaimStatus.DONE:
-        return requests.OrderDone(stored.result, repeated=True)
-    return _unknown()
+def _take_foreign(
+    daemon: daemon_state.Daemon,
+    order: orders.Order,
+    found: claims.Verdict,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    if found.status is _Status.NOT_RUN:
+        return _give_up(daemon, order, _no_store(), now_ms)
+    if found.fingerprint != order.claim.fingerprint:
+        return _give_up(daemon, order, _key_reused(), now_ms)
+    if found.status is _Status.DONE:
+        done = requests.OrderDone(found.result, repeated=True)
+        return _give_up(daemon, order, done, now_ms)
+    if found.status is _Status.UNKNOWN:
+        return _give_up(daemon, order, _unknown(), now_ms)
+    longest_ms = min(FIRST_ASK_AGAIN_MS << order.asked_again, LAST_ASK_AGAIN_MS)
+    order.asked_again += 1
+    wait_ms = int(longest_ms * (0.5 + random() / 2))
+    return [commands.SetTimer(AskAgain(order.claim_id), now_ms + wait_ms)]
 
 
-def _unknown() -> requests.OrderUnknown:
-    return requests.OrderUnknown(
-        "the order was sent and its outcome is not known; repeat it with the same "
-        "idempotency key to learn it"
-    )
+def _send(
+    daemon: daemon_state.Daemon, order: orders.Order, now_ms: int, random: Random
+) -> Commands:
+    sent = sending.send(daemon, order, now_ms, random)
+    return sent or _give_up(daemon, order, _no_target(), now_ms)
 
 
-def _refuse_without_store(
-    daemon: daemon_state.Daemon, order: orders.Order, now_ms: int
+def _give_up(
+    daemon: daemon_state.Daemon,
+    order: orders.Order,
+    outcome: requests.Outcome,
+    now_ms: int,
 ) -> Commands:
-    refusal = requests.Refusal(
-        requests.RefusalCode.STORE_UNAVAILABLE,
-        "orders cannot be claimed at the moment; repeat with the same key",
-        not_run=True,
+    """End an order that this daemon has not run and will never send again."""
+    order.outcome = outcome
+    released: Commands = []
+    if order.phase is _Phase.HELD or order.may_be_claimed:
+        released = _record(daemon, order, _Status.NOT_RUN, "", now_ms)
+    given_up = commands.log(
+        log_events.ORDER_GIVEN_UP, request_id=order.request.request_id
     )
-    return _end(daemon, order, refusal, now_ms)
+    return [given_up, *released, *_end(daemon, order, outcome, now_ms)]
 
 
 def _record(
-    daemon: daemon_state.Daemon, order: orders.Order, claim: orders.Claim
-) -> commands.CallStore:
-    value = stored_values.encode_claim(claim)
-    swap = store.Swap(claim_key(order.request), order.claim_revision, value)
-    return _call(daemon, OutcomeWritten(order.request.request_id), swap)
+    daemon: daemon_state.Daemon,
+    order: orders.Order,
+    status: claims.ClaimStatus,
+    result: str,
+    now_ms: int,
+) -> Commands:
+    record = order.claim.record._replace(
+        outcome=_name_of(order.outcome), attempts=order.attempts_sent
+    )
+    claim = order.claim._replace(record=record)
+    return claiming.record(daemon, claim, status, result, now_ms)
 
 
 def _end(
@@ -259,22 +318,81 @@
     now_ms: int,
 ) -> Commands:
     daemon.orders.remove(order)
+    return [] if order.answered else _answer(daemon, order, outcome, now_ms)
+
+
+def _answer(
+    daemon: daemon_state.Daemon,
+    order: orders.Order,
+    outcome: requests.Outcome,
+    now_ms: int,
+) -> Commands:
+    daemon.orders.note_answer(order)
     elapsed_ms = now_ms - order.started_ms
     return answering.answer(daemon, order.request, outcome, elapsed_ms)
 
 
-def _call(
-    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
-) -> commands.CallStore:
-    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
+def _record_of(
+    daemon: daemon_state.Daemon, request: requests.OrderRequest, now_ms: int
+) -> journal.JournalRecord:
+    return journal.JournalRecord(
+        request.request_id,
+        request.customer,
+        request.service,
+        "order",
+        daemon.wall_ms(now_ms),
+        request.payload,
+        request.idempotency_key,
+        daemon.identity.name,
+    )
+
+
+def _name_of(outcome: requests.Outcome) -> str:
+    kind = type(outcome).__name__
+    is_refusal = isinstance(outcome, requests.Refusal)
+    return f"{kind} {outcome.code.value}" if is_refusal else kind
+
+
+def _unknown() -> requests.OrderUnknown:
+    return requests.OrderUnknown(
+        "the order may have run and its outcome is not known; repeat it with the same "
+        "idempotency key to learn it"
+    )
+
+
+def _no_store() -> requests.Refusal:
+    return requests.Refusal(
+        requests.RefusalCode.STORE_UNAVAILABLE,
+        "this request ran nothing, as it could not be claimed; repeat it with the "
+        "same idempotency key",
+        not_run=True,
+    )
+
+
+def _no_target() -> requests.Refusal:
+    return requests.Refusal(
+        requests.RefusalCode.NO_TARGET,
+        "no target takes orders now; repeat with the same idempotency key",
+        not_run=True,
+    )
+
+
+def _key_reused() -> requests.Refusal:
+    return requests.Refusal(
+        requests.RefusalCode.KEY_REUSED,
+        "another order used this idempotency key; choose a new key",
+        not_run=True,
+    )
 
 
 HANDLERS: Final = {
     events.OrderReceived: receive,
     events.AttemptAnswered: take_receipt,
     events.AttemptFailed: take_failure,
-    ClaimWritten: take_claim_result,
-    ClaimRead: take_read_claim,
-    OutcomeWritten: ignore_reply,
+    claiming.OperationSent: take_peer_verdict,
+    claim_commit.VerdictReady: take_own_verdict,
+    sending.SendAgain: send_again,
+    AskAgain: ask_again,
+    OutcomeDue: answer_unrecorded,
     OrderDeadline: end_at_deadline,
 }
--- /dev/null
+++ b/amaranthpulley/coordination/sending.py
@@ -0,0 +1,91 @@
+"""Sending a claimed order to one target at a time."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands, routing
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import orders, targets, topology
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+LATE_RECEIPT_MS: Final = 5_000
+MAXIMUM_SENDS: Final = 8
+FIRST_RETRY_MS: Final = 20
+
+
+class SendAgain(NamedTuple):
+    """Purpose of the timer that tries the targets again after their refusals."""
+
+    claim_id: str
+
+
+def send(
+    daemon: daemon_state.Daemon, order: orders.Order, now_ms: int, random: Random
+) -> Commands:
+    """Send an order whose claim is held and that no target has run.
+
+    Returns
+    -------
+    list of Command
+        Empty when the order is to be given up: its time is over or no target takes
+        it.
+    """
+    if now_ms >= order.deadline_ms or order.attempts_sent >= MAXIMUM_SENDS:
+        return []
+    target = routing.choose(daemon, _candidates(daemon, order), random)
+    if target is not None:
+        return [_send_to(daemon, order, target, now_ms)]
+    if not order.tried:
+        return []
+    order.tried.clear()
+    longest_ms = FIRST_RETRY_MS << order.attempts_sent
+    wait_ms = int(longest_ms * (0.5 + random() / 2))
+    return [commands.SetTimer(SendAgain(order.claim_id), now_ms + wait_ms)]
+
+
+def end_attempt(
+    daemon: daemon_state.Daemon, attempt_id: str, load: targets.TargetLoad | None
+) -> orders.Order | None:
+    """Take an attempt out of the tables; None when it is not an order's."""
+    order = daemon.orders.end_attempt(attempt_id)
+    if order is None:
+        return None
+    state = daemon.targets.of(order.target.name)
+    state.in_flight -= 1
+    if load is not None:
+        state.load = load
+    return order
+
+
+def _candidates(
+    daemon: daemon_state.Daemon, order: orders.Order
+) -> list[topology.Target]:
+    service = order.request.service
+    return [
+        target
+        for shard in daemon.configuration.shards(service)
+        for target in routing.candidates(daemon, service, shard, None, order.tried)
+    ]
+
+
+def _send_to(
+    daemon: daemon_state.Daemon,
+    order: orders.Order,
+    target: topology.Target,
+    now_ms: int,
+) -> commands.SendAttempt:
+    request = order.request
+    order.target = target
+    order.tried.add(target.name)
+    attempt_id = daemon.next_id("attempt")
+    daemon.orders.add_attempt(order, attempt_id)
+    daemon.targets.of(target.name).in_flight += 1
+    remaining_ms = order.deadline_ms - now_ms
+    call = commands.OrderCall(request.idempotency_key, request.payload, remaining_ms)
+    # The reply is awaited beyond the caller's deadline, so that a repeat learns it.
+    timeout_ms = remaining_ms + LATE_RECEIPT_MS
+    return commands.SendAttempt(
+        attempt_id, request.request_id, target, call, timeout_ms
+    )
--- a/amaranthpulley/state/claims.py
+++ b/amaranthpulley/state/claims.py
@@ -201,7 +201,9 @@
         if oldest_ms < self.forgotten_ms + FORGET_INTERVAL_MS:
             return
         self.forgotten_ms = oldest_ms
-        old = [key for key, claim in self.claims.items() if claim.claimed_ms < oldest_ms]
+        old = [
+            key for key, claim in self.claims.items() if claim.claimed_ms < oldest_ms
+        ]
         for key in old:
             del self.claims[key]
         self.open_keys -= set(old)
--- /dev/null
+++ b/amaranthpulley/transport/tests/order_site.py
@@ -0,0 +1,116 @@
+"""A site with order targets and several daemons under virtual time."""
+
+import collections
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import configuring, stored_values
+from amaranthpulley.state import (
+    claims,
+    daemon,
+    members,
+    requests,
+    standin_leaf,
+    store,
+    topology,
+)
+from amaranthpulley.transport import virtual_network
+
+SERVICE: Final = "booking"
+CUSTOMER: Final = "forno-limpo"
+DEADLINE_MS: Final = 1_000
+DOMAIN: Final = "Recife"
+START_MS: Final = 100
+
+
+class Try(NamedTuple):
+    """One request for an order and the outcome that the caller got."""
+
+    key: str
+    payload: str
+    at_ms: int
+
+
+class OrderSite:
+    """Daemons ``vm-0`` and on, targets ``desk-0`` and on, and the callers' tries."""
+
+    def __init__(
+        self, seed: int, daemons: int = 3, desks: int = 3, slots: int = 4
+    ) -> None:
+        self.network = virtual_network.VirtualNetwork(seed)
+        self.tries: dict[str, Try] = {}
+        self._lives = 0
+        targets = []
+        for number in range(desks):
+            name = f"desk-{number}"
+            leaf = standin_leaf.StandInLeaf("boot-1", slots)
+            self.network.add_leaf(name, leaf)
+            targets.append(topology.Target(name, SERVICE, 0, "all", DOMAIN, name))
+        service = topology.Service(
+            SERVICE, topology.ServiceKind.ORDER, deadline_ms=DEADLINE_MS
+        )
+        ticket = topology.ChangeTicket(1, services=(service,), targets=tuple(targets))
+        value = stored_values.encode_ticket(ticket)
+        swap = store.Swap(configuring.ticket_key(1), 0, value)
+        self.network.store.call(swap, now_ms=0)
+        self.vms = tuple(_vm(number) for number in range(daemons))
+        self.network.vms = self.vms
+        for vm in self.vms:
+            self.start(vm.name)
+        self.network.run_until(START_MS)
+
+    def start(self, name: str) -> None:
+        """Start a daemon, for the first time or again after a crash."""
+        self._lives += 1
+        address = next(vm.address for vm in self.vms if vm.name == name)
+        identity = daemon.Identity(name, address, DOMAIN, DOMAIN, f"life{self._lives}")
+        started = self.network.start_daemon(identity)
+        started.state.members.replace(self.vms)
+
+    def restart(self, name: str) -> None:
+        """Crash a daemon and start it again."""
+        self.network.crash(name)
+        self.start(name)
+
+    def order(self, name: str, key: str, payload: str = "oven at 09:00") -> str:
+        """Send an order to a daemon; return its request."""
+        request_id = f"request-{len(self.tries)}"
+        self.tries[request_id] = Try(key, payload, self.network.now_ms)
+        self.network.order(
+            name,
+            requests.OrderRequest(request_id, CUSTOMER, SERVICE, key, payload),
+        )
+        return request_id
+
+    @property
+    def runs(self) -> collections.Counter[str]:
+        """How often the targets ran each key."""
+        return collections.Counter(
+            key for leaf in self.network.targets.leaves.values() for key in leaf.runs
+        )
+
+    @property
+    def outcomes(self) -> dict[str, requests.Outcome]:
+        """The outcome of each request that was answered."""
+        return {
+            answered.command.request.request_id: answered.command.outcome
+            for answered in self.network.answers
+        }
+
+    def stored_claims(self) -> list[claims.Claim]:
+        """Return the claims of all segments, older ones first."""
+        keys = self.network.store.call(
+            store.ListKeys("claims/"), self.network.now_ms
+        ).keys
+        values = [
+            self.network.store.call(store.Get(key), self.network.now_ms).value
+            for key in keys
+        ]
+        return [
+            claim
+            for value in values
+            for claim in stored_values.decode_segment(value).claims
+        ]
+
+
+def _vm(number: int) -> members.Vm:
+    return members.Vm(f"vm-{number}", f"10.0.0.{number}:7000", DOMAIN, DOMAIN)
