--- a/amaranthpulley/coordination/commands.py
+++ b/amaranthpulley/coordination/commands.py
@@ -98,12 +98,22 @@
 
 
 class ReplyPeer(NamedTuple):
-    """Reply to a peer's call; each `events.PeerCalled` gets exactly one."""
+    """Reply to a peer's call.
+
+    Each `events.PeerCalled` gets exactly one `ReplyPeer` or `RejectPeer`.
+    """
 
     call_id: str
     reply: tuple
 
 
+class RejectPeer(NamedTuple):
+    """Refuse a peer's call in place of a reply."""
+
+    call_id: str
+    reason: str
+
+
 class ListVms(NamedTuple):
     """Read the platform's VM list; ends with one `events.VmsListed`."""
 
@@ -131,6 +141,7 @@
     | CallStore
     | CallPeer
     | ReplyPeer
+    | RejectPeer
     | ListVms
     | Log
     | Exit
--- a/amaranthpulley/coordination/configuring.py
+++ b/amaranthpulley/coordination/configuring.py
@@ -1,83 +1,91 @@
-"""Bringing the operators' change tickets into force."""
+"""Bringing the operators' change tickets into force, and knowing when the view is old.
 
-from collections.abc import Callable
-from typing import Final, NamedTuple
+While the configuration is suspended no target takes work. It is suspended from the
+start and after a pause until the store or several peers have confirmed it.
+"""
 
-from amaranthpulley.coordination import commands, events, stored_values
+from collections.abc import Iterable
+from typing import Final
+
+from amaranthpulley.coordination import commands
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import log_events, store
+from amaranthpulley.state import log_events, topology
 
-Random = Callable[[], float]
 Commands = list[commands.Command]
 
-TICKET_PREFIX: Final = "tickets/"
-WATCH_WAIT_MS: Final = 30_000
-WATCH_GRACE_MS: Final = 5_000
-RETRY_MS: Final = 1_000
-
-
-class TicketsWatched(NamedTuple):
-    """Purpose of the store call that waits for change tickets."""
-
-
-class WatchAgain(NamedTuple):
-    """Purpose of the timer that starts the watch again after a failure."""
+CONFIRMATIONS: Final = 2
+_LOGGED_TICKETS: Final = 10
 
-    after_revision: int
 
-
-def ticket_key(number: int) -> str:
-    """Return the store key of a ticket; keys sort by number."""
-    return f"{TICKET_PREFIX}{number:012d}"
-
-
-def start(
-    daemon: daemon_state.Daemon, event: events.Started, now_ms: int, random: Random
-) -> Commands:
-    """Watch the tickets from the first one on."""
-    daemon.wall_offset_ms = event.wall_offset_ms
-    return [_watch(after_revision=0)]
-
-
-def take_changes(
+def merge(
     daemon: daemon_state.Daemon,
-    event: events.StoreReplied,
+    tickets: Iterable[topology.ChangeTicket],
     now_ms: int,
-    random: Random,
+    complete: bool = True,
 ) -> Commands:
-    """Merge the changed tickets and watch on."""
-    after_revision = event.operation.after_revision
-    result = event.result
-    if isinstance(result, store.StoreFailed):
-        failed = commands.log(log_events.STORE_CALL_FAILED, reason=result.reason)
-        again = WatchAgain(after_revision)
-        return [failed, commands.SetTimer(again, now_ms + RETRY_MS)]
-    decided: Commands = []
-    for change in result.changes:
-        if change.value is not None:
-            ticket = stored_values.decode_ticket(change.value)
-            daemon.configuration.apply(ticket)
-            decided.append(
-                commands.log(log_events.TICKET_IN_FORCE, ticket=ticket.number)
-            )
-    return [*decided, _watch(result.revision)]
-
-
-def watch_again(
-    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+    """Merge tickets, or parts of them, and log those that are in force now.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    tickets : iterable of ChangeTicket
+        In any order.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
+    complete : bool
+        False when more parts of the same tickets follow.
+    """
+    pending = daemon.control.partly_known
+    for ticket in tickets:
+        if daemon.configuration.apply(ticket):
+            pending.add(ticket.number)
+    if not complete:
+        return []
+    wall_ms = daemon.wall_ms(now_ms)
+    numbers = [
+        number
+        for number in sorted(pending)
+        if daemon.configuration.note_in_force(number, wall_ms)
+    ]
+    pending.clear()
+    daemon.counters.add("tickets_in_force_total", len(numbers))
+    return [
+        commands.log(log_events.TICKET_IN_FORCE, ticket=number)
+        for number in numbers[-_LOGGED_TICKETS:]
+    ]
+
+
+def suspend(daemon: daemon_state.Daemon, now_ms: int) -> None:
+    """Give no target new work until the configuration is confirmed."""
+    daemon.configuration.suspended = True
+    daemon.control.suspended_since_ms = now_ms
+    daemon.control.confirmations.clear()
+
+
+def confirm_by_peer(
+    daemon: daemon_state.Daemon, address: str, fresh: bool, now_ms: int
 ) -> Commands:
-    """Watch on after a pause."""
-    return [_watch(event.purpose.after_revision)]
-
-
-def _watch(after_revision: int) -> commands.CallStore:
-    operation = store.Watch(TICKET_PREFIX, after_revision, WATCH_WAIT_MS)
-    timeout_ms = WATCH_WAIT_MS + WATCH_GRACE_MS
-    return commands.CallStore(TicketsWatched(), operation, timeout_ms)
-
-
-HANDLERS: Final = {
-    events.Started: start,
-    TicketsWatched: take_changes,
-    WatchAgain: watch_again,
-}
+    """Count a peer whose configuration holds nothing that this daemon lacks."""
+    if not daemon.configuration.suspended or not fresh:
+        return []
+    daemon.control.confirmations.add(address)
+    needed = min(CONFIRMATIONS, len(daemon.members.peers))
+    if len(daemon.control.confirmations) < needed:
+        return []
+    return resume(daemon, "peers", now_ms)
+
+
+def resume(daemon: daemon_state.Daemon, source: str, now_ms: int) -> Commands:
+    """Let targets take work again."""
+    if not daemon.configuration.suspended:
+        return []
+    daemon.configuration.suspended = False
+    return [
+        commands.log(
+            log_events.CONFIGURATION_CONFIRMED,
+            source=source,
+            number=daemon.configuration.highest_number,
+            waited_ms=now_ms - daemon.control.suspended_since_ms,
+        )
+    ]
--- /dev/null
+++ b/amaranthpulley/coordination/exchanging.py
@@ -0,0 +1,208 @@
+"""The exchange between peers: news at once to a few, differences by digest.
+
+News goes to `FANOUT` peers drawn by chance as soon as it is there, and each of them
+passes it on. What that misses is found by the periodic exchange, which compares
+checksums. The work of a daemon does not grow with the number of daemons.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import (
+    commands,
+    configuring,
+    events,
+    membership,
+    peer_messages,
+)
+from amaranthpulley.state import configuration, facts, topology
+from amaranthpulley.state import daemon as daemon_state
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+FANOUT: Final = 4
+PUSH_DELAY_MS: Final = 50
+TIMEOUT_MS: Final = 700
+MAXIMUM_FACTS: Final = 64
+MAXIMUM_PUSHED_ENTRIES: Final = 100
+MAXIMUM_SYNCED_ENTRIES: Final = 1_000
+
+
+class PushDue(NamedTuple):
+    """Purpose of the timer that sends news."""
+
+
+class NewsSent(NamedTuple):
+    """Purpose of an exchange that carries news or asks for a confirmation."""
+
+
+class SyncSent(NamedTuple):
+    """Purpose of the call that asks a peer for the entries that differ."""
+
+
+def send(
+    daemon: daemon_state.Daemon,
+    address: str,
+    purpose: tuple,
+    now_ms: int,
+    spread: tuple[facts.SpreadFact, ...] = (),
+    tickets: tuple[topology.ChangeTicket, ...] = (),
+) -> commands.CallPeer:
+    """Return the command that exchanges with a peer."""
+    message = peer_messages.Exchange(
+        daemon.identity.address,
+        spread,
+        tickets,
+        daemon.facts.digest(now_ms),
+        daemon.configuration.checksum,
+        not daemon.configuration.suspended,
+    )
+    return commands.CallPeer(purpose, address, message, TIMEOUT_MS)
+
+
+def draw_peers(daemon: daemon_state.Daemon, count: int, random: Random) -> list[str]:
+    """Return the addresses of live peers drawn by chance."""
+    peers = daemon.members.peers
+    if len(peers) <= count:
+        return [vm.address for vm in peers]
+    drawn: dict[str, None] = {}
+    while len(drawn) < count:
+        drawn[peers[int(random() * len(peers))].address] = None
+    return list(drawn)
+
+
+def push_soon(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    """Set the timer that sends news when there is news and none is set."""
+    has_news = daemon.facts.has_news or daemon.configuration.has_news
+    if daemon.control.push_pending or not has_news:
+        return []
+    daemon.control.push_pending = True
+    return [commands.SetTimer(PushDue(), now_ms + PUSH_DELAY_MS)]
+
+
+def push(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Send the news to some peers."""
+    daemon.control.push_pending = False
+    return push_now(daemon, now_ms, random)
+
+
+def push_now(daemon: daemon_state.Daemon, now_ms: int, random: Random) -> Commands:
+    """Send the news to some peers without waiting for more."""
+    spread = daemon.facts.take_news(now_ms, MAXIMUM_FACTS)
+    entries = daemon.configuration.take_news()
+    # More than that is fetched by those who need it, when the checksums differ.
+    is_small = len(entries) <= MAXIMUM_PUSHED_ENTRIES
+    tickets = configuration.as_tickets(entries) if is_small else ()
+    return [
+        send(daemon, address, NewsSent(), now_ms, spread, tickets)
+        for address in draw_peers(daemon, FANOUT, random)
+    ]
+
+
+def take_exchange(
+    daemon: daemon_state.Daemon, event: events.PeerCalled, now_ms: int, random: Random
+) -> Commands:
+    """Merge what a peer tells and reply what it lacks."""
+    message = event.message
+    decided = _merge_facts(daemon, message.facts, now_ms)
+    decided += configuring.merge(daemon, message.tickets, now_ms)
+    digest = message.facts_digest
+    reply = peer_messages.Exchanged(
+        daemon.facts.differing(digest, now_ms, MAXIMUM_FACTS, random()),
+        daemon.facts.digest(now_ms),
+        daemon.configuration.checksum,
+        not daemon.configuration.suspended,
+    )
+    decided.append(commands.ReplyPeer(event.call_id, reply))
+    if message.checksum != daemon.configuration.checksum:
+        decided += sync(daemon, message.sender)
+    return decided
+
+
+def take_reply(
+    daemon: daemon_state.Daemon, event: events.PeerReplied, now_ms: int, random: Random
+) -> Commands:
+    """Merge a peer's reply, and give it what it lacks in turn."""
+    reply = event.reply
+    if isinstance(reply, events.PeerFailure):
+        daemon.counters.add("peer_calls_failed_total", failure=reply.value)
+        return []
+    decided = _merge_facts(daemon, reply.facts, now_ms)
+    lacking = daemon.facts.differing(
+        reply.facts_digest, now_ms, MAXIMUM_FACTS, random()
+    )
+    sent = {spread.fact for spread in reply.facts}
+    lacking = tuple(spread for spread in lacking if spread.fact not in sent)
+    if lacking:
+        decided.append(send(daemon, event.address, NewsSent(), now_ms, lacking))
+    if reply.checksum != daemon.configuration.checksum:
+        return decided + sync(daemon, event.address)
+    return decided + configuring.confirm_by_peer(
+        daemon, event.address, reply.fresh, now_ms
+    )
+
+
+def sync(daemon: daemon_state.Daemon, address: str) -> Commands:
+    """Ask a peer for the configured entries that differ, one peer at a time."""
+    if daemon.control.syncing:
+        return []
+    daemon.control.syncing = True
+    checksums = daemon.configuration.bucket_checksums
+    message = peer_messages.SyncAsked(daemon.identity.address, checksums)
+    return [commands.CallPeer(SyncSent(), address, message, TIMEOUT_MS)]
+
+
+def answer_sync(
+    daemon: daemon_state.Daemon, event: events.PeerCalled, now_ms: int, random: Random
+) -> Commands:
+    """Reply the configured entries in which a peer differs."""
+    entries, complete = daemon.configuration.differing(
+        event.message.checksums, MAXIMUM_SYNCED_ENTRIES
+    )
+    reply = peer_messages.Synced(
+        configuration.as_tickets(entries),
+        complete,
+        not daemon.configuration.suspended,
+    )
+    return [commands.ReplyPeer(event.call_id, reply)]
+
+
+def take_sync(
+    daemon: daemon_state.Daemon, event: events.PeerReplied, now_ms: int, random: Random
+) -> Commands:
+    """Merge the entries that a peer sent and ask for the rest."""
+    daemon.control.syncing = False
+    reply = event.reply
+    if isinstance(reply, events.PeerFailure):
+        daemon.counters.add("peer_calls_failed_total", failure=reply.value)
+        return []
+    decided = configuring.merge(daemon, reply.tickets, now_ms)
+    if not reply.complete:
+        return decided + sync(daemon, event.address)
+    return decided + configuring.confirm_by_peer(
+        daemon, event.address, reply.fresh, now_ms
+    )
+
+
+def _merge_facts(
+    daemon: daemon_state.Daemon, told: tuple[facts.SpreadFact, ...], now_ms: int
+) -> Commands:
+    decided: Commands = []
+    for fact, remaining_ms in told:
+        if not daemon.facts.publish(fact, now_ms + remaining_ms):
+            continue
+        if fact.kind is facts.FactKind.MEMBER:
+            decided += membership.take_fact(daemon, fact, now_ms)
+    return decided
+
+
+HANDLERS: Final = {
+    PushDue: push,
+    NewsSent: take_reply,
+    SyncSent: take_sync,
+    peer_messages.Exchange: take_exchange,
+    peer_messages.SyncAsked: answer_sync,
+}
--- /dev/null
+++ b/amaranthpulley/coordination/membership.py
@@ -0,0 +1,221 @@
+"""Who is live: the VM list, what peers tell, and suspicion before a verdict.
+
+A member's standing is a fact that spreads like any other. Its value is the member's
+incarnation times four plus the standing, so that the graver standing of the same
+incarnation wins, and only the member itself clears it by a higher incarnation.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import facts, log_events, members
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+SUSPICION_MS: Final = 3_000
+FACT_TTL_MS: Final = 600_000
+LIST_TIMEOUT_MS: Final = 1_000
+LIST_INTERVAL_MS: Final = 3_000
+# Keeps the reading of a long list within the budget of bytes.
+LIST_INTERVAL_PER_MEMBER_MS: Final = 6
+LIST_AGAIN_MS: Final = 1_000
+_STANDINGS: Final = len(members.Standing)
+
+
+def join(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    """Tell the peers that this daemon lives, and ask for the VM list."""
+    daemon.control.incarnation = daemon.wall_ms(now_ms)
+    _publish_own(daemon, members.Standing.ALIVE, now_ms)
+    return list_vms(daemon, now_ms)
+
+
+def leave(daemon: daemon_state.Daemon, now_ms: int) -> None:
+    """Tell the peers that this daemon leaves; its duties move at once."""
+    daemon.control.left = True
+    _publish_own(daemon, members.Standing.LEFT, now_ms)
+
+
+def list_vms(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    """Ask for the VM list, at most once in `LIST_AGAIN_MS`."""
+    control = daemon.control
+    if control.next_list_ms and now_ms < control.last_list_ms + LIST_AGAIN_MS:
+        return []
+    control.last_list_ms = now_ms
+    known = len(daemon.members.live)
+    interval_ms = LIST_INTERVAL_MS + known * LIST_INTERVAL_PER_MEMBER_MS
+    control.next_list_ms = now_ms + interval_ms
+    return [commands.ListVms(LIST_TIMEOUT_MS)]
+
+
+def take_list(
+    daemon: daemon_state.Daemon, event: events.VmsListed, now_ms: int, random: Random
+) -> Commands:
+    """Merge the VM list, which lags: it adds VMs but does not revive a dead one."""
+    if event.vms is None:
+        daemon.counters.add("vm_list_failures_total")
+        daemon.control.next_list_ms = now_ms + LIST_AGAIN_MS
+        return [commands.log(log_events.VM_LIST_FAILED)]
+    own = daemon.identity.name
+    for vm in event.vms:
+        if vm.name != own:
+            daemon.members.put(_listed(daemon.members.get(vm.name), vm, now_ms))
+    names = {vm.name for vm in event.vms}
+    for member in daemon.members.all():
+        name = member.vm.name
+        if name != own and name not in names and _is_over(daemon, member, now_ms):
+            daemon.members.drop(name)
+    return []
+
+
+def take_fact(daemon: daemon_state.Daemon, fact: facts.Fact, now_ms: int) -> Commands:
+    """Enter a member's standing; deny a wrong one of the daemon itself."""
+    incarnation, number = divmod(fact.value, _STANDINGS)
+    standing = members.Standing(number)
+    if fact.subject == daemon.identity.name:
+        return _deny(daemon, incarnation, standing, now_ms)
+    known = daemon.members.get(fact.subject)
+    if known is None:
+        if standing is members.Standing.ALIVE:
+            vm = _decode_vm(fact)
+            daemon.members.put(members.Member(vm, incarnation, standing, now_ms))
+        return []
+    if (incarnation, standing) <= (known.incarnation, known.standing):
+        return []
+    vm = _decode_vm(fact)._replace(status=known.vm.status)
+    daemon.members.put(members.Member(vm, incarnation, standing, now_ms, known.listed))
+    return _log_standing(known, standing)
+
+
+def suspect(daemon: daemon_state.Daemon, name: str, now_ms: int) -> Commands:
+    """Suspect a member that neither this daemon nor others reach."""
+    member = daemon.members.get(name)
+    if member is None or member.standing is not members.Standing.ALIVE:
+        return []
+    daemon.counters.add("members_suspected_total")
+    return _pass_verdict(daemon, member, members.Standing.SUSPECT, now_ms)
+
+
+def bury_suspects(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    """Hold those dead that have been suspected for `SUSPICION_MS`."""
+    decided: Commands = []
+    for member in daemon.members.in_standing(members.Standing.SUSPECT):
+        if now_ms >= member.since_ms + SUSPICION_MS:
+            dead = members.Standing.DEAD
+            decided += _pass_verdict(daemon, member, dead, now_ms)
+    return decided
+
+
+def remind(daemon: daemon_state.Daemon, name: str, now_ms: int) -> None:
+    """Publish again that a member is held dead, so that it can deny it."""
+    member = daemon.members.get(name)
+    if member is not None and not member.is_live:
+        fact = _fact_of(member.vm, member.incarnation, member.standing)
+        daemon.facts.publish(fact, now_ms + FACT_TTL_MS)
+
+
+def refuse_stranger(
+    daemon: daemon_state.Daemon, event: events.PeerCalled, now_ms: int
+) -> Commands | None:
+    """Refuse a call from an address that is not on the VM list; None lets it pass."""
+    if daemon.members.knows_ip(event.sender_ip):
+        return None
+    daemon.counters.add("peer_messages_refused_total", reason="stranger")
+    refused = commands.log(
+        log_events.PEER_MESSAGE_REFUSED, reason="stranger", sender=event.sender_ip
+    )
+    reject = commands.RejectPeer(event.call_id, "the VM list does not show the sender")
+    # The list may show a new VM by now.
+    return [reject, refused, *list_vms(daemon, now_ms)]
+
+
+def _pass_verdict(
+    daemon: daemon_state.Daemon,
+    member: members.Member,
+    standing: members.Standing,
+    now_ms: int,
+) -> Commands:
+    fact = _fact_of(member.vm, member.incarnation, standing)
+    daemon.facts.publish(fact, now_ms + FACT_TTL_MS)
+    daemon.members.put(member._replace(standing=standing, since_ms=now_ms))
+    return _log_standing(member, standing)
+
+
+def _log_standing(member: members.Member, standing: members.Standing) -> Commands:
+    if standing is member.standing:
+        return []
+    return [
+        commands.log(
+            log_events.MEMBER_CHANGED,
+            member=member.vm.name,
+            standing=standing.name.lower(),
+        )
+    ]
+
+
+def _deny(
+    daemon: daemon_state.Daemon,
+    incarnation: int,
+    standing: members.Standing,
+    now_ms: int,
+) -> Commands:
+    control = daemon.control
+    is_wrong = standing is not members.Standing.ALIVE and not control.left
+    if is_wrong and incarnation >= control.incarnation:
+        control.incarnation = incarnation + 1
+        _publish_own(daemon, members.Standing.ALIVE, now_ms)
+        return [commands.log(log_events.SUSPICION_DENIED)]
+    return []
+
+
+def _publish_own(
+    daemon: daemon_state.Daemon, standing: members.Standing, now_ms: int
+) -> None:
+    identity = daemon.identity
+    vm = members.Vm(
+        identity.name, identity.address, identity.failure_domain, identity.region
+    )
+    fact = _fact_of(vm, daemon.control.incarnation, standing)
+    daemon.facts.publish(fact, now_ms + FACT_TTL_MS)
+
+
+def _fact_of(
+    vm: members.Vm, incarnation: int, standing: members.Standing
+) -> facts.Fact:
+    return facts.Fact(
+        facts.FactKind.MEMBER,
+        vm.name,
+        incarnation * _STANDINGS + standing,
+        "|".join((vm.address, vm.failure_domain, vm.region)),
+    )
+
+
+def _decode_vm(fact: facts.Fact) -> members.Vm:
+    address, failure_domain, region = fact.detail.split("|")
+    return members.Vm(fact.subject, address, failure_domain, region)
+
+
+def _listed(
+    known: members.Member | None, vm: members.Vm, now_ms: int
+) -> members.Member:
+    if known is None:
+        return members.Member(vm, since_ms=now_ms, listed=True)
+    if known.vm.address != vm.address and not known.is_live:
+        # Another machine took the name over.
+        return members.Member(vm, known.incarnation, since_ms=now_ms, listed=True)
+    return known._replace(vm=known.vm._replace(status=vm.status), listed=True)
+
+
+def _is_over(
+    daemon: daemon_state.Daemon, member: members.Member, now_ms: int
+) -> bool:
+    if member.listed:
+        return True
+    # A member that peers told of and the lagging list does not show yet.
+    fact = daemon.facts.get(facts.FactKind.MEMBER, member.vm.name, now_ms)
+    return fact is None
+
+
+HANDLERS: Final = {events.VmsListed: take_list}
--- /dev/null
+++ b/amaranthpulley/coordination/probing.py
@@ -0,0 +1,181 @@
+"""The heartbeat: each period one exchange with one peer, and doubts about it.
+
+A peer that does not answer is asked for through others before it is suspected, so that
+one bad link between two daemons does not change the view.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import (
+    commands,
+    events,
+    exchanging,
+    membership,
+    peer_messages,
+    watching,
+)
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import members
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+PERIOD_MS: Final = 1_000
+HELPERS: Final = 3
+HELP_TIMEOUT_MS: Final = 1_600
+# A failure that is reported this late tells of the own pause, not of the peer.
+LATE_MS: Final = 2 * HELP_TIMEOUT_MS
+# Share of the periods in which a dead member is tried too, to find it again.
+REVISIT_CHANCE: Final = 0.2
+
+
+class HeartbeatDue(NamedTuple):
+    """Purpose of the timer that probes the next peer."""
+
+
+class ProbeSent(NamedTuple):
+    """Purpose of the exchange that probes a peer."""
+
+    name: str
+    sent_ms: int
+
+
+class HelpAsked(NamedTuple):
+    """Purpose of the call by which another peer probes for this daemon."""
+
+    name: str
+    sent_ms: int
+
+
+class ProbeForPeer(NamedTuple):
+    """Purpose of the exchange that probes a peer for another one."""
+
+    call_id: str
+
+
+def start(
+    daemon: daemon_state.Daemon, event: events.Started, now_ms: int, random: Random
+) -> Commands:
+    """Join the members and start the heartbeat at a time drawn by chance."""
+    first_ms = now_ms + int(random() * PERIOD_MS)
+    return [
+        *membership.join(daemon, now_ms),
+        commands.SetTimer(HeartbeatDue(), first_ms),
+    ]
+
+
+def beat(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Probe the next peer and do the other work of a period."""
+    decided: Commands = [commands.SetTimer(HeartbeatDue(), now_ms + PERIOD_MS)]
+    decided += watching.keep_watch(daemon, now_ms)
+    decided += membership.bury_suspects(daemon, now_ms)
+    if now_ms >= daemon.control.next_list_ms:
+        decided += membership.list_vms(daemon, now_ms)
+    name = _next_peer(daemon, random)
+    if name is not None:
+        decided.append(_probe(daemon, name, now_ms))
+    if random() < REVISIT_CHANCE:
+        decided += _revisit(daemon, now_ms, random)
+    return decided
+
+
+def take_probe(
+    daemon: daemon_state.Daemon, event: events.PeerReplied, now_ms: int, random: Random
+) -> Commands:
+    """Ask others to reach a peer that did not answer."""
+    name, sent_ms = event.purpose
+    if not isinstance(event.reply, events.PeerFailure):
+        membership.remind(daemon, name, now_ms)
+        return exchanging.take_reply(daemon, event, now_ms, random)
+    member = daemon.members.get(name)
+    if member is None or not member.is_live or now_ms - sent_ms > LATE_MS:
+        return []
+    helpers = exchanging.draw_peers(daemon, HELPERS + 1, random)
+    helpers = [address for address in helpers if address != member.vm.address]
+    helpers = helpers[:HELPERS]
+    if not helpers:
+        return membership.suspect(daemon, name, now_ms)
+    daemon.control.indirect_probes[name] = len(helpers)
+    message = peer_messages.ProbeAsked(daemon.identity.address, member.vm.address)
+    purpose = HelpAsked(name, now_ms)
+    return [
+        commands.CallPeer(purpose, address, message, HELP_TIMEOUT_MS)
+        for address in helpers
+    ]
+
+
+def take_help(
+    daemon: daemon_state.Daemon, event: events.PeerReplied, now_ms: int, random: Random
+) -> Commands:
+    """Suspect a peer that none of the others has reached."""
+    name, sent_ms = event.purpose
+    left = daemon.control.indirect_probes.get(name)
+    if left is None:
+        return []
+    reached = isinstance(event.reply, peer_messages.Probed) and event.reply.reached
+    if reached or left == 1:
+        del daemon.control.indirect_probes[name]
+    else:
+        daemon.control.indirect_probes[name] = left - 1
+    if reached or left > 1 or now_ms - sent_ms > LATE_MS:
+        return []
+    return membership.suspect(daemon, name, now_ms)
+
+
+def probe_for_peer(
+    daemon: daemon_state.Daemon, event: events.PeerCalled, now_ms: int, random: Random
+) -> Commands:
+    """Reach another peer for the one that asks."""
+    purpose = ProbeForPeer(event.call_id)
+    return [exchanging.send(daemon, event.message.address, purpose, now_ms)]
+
+
+def report_probe(
+    daemon: daemon_state.Daemon, event: events.PeerReplied, now_ms: int, random: Random
+) -> Commands:
+    """Tell the peer that asked whether the other one answered."""
+    reached = not isinstance(event.reply, events.PeerFailure)
+    reply = commands.ReplyPeer(event.purpose.call_id, peer_messages.Probed(reached))
+    return [reply, *exchanging.take_reply(daemon, event, now_ms, random)]
+
+
+def _probe(daemon: daemon_state.Daemon, name: str, now_ms: int) -> commands.CallPeer:
+    address = daemon.members.get(name).vm.address
+    return exchanging.send(daemon, address, ProbeSent(name, now_ms), now_ms)
+
+
+def _next_peer(daemon: daemon_state.Daemon, random: Random) -> str | None:
+    """Return each live peer once in an order drawn anew for each round."""
+    control = daemon.control
+    while True:
+        if not control.probe_order:
+            control.probe_order = [vm.name for vm in daemon.members.peers]
+        if not control.probe_order:
+            return None
+        order = control.probe_order
+        index = int(random() * len(order))
+        order[index], order[-1] = order[-1], order[index]
+        name = order.pop()
+        member = daemon.members.get(name)
+        if member is not None and member.is_live:
+            return name
+
+
+def _revisit(daemon: daemon_state.Daemon, now_ms: int, random: Random) -> Commands:
+    dead = daemon.members.in_standing(members.Standing.DEAD)
+    if not dead:
+        return []
+    return [_probe(daemon, dead[int(random() * len(dead))].vm.name, now_ms)]
+
+
+HANDLERS: Final = {
+    events.Started: start,
+    HeartbeatDue: beat,
+    ProbeSent: take_probe,
+    HelpAsked: take_help,
+    ProbeForPeer: report_probe,
+    peer_messages.ProbeAsked: probe_for_peer,
+}
--- /dev/null
+++ b/amaranthpulley/coordination/refreshing.py
@@ -0,0 +1,130 @@
+"""Confirming the configuration: after the start, and after a pause of the process.
+
+A daemon that was paused cannot know what it missed. The gap between two events shows
+the pause before anything else is decided; from then on no target gets work until the
+store, or several peers that have confirmed theirs, show that nothing is missing.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import (
+    commands,
+    configuring,
+    events,
+    exchanging,
+    watching,
+)
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+# The heartbeat makes an event each second.
+PAUSE_MS: Final = 2_500
+RETRY_MS: Final = 400
+ASKED_PEERS: Final = 3
+STORE_PATIENCE_MS: Final = 1_000
+STORE_READERS_AT_ONCE: Final = 10
+# With neither store nor peers the last known configuration is the best there is.
+LIMIT_MS: Final = 3_000
+LOADING_LIMIT_MS: Final = 15_000
+
+
+class RefreshDue(NamedTuple):
+    """Purpose of the timer that asks again for a confirmation."""
+
+    suspended_since_ms: int
+
+
+def start(
+    daemon: daemon_state.Daemon, event: events.Started, now_ms: int, random: Random
+) -> Commands:
+    """Begin with a configuration that nobody has confirmed."""
+    daemon.wall_offset_ms = event.wall_offset_ms
+    daemon.control.started = True
+    daemon.control.last_step_ms = now_ms
+    configuring.suspend(daemon, now_ms)
+    return [commands.SetTimer(RefreshDue(now_ms), now_ms + RETRY_MS)]
+
+
+def notice_pause(
+    daemon: daemon_state.Daemon, now_ms: int, random: Random
+) -> Commands:
+    """Suspend the configuration when the process has not run for a while."""
+    last_ms = daemon.control.last_step_ms
+    if last_ms is None:
+        return []
+    daemon.control.last_step_ms = now_ms
+    if now_ms - last_ms < PAUSE_MS:
+        return []
+    daemon.counters.add("pauses_total")
+    configuring.suspend(daemon, now_ms)
+    daemon.control.indirect_probes.clear()
+    return [
+        commands.log(log_events.PAUSE_NOTICED, paused_ms=now_ms - last_ms),
+        commands.SetTimer(RefreshDue(now_ms), now_ms + RETRY_MS),
+        *_ask(daemon, now_ms, random),
+    ]
+
+
+def take_list(
+    daemon: daemon_state.Daemon, event: events.VmsListed, now_ms: int, random: Random
+) -> Commands:
+    """Ask for the first confirmation once the peers are known."""
+    first = daemon.configuration.suspended and not daemon.control.asked
+    return _ask(daemon, now_ms, random) if first else []
+
+
+def ask_again(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Ask again, or go on with what is known when nobody answers."""
+    since_ms = event.purpose.suspended_since_ms
+    state = daemon.control
+    if not daemon.configuration.suspended or since_ms != state.suspended_since_ms:
+        return []
+    is_loading = state.reading or state.syncing
+    limit_ms = LOADING_LIMIT_MS if is_loading else LIMIT_MS
+    if now_ms - since_ms >= limit_ms and daemon.configuration.entries:
+        daemon.counters.add("configuration_unconfirmed_total")
+        unconfirmed = commands.log(log_events.CONFIGURATION_UNCONFIRMED)
+        return [unconfirmed, *configuring.resume(daemon, "nobody", now_ms)]
+    return [
+        commands.SetTimer(event.purpose, now_ms + RETRY_MS),
+        *_ask(daemon, now_ms, random),
+    ]
+
+
+def _ask(daemon: daemon_state.Daemon, now_ms: int, random: Random) -> Commands:
+    state = daemon.control
+    state.asked = True
+    drawn = exchanging.draw_peers(daemon, ASKED_PEERS, random)
+    decided: Commands = [
+        exchanging.send(daemon, address, exchanging.NewsSent(), now_ms)
+        for address in drawn
+    ]
+    if watching.is_watcher(daemon) or _turns_to_store(daemon, now_ms, random):
+        decided += watching.read(daemon)
+    return decided
+
+
+def _turns_to_store(
+    daemon: daemon_state.Daemon, now_ms: int, random: Random
+) -> bool:
+    """Tell whether a daemon that does not watch reads the store itself.
+
+    When all daemons start at once, the watchers read and the others learn from them;
+    a few at a time read for themselves if that takes long.
+    """
+    if now_ms - daemon.control.suspended_since_ms < STORE_PATIENCE_MS:
+        return False
+    return random() < STORE_READERS_AT_ONCE / len(daemon.members.live)
+
+
+HANDLERS: Final = {
+    events.Started: start,
+    events.VmsListed: take_list,
+    RefreshDue: ask_again,
+}
--- /dev/null
+++ b/amaranthpulley/coordination/watching.py
@@ -0,0 +1,216 @@
+"""Reading the change tickets from the store, by a few daemons for all.
+
+In each failure domain `WATCHERS` live daemons watch the head; which ones follows from
+the members, so that another takes over when one leaves. Their number, and with it the
+calls to the store, depends on the failure domains and not on the daemons.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import (
+    commands,
+    configuring,
+    errors,
+    events,
+    stored_values,
+)
+from amaranthpulley.state import control, log_events, rendezvous, store, tickets
+from amaranthpulley.state import daemon as daemon_state
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+WATCHERS: Final = 2
+# A watch that is lost in silence is noticed after this wait and its grace.
+WATCH_WAIT_MS: Final = 2_000
+WATCH_GRACE_MS: Final = 500
+CHUNK_READS_AT_ONCE: Final = 4
+
+
+class HeadRead(NamedTuple):
+    """Purpose of the store call that reads the head."""
+
+
+class HeadWatched(NamedTuple):
+    """Purpose of the store call that waits for a change of the head."""
+
+
+class ChunkRead(NamedTuple):
+    """Purpose of the store call that reads a chunk of the head's entries."""
+
+    index: int
+    chunk_count: int
+    position: control.HeadPosition
+
+
+def is_watcher(daemon: daemon_state.Daemon) -> bool:
+    """Tell whether this daemon watches the store for its failure domain."""
+    state = daemon.control
+    if state.watcher_version != daemon.members.version:
+        state.watcher_version = daemon.members.version
+        own = daemon.identity
+        near = [
+            vm.name
+            for vm in daemon.members.live
+            if vm.failure_domain == own.failure_domain
+        ]
+        first = rendezvous.ranking(near, f"watch/{own.failure_domain}")[:WATCHERS]
+        state.is_watcher = own.name in first
+    return state.is_watcher
+
+
+def keep_watch(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
+    """Watch the head if that is this daemon's duty and no call is in flight."""
+    state = daemon.control
+    if state.watching or state.reading or not is_watcher(daemon):
+        return []
+    if not state.position.revision:
+        return read(daemon)
+    state.watching = True
+    watch = store.Watch(tickets.HEAD_KEY, state.position.revision, WATCH_WAIT_MS)
+    timeout_ms = WATCH_WAIT_MS + WATCH_GRACE_MS
+    return [commands.CallStore(HeadWatched(), watch, timeout_ms)]
+
+
+def read(daemon: daemon_state.Daemon) -> Commands:
+    """Read the head, and the chunks as far as they hold more than is known."""
+    if daemon.control.reading:
+        return []
+    daemon.control.reading = True
+    return [_call(daemon, HeadRead(), store.Get(tickets.HEAD_KEY))]
+
+
+def take_head(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Merge the head that was read."""
+    daemon.control.reading = False
+    result = event.result
+    if isinstance(result, store.StoreFailed):
+        return [_failed(daemon, result)]
+    # A store without tickets is watched from its first revision on.
+    revision = max(result.revision, 1)
+    return [
+        *_merge_head(daemon, result.value, revision, now_ms),
+        *keep_watch(daemon, now_ms),
+    ]
+
+
+def take_watched(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Merge the head that has changed and watch on."""
+    daemon.control.watching = False
+    result = event.result
+    if isinstance(result, store.StoreFailed):
+        # The heartbeat starts the next watch, so that a store that is down gets one
+        # call a period from each watcher.
+        return [_failed(daemon, result)]
+    decided: Commands = []
+    for change in result.changes:
+        if change.key == tickets.HEAD_KEY:
+            decided += _merge_head(daemon, change.value, change.revision, now_ms)
+    if result.revision < event.operation.after_revision:
+        # The store has lost writes, so that its revisions start again.
+        return [*decided, *read(daemon)]
+    return [*decided, *keep_watch(daemon, now_ms)]
+
+
+def take_chunk(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Merge a chunk and read the next one."""
+    state = daemon.control
+    index, chunk_count, position = event.purpose
+    result = event.result
+    if index not in state.chunks_left:
+        return []
+    if isinstance(result, store.StoreFailed):
+        state.chunks_left.clear()
+        state.reading = False
+        return [_failed(daemon, result)]
+    state.chunks_left.discard(index)
+    last = not state.chunks_left
+    entries = stored_values.decode_tickets(result.value) if result.value else ()
+    decided = configuring.merge(daemon, entries, now_ms, complete=last)
+    following = index + CHUNK_READS_AT_ONCE
+    if following < chunk_count:
+        decided += [_read_chunk(daemon, following, chunk_count, position)]
+    if last:
+        state.reading = False
+        decided += _reach(daemon, position, now_ms)
+        decided += keep_watch(daemon, now_ms)
+    return decided
+
+
+def _merge_head(
+    daemon: daemon_state.Daemon, value: bytes | None, revision: int, now_ms: int
+) -> Commands:
+    state = daemon.control
+    try:
+        head = stored_values.decode_head(value) if value else tickets.Head()
+    except errors.CorruptStoreValueError as error:
+        return [commands.log(log_events.STORE_VALUE_CORRUPT, reason=str(error))]
+    if head.sequence < state.position.sequence:
+        daemon.counters.add("store_stale_reads_total")
+        return []
+    tail = [accepted.ticket for accepted in head.tail]
+    decided = configuring.merge(daemon, tail, now_ms)
+    position = control.HeadPosition(head.sequence, revision)
+    if head.folded <= state.position.sequence:
+        return [*decided, *_reach(daemon, position, now_ms)]
+    if state.chunks_left:
+        return decided
+    state.reading = True
+    state.chunks_left = set(range(head.chunk_count))
+    first = range(min(CHUNK_READS_AT_ONCE, head.chunk_count))
+    return decided + [
+        _read_chunk(daemon, index, head.chunk_count, position) for index in first
+    ]
+
+
+def _reach(
+    daemon: daemon_state.Daemon, position: control.HeadPosition, now_ms: int
+) -> Commands:
+    daemon.control.position = position
+    return configuring.resume(daemon, "store", now_ms)
+
+
+def _read_chunk(
+    daemon: daemon_state.Daemon,
+    index: int,
+    chunk_count: int,
+    position: control.HeadPosition,
+) -> commands.CallStore:
+    get = store.Get(tickets.chunk_key(index, chunk_count))
+    return _call(daemon, ChunkRead(index, chunk_count, position), get)
+
+
+def _failed(
+    daemon: daemon_state.Daemon, result: store.StoreFailed
+) -> commands.Log:
+    daemon.counters.add("store_calls_failed_total", use="configuration")
+    return commands.log(log_events.STORE_CALL_FAILED, reason=result.reason)
+
+
+def _call(
+    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
+) -> commands.CallStore:
+    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
+
+
+HANDLERS: Final = {
+    HeadRead: take_head,
+    HeadWatched: take_watched,
+    ChunkRead: take_chunk,
+}
--- a/amaranthpulley/state/configuration.py
+++ b/amaranthpulley/state/configuration.py
@@ -1,13 +1,19 @@
 """The configuration in force: for each entry the state of its highest ticket."""
 
+import hashlib
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from amaranthpulley.state import topology
 
 Entry = topology.Service | topology.FailureDomain | topology.Target
 
 
+BUCKETS: Final = 512
+_CHECKSUM_MASK: Final = 0xFFFFFFFF
+_NUMBERS_KEPT: Final = 1_000
+
+
 class Scope(NamedTuple):
     """Identifies one configured entry, for example ``("target", "dispatch-3-1")``."""
 
@@ -34,10 +40,51 @@
     return Scope(_KINDS[type(entry)], entry.name)
 
 
+def as_tickets(entries: Iterable[NumberedEntry]) -> tuple[topology.ChangeTicket, ...]:
+    """Return entries as tickets, one for each number, ascending."""
+    by_number: dict[int, dict[type, list[Entry]]] = {}
+    for number, entry in entries:
+        by_number.setdefault(number, {}).setdefault(type(entry), []).append(entry)
+    return tuple(
+        topology.ChangeTicket(
+            number,
+            services=tuple(kinds.get(topology.Service, ())),
+            failure_domains=tuple(kinds.get(topology.FailureDomain, ())),
+            targets=tuple(kinds.get(topology.Target, ())),
+        )
+        for number, kinds in sorted(by_number.items())
+    )
+
+
+def entries_of(ticket: topology.ChangeTicket) -> tuple[Entry, ...]:
+    """Return all that a ticket touches."""
+    return (*ticket.services, *ticket.failure_domains, *ticket.targets)
+
+
+def bucket_of(scope: Scope, buckets: int = BUCKETS) -> int:
+    """Return the bucket in which a scope is compared and kept."""
+    return _hash(f"{scope.kind}/{scope.name}") % buckets
+
+
 class Configuration:
-    """Merges change tickets; the outcome does not depend on their order."""
+    """Merges change tickets; the outcome does not depend on their order.
+
+    Attributes
+    ----------
+    suspended : bool
+        The view may be old, so that no target takes work until it is confirmed.
+    in_force_since_ms : dict
+        When each of the latest numbers came into force, in milliseconds since the
+        Unix epoch.
+    """
 
     def __init__(self) -> None:
+        self.suspended = False
+        self.in_force_since_ms: dict[int, int] = {}
+        self._checksums = [0] * BUCKETS
+        self._checksum = 0
+        self._buckets: list[dict[Scope, None]] = [{} for _ in range(BUCKETS)]
+        self._news: dict[Scope, None] = {}
         self._entries: dict[Scope, NumberedEntry] = {}
         self._shards: dict[str, dict[str, dict[str, topology.Target]]] = {}
         self._highest_number = 0
@@ -52,11 +99,59 @@
         """All entries by scope; not to be changed."""
         return self._entries
 
+    @property
+    def checksum(self) -> int:
+        """Equal for equal configurations."""
+        return self._checksum
+
+    @property
+    def bucket_checksums(self) -> tuple[int, ...]:
+        """The checksum of each bucket."""
+        return tuple(self._checksums)
+
+    @property
+    def has_news(self) -> bool:
+        """Whether there are entries that no peer has been told."""
+        return bool(self._news)
+
+    def take_news(self) -> list[NumberedEntry]:
+        """Return the entries that no peer has been told, which now counts as done."""
+        taken = [self._entries[scope] for scope in self._news]
+        self._news.clear()
+        return taken
+
+    def differing(
+        self, checksums: tuple[int, ...], limit: int
+    ) -> tuple[list[NumberedEntry], bool]:
+        """Return entries of the buckets in which a peer differs, and whether all.
+
+        Only whole buckets are returned, so that a peer makes progress each time.
+        """
+        found: list[NumberedEntry] = []
+        for index, checksum in enumerate(self._checksums):
+            if checksum == checksums[index]:
+                continue
+            entries = [self._entries[scope] for scope in self._buckets[index]]
+            if found and len(found) + len(entries) > limit:
+                return found, False
+            found += entries
+        return found, True
+
+    def note_in_force(self, number: int, wall_ms: int) -> bool:
+        """Keep when a number came into force; return whether it is the first time."""
+        if number in self.in_force_since_ms:
+            return False
+        self.in_force_since_ms[number] = wall_ms
+        if len(self.in_force_since_ms) > _NUMBERS_KEPT:
+            del self.in_force_since_ms[next(iter(self.in_force_since_ms))]
+        return True
+
     def apply(self, ticket: topology.ChangeTicket) -> list[Scope]:
         """Merge a ticket and return the scopes that it changed."""
         self._highest_number = max(self._highest_number, ticket.number)
-        everything = (*ticket.services, *ticket.failure_domains, *ticket.targets)
-        return self.merge(NumberedEntry(ticket.number, entry) for entry in everything)
+        return self.merge(
+            NumberedEntry(ticket.number, entry) for entry in entries_of(ticket)
+        )
 
     def merge(self, numbered_entries: Iterable[NumberedEntry]) -> list[Scope]:
         """Keep the higher number of each entry and return the scopes that changed."""
@@ -66,7 +161,9 @@
             known = self._entries.get(scope)
             if known is not None and known.number >= numbered.number:
                 continue
+            self._add_checksum(scope, known, numbered)
             self._entries[scope] = numbered
+            self._news[scope] = None
             self._highest_number = max(self._highest_number, numbered.number)
             self._index(numbered.entry, known)
             changed.append(scope)
@@ -88,10 +185,23 @@
 
     def takes_work(self, target: topology.Target) -> bool:
         """Tell whether the operators let a target get new work."""
+        if self.suspended:
+            return False
         numbered = self._entries.get(Scope("failure_domain", target.failure_domain))
         domain_serves = numbered is None or numbered.entry.in_service
         return domain_serves and target.status is topology.TargetStatus.SERVING
 
+    def _add_checksum(
+        self, scope: Scope, known: NumberedEntry | None, numbered: NumberedEntry
+    ) -> None:
+        change = _hash(f"{scope.kind}/{scope.name}/{numbered.number}")
+        if known is not None:
+            change ^= _hash(f"{scope.kind}/{scope.name}/{known.number}")
+        self._checksum ^= change
+        bucket = bucket_of(scope)
+        self._buckets[bucket][scope] = None
+        self._checksums[bucket] ^= change & _CHECKSUM_MASK
+
     def _index(self, entry: Entry, known: NumberedEntry | None) -> None:
         if not isinstance(entry, topology.Target):
             return
@@ -103,3 +213,8 @@
         if entry.status is not topology.TargetStatus.REMOVED:
             shards = self._shards.setdefault(entry.service, {})
             shards.setdefault(entry.shard, {})[entry.name] = entry
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- a/amaranthpulley/state/facts.py
+++ b/amaranthpulley/state/facts.py
@@ -5,7 +5,13 @@
 """
 
 import enum
-from typing import NamedTuple
+import zlib
+from typing import Final, NamedTuple
+
+DIGEST_BUCKETS: Final = 16
+# A fact this close to its end is not passed on: the delay of each hop would keep it
+# alive for ever.
+SPREAD_MARGIN_MS: Final = 2_000
 
 
 class FactKind(enum.StrEnum):
@@ -14,7 +20,7 @@
     TARGET_COLD = "target_cold"
     TARGET_LEAVING = "target_leaving"
     CRASH_COUNT = "crash_count"
-    VM_LEAVING = "vm_leaving"
+    MEMBER = "member"
 
 
 class Fact(NamedTuple):
@@ -38,14 +44,33 @@
     detail: str = ""
 
 
+class SpreadFact(NamedTuple):
+    """A fact on its way to a peer, with the time that it is still valid."""
+
+    fact: Fact
+    remaining_ms: int
+
+
+class _Entry(NamedTuple):
+    fact: Fact
+    expires_ms: int
+    checksum: int
+
+
 class FactTable:
     """The facts that have not expired."""
 
     def __init__(self) -> None:
-        self._facts: dict[tuple[FactKind, str], tuple[Fact, int]] = {}
+        self._entries: dict[tuple[FactKind, str], _Entry] = {}
+        self._news: dict[tuple[FactKind, str], None] = {}
+
+    @property
+    def has_news(self) -> bool:
+        """Whether there are facts that no peer has been told."""
+        return bool(self._news)
 
     def publish(self, fact: Fact, expires_ms: int) -> bool:
-        """Enter a fact; return whether it is news.
+        """Enter a fact, which is then spread; return whether it is news.
 
         Parameters
         ----------
@@ -55,20 +80,84 @@
             Reading of the own monotonic clock after which it is forgotten.
         """
         key = fact.kind, fact.subject
-        known = self._facts.get(key)
-        if known is not None and known[0].value >= fact.value:
+        known = self._entries.get(key)
+        if known is not None and known.fact.value >= fact.value:
             return False
-        self._facts[key] = fact, expires_ms
+        text = f"{fact.kind.value}\n{fact.subject}\n{fact.value}"
+        self._entries[key] = _Entry(fact, expires_ms, zlib.crc32(text.encode()))
+        self._news[key] = None
         return True
 
     def get(self, kind: FactKind, subject: str, now_ms: int) -> Fact | None:
         """Return a fact, or None when it is not known or has expired."""
-        fact, expires_ms = self._facts.get((kind, subject), (None, 0))
-        return fact if fact is not None and now_ms < expires_ms else None
+        entry = self._entries.get((kind, subject))
+        return entry.fact if entry is not None and now_ms < entry.expires_ms else None
 
     def current(self, now_ms: int) -> list[tuple[Fact, int]]:
         """Return the facts with the milliseconds that each one is still valid."""
-        self._facts = {
-            key: entry for key, entry in self._facts.items() if entry[1] > now_ms
-        }
-        return [(fact, expires - now_ms) for fact, expires in self._facts.values()]
+        self._expire(now_ms)
+        return [
+            (entry.fact, entry.expires_ms - now_ms) for entry in self._entries.values()
+        ]
+
+    def take_news(self, now_ms: int, limit: int) -> tuple[SpreadFact, ...]:
+        """Return facts that no peer has been told, which now counts as done."""
+        taken = [key for key, _ in zip(list(self._news), range(limit), strict=False)]
+        for key in taken:
+            del self._news[key]
+        entries = [self._entries[key] for key in taken if key in self._entries]
+        return _spread(entries, now_ms)
+
+    def digest(self, now_ms: int) -> tuple[int, ...]:
+        """Return a checksum of the facts in each bucket."""
+        self._expire(now_ms)
+        sums = [0] * DIGEST_BUCKETS
+        for entry in self._entries.values():
+            if entry.expires_ms - now_ms > SPREAD_MARGIN_MS:
+                sums[_bucket_of(entry)] ^= entry.checksum
+        return tuple(sums)
+
+    def differing(
+        self, digest: tuple[int, ...], now_ms: int, limit: int, draw: float
+    ) -> tuple[SpreadFact, ...]:
+        """Return facts of the buckets in which a peer's digest differs.
+
+        Parameters
+        ----------
+        digest : tuple of int
+            The peer's digest.
+        now_ms : int
+            Reading of the own monotonic clock, in milliseconds.
+        limit : int
+            Largest number of facts.
+        draw : float
+            From ``[0.0, 1.0)``; where to begin when there are more.
+        """
+        own = self.digest(now_ms)
+        if own == digest:
+            return ()
+        entries = [
+            entry
+            for entry in self._entries.values()
+            if own[_bucket_of(entry)] != digest[_bucket_of(entry)]
+        ]
+        first = int(draw * len(entries)) if len(entries) > limit else 0
+        return _spread((entries[first:] + entries[:first])[:limit], now_ms)
+
+    def _expire(self, now_ms: int) -> None:
+        over = [key for key, entry in self._entries.items() if entry.expires_ms <= now_ms]
+        for key in over:
+            del self._entries[key]
+
+
+def _bucket_of(entry: _Entry) -> int:
+    text = f"{entry.fact.kind.value}\n{entry.fact.subject}"
+    return zlib.crc32(text.encode()) % DIGEST_BUCKETS
+
+
+def _spread(entries: list[_Entry], now_ms: int) -> tuple[SpreadFact, ...]:
+    return tuple(
+        SpreadFact(entry.fact, entry.expires_ms - now_ms)
+        for entry in entries
+        if entry.expires_ms - now_ms > SPREAD_MARGIN_MS
+    )
--- a/amaranthpulley/state/members.py
+++ b/amaranthpulley/state/members.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from amaranthpulley.state import rendezvous
+from amaranthpulley.state import ring
 
 
 class VmStatus(enum.StrEnum):
@@ -35,9 +35,54 @@
     region: str
     status: VmStatus = VmStatus.LIVE
 
+    @property
+    def ip(self) -> str:
+        """The IP number of the address."""
+        return self.address.rsplit(":", 1)[0]
+
+
+class Standing(enum.IntEnum):
+    """What the daemons hold of a member; of the same incarnation the higher wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Member(NamedTuple):
+    """One known daemon.
+
+    Attributes
+    ----------
+    vm : Vm
+        Where it is.
+    incarnation : int
+        Raised by the member itself when it starts and when it is wrongly suspected;
+        0 while only the VM list tells of it.
+    standing : Standing
+        Whether it is believed to live.
+    since_ms : int
+        Reading of the own clock at the last change of its standing.
+    listed : bool
+        Whether the VM list shows it.
+    """
+
+    vm: Vm
+    incarnation: int = 0
+    standing: Standing = Standing.ALIVE
+    since_ms: int = 0
+    listed: bool = False
+
+    @property
+    def is_live(self) -> bool:
+        """Whether it may be given duties; a suspect keeps its own."""
+        serves = self.standing in (Standing.ALIVE, Standing.SUSPECT)
+        return serves and self.vm.status is VmStatus.LIVE
+
 
 class MemberTable:
-    """The daemons that are believed to be live, always with the daemon itself.
+    """The daemons that are known, always with the daemon itself.
 
     Parameters
     ----------
@@ -47,27 +92,104 @@
 
     def __init__(self, own: Vm) -> None:
         self._own = own
-        self._live: dict[str, Vm] = {own.name: own}
+        self._members: dict[str, Member] = {own.name: Member(own)}
+        self._names: dict[Standing, dict[str, None]] = {s: {} for s in Standing}
+        self._ips: dict[str, int] = {own.ip: 1}
+        self._ring = ring.Ring()
+        self._ring.add(own.name)
+        self._live: tuple[Vm, ...] | None = None
+        self._peers: tuple[Vm, ...] | None = None
+        self.version = 0
 
     @property
     def live(self) -> tuple[Vm, ...]:
         """The live daemons in ascending order of their names."""
-        return tuple(self._live[name] for name in sorted(self._live))
+        if self._live is None:
+            names = sorted(
+                name
+                for name, member in self._members.items()
+                if member.is_live or name == self._own.name
+            )
+            self._live = tuple(self._members[name].vm for name in names)
+        return self._live
 
     @property
     def peers(self) -> tuple[Vm, ...]:
         """The live daemons without the daemon itself."""
-        return tuple(vm for vm in self.live if vm.name != self._own.name)
+        if self._peers is None:
+            own = self._own.name
+            self._peers = tuple(vm for vm in self.live if vm.name != own)
+        return self._peers
+
+    def all(self) -> list[Member]:
+        """Return every known member, also the dead ones."""
+        return list(self._members.values())
+
+    def get(self, name: str) -> Member | None:
+        """Return a member, or None when it is not known."""
+        return self._members.get(name)
+
+    def in_standing(self, standing: Standing) -> list[Member]:
+        """Return the members of a standing, without the daemon itself."""
+        return [self._members[name] for name in self._names[standing]]
+
+    def knows_ip(self, ip: str) -> bool:
+        """Tell whether a known member, live or not, has an IP number."""
+        return ip in self._ips
+
+    def put(self, member: Member) -> None:
+        """Enter a member or its new state."""
+        name = member.vm.name
+        known = self._members.get(name)
+        if known == member:
+            return
+        was_live = known is not None and known.is_live
+        if known is not None:
+            self._forget_ip(known.vm.ip)
+            self._names[known.standing].pop(name, None)
+        self._members[name] = member
+        self._names[member.standing][name] = None
+        self._ips[member.vm.ip] = self._ips.get(member.vm.ip, 0) + 1
+        moved = known is not None and known.vm != member.vm
+        if was_live != member.is_live or moved:
+            self._update_ring(name, was_live, member.is_live)
+
+    def drop(self, name: str) -> None:
+        """Forget a member."""
+        member = self._members.pop(name, None)
+        if member is not None:
+            self._forget_ip(member.vm.ip)
+            self._names[member.standing].pop(name, None)
+            self._update_ring(name, member.is_live, False)
 
     def replace(self, vms: Iterable[Vm]) -> None:
         """Set the live daemons."""
-        self._live = {vm.name: vm for vm in vms}
-        self._live[self._own.name] = self._own
+        for name in [name for name in self._members if name != self._own.name]:
+            self.drop(name)
+        for vm in vms:
+            if vm.name != self._own.name:
+                self.put(Member(vm, listed=True))
 
     def owner_of(self, key: str) -> Vm:
-        """Return the live daemon that owns a key by rendezvous hash."""
-        return self._live[rendezvous.ranking(self._live, key)[0]]
+        """Return the live daemon that owns a key by consistent hash."""
+        return self._members[self._ring.owner_of(key)].vm
 
     def is_owner(self, key: str) -> bool:
         """Tell whether the daemon itself owns a key."""
-        return self.owner_of(key).name == self._own.name
+        return self._ring.owner_of(key) == self._own.name
+
+    def _update_ring(self, name: str, was_live: bool, is_live: bool) -> None:
+        self._live = None
+        self._peers = None
+        self.version += 1
+        if name == self._own.name or was_live == is_live:
+            return
+        if is_live:
+            self._ring.add(name)
+        else:
+            self._ring.remove(name)
+
+    def _forget_ip(self, ip: str) -> None:
+        self._ips[ip] -= 1
+        if not self._ips[ip]:
+            del self._ips[ip]
--- /dev/null
+++ b/amaranthpulley/state/ring.py
@@ -0,0 +1,49 @@
+"""A consistent hash ring: the owner of a key in logarithmic time."""
+
+import bisect
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+POINTS_PER_MEMBER: Final = 16
+
+
+class Ring:
+    """Members on a ring; a key belongs to the next member after its hash.
+
+    When a member leaves, only the keys that it owned move. A rendezvous hash would
+    look at every member for each key, which is too slow for thousands of members.
+    """
+
+    def __init__(self) -> None:
+        self._points: list[tuple[int, str]] = []
+
+    def replace(self, members: Iterable[str]) -> None:
+        """Set all members at once."""
+        self._points = sorted(point for name in members for point in _points_of(name))
+
+    def add(self, member: str) -> None:
+        """Enter a member."""
+        for point in _points_of(member):
+            bisect.insort(self._points, point)
+
+    def remove(self, member: str) -> None:
+        """Take a member out."""
+        for point in _points_of(member):
+            index = bisect.bisect_left(self._points, point)
+            if index < len(self._points) and self._points[index] == point:
+                del self._points[index]
+
+    def owner_of(self, key: str) -> str:
+        """Return the member that owns a key; there must be one."""
+        index = bisect.bisect_left(self._points, (_hash(key), ""))
+        return self._points[index % len(self._points)][1]
+
+
+def _points_of(member: str) -> list[tuple[int, str]]:
+    return [(_hash(f"{member}\n{n}"), member) for n in range(POINTS_PER_MEMBER)]
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
