--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -19,6 +19,8 @@
     draining,
     errors,
     events,
+    journal_writing,
+    journaling,
     leasing,
     ordering,
     searching,
@@ -32,6 +34,8 @@
 ]
 
 _MODULES: Final = (
+    journal_writing,
+    journaling,
     tracing,
     searching,
     ordering,
