Add membership, the peers' exchange, and the head of the change tickets

The store keeps one head that each accepted ticket swaps, so that racing operators come one after the other; two daemons in each failure domain watch it and the others learn from peers by checksums. After a pause and after the start no target takes work until store or peers have confirmed the configuration. Ruled out: a key for each ticket (two tickets can each take one of two replicas of a shard), rendezvous owners (every member looked at for each order; a ring takes a binary search).

--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/draining.py
@@ -1,9 +1,20 @@
-"""Leaving without cutting a request."""
+"""Leaving without cutting a request.
+
+First the daemon is unready and tells its peers that it leaves, while it still takes
+requests: the balancer needs the grace to notice. Then it refuses new requests, which
+have not run, ends those in progress, gives its leases back, and waits for the journal.
+"""
 
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, events, journaling
+from amaranthpulley.coordination import (
+    commands,
+    events,
+    journaling,
+    leasing,
+    membership,
+)
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events
 
@@ -13,8 +24,12 @@
 CHECK_INTERVAL_MS: Final = 50
 
 
+class GraceOver(NamedTuple):
+    """Purpose of the timer after which new requests are refused."""
+
+
 class DrainCheck(NamedTuple):
-    """Purpose of the timer that looks whether all requests are answered."""
+    """Purpose of the timer that looks whether all is done."""
 
 
 def begin(
@@ -23,18 +38,58 @@
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Refuse new requests from now on and wait for those in progress."""
+    """Become unready and tell the peers; go on taking requests for the grace."""
+    if daemon.leaving:
+        return []
+    daemon.leaving = True
+    daemon.control.drain_end_ms = now_ms + daemon.limits.drain_limit_ms
+    membership.leave(daemon, now_ms)
+    grace_ms = daemon.limits.drain_grace_ms
+    started = commands.log(log_events.DRAIN_STARTED, grace_ms=grace_ms)
+    if grace_ms == 0:
+        return [started, *refuse_new(daemon, event, now_ms, random)]
+    return [started, commands.SetTimer(GraceOver(), now_ms + grace_ms)]
+
+
+def refuse_new(
+    daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
+) -> Commands:
+    """Refuse new requests from now on."""
     daemon.draining = True
-    return check(daemon, event, now_ms, random)
+    return [
+        *journaling.flush_early(daemon, event, now_ms, random),
+        *check(daemon, event, now_ms, random),
+    ]
 
 
 def check(
     daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
 ) -> Commands:
-    """End the process once nothing is in progress."""
-    if daemon.requests_in_progress > 0 or journaling.pending(daemon) > 0:
-        return [commands.SetTimer(DrainCheck(), now_ms + CHECK_INTERVAL_MS)]
+    """End the process once nothing is in progress, or when the limit is over."""
+    if now_ms >= daemon.control.drain_end_ms:
+        return _cut_short(daemon)
+    again = commands.SetTimer(DrainCheck(), now_ms + CHECK_INTERVAL_MS)
+    if daemon.requests_in_progress > 0:
+        return [again]
+    handed_over = leasing.release_all(daemon, now_ms)
+    if handed_over or daemon.leases.call_in_flight or daemon.facts.has_news:
+        return [*handed_over, again]
+    if journaling.pending(daemon) > 0:
+        return [again]
     return [commands.log(log_events.DAEMON_STOPPED), commands.Exit(0)]
 
 
-HANDLERS: Final = {events.DrainRequested: begin, DrainCheck: check}
+def _cut_short(daemon: daemon_state.Daemon) -> Commands:
+    left = commands.log(
+        log_events.DRAIN_CUT_SHORT,
+        requests=daemon.requests_in_progress,
+        records=journaling.pending(daemon),
+    )
+    return [left, commands.Exit(1)]
+
+
+HANDLERS: Final = {
+    events.DrainRequested: begin,
+    GraceOver: refuse_new,
+    DrainCheck: check,
+}
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -15,16 +15,20 @@
 
 from amaranthpulley.coordination import (
     commands,
-    configuring,
     draining,
     errors,
     events,
+    exchanging,
     journal_writing,
     journaling,
     leasing,
+    membership,
     ordering,
+    probing,
+    refreshing,
     searching,
     tracing,
+    watching,
 )
 from amaranthpulley.state import daemon as daemon_state
 
@@ -39,7 +43,11 @@
     tracing,
     searching,
     ordering,
-    configuring,
+    refreshing,
+    membership,
+    exchanging,
+    probing,
+    watching,
     leasing,
     draining,
 )
@@ -77,6 +85,17 @@
     list of Command
         What is to be done, in this order.
     """
+    decided = refreshing.notice_pause(daemon, now_ms, random)
+    if isinstance(event, events.PeerCalled):
+        refused = membership.refuse_stranger(daemon, event, now_ms)
+        if refused is not None:
+            return decided + refused
+    for handler in _handlers_of(event):
+        decided += handler(daemon, event, now_ms, random)
+    return decided + exchanging.push_soon(daemon, now_ms)
+
+
+def _handlers_of(event: events.Event) -> list[Handler]:
     subject = _subject_of(event)
     handlers = _HANDLERS.get(type(subject))
     if handlers is None:
@@ -84,11 +103,7 @@
             f"no handler for {type(subject).__name__}: enter one in the HANDLERS of "
             "the module that decides about it"
         )
-    return [
-        command
-        for handler in handlers
-        for command in handler(daemon, event, now_ms, random)
-    ]
+    return handlers
 
 
 def _subject_of(event: events.Event) -> tuple:
--- a/amaranthpulley/coordination/exchanging.py
+++ b/amaranthpulley/coordination/exchanging.py
@@ -75,7 +75,7 @@
 def push_soon(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
     """Set the timer that sends news when there is news and none is set."""
     has_news = daemon.facts.has_news or daemon.configuration.has_news
-    if daemon.control.push_pending or not has_news:
+    if daemon.control.push_pending or not has_news or not daemon.control.started:
         return []
     daemon.control.push_pending = True
     return [commands.SetTimer(PushDue(), now_ms + PUSH_DELAY_MS)]
@@ -179,7 +179,7 @@
     if isinstance(reply, events.PeerFailure):
         daemon.counters.add("peer_calls_failed_total", failure=reply.value)
         return []
-    decided = configuring.merge(daemon, reply.tickets, now_ms)
+    decided = configuring.merge(daemon, reply.tickets, now_ms, reply.complete)
     if not reply.complete:
         return decided + sync(daemon, event.address)
     return decided + configuring.confirm_by_peer(
--- a/amaranthpulley/coordination/leasing.py
+++ b/amaranthpulley/coordination/leasing.py
@@ -54,6 +54,10 @@
     name: str
 
 
+class AllReleased(NamedTuple):
+    """Purpose of the call that revokes the store lease."""
+
+
 def want(daemon: daemon_state.Daemon, name: str, now_ms: int) -> Commands:
     """Ask for a lease until `release`; `daemon.leases.holds` tells when it is held."""
     table = daemon.leases
@@ -82,7 +86,8 @@
     table.lapse()
     if lease_id is None:
         return []
-    return [_call(daemon, LeaseReleased(""), store.RevokeLease(lease_id))]
+    table.call_in_flight = True
+    return [_call(daemon, AllReleased(), store.RevokeLease(lease_id))]
 
 
 def tick(
@@ -187,6 +192,17 @@
     return _advance(daemon, name, now_ms)
 
 
+def take_revocation(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Do no more when the revocation failed: the store lease lapses by itself."""
+    daemon.leases.call_in_flight = False
+    return []
+
+
 def _advance(daemon: daemon_state.Daemon, name: str, now_ms: int) -> Commands:
     table = daemon.leases
     claim = table.claims[name]
@@ -295,4 +311,5 @@
     LeaseClaimed: take_claim,
     LeaseRead: take_read,
     LeaseReleased: take_release,
+    AllReleased: take_revocation,
 }
--- a/amaranthpulley/coordination/membership.py
+++ b/amaranthpulley/coordination/membership.py
@@ -208,9 +208,7 @@
     return known._replace(vm=known.vm._replace(status=vm.status), listed=True)
 
 
-def _is_over(
-    daemon: daemon_state.Daemon, member: members.Member, now_ms: int
-) -> bool:
+def _is_over(daemon: daemon_state.Daemon, member: members.Member, now_ms: int) -> bool:
     if member.listed:
         return True
     # A member that peers told of and the lagging list does not show yet.
--- a/amaranthpulley/coordination/refreshing.py
+++ b/amaranthpulley/coordination/refreshing.py
@@ -49,9 +49,7 @@
     return [commands.SetTimer(RefreshDue(now_ms), now_ms + RETRY_MS)]
 
 
-def notice_pause(
-    daemon: daemon_state.Daemon, now_ms: int, random: Random
-) -> Commands:
+def notice_pause(daemon: daemon_state.Daemon, now_ms: int, random: Random) -> Commands:
     """Suspend the configuration when the process has not run for a while."""
     last_ms = daemon.control.last_step_ms
     if last_ms is None:
@@ -110,9 +108,7 @@
     return decided
 
 
-def _turns_to_store(
-    daemon: daemon_state.Daemon, now_ms: int, random: Random
-) -> bool:
+def _turns_to_store(daemon: daemon_state.Daemon, now_ms: int, random: Random) -> bool:
     """Tell whether a daemon that does not watch reads the store itself.
 
     When all daemons start at once, the watchers read and the others learn from them;
--- a/amaranthpulley/coordination/stored_values.py
+++ b/amaranthpulley/coordination/stored_values.py
@@ -4,13 +4,14 @@
 part of the decisions and not of a protocol.
 """
 
+import hashlib
 import zlib
 from typing import Final
 
 import msgspec
 
 from amaranthpulley.coordination import errors
-from amaranthpulley.state import journal, orders, topology
+from amaranthpulley.state import journal, orders, tickets, topology
 
 COMPRESSION_LEVEL: Final = 6
 
@@ -25,14 +26,36 @@
     return _decode(value, orders.Claim)
 
 
-def encode_ticket(ticket: topology.ChangeTicket) -> bytes:
-    """Return the stored form of a change ticket."""
-    return msgspec.msgpack.encode(ticket)
+def encode_head(head: tickets.Head) -> bytes:
+    """Return the stored form of the head of the change tickets."""
+    return msgspec.msgpack.encode(head)
+
+
+def decode_head(value: bytes) -> tickets.Head:
+    """Return the head of a stored value."""
+    return _decode(value, tickets.Head)
+
+
+def encode_tickets(entries: tuple[topology.ChangeTicket, ...]) -> bytes:
+    """Return the stored form of a chunk: configured entries by number."""
+    return msgspec.msgpack.encode(entries)
 
 
-def decode_ticket(value: bytes) -> topology.ChangeTicket:
-    """Return the change ticket of a stored value."""
-    return _decode(value, topology.ChangeTicket)
+def decode_tickets(value: bytes) -> tuple[topology.ChangeTicket, ...]:
+    """Return the configured entries of a chunk."""
+    return _decode(value, tuple[topology.ChangeTicket, ...])
+
+
+def digest_of(ticket: topology.ChangeTicket) -> str:
+    """Return a digest that is equal for equal tickets."""
+    encoded = msgspec.msgpack.encode(ticket)
+    return hashlib.blake2b(encoded, digest_size=8).hexdigest()
+
+
+def encode_ticket(ticket: topology.ChangeTicket) -> bytes:
+    """Return the head of a store in which one ticket has been accepted."""
+    accepted = tickets.AcceptedTicket(ticket, "first", digest_of(ticket), 0)
+    return encode_head(tickets.Head(sequence=1, tail=(accepted,)))
 
 
 def _decode(value: bytes, kind: type) -> object:
--- a/amaranthpulley/coordination/tests/test_journaling.py
+++ b/amaranthpulley/coordination/tests/test_journaling.py
@@ -218,7 +218,7 @@
         self.assertIsNot(bench.ask().code, refused)
 
     def test_drain_waits_for_the_store_and_closes_the_life(self) -> None:
-        bench = Bench()
+        bench = Bench(drain_grace_ms=0)
         bench.settle()
         bench.ask()
         bench.feed(events.DrainRequested())
--- /dev/null
+++ b/amaranthpulley/coordination/ticketing.py
@@ -0,0 +1,278 @@
+"""Bringing change tickets into the store, and reading them from there.
+
+Each function is a generator that yields store operations and is sent their results,
+so that the command line and a test under virtual time drive the same decisions.
+
+A ticket is accepted by one compare-and-swap of the head, which was checked against
+the whole configuration at that revision. Two operators who race therefore come one
+after the other: the second is checked against the first. A swap whose reply was lost
+is never guessed: the loop reads the head again, where the run finds its own ticket or
+swaps once more; the store takes at most one of the swaps.
+"""
+
+import enum
+from collections.abc import Callable, Generator
+from typing import Any, Final, NamedTuple
+
+from amaranthpulley.coordination import errors, stored_values, ticket_rules
+from amaranthpulley.state import configuration, store, tickets, topology
+
+MAXIMUM_TICKET_BYTES: Final = 256 * 1024
+MAXIMUM_TAIL_BYTES: Final = 384 * 1024
+MAXIMUM_TAIL: Final = 32
+MAXIMUM_USED_NUMBERS: Final = 1_000
+ENTRIES_PER_CHUNK: Final = 1_500
+ROUNDS: Final = 8
+
+Steps = Generator[store.Operation, store.Result, Any]
+Call = Callable[[store.Operation], store.Result]
+
+
+class Status(enum.StrEnum):
+    """How a run of ``ticket apply`` ended."""
+
+    ACCEPTED = "accepted"
+    ALREADY_ACCEPTED = "already_accepted"
+    INVALID = "invalid"
+    NUMBER_USED = "number_used"
+    NUMBER_TOO_OLD = "number_too_old"
+    SUPERSEDED = "superseded"
+    STORE_UNAVAILABLE = "store_unavailable"
+    CONTENDED = "contended"
+    UNKNOWN = "unknown"
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the ticket is in the store for certain."""
+        return self in (Status.ACCEPTED, Status.ALREADY_ACCEPTED)
+
+
+class Verdict(NamedTuple):
+    """The end of a run, with what the operator is told."""
+
+    status: Status
+    message: str
+
+
+class Stored(NamedTuple):
+    """What the store holds: the head, its revision and the merged configuration."""
+
+    head: tickets.Head
+    revision: int
+    configuration: configuration.Configuration
+
+
+def run(steps: Steps, call: Call) -> Any:
+    """Drive a generator of this module with a function that calls the store."""
+    try:
+        operation = next(steps)
+        while True:
+            operation = steps.send(call(operation))
+    except StopIteration as stop:
+        return stop.value
+
+
+def apply(ticket: topology.ChangeTicket, apply_id: str, wall_ms: int) -> Steps:
+    """Bring a ticket in; returns a `Verdict`.
+
+    Parameters
+    ----------
+    ticket : ChangeTicket
+        What to bring in.
+    apply_id : str
+        Unique for each run.
+    wall_ms : int
+        Milliseconds since the Unix epoch.
+    """
+    if (size := _size_of(ticket)) > MAXIMUM_TICKET_BYTES:
+        text = f"the ticket has {size} bytes, over the limit of {MAXIMUM_TICKET_BYTES}"
+        return Verdict(Status.INVALID, f"{text}; split it - at `$`")
+    accepted = tickets.AcceptedTicket(
+        ticket, apply_id, stored_values.digest_of(ticket), wall_ms
+    )
+    in_doubt = False
+    for _ in range(ROUNDS):
+        stored = yield from read()
+        if isinstance(stored, store.StoreFailed):
+            return _without_store(stored, in_doubt)
+        verdict = _judge(stored, accepted)
+        if verdict is not None:
+            return verdict
+        head = yield from _make_room(stored, accepted)
+        if isinstance(head, store.StoreFailed):
+            return _without_store(head, in_doubt)
+        value = stored_values.encode_head(head)
+        result = yield store.Swap(tickets.HEAD_KEY, stored.revision, value)
+        if isinstance(result, store.StoreFailed):
+            if not result.unknown and not in_doubt:
+                return _without_store(result, in_doubt)
+            in_doubt = True
+        elif result.succeeded:
+            return Verdict(Status.ACCEPTED, _acceptance(stored, ticket))
+    return _given_up(in_doubt)
+
+
+def read() -> Steps:
+    """Read all that is accepted; returns `Stored` or `StoreFailed`."""
+    result = yield store.Get(tickets.HEAD_KEY)
+    if isinstance(result, store.StoreFailed):
+        return result
+    head = tickets.Head()
+    if result.value is not None:
+        try:
+            head = stored_values.decode_head(result.value)
+        except errors.CorruptStoreValueError as error:
+            return store.StoreFailed(str(error), unknown=False)
+    merged = configuration.Configuration()
+    for index in range(head.chunk_count):
+        key = tickets.chunk_key(index, head.chunk_count)
+        chunk = yield store.Get(key)
+        if isinstance(chunk, store.StoreFailed):
+            return chunk
+        for part in stored_values.decode_tickets(chunk.value) if chunk.value else ():
+            merged.apply(part)
+    for accepted in head.tail:
+        merged.apply(accepted.ticket)
+    return Stored(head, result.revision, merged)
+
+
+def find(head: tickets.Head, number: int) -> tickets.UsedNumber | None:
+    """Return what is known of an accepted number."""
+    for accepted in head.tail:
+        if accepted.ticket.number == number:
+            return tickets.UsedNumber(number, accepted.digest, accepted.apply_id)
+    return next((used for used in head.used if used.number == number), None)
+
+
+def _judge(stored: Stored, accepted: tickets.AcceptedTicket) -> Verdict | None:
+    number = accepted.ticket.number
+    used = find(stored.head, number)
+    if used is not None:
+        if used.apply_id == accepted.apply_id:
+            return Verdict(Status.ACCEPTED, f"ticket {number} is accepted")
+        if used.digest == accepted.digest:
+            text = f"ticket {number} was accepted before with the same content"
+            return Verdict(Status.ALREADY_ACCEPTED, text)
+        text = f"number {number} is used with other content; take a higher one"
+        return Verdict(Status.NUMBER_USED, text)
+    if number <= stored.head.floor:
+        text = f"numbers up to {stored.head.floor} are closed; take a higher one"
+        return Verdict(Status.NUMBER_TOO_OLD, text)
+    fault = ticket_rules.first_fault(stored.configuration, accepted.ticket)
+    if fault is not None:
+        return Verdict(Status.INVALID, fault)
+    over = ticket_rules.superseded(stored.configuration, accepted.ticket)
+    if len(over) == len(configuration.entries_of(accepted.ticket)):
+        text = "a higher number has set all that the ticket touches; take a higher one"
+        return Verdict(Status.SUPERSEDED, text)
+    return None
+
+
+def _acceptance(stored: Stored, ticket: topology.ChangeTicket) -> str:
+    over = ticket_rules.superseded(stored.configuration, ticket)
+    text = f"ticket {ticket.number} is accepted"
+    if not over:
+        return text
+    names = ", ".join(f"{scope.kind} {scope.name}" for scope in over)
+    return f"{text}; a higher number keeps its state of {names}"
+
+
+def _make_room(stored: Stored, accepted: tickets.AcceptedTicket) -> Steps:
+    """Return the head with the ticket, after folding the tail if it has grown."""
+    head = stored.head
+    grown = head._replace(sequence=head.sequence + 1, tail=(*head.tail, accepted))
+    size = sum(_size_of(one.ticket) for one in grown.tail)
+    if len(grown.tail) <= MAXIMUM_TAIL and size <= MAXIMUM_TAIL_BYTES:
+        return grown
+    chunk_count = _chunk_count(stored)
+    failure = yield from _fold(stored, chunk_count)
+    if failure is not None:
+        return failure
+    used = (
+        *head.used,
+        *(
+            tickets.UsedNumber(one.ticket.number, one.digest, one.apply_id)
+            for one in head.tail
+        ),
+    )
+    closed = used[: max(0, len(used) - MAXIMUM_USED_NUMBERS)]
+    return tickets.Head(
+        sequence=head.sequence + 1,
+        tail=(accepted,),
+        used=used[len(closed) :],
+        floor=max((head.floor, *(one.number for one in closed))),
+        chunk_count=chunk_count,
+    )
+
+
+def _size_of(ticket: topology.ChangeTicket) -> int:
+    return len(stored_values.encode_tickets((ticket,)))
+
+
+def _chunk_count(stored: Stored) -> int:
+    wanted = max(1, stored.head.chunk_count)
+    while wanted * ENTRIES_PER_CHUNK < len(stored.configuration.entries):
+        wanted *= 2
+    return wanted
+
+
+def _fold(stored: Stored, chunk_count: int) -> Steps:
+    """Merge the tail into the chunks; repeating it changes nothing."""
+    entries = stored.configuration.entries
+    if chunk_count == stored.head.chunk_count:
+        touched = {
+            configuration.scope_of(entry)
+            for accepted in stored.head.tail
+            for entry in configuration.entries_of(accepted.ticket)
+        }
+    else:
+        touched = set(entries)
+    chunks: dict[int, list[configuration.NumberedEntry]] = {}
+    for scope in sorted(touched):
+        index = configuration.bucket_of(scope, chunk_count)
+        chunks.setdefault(index, []).append(entries[scope])
+    for index, found in sorted(chunks.items()):
+        key = tickets.chunk_key(index, chunk_count)
+        failure = yield from _merge_chunk(key, found)
+        if failure is not None:
+            return failure
+    return None
+
+
+def _merge_chunk(key: str, entries: list[configuration.NumberedEntry]) -> Steps:
+    failure: store.StoreFailed | None = None
+    for _ in range(ROUNDS):
+        present = yield store.Get(key)
+        if isinstance(present, store.StoreFailed):
+            return present
+        merged = configuration.Configuration()
+        for part in stored_values.decode_tickets(present.value or b"\x90"):
+            merged.apply(part)
+        if not merged.merge(entries):
+            return None
+        value = stored_values.encode_tickets(
+            configuration.as_tickets(merged.entries.values())
+        )
+        result = yield store.Swap(key, present.revision, value)
+        if isinstance(result, store.StoreFailed):
+            failure = result
+        elif result.succeeded:
+            return None
+    return failure or store.StoreFailed("a chunk is contended", unknown=False)
+
+
+def _without_store(failed: store.StoreFailed, in_doubt: bool) -> Verdict:
+    if in_doubt:
+        return _given_up(in_doubt)
+    text = f"the store gave no answer ({failed.reason}); nothing is in force of it"
+    return Verdict(Status.STORE_UNAVAILABLE, text)
+
+
+def _given_up(in_doubt: bool) -> Verdict:
+    if in_doubt:
+        text = (
+            "the store did not say whether the ticket was taken; run the same command "
+            "again, which is safe"
+        )
+        return Verdict(Status.UNKNOWN, text)
+    return Verdict(Status.CONTENDED, "other tickets came first each time; try again")
--- a/amaranthpulley/coordination/watching.py
+++ b/amaranthpulley/coordination/watching.py
@@ -196,9 +196,7 @@
     return _call(daemon, ChunkRead(index, chunk_count, position), get)
 
 
-def _failed(
-    daemon: daemon_state.Daemon, result: store.StoreFailed
-) -> commands.Log:
+def _failed(daemon: daemon_state.Daemon, result: store.StoreFailed) -> commands.Log:
     daemon.counters.add("store_calls_failed_total", use="configuration")
     return commands.log(log_events.STORE_CALL_FAILED, reason=result.reason)
 
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -39,6 +39,8 @@
     maximum_requests_in_progress: NotRequired[Count]
     maximum_row_count: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
+    drain_grace_ms: NotRequired[Milliseconds]
+    drain_limit_ms: NotRequired[Milliseconds]
     journal_flush_ms: NotRequired[Milliseconds]
     journal_memory_bytes: NotRequired[Count]
     journal_when_full: NotRequired[journal.FullPolicy]
--- a/amaranthpulley/state/control.py
+++ b/amaranthpulley/state/control.py
@@ -59,6 +59,8 @@
         A first confirmation of the configuration has been asked for.
     left : bool
         The peers have been told that this daemon leaves.
+    drain_end_ms : int
+        When the process ends whatever is left.
     """
 
     def __init__(self) -> None:
@@ -81,4 +83,5 @@
         self.next_list_ms = 0
         self.last_list_ms = 0
         self.left = False
+        self.drain_end_ms = 0
         self.asked = False
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -4,6 +4,7 @@
 
 from amaranthpulley.state import (
     configuration,
+    control,
     counters,
     facts,
     journal,
@@ -52,6 +53,10 @@
         Memory for records that the store does not take.
     journal_when_full : FullPolicy
         What happens to requests when that memory is full.
+    drain_grace_ms : int
+        Time for which a leaving daemon, already unready, still takes requests.
+    drain_limit_ms : int
+        Time after which a leaving daemon ends whatever is left.
     journal_life_first : bool
         Refuse requests until the store knows of the daemon's life.
     """
@@ -59,6 +64,8 @@
     maximum_requests_in_progress: int = 1_000
     maximum_row_count: int = 100_000
     store_timeout_ms: int = 500
+    drain_grace_ms: int = 2_000
+    drain_limit_ms: int = 30_000
     journal_flush_ms: int = 5_000
     journal_memory_bytes: int = 32 * 1024 * 1024
     journal_when_full: journal.FullPolicy = journal.FullPolicy.REFUSE
@@ -95,7 +102,9 @@
         self.facts = facts.FactTable()
         self.journal = journal.Journal()
         self.leases = leases.LeaseTable()
+        self.control = control.ControlState()
         self.wall_offset_ms = 0
+        self.leaving = False
         self.draining = False
         self._last_id = 0
 
@@ -104,6 +113,12 @@
         """The number of requests that have no answer yet."""
         return len(self.searches) + len(self.orders)
 
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        is_current = not self.configuration.suspended
+        return is_current and not self.leaving and bool(self.configuration.entries)
+
     def wall_ms(self, now_ms: int) -> int:
         """Return milliseconds since the Unix epoch for a monotonic reading."""
         return now_ms + self.wall_offset_ms
--- a/amaranthpulley/state/facts.py
+++ b/amaranthpulley/state/facts.py
@@ -145,7 +145,9 @@
         return _spread((entries[first:] + entries[:first])[:limit], now_ms)
 
     def _expire(self, now_ms: int) -> None:
-        over = [key for key, entry in self._entries.items() if entry.expires_ms <= now_ms]
+        over = [
+            key for key, entry in self._entries.items() if entry.expires_ms <= now_ms
+        ]
         for key in over:
             del self._entries[key]
 
--- a/amaranthpulley/transport/bench/search_cost.py
+++ b/amaranthpulley/transport/bench/search_cost.py
@@ -12,13 +12,14 @@
 
 import eventlet
 
-from amaranthpulley.coordination import configuring, events, stored_values
+from amaranthpulley.coordination import events
 from amaranthpulley.protocol import settings as settings_protocol
-from amaranthpulley.state import requests, store, topology
+from amaranthpulley.state import requests, topology
 from amaranthpulley.transport import (
     daemon_process,
     errors,
     standin_server,
+    standin_tickets,
     system_clock,
 )
 from amaranthpulley.transport.bench import histogram, linear_fit, sampling
@@ -110,9 +111,7 @@
             "127.0.0.1:0", system_clock.system_clock()
         )
         ticket = _ticket(addresses)
-        value = stored_values.encode_ticket(ticket)
-        swap = store.Swap(configuring.ticket_key(ticket.number), 0, value)
-        self._platform.store.call(swap, now_ms=0)
+        standin_tickets.put(self._platform.store, ticket)
         self._process = daemon_process.DaemonProcess(_settings(self._platform.address))
         self._searches = 0
 
--- a/amaranthpulley/transport/bench/sites.py
+++ b/amaranthpulley/transport/bench/sites.py
@@ -3,16 +3,14 @@
 import itertools
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import configuring, stored_values
 from amaranthpulley.state import (
     daemon,
     keyspace,
     members,
     standin_leaf,
-    store,
     topology,
 )
-from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport import standin_tickets, virtual_network
 from amaranthpulley.transport.bench import links
 
 DAEMONS: Final = 6
@@ -165,9 +163,7 @@
         )
 
     def _apply(self, ticket: topology.ChangeTicket) -> None:
-        value = stored_values.encode_ticket(ticket)
-        swap = store.Swap(configuring.ticket_key(ticket.number), 0, value)
-        self.network.store.call(swap, now_ms=0)
+        standin_tickets.put(self.network.store, ticket)
 
 
 def partition(shards: int, version: int) -> list[keyspace.KeyRange]:
--- a/amaranthpulley/transport/callers.py
+++ b/amaranthpulley/transport/callers.py
@@ -54,6 +54,6 @@
 
 
 def _ready(driver: runtime.Runtime) -> web.Reply:
-    if driver.daemon.draining:
+    if not driver.daemon.ready:
         return web.Reply(http.HTTPStatus.SERVICE_UNAVAILABLE, b'{"ready":false}')
     return web.Reply(http.HTTPStatus.OK, b'{"ready":true}')
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -16,6 +16,7 @@
     runtime,
     store_client,
     system_clock,
+    vm_list_client,
     web,
 )
 
@@ -41,13 +42,7 @@
             settings["vm_name"], clock, settings.get("log_file")
         )
         sockets = _listen_all(listen["ip"], listen["caller_port"], listen["admin_port"])
-        identity = daemon_state.Identity(
-            settings["vm_name"],
-            f"{listen['ip']}:{listen['peer_port']}",
-            settings["failure_domain"],
-            settings["region"],
-            secrets.token_hex(4),
-        )
+        identity = _identity(settings, listen["peer_port"])
         daemon = daemon_state.Daemon(identity, settings_protocol.limits_of(settings))
         self._metrics = metrics.Metrics(daemon.counters)
         self.runtime = runtime.Runtime(
@@ -56,6 +51,7 @@
             random.Random().random,
             write_log,
             store_client.StoreClient(settings["platform"]["store_address"]),
+            vm_list_client.VmListClient(settings["platform"]["vm_list_address"]),
             self._metrics.observe,
         )
         self._callers = web.WebServer(
@@ -110,6 +106,18 @@
         return web.Reply(http.HTTPStatus.OK, self._metrics.text(), "text/plain")
 
 
+def _identity(
+    settings: settings_protocol.Settings, peer_port: int
+) -> daemon_state.Identity:
+    return daemon_state.Identity(
+        settings["vm_name"],
+        f"{settings['listen']['ip']}:{peer_port}",
+        settings["failure_domain"],
+        settings["region"],
+        secrets.token_hex(4),
+    )
+
+
 def _listen_all(ip: str, *ports: int) -> list:
     sockets: list = []
     try:
--- a/amaranthpulley/transport/demo.py
+++ b/amaranthpulley/transport/demo.py
@@ -8,10 +8,14 @@
 import eventlet
 import urllib3
 
-from amaranthpulley.coordination import configuring, stored_values
 from amaranthpulley.protocol import settings as settings_protocol
-from amaranthpulley.state import keyspace, standin_leaf, store, topology
-from amaranthpulley.transport import daemon_process, standin_server, system_clock
+from amaranthpulley.state import keyspace, standin_leaf, topology
+from amaranthpulley.transport import (
+    daemon_process,
+    standin_server,
+    standin_tickets,
+    system_clock,
+)
 
 DOMAINS: Final = ("Recife", "Fortaleza", "Salvador")
 INSTANCES: Final = 10
@@ -95,9 +99,7 @@
             ),
             targets=targets,
         )
-        key = configuring.ticket_key(ticket.number)
-        swap = store.Swap(key, 0, stored_values.encode_ticket(ticket))
-        self.platform.store.call(swap, now_ms=0)
+        standin_tickets.put(self.platform.store, ticket)
 
     def _settings(self) -> settings_protocol.Settings:
         address = self.platform.address
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -10,7 +10,12 @@
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events, requests
-from amaranthpulley.transport import log_sink, store_client, target_client
+from amaranthpulley.transport import (
+    log_sink,
+    store_client,
+    target_client,
+    vm_list_client,
+)
 
 Request = requests.SearchRequest | requests.OrderRequest
 Observer = Callable[[commands.AnswerCaller], None]
@@ -34,6 +39,8 @@
         Writes log events.
     store : StoreClient
         Calls the platform's store.
+    vm_list : VmListClient
+        Reads the platform's VM list.
     observe : callable
         Told of every answer, for the metrics.
     """
@@ -45,6 +52,7 @@
         random: Callable[[], float],
         write_log: log_sink.WriteLog,
         store: store_client.StoreClient,
+        vm_list: vm_list_client.VmListClient,
         observe: Observer,
     ) -> None:
         self.daemon = daemon
@@ -53,6 +61,7 @@
         self._random = random
         self._write_log = write_log
         self._store = store
+        self._vm_list = vm_list
         self._observe = observe
         self._targets = target_client.TargetClient()
         self._waiting: dict[str, eventlet.event.Event] = {}
@@ -62,6 +71,8 @@
             commands.AnswerCaller: self._answer_caller,
             commands.SetTimer: self._set_timer,
             commands.CallStore: self._call_store,
+            commands.ListVms: self._list_vms,
+            commands.CallPeer: self._call_peer,
             commands.Log: write_log,
             commands.Exit: self._exit,
         }
@@ -85,6 +96,7 @@
         """Close the connections to targets and store."""
         self._targets.close()
         self._store.close()
+        self._vm_list.close()
 
     def _decide(self, event: events.Event, now_ms: int) -> list[commands.Command]:
         try:
@@ -124,6 +136,17 @@
 
         eventlet.spawn_n(call)
 
+    def _list_vms(self, command: commands.ListVms) -> None:
+        def call() -> None:
+            self.feed(events.VmsListed(self._vm_list.read(command.timeout_ms)))
+
+        eventlet.spawn_n(call)
+
+    def _call_peer(self, command: commands.CallPeer) -> None:
+        unreachable = events.PeerFailure.UNREACHABLE
+        replied = events.PeerReplied(command.purpose, command.address, unreachable)
+        eventlet.spawn_n(self.feed, replied)
+
     def _exit(self, command: commands.Exit) -> None:
         if not self.exit_code.ready():
             self.exit_code.send(command.code)
--- /dev/null
+++ b/amaranthpulley/transport/standin_tickets.py
@@ -0,0 +1,20 @@
+"""Puts change tickets into a stand-in store at once, without the rules for tickets."""
+
+from amaranthpulley.coordination import stored_values
+from amaranthpulley.state import standin_store, store, tickets, topology
+
+
+def put(
+    target: standin_store.StandInStore, ticket: topology.ChangeTicket, now_ms: int = 0
+) -> None:
+    """Accept a ticket as if an operator had brought it in."""
+    present = target.call(store.Get(tickets.HEAD_KEY), now_ms)
+    head = tickets.Head()
+    if present.value is not None:
+        head = stored_values.decode_head(present.value)
+    accepted = tickets.AcceptedTicket(
+        ticket, f"put-{ticket.number}", stored_values.digest_of(ticket), now_ms
+    )
+    grown = head._replace(sequence=head.sequence + 1, tail=(*head.tail, accepted))
+    value = stored_values.encode_head(grown)
+    target.call(store.Swap(tickets.HEAD_KEY, present.revision, value), now_ms)
--- a/amaranthpulley/transport/tests/search_site.py
+++ b/amaranthpulley/transport/tests/search_site.py
@@ -4,17 +4,15 @@
 import itertools
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import configuring, stored_values
 from amaranthpulley.state import (
     daemon,
     keyspace,
     members,
     requests,
     standin_leaf,
-    store,
     topology,
 )
-from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport import standin_tickets, virtual_network
 
 SERVICE: Final = "stock"
 CELLS: Final = keyspace.split_evenly(12)
@@ -84,9 +82,8 @@
         """Write a change ticket to the store."""
         self.tickets += 1
         ticket = topology.ChangeTicket(self.tickets, **entries)
-        key = configuring.ticket_key(ticket.number)
-        value = stored_values.encode_ticket(ticket)
-        self.network.store.call(store.Swap(key, 0, value), self.network.now_ms)
+        store = self.network.store
+        standin_tickets.put(store, ticket, self.network.now_ms)
 
     def leaf(self, number: int) -> standin_leaf.StandInLeaf:
         """Return the stand-in of a target."""
--- /dev/null
+++ b/amaranthpulley/transport/tests/test_membership.py
@@ -0,0 +1,133 @@
+"""Tests of the view of live daemons under virtual time."""
+
+import unittest
+
+from amaranthpulley.coordination import membership
+from amaranthpulley.state import members
+from amaranthpulley.transport.tests import control_site
+
+DEATH_MS = 10_000
+
+
+def _addresses(site: control_site.ControlSite, names: list[str]) -> list[str]:
+    return [site.vm(name).address for name in names]
+
+
+class MembershipTest(unittest.TestCase):
+    """All daemons come to the same view, and keep it without cause to change."""
+
+    def test_all_know_all(self) -> None:
+        for size in (1, 2, 8, 40):
+            with self.subTest(size=size):
+                site = control_site.ControlSite(size)
+                site.run(4_000)
+                [view] = site.views()
+                self.assertEqual(len(view), size)
+
+    def test_fresh_daemon_that_the_list_lacks_is_learnt_from_peers(self) -> None:
+        site = control_site.ControlSite(8)
+        site.run(4_000)
+        site.network.lists_new_vms = False
+        site.start("vm-008")
+        fresh = site.state("vm-008")
+        self.assertEqual(fresh.counters.total("vm_list_failures_total"), 0)
+        site.network.vms += (
+            members.Vm("vm-008", "10.0.0.8:1", "Biratnagar", "Biratnagar"),
+        )
+        site.run(3_000)
+        [view] = site.views()
+        self.assertIn("vm-008", view)
+
+    def test_dead_daemon_is_noticed_although_the_list_shows_it(self) -> None:
+        site = control_site.ControlSite(8)
+        site.run(4_000)
+        site.network.crash("vm-003")
+        site.run(DEATH_MS)
+        [view] = site.views()
+        self.assertEqual(len(view), 7)
+        self.assertNotIn("vm-003", view)
+
+    def test_leaving_daemon_is_out_within_a_second(self) -> None:
+        site = control_site.ControlSite(8)
+        site.run(4_000)
+        membership.leave(site.state("vm-002"), site.network.now_ms)
+        site.run(2_000)
+        for state in site.alive():
+            if state.identity.name != "vm-002":
+                self.assertNotIn("vm-002", [vm.name for vm in state.members.live])
+
+    def test_bad_link_between_two_does_not_change_the_view(self) -> None:
+        site = control_site.ControlSite(6)
+        site.run(4_000)
+        before = [state.members.version for state in site.alive()]
+        site.separate(_addresses(site, ["vm-000"]), _addresses(site, ["vm-001"]))
+        site.run(30_000)
+        self.assertEqual([state.members.version for state in site.alive()], before)
+
+    def test_slow_links_do_not_change_the_view(self) -> None:
+        site = control_site.ControlSite(6)
+        site.run(4_000)
+        before = [state.members.version for state in site.alive()]
+        site.network.delay = lambda sender, receiver: 250
+        site.run(30_000)
+        self.assertEqual([state.members.version for state in site.alive()], before)
+
+    def test_both_sides_of_a_cut_find_each_other_again(self) -> None:
+        site = control_site.ControlSite(9)
+        site.run(4_000)
+        near = [f"vm-{number:03d}" for number in range(0, 9, 3)]
+        far = [f"vm-{number:03d}" for number in range(9) if number % 3]
+        site.separate(_addresses(site, near), _addresses(site, far))
+        site.run(20_000)
+        self.assertEqual(sorted(len(view) for view in site.views()), [3, 6])
+        site.cut.clear()
+        site.run(30_000)
+        [view] = site.views()
+        self.assertEqual(len(view), 9)
+
+    def test_paused_daemon_is_taken_back_and_does_not_bury_the_others(self) -> None:
+        site = control_site.ControlSite(6)
+        site.run(4_000)
+        site.network.pause("vm-001", 60_000)
+        site.run(59_000)
+        self.assertEqual({len(view) for view in site.views()}, {5})
+        site.run(16_000)
+        [view] = site.views()
+        self.assertEqual(len(view), 6)
+
+    def test_stranger_is_refused_and_counted(self) -> None:
+        site = control_site.ControlSite(3)
+        site.run(4_000)
+        site.network.lists_new_vms = False
+        site.start("vm-003")
+        site.run(3_000)
+        refused = [
+            state.counters.total("peer_messages_refused_total", reason="stranger")
+            for state in site.alive()
+        ]
+        self.assertGreater(sum(refused), 0)
+        for name in ("vm-000", "vm-001", "vm-002"):
+            live = [vm.name for vm in site.state(name).members.live]
+            self.assertNotIn("vm-003", live)
+
+    def test_losing_a_whole_domain_at_once(self) -> None:
+        site = control_site.ControlSite(9)
+        site.run(4_000)
+        for number in range(0, 9, 3):
+            site.network.crash(f"vm-{number:03d}")
+        site.run(15_000)
+        [view] = site.views()
+        self.assertEqual(len(view), 6)
+
+    def test_few_keys_move_when_a_member_leaves(self) -> None:
+        table = members.MemberTable(members.Vm("vm-0", "10.0.0.0:1", "a", "a"))
+        vms = [members.Vm(f"vm-{n}", f"10.0.0.{n}:1", "a", "a") for n in range(8)]
+        table.replace(vms)
+        keys = [f"key-{number}" for number in range(500)]
+        before = {key: table.owner_of(key).name for key in keys}
+        table.replace(vms[:-1])
+        for key in keys:
+            if before[key] != "vm-7":
+                self.assertEqual(table.owner_of(key).name, before[key])
+            else:
+                self.assertNotEqual(table.owner_of(key).name, "vm-7")
--- a/amaranthpulley/transport/tests/test_virtual_network.py
+++ b/amaranthpulley/transport/tests/test_virtual_network.py
@@ -2,16 +2,14 @@
 
 import unittest
 
-from amaranthpulley.coordination import configuring, stored_values
 from amaranthpulley.state import (
     daemon,
     keyspace,
     requests,
     standin_leaf,
-    store,
     topology,
 )
-from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport import standin_tickets, virtual_network
 
 SHARDS = 3
 KEYS = [f"item-{number}" for number in range(50)]
@@ -40,8 +38,7 @@
         ),
         targets=tuple(targets),
     )
-    value = stored_values.encode_ticket(ticket)
-    network.store.call(store.Swap(configuring.ticket_key(1), 0, value), now_ms=0)
+    standin_tickets.put(network.store, ticket)
     network.start_daemon(
         daemon.Identity("vm-1", "10.0.0.1:1", "Pokhara", "Pokhara", "a")
     )
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/virtual_network.py
@@ -61,15 +61,21 @@
     delay : callable
         Given the addresses of sender and receiver returns the one-way delay in
         milliseconds, or None when the message is lost. Replace it to cut or slow links.
+    vms : tuple of Vm
+        What the VM list shows.
+    lists_new_vms : bool
+        Whether a daemon that starts is on the VM list at once.
     """
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
         self.clock = clock_state.VirtualClock()
         self.daemons: dict[str, VirtualDaemon] = {}
+        self._by_address: dict[str, VirtualDaemon] = {}
         self.answers: list[Answered] = []
         self.logs: list[tuple[int, str, commands.Log]] = []
-        self.vms: tuple[members.Vm, ...] | None = ()
+        self.vms: tuple[members.Vm, ...] = ()
+        self.lists_new_vms = True
         self.delay: Delay = lambda sender, receiver: DEFAULT_DELAY_MS
         self.platform = virtual_platform.VirtualPlatform(self)
         self.targets = virtual_targets.VirtualTargets(self)
@@ -115,11 +121,19 @@
         """Start a daemon; one of the same name must have ended before."""
         daemon = VirtualDaemon(identity, limits or daemon_state.Limits())
         self.daemons[identity.name] = daemon
+        self._by_address[identity.address] = daemon
+        if self.lists_new_vms:
+            self._list(identity)
         clock = self.clock.as_clock()
         wall_offset_ms = clock.wall_ms() - clock.monotonic_ms()
         self.feed(daemon, events.Started(wall_offset_ms))
         return daemon
 
+    def _list(self, identity: daemon_state.Identity) -> None:
+        vm = members.Vm(*identity[:4])
+        others = (other for other in self.vms if other.name != vm.name)
+        self.vms = (*others, vm)
+
     def crash(self, name: str) -> None:
         """End a daemon at once; its callers get no answer."""
         self.daemons[name].alive = False
@@ -168,6 +182,8 @@
                 self._call_peer(daemon, command)
             case commands.ReplyPeer():
                 self._calls.pop(command.call_id)(command.reply)
+            case commands.RejectPeer():
+                self._calls.pop(command.call_id)(events.PeerFailure.REJECTED)
             case commands.Log():
                 self.logs.append((self.now_ms, name, command))
             case commands.Exit():
@@ -206,7 +222,5 @@
         self.after(command.timeout_ms, lambda: end(events.PeerFailure.TIMED_OUT))
 
     def _daemon_at(self, address: str) -> VirtualDaemon | None:
-        for daemon in self.daemons.values():
-            if daemon.alive and daemon.state.identity.address == address:
-                return daemon
-        return None
+        daemon = self._by_address.get(address)
+        return daemon if daemon is not None and daemon.alive else None
--- a/amaranthpulley/transport/virtual_platform.py
+++ b/amaranthpulley/transport/virtual_platform.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from amaranthpulley.coordination import commands, events
-from amaranthpulley.state import standin_store, store
+from amaranthpulley.coordination import commands, events, ticketing
+from amaranthpulley.state import standin_store, store, topology
 
 if typing.TYPE_CHECKING:
     from amaranthpulley.transport import virtual_network
@@ -40,6 +40,7 @@
         self.store = standin_store.StandInStore()
         self.faults = StoreFaults()
         self.vm_list_down = False
+        self._operators = 0
         self._network = network
         self._watches: list[tuple[store.Watch, Callable[[store.Result], None]]] = []
 
@@ -47,18 +48,31 @@
         self, daemon: virtual_network.VirtualDaemon, command: commands.CallStore
     ) -> None:
         """Carry out a store call of a daemon."""
-        network = self._network
+
+        def end(result: store.Result) -> None:
+            self._network.feed(
+                daemon, events.StoreReplied(command.purpose, command.operation, result)
+            )
+
         own = daemon.state.identity.address
+        self.call(own, command.operation, command.timeout_ms, end)
+
+    def call(
+        self,
+        own: str,
+        operation: store.Operation,
+        timeout_ms: int,
+        done: Callable[[store.Result], None],
+    ) -> None:
+        """Carry out a store call of an address and hand over its result once."""
+        network = self._network
         ended = False
 
         def end(result: store.Result) -> None:
             nonlocal ended
             if not ended:
                 ended = True
-                network.feed(
-                    daemon,
-                    events.StoreReplied(command.purpose, command.operation, result),
-                )
+                done(result)
 
         def send_back(result: store.Result) -> None:
             back_ms = network.delay(STORE_ADDRESS, own)
@@ -69,9 +83,33 @@
         there_ms = network.delay(own, STORE_ADDRESS)
         if there_ms is not None:
             wait_ms = there_ms + self.faults.delay_ms
-            network.after(wait_ms, lambda: self._arrive(command.operation, send_back))
+            network.after(wait_ms, lambda: self._arrive(operation, send_back))
         timed_out = store.StoreFailed("timed out", unknown=True)
-        network.after(command.timeout_ms, lambda: end(timed_out))
+        network.after(timeout_ms, lambda: end(timed_out))
+
+    def apply_ticket(
+        self,
+        ticket: topology.ChangeTicket,
+        done: Callable[[ticketing.Verdict], None],
+        operator: str = "operator",
+        timeout_ms: int = 1_000,
+    ) -> None:
+        """Let an operator bring a ticket in, over the network and with its faults."""
+        self._operators += 1
+        apply_id = f"{operator}-{self._operators}"
+        steps = ticketing.apply(
+            ticket, apply_id, self._network.clock.as_clock().wall_ms()
+        )
+
+        def go_on(result: store.Result | None) -> None:
+            try:
+                operation = steps.send(result)
+            except StopIteration as stop:
+                done(stop.value)
+                return
+            self.call(operator, operation, timeout_ms, go_on)
+
+        go_on(None)
 
     def list_vms(
         self, daemon: virtual_network.VirtualDaemon, command: commands.ListVms
