--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -6,8 +6,10 @@
 
 from amaranthpulley.transport import errors
 from amaranthpulley.transport.bench import (
+    capacity,
     domain_loss,
     overload,
+    plots,
     report,
     rolling,
     search_cost,
@@ -25,7 +27,7 @@
     seed : int
         Decides all chance.
     out : str or None
-        Folder for the rows as JSON lines; None to write none.
+        Folder for the rows as JSON lines and the plots; None to write none.
     quick : bool
         Whether sizes are small, to try the tool out.
     leaves : str or None
@@ -88,6 +90,11 @@
         lambda options: search_cost.run(options.leaves, options.seed, options.quick),
         needs_leaves=True,
     ),
+    Experiment(
+        "capacity",
+        "growth of state, time and messages with the size of the system",
+        lambda options: capacity.run(options.seed, options.quick),
+    ),
 )
 
 
@@ -120,7 +127,9 @@
             origin = report.Origin(
                 experiment.name, command, options.seed, options.revision
             )
-            report.write_lines(rows, origin, pathlib.Path(options.out))
+            folder = pathlib.Path(options.out)
+            report.write_lines(rows, origin, folder)
+            plots.save(experiment.name, rows, folder)
     return 0
 
 
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/virtual_network.py
@@ -26,6 +26,7 @@
 DEFAULT_DELAY_MS = 1
 
 Delay = Callable[[str, str], int | None]
+Observe = Callable[["VirtualDaemon", events.Event], None]
 
 
 class Answered(NamedTuple):
@@ -65,6 +66,8 @@
         What the VM list shows.
     lists_new_vms : bool
         Whether a daemon that starts is on the VM list at once.
+    observe : callable
+        Told of each event that a daemon takes, before it does.
     """
 
     def __init__(self, seed: int) -> None:
@@ -77,6 +80,7 @@
         self.vms: tuple[members.Vm, ...] = ()
         self.lists_new_vms = True
         self.delay: Delay = lambda sender, receiver: DEFAULT_DELAY_MS
+        self.observe: Observe = lambda daemon, event: None
         self.platform = virtual_platform.VirtualPlatform(self)
         self.targets = virtual_targets.VirtualTargets(self)
         self._due: list[tuple[int, int, Callable[[], None]]] = []
@@ -157,6 +161,7 @@
         if daemon.paused_until_ms > self.now_ms:
             self.at(daemon.paused_until_ms, lambda: self.feed(daemon, event))
             return
+        self.observe(daemon, event)
         decided = engine.step(daemon.state, event, self.now_ms, self.random.random)
         for command in decided:
             self.carry_out(daemon, command)
