--- a/amaranthpulley/coordination/claim_commit.py
+++ b/amaranthpulley/coordination/claim_commit.py
@@ -26,6 +26,7 @@
 GATHER_MS: Final = 3
 COMMIT_INTERVAL_MS: Final = 150
 CONFIRM_INTERVAL_MS: Final = 60_000
+UNSETTLED_CONFIRM_MS: Final = 200
 IDLE_RANGE_MS: Final = 600_000
 SEGMENT_BYTES: Final = 128 * 1024
 MAXIMUM_BATCH_BYTES: Final = 512 * 1024
@@ -33,6 +34,7 @@
 MAXIMUM_TRIES: Final = 5
 
 _Kind = claims.VerdictKind
+_UNSETTLED: Final = (claims.ClaimStatus.CLAIMED, claims.ClaimStatus.UNKNOWN)
 
 
 class BatchWritten(NamedTuple):
@@ -183,6 +185,9 @@
         if decision.changed is not None:
             changed[key] = decision.changed
     if not changed:
+        if _must_confirm(claim_range, verdicts, now_ms):
+            claim_range.waiting = taken + claim_range.waiting
+            return [*refused, *claim_segments.refresh(daemon, claim_range)]
         pairs = zip(taken, verdicts, strict=True)
         given = [_deliver(entry, verdict, now_ms) for entry, verdict in pairs]
         return [*refused, *given, *_advance(daemon, claim_range, now_ms)]
@@ -199,6 +204,17 @@
     return [*refused, write]
 
 
+def _must_confirm(
+    claim_range: claims.ClaimRange, verdicts: list[claims.Verdict], now_ms: int
+) -> bool:
+    # Another daemon may have recorded the outcome since this one owned the range.
+    unsettled = any(
+        verdict.kind is _Kind.FOUND and verdict.status in _UNSETTLED
+        for verdict in verdicts
+    )
+    return unsettled and now_ms - claim_range.confirmed_ms > UNSETTLED_CONFIRM_MS
+
+
 def _encode(
     claim_range: claims.ClaimRange, changed: dict[str, claims.Claim]
 ) -> tuple[bytes, bool]:
--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/ordering.py
@@ -290,11 +290,11 @@
     order.outcome = outcome
     released: Commands = []
     if order.phase is _Phase.HELD or order.may_be_claimed:
-        released = _record(daemon, order, _Status.NOT_RUN, "", now_ms)
-    given_up = commands.log(
-        log_events.ORDER_GIVEN_UP, request_id=order.request.request_id
-    )
-    return [given_up, *released, *_end(daemon, order, outcome, now_ms)]
+        given_up = commands.log(
+            log_events.ORDER_GIVEN_UP, request_id=order.request.request_id
+        )
+        released = [given_up, *_record(daemon, order, _Status.NOT_RUN, "", now_ms)]
+    return [*released, *_end(daemon, order, outcome, now_ms)]
 
 
 def _record(
@@ -329,7 +329,9 @@
 ) -> Commands:
     daemon.orders.note_answer(order)
     elapsed_ms = now_ms - order.started_ms
-    return answering.answer(daemon, order.request, outcome, elapsed_ms)
+    return answering.answer(
+        daemon, order.request, outcome, elapsed_ms, order.attempts_sent
+    )
 
 
 def _record_of(
--- a/amaranthpulley/coordination/sending.py
+++ b/amaranthpulley/coordination/sending.py
@@ -52,10 +52,9 @@
     order = daemon.orders.end_attempt(attempt_id)
     if order is None:
         return None
-    state = daemon.targets.of(order.target.name)
-    state.in_flight -= 1
+    daemon.targets.of(order.target.name).in_flight -= 1
     if load is not None:
-        state.load = load
+        daemon.targets.report(order.target.name, load)
     return order
 
 
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -5,8 +5,10 @@
 from amaranthpulley.state import (
     claims,
     configuration,
+    control,
     counters,
     facts,
+    journal,
     leases,
     members,
     orders,
@@ -38,11 +40,37 @@
 
 
 class Limits(NamedTuple):
-    """Bounds on what a daemon takes on; times in milliseconds."""
+    """Bounds on what a daemon takes on; times in milliseconds.
+
+    Attributes
+    ----------
+    maximum_requests_in_progress, maximum_row_count : int
+        Requests at a time, and rows of one answer.
+    store_timeout_ms : int
+        Time to wait for the store's reply.
+    journal_flush_ms : int
+        Time between writes of the journal; longer in a large fleet.
+    journal_memory_bytes : int
+        Memory for records that the store does not take.
+    journal_when_full : FullPolicy
+        What happens to requests when that memory is full.
+    drain_grace_ms : int
+        Time for which a leaving daemon, already unready, still takes requests.
+    drain_limit_ms : int
+        Time after which a leaving daemon ends whatever is left.
+    journal_life_first : bool
+        Refuse requests until the store knows of the daemon's life.
+    """
 
     maximum_requests_in_progress: int = 1_000
     maximum_row_count: int = 100_000
     store_timeout_ms: int = 500
+    drain_grace_ms: int = 2_000
+    drain_limit_ms: int = 30_000
+    journal_flush_ms: int = 5_000
+    journal_memory_bytes: int = 32 * 1024 * 1024
+    journal_when_full: journal.FullPolicy = journal.FullPolicy.REFUSE
+    journal_life_first: bool = False
     order_retention_ms: int = 86_400_000
 
 
@@ -75,8 +103,11 @@
             )
         )
         self.facts = facts.FactTable()
+        self.journal = journal.Journal()
         self.leases = leases.LeaseTable()
+        self.control = control.ControlState()
         self.wall_offset_ms = 0
+        self.leaving = False
         self.draining = False
         self._last_id = 0
 
@@ -85,6 +116,12 @@
         """The number of requests that have no answer yet."""
         return len(self.searches) + len(self.orders)
 
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        is_current = not self.configuration.suspended
+        return is_current and not self.leaving and bool(self.configuration.entries)
+
     def wall_ms(self, now_ms: int) -> int:
         """Return milliseconds since the Unix epoch for a monotonic reading."""
         return now_ms + self.wall_offset_ms
--- a/amaranthpulley/transport/bench/measuring.py
+++ b/amaranthpulley/transport/bench/measuring.py
@@ -46,6 +46,7 @@
         self.coverage_errors = 0
         self.all_sent = 0
         self.all_runs = 0
+        self.cold_runs = 0
         self.sent_by_second: collections.Counter[int] = collections.Counter()
         self.useful_by_second: collections.Counter[int] = collections.Counter()
         self.latency_by_second: dict[int, histogram.Histogram] = {}
@@ -72,9 +73,18 @@
         """
         return self.all_runs / (self.all_sent * shards)
 
-    def observe_run(self) -> None:
-        """Count a leaf call that a leaf has run."""
+    def latency_between(self, begin: int, end: int) -> histogram.Histogram:
+        """Return the latency of the answers from second `begin` up to `end`."""
+        merged = histogram.Histogram()
+        for second in range(begin, end):
+            if second in self.latency_by_second:
+                merged.update(self.latency_by_second[second])
+        return merged
+
+    def observe_run(self, is_cold: bool) -> None:
+        """Count a leaf call that a leaf runs."""
         self.all_runs += 1
+        self.cold_runs += is_cold
 
     def note_sent(self, request_id: str, now_ms: int) -> None:
         """Count a search."""
--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -5,7 +5,16 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.transport import errors
-from amaranthpulley.transport.bench import report, stragglers
+from amaranthpulley.transport.bench import (
+    capacity,
+    domain_loss,
+    overload,
+    plots,
+    report,
+    rolling,
+    search_cost,
+    stragglers,
+)
 
 
 class Options(NamedTuple):
@@ -18,9 +27,11 @@
     seed : int
         Decides all chance.
     out : str or None
-        Folder for the rows as JSON lines; None to write none.
+        Folder for the rows as JSON lines and the plots; None to write none.
     quick : bool
         Whether sizes are small, to try the tool out.
+    leaves : str or None
+        Folder with the addresses of running leaves; None when there are none.
     revision : str
         Revision of the source, noted with the rows.
     """
@@ -29,15 +40,27 @@
     seed: int
     out: str | None
     quick: bool
+    leaves: str | None = None
     revision: str = ""
 
 
 class Experiment(NamedTuple):
-    """A measurement that the tool can run."""
+    """A measurement that the tool can run.
+
+    Attributes
+    ----------
+    name, title : str
+        How it is called.
+    run : callable
+        Returns the rows.
+    needs_leaves : bool
+        Whether it asks leaves in processes of their own.
+    """
 
     name: str
     title: str
     run: Callable[[Options], list]
+    needs_leaves: bool = False
 
 
 EXPERIMENTS: Final = (
@@ -46,6 +69,32 @@
         "slow leaf calls against the tail of searches",
         lambda options: stragglers.run(options.seed, options.quick),
     ),
+    Experiment(
+        "overload",
+        "twice the load that the leaves can carry, and the time after it",
+        lambda options: overload.run(options.seed, options.quick),
+    ),
+    Experiment(
+        "domain_loss",
+        "a failure domain lost without warning that comes back cold",
+        lambda options: domain_loss.run(options.seed, options.quick),
+    ),
+    Experiment(
+        "rolling",
+        "index versions that roll over the leaves under load",
+        lambda options: rolling.run(options.seed, options.quick),
+    ),
+    Experiment(
+        "search_cost",
+        "processor time of a search by leaves asked, over loopback",
+        lambda options: search_cost.run(options.leaves, options.seed, options.quick),
+        needs_leaves=True,
+    ),
+    Experiment(
+        "capacity",
+        "growth of state, time and messages with the size of the system",
+        lambda options: capacity.run(options.seed, options.quick),
+    ),
 )
 
 
@@ -68,13 +117,19 @@
         command = _command_of(experiment, options)
         show(f"{experiment.name}: {experiment.title}")
         show(f"command: {command}")
+        if experiment.needs_leaves and options.leaves is None:
+            show("not run: it needs leaves; `make bench` starts them")
+            show("")
+            continue
         rows = experiment.run(options)
         report.show_table(rows, show)
         if options.out is not None:
             origin = report.Origin(
                 experiment.name, command, options.seed, options.revision
             )
-            report.write_lines(rows, origin, pathlib.Path(options.out))
+            folder = pathlib.Path(options.out)
+            report.write_lines(rows, origin, folder)
+            plots.save(experiment.name, rows, folder)
     return 0
 
 
@@ -90,4 +145,7 @@
 
 def _command_of(experiment: Experiment, options: Options) -> str:
     quick = " --quick" if options.quick else ""
-    return f"amaranthpulley bench --only {experiment.name} --seed {options.seed}{quick}"
+    words = f"--only {experiment.name} --seed {options.seed}{quick}"
+    if experiment.needs_leaves:
+        return f'make bench BENCH="{words}"'
+    return f"amaranthpulley bench {words}"
--- a/amaranthpulley/transport/tests/test_order_properties.py
+++ b/amaranthpulley/transport/tests/test_order_properties.py
@@ -133,7 +133,7 @@
     @PROFILE
     @hypothesis.given(SEEDS)
     def test_not_run_is_true(self, seed: int) -> None:
-        # Each order has a key of its own, so that a run belongs to its one request.
+        # Each order has a key of its own: a run belongs to the one request.
         def order_once(site: order_site.OrderSite, chance: random.Random) -> None:
             site.order(_any_vm(site, chance), f"once-{len(site.tries)}")
 
@@ -166,13 +166,9 @@
             for request_id, outcome in before.items()
             if isinstance(outcome, requests.OrderDone)
         }
-        repeats = {
-            key: site.order(f"vm-{number}", key)
-            for key in done
-            for number in range(len(site.vms))
-        }
+        repeats = [(key, site.order(vm.name, key)) for key in done for vm in site.vms]
         site.network.run_until(SETTLED_MS + 10_000)
-        for key, request_id in repeats.items():
+        for key, request_id in repeats:
             outcome = site.outcomes[request_id]
             if isinstance(outcome, requests.OrderDone):
                 self.assertEqual((outcome.result, outcome.repeated), (done[key], True))
