--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -3,11 +3,14 @@
 Usage:
   amaranthpulley daemon --settings FILE
   amaranthpulley leaf [--address ADDRESS] [--shard NUMBER] [--shards COUNT]
+                      [--count COUNT]
   amaranthpulley store [--address ADDRESS]
   amaranthpulley demo
   amaranthpulley bench [--only NAME] [--seed N] [--out DIR] [--quick]
-                       [--revision TEXT]
+                       [--leaves DIR] [--revision TEXT]
   amaranthpulley settings check FILE
+  amaranthpulley customer export CUSTOMER --from TIME --to TIME
+                          (--out FILE --store ADDRESS)
   amaranthpulley version
   amaranthpulley --help
 
@@ -17,10 +20,15 @@
                      [default: 127.0.0.1:0].
   --shard NUMBER     Which shard the stand-in leaf holds, from 0 [default: 0].
   --shards COUNT     How many shards there are [default: 1].
+  --count COUNT      How many leaves to serve, with consecutive shards [default: 1].
   --only NAME        Run this experiment alone.
   --seed N           Decides all chance of an experiment [default: 1].
-  --out DIR          Write the rows as JSON lines into this folder.
+  --from TIME        Requests that arrived from this time on, in ISO 8601.
+  --to TIME          Requests that arrived before this time.
+  --store ADDRESS    IP:port of the platform's store.
+  --out DIR          Write the rows as JSON lines, and plots, into this folder.
   --quick            Small sizes, to try the tool out.
+  --leaves DIR       Where the files with the addresses of running leaves are.
   --revision TEXT    Revision of the source, noted with the rows [default: ].
   --help             Show this text.
 
@@ -39,7 +47,7 @@
 import amaranthpulley
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import settings as settings_protocol
-from amaranthpulley.transport import errors, loop
+from amaranthpulley.transport import errors, iso_times, loop
 
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
@@ -72,6 +80,8 @@
         protocol_errors.InvalidTicketError,
     ) as error:
         return _fail(error, EXIT_USAGE)
+    except errors.InvalidTimeError as error:
+        return _fail(error, EXIT_USAGE)
     except errors.TransportError as error:
         return _fail(error, EXIT_FAILED)
 
@@ -99,6 +109,7 @@
         arguments["--address"],
         int(arguments["--shard"]),
         int(arguments["--shards"]),
+        int(arguments["--count"]),
         print,
     )
 
@@ -126,6 +137,7 @@
         int(arguments["--seed"]),
         arguments["--out"],
         arguments["--quick"],
+        arguments["--leaves"],
         arguments["--revision"] or "",
     )
     return tool.run(options, print)
@@ -137,6 +149,21 @@
     return EXIT_OK
 
 
+def _export_customer(arguments: Arguments) -> int:
+    window = iso_times.parse_window(arguments["--from"], arguments["--to"])
+    loop.prepare_loop()
+    from amaranthpulley.transport import customer_export
+
+    return customer_export.run_command(
+        arguments["CUSTOMER"],
+        window,
+        arguments["--store"],
+        arguments["--out"],
+        print,
+        lambda line: print(line, file=sys.stderr),
+    )
+
+
 def _show_version(arguments: Arguments) -> int:
     print(f"amaranthpulley {amaranthpulley.__version__}")
     return EXIT_OK
@@ -149,5 +176,6 @@
     "demo": _run_demo,
     "bench": _run_bench,
     "settings": _check_settings,
+    "customer": _export_customer,
     "version": _show_version,
 }
--- a/amaranthpulley/transport/bench/trial.py
+++ b/amaranthpulley/transport/bench/trial.py
@@ -9,6 +9,8 @@
 COOL_DOWN_MS: Final = 5_000
 STEP_MS: Final = 1_000
 
+Action = Callable[[], None]
+
 
 class Plan(NamedTuple):
     """What happens in a trial.
@@ -68,10 +70,10 @@
             self.collector,
         )
         self.site.network.targets.service_ms = workload.service_time(
-            plan.stragglers, seed + 2, self._observe_run
+            plan.stragglers, seed + 2, self.collector.observe_run
         )
 
-    def at(self, since_begin_ms: int, action: Callable[[], None]) -> None:
+    def at(self, since_begin_ms: int, action: Action) -> None:
         """Let something happen at a time since the begin of the measured span."""
         self.site.network.at(self.begin_ms + since_begin_ms, action)
 
@@ -85,6 +87,3 @@
             network.answers.clear()
             network.logs.clear()
         return self.collector
-
-    def _observe_run(self, leaf: str, work_ms: int) -> None:
-        self.collector.observe_run()
--- a/amaranthpulley/transport/bench/workload.py
+++ b/amaranthpulley/transport/bench/workload.py
@@ -12,6 +12,8 @@
 
 MEAN_SERVICE_MS: Final = 20.0
 SERVICE_SIGMA: Final = 0.5
+# How a leaf bears load after a restart.
+COLD: Final = standin_leaf.ColdMode(bears=1, warm_after=20, slowness=3)
 CUSTOMER: Final = "bench"
 
 Rate = Callable[[int], float]
@@ -49,7 +51,9 @@
 
 
 def service_time(
-    stragglers: Stragglers, seed: int, observe: Callable[[str, int], None]
+    stragglers: Stragglers,
+    seed: int,
+    observe: Callable[[bool], None],
 ) -> virtual_targets.ServiceTime:
     """Return log-normal service times with stragglers.
 
@@ -60,7 +64,7 @@
     seed : int
         Decides the times.
     observe : callable
-        Told of each run: the leaf's name and the time, in milliseconds.
+        Told of each run, whether its leaf is cold.
     """
     chance = random.Random(seed)
     location = math.log(MEAN_SERVICE_MS) - SERVICE_SIGMA**2 / 2
@@ -73,7 +77,7 @@
             work_ms *= stragglers.factor
         if command.target.name == stragglers.slow_leaf:
             work_ms *= stragglers.slow_leaf_factor
-        observe(command.target.name, round(work_ms))
+        observe(leaf.cold is not None)
         return max(1, round(work_ms))
 
     return service_ms
--- a/amaranthpulley/transport/customer_export.py
+++ b/amaranthpulley/transport/customer_export.py
@@ -6,27 +6,32 @@
 """
 
 import collections
-import datetime
 import pathlib
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Final, NamedTuple, TypedDict
 
+import eventlet
 import msgspec
 
 from amaranthpulley.coordination import (
+    claim_segments,
     journal_gaps,
     journal_writing,
     stored_values,
 )
-from amaranthpulley.state import journal, store
-from amaranthpulley.transport import errors
+from amaranthpulley.state import journal, requests, store
+from amaranthpulley.transport import errors, iso_times, store_client
 
 Call = Callable[[store.Operation], store.Result]
-OrderSource = Callable[[Call], Iterable[journal.JournalRecord]]
 Show = Callable[[str], None]
 
 LIST_LIMIT: Final = 1_000
 PROGRESS_BUCKETS: Final = 6
+READ_TIMEOUT_MS: Final = 10_000
+READ_TRIES: Final = 5
+RETRY_SECONDS: Final = 1.0
+# An order's claim may know more than the answer that its caller got.
+UNSETTLED_OUTCOMES: Final = ("", requests.OrderUnknown.__name__)
 SUMMARY_SUFFIX: Final = ".summary.json"
 PARTIAL_SUFFIX: Final = ".partial"
 
@@ -42,14 +47,11 @@
         When they arrived.
     call : callable
         Calls the store; raises `PlatformUnreachableError` when it gives no answer.
-    order_records : callable
-        Yields the records that are kept with the claims of orders.
     """
 
     customer: str
     window: journal_gaps.Window
     call: Call
-    order_records: OrderSource
 
 
 class GapBody(TypedDict):
@@ -103,7 +105,7 @@
         self._lives = list(read_lives(job.call))
         self._orders = {
             record.request_id: record
-            for record in job.order_records(job.call)
+            for record in order_records(job.call)
             if record.customer == job.customer and job.window.holds(record.received_ms)
         }
 
@@ -131,8 +133,8 @@
         gaps = [_gap_body(gap) for gap in self.gaps()]
         return Summary(
             customer=self._job.customer,
-            received_from=iso_time(window.from_ms),
-            received_before=iso_time(window.to_ms),
+            received_from=iso_times.format_time(window.from_ms),
+            received_before=iso_times.format_time(window.to_ms),
             records=self._outcomes.total(),
             records_by_outcome=dict(sorted(self._outcomes.items())),
             erased_records=self._erased,
@@ -167,7 +169,13 @@
         for numbered in stored_values.decompress_records(segment.data):
             record = numbered.record
             if self._job.window.holds(record.received_ms):
-                yield self._count(self._orders.pop(record.request_id, record))
+                yield self._count(self._merge_order(record))
+
+    def _merge_order(self, record: journal.JournalRecord) -> journal.JournalRecord:
+        claimed = self._orders.pop(record.request_id, None)
+        if claimed is None or record.outcome not in UNSETTLED_OUTCOMES:
+            return record
+        return record._replace(outcome=claimed.outcome or record.outcome)
 
     def _trail(self, vm: str, life: str) -> journal_gaps.Trail:
         trail = self._trails.get((vm, life))
@@ -224,6 +232,47 @@
     return summary
 
 
+def run_command(
+    customer: str,
+    window: journal_gaps.Window,
+    store_address: str,
+    path: str,
+    show: Show,
+    show_progress: Show,
+) -> int:
+    """Export a customer's requests for an operator, and return the exit code.
+
+    Parameters
+    ----------
+    customer : str
+        Whose requests.
+    window : Window
+        When they arrived.
+    store_address : str
+        ``IP:port`` of the platform's store.
+    path : str
+        Where the JSON lines go.
+    show, show_progress : callable
+        Show a line of the result, and of the progress.
+    """
+    client = store_client.StoreClient(store_address)
+    try:
+        job = Job(customer, window, patient_call(client))
+        summary = run(job, path, show_progress)
+    finally:
+        client.close()
+    show(f"{path}: {summary['records']} requests of {customer}")
+    if summary["complete"]:
+        show("nothing is missing")
+    else:
+        show(
+            f"not complete: {len(summary['gaps'])} gaps and "
+            f"{summary['erased_records']} erased records, listed in "
+            f"{path}{SUMMARY_SUFFIX}"
+        )
+    return 0
+
+
 def keys_with(call: Call, prefix: str) -> Iterator[str]:
     """Yield all keys with a prefix in their order."""
     after = ""
@@ -243,40 +292,37 @@
             yield stored_values.decode_life(value)
 
 
-def no_order_records(call: Call) -> Iterable[journal.JournalRecord]:
-    """Return no records, for a store without claims of orders."""
-    return ()
+def order_records(call: Call) -> Iterator[journal.JournalRecord]:
+    """Yield the records that the claims of orders hold, the latest state last."""
+    for key in keys_with(call, claim_segments.PREFIX):
+        value = call(store.Get(key)).value
+        if value is not None:
+            yield from stored_values.journal_records(value)
 
 
-def iso_time(time_ms: int) -> str:
-    """Return a time in ISO 8601 with milliseconds, in UTC."""
-    epoch = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
-    time = epoch + datetime.timedelta(milliseconds=time_ms)
-    return time.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+def patient_call(client: store_client.StoreClient) -> Call:
+    """Return a function that reads the store and tries again after a failure.
 
+    It raises `PlatformUnreachableError` once `READ_TRIES` have failed.
+    """
 
-def parse_time(text: str) -> int:
-    """Return milliseconds since the Unix epoch of a time in ISO 8601.
+    def call(operation: store.Operation) -> store.Result:
+        for _ in range(READ_TRIES):
+            result = client.call(operation, READ_TIMEOUT_MS)
+            if not isinstance(result, store.StoreFailed):
+                return result
+            eventlet.sleep(RETRY_SECONDS)
+        raise errors.PlatformUnreachableError(
+            f"the store gives no answer ({result.reason}); nothing was written, "
+            "repeat the command when it is back"
+        )
 
-    Raises
-    ------
-    InvalidTimeError
-        When the text is no time; without a zone it is taken as UTC.
-    """
-    try:
-        time = datetime.datetime.fromisoformat(text)
-    except ValueError as error:
-        raise errors.InvalidTimeError(
-            f"{text!r} is no time; write it as 2026-12-04T09:30:00Z"
-        ) from error
-    if time.tzinfo is None:
-        time = time.replace(tzinfo=datetime.UTC)
-    return int(time.timestamp() * 1000)
+    return call
 
 
 def _line_of(record: journal.JournalRecord) -> bytes:
     body: dict[str, Any] = record._asdict()
-    body["received"] = iso_time(body.pop("received_ms"))
+    body["received"] = iso_times.format_time(body.pop("received_ms"))
     return msgspec.json.encode(body)
 
 
@@ -292,8 +338,8 @@
         life=gap.life,
         first_sequence=gap.first_sequence,
         last_sequence=gap.last_sequence,
-        since=iso_time(gap.since_ms),
-        until=None if gap.until_ms is None else iso_time(gap.until_ms),
+        since=iso_times.format_time(gap.since_ms),
+        until=None if gap.until_ms is None else iso_times.format_time(gap.until_ms),
         reason=gap.reason.value,
     )
 
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -77,3 +77,9 @@
     """A time given on the command line cannot be read."""
 
     code = "invalid_time"
+
+
+class NoLeavesError(TransportError):
+    """The stand-in leaves that an experiment asks are not there."""
+
+    code = "no_leaves"
