Prove the settings' contract and the path through separate processes

The settings feature first failed on a file that is no JSON: the line said only 'Input data was truncated'. It now says that the file is not JSON.

--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -62,6 +62,9 @@
     """
     try:
         raw = msgspec.json.decode(text)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.InvalidSettingsError(f"settings: not JSON: {error}") from error
+    try:
         settings = msgspec.convert(raw, Settings)
     except msgspec.MsgspecError as error:
         raise errors.InvalidSettingsError(f"settings: {error}") from error
--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,77 @@
+Feature: The settings file
+  A daemon starts only from settings that are in order. A fault gives one line with
+  the path of the key, an exit code that is not 0, and nothing is started.
+
+  Background:
+    Given settings that are in order
+
+  Scenario: Settings that are in order
+    When the settings are checked
+    Then the exit code is 0
+
+  Scenario Outline: Faults in the settings
+    Given the settings with <key> set to <value>
+    When the daemon is started
+    Then the exit code is 2
+    And the one line of the error holds "<text>"
+
+    Examples: Wrong values
+      | key                         | value          | text                           |
+      | vm_name                     | 7              | $.vm_name                      |
+      | vm_name                     | ""             | $.vm_name                      |
+      | listen                      | []             | $.listen                       |
+      | listen.ip                   | "localhost"    | $.listen.ip                    |
+      | listen.caller_port          | 65536          | $.listen.caller_port           |
+      | listen.caller_port          | "80"           | $.listen.caller_port           |
+      | platform.store_address      | "127.0.0.1"    | $.platform.store_address       |
+      | limits                      | 1              | $.limits                       |
+      | limits.store_timeout_ms     | 0              | $.limits.store_timeout_ms      |
+
+    Examples: Unknown keys
+      | key                         | value          | text                           |
+      | colour                      | "red"          | unknown key - at `$.colour`    |
+      | listen.udp_port             | 1              | unknown key - at `$.listen.udp_port` |
+      | limits.store_timeout        | 1              | unknown key - at `$.limits.store_timeout` |
+
+  Scenario Outline: Missing keys
+    Given the settings without <key>
+    When the daemon is started
+    Then the exit code is 2
+    And the one line of the error holds "<text>"
+
+    Examples:
+      | key                    | text             |
+      | vm_name                | `vm_name`        |
+      | listen.ip              | `ip`             |
+      | platform.store_address | `store_address`  |
+
+  Scenario Outline: Files that cannot be used
+    Given a settings file that is <state>
+    When the daemon is started
+    Then the exit code is 2
+    And the one line of the error holds "<text>"
+
+    Examples:
+      | state     | text        |
+      | absent    | cannot read |
+      | a folder  | cannot read |
+      | no JSON   | not JSON    |
+      | not UTF-8 | not JSON    |
+      | a list    | object      |
+
+  Scenario Outline: Ports in use
+    Given another process that listens on <key>
+    When the daemon is started
+    Then the exit code is 1
+    And the one line of the error holds "cannot listen on 127.0.0.1:"
+
+    Examples:
+      | key                |
+      | listen.caller_port |
+      | listen.admin_port  |
+
+  Scenario: A log file that cannot be written
+    Given the settings with log_file set to "/nowhere/daemon.log"
+    When the daemon is started
+    Then the exit code is 1
+    And the one line of the error holds "cannot write the log file"
