--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -7,12 +7,14 @@
 
 from amaranthpulley.protocol import errors
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import journal
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
 IpAddress = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
 HostPort = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+RetentionMilliseconds = Annotated[int, msgspec.Meta(ge=600_000, le=604_800_000)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -38,6 +40,13 @@
     maximum_requests_in_progress: NotRequired[Count]
     maximum_row_count: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
+    drain_grace_ms: NotRequired[Milliseconds]
+    drain_limit_ms: NotRequired[Milliseconds]
+    journal_flush_ms: NotRequired[Milliseconds]
+    journal_memory_bytes: NotRequired[Count]
+    journal_when_full: NotRequired[journal.FullPolicy]
+    journal_life_first: NotRequired[bool]
+    order_retention_ms: NotRequired[RetentionMilliseconds]
 
 
 class Settings(TypedDict):
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -59,3 +59,15 @@
     """A peer refused a message."""
 
     code = "peer_rejected"
+
+
+class UnknownExperimentError(TransportError):
+    """There is no experiment of this name."""
+
+    code = "unknown_experiment"
+
+
+class NoLeavesError(TransportError):
+    """The stand-in leaves that an experiment asks are not there."""
+
+    code = "no_leaves"
