Show a stand-in's address at once, also through a pipe

Cause: the process test waited for ever for the address of the stand-in store, whose output was held back in a buffer. The test now also gives up after a time.

--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -79,6 +79,11 @@
         return _fail(error, EXIT_FAILED)
 
 
+def _show(line: str) -> None:
+    # Readers at the other end of a pipe wait for single lines, such as an address.
+    print(line, flush=True)
+
+
 def _fail(error: Exception, code: int) -> int:
     print(f"amaranthpulley: {error}", file=sys.stderr)
     return code
@@ -103,7 +108,7 @@
         int(arguments["--shard"]),
         int(arguments["--shards"]),
         int(arguments["--count"]),
-        print,
+        _show,
     )
 
 
@@ -111,14 +116,14 @@
     loop.prepare_loop()
     from amaranthpulley.transport import standins
 
-    return standins.run_store(arguments["--address"], print)
+    return standins.run_store(arguments["--address"], _show)
 
 
 def _run_demo(arguments: Arguments) -> int:
     loop.prepare_loop()
     from amaranthpulley.transport import demo
 
-    return demo.run(print)
+    return demo.run(_show)
 
 
 def _run_bench(arguments: Arguments) -> int:
@@ -133,17 +138,17 @@
         arguments["--leaves"],
         arguments["--revision"] or "",
     )
-    return tool.run(options, print)
+    return tool.run(options, _show)
 
 
 def _check_settings(arguments: Arguments) -> int:
     settings_protocol.read(arguments["FILE"])
-    print(f"{arguments['FILE']}: the settings are in order")
+    _show(f"{arguments['FILE']}: the settings are in order")
     return EXIT_OK
 
 
 def _show_version(arguments: Arguments) -> int:
-    print(f"amaranthpulley {amaranthpulley.__version__}")
+    _show(f"amaranthpulley {amaranthpulley.__version__}")
     return EXIT_OK
 
 
--- a/tests/test_separate_processes.py
+++ b/tests/test_separate_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import select
 import signal
 import subprocess
 import sys
@@ -12,9 +13,9 @@
 
 import urllib3
 
-from amaranthpulley.coordination import configuring, stored_values
+from amaranthpulley.coordination import stored_values
 from amaranthpulley.protocol import store_api
-from amaranthpulley.state import store, topology
+from amaranthpulley.state import store, tickets, topology
 
 SHARDS: Final = 3
 START_TIMEOUT_S: Final = 30
@@ -73,7 +74,11 @@
         return process
 
     def _start_and_read_address(self, *words: str) -> str:
-        return self._start(*words).stdout.readline().strip()
+        process = self._start(*words)
+        readable, _, _ = select.select([process.stdout], [], [], START_TIMEOUT_S)
+        if not readable:
+            raise TimeoutError(f"amaranthpulley {' '.join(words)} names no address")
+        return process.stdout.readline().strip()
 
     def _apply_ticket(self) -> None:
         kinds = topology.ServiceKind
@@ -91,8 +96,11 @@
             failure_domains=(topology.FailureDomain("Pokhara", "Pokhara"),),
             targets=(*leaves, booking),
         )
-        key = configuring.ticket_key(ticket.number)
-        swap = store.Swap(key, 0, stored_values.encode_ticket(ticket))
+        accepted = tickets.AcceptedTicket(
+            ticket, "test", stored_values.digest_of(ticket), 0
+        )
+        value = stored_values.encode_head(tickets.Head(1, (accepted,)))
+        swap = store.Swap(tickets.HEAD_KEY, 0, value)
         url = f"http://{self.store_address}{store_api.path_of(swap)}"
         self._http.request("POST", url, body=store_api.encode(swap))
 
