--- a/amaranthpulley/transport/customer_export.py
+++ b/amaranthpulley/transport/customer_export.py
@@ -221,9 +221,8 @@
             for record in export.records():
                 lines.write(_line_of(record) + b"\n")
         summary = export.summary()
-        text = msgspec.json.format(msgspec.json.encode(summary), indent=2) + b"\n"
         # The summary first: whoever finds the export finds its summary too.
-        _replace(pathlib.Path(path + SUMMARY_SUFFIX), text)
+        _replace(pathlib.Path(path + SUMMARY_SUFFIX), _text_of(summary))
         partial.replace(path)
     except OSError as error:
         raise errors.ExportUnwritableError(
@@ -326,6 +325,10 @@
     return msgspec.json.encode(body)
 
 
+def _text_of(summary: Summary) -> bytes:
+    return msgspec.json.format(msgspec.json.encode(summary), indent=2) + b"\n"
+
+
 def _replace(path: pathlib.Path, content: bytes) -> None:
     partial = path.with_name(path.name + PARTIAL_SUFFIX)
     partial.write_bytes(content)
