--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -14,6 +14,7 @@
 IpAddress = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
 HostPort = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+RetentionMilliseconds = Annotated[int, msgspec.Meta(ge=600_000, le=604_800_000)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -39,10 +40,13 @@
     maximum_requests_in_progress: NotRequired[Count]
     maximum_row_count: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
+    drain_grace_ms: NotRequired[Milliseconds]
+    drain_limit_ms: NotRequired[Milliseconds]
     journal_flush_ms: NotRequired[Milliseconds]
     journal_memory_bytes: NotRequired[Count]
     journal_when_full: NotRequired[journal.FullPolicy]
     journal_life_first: NotRequired[bool]
+    order_retention_ms: NotRequired[RetentionMilliseconds]
 
 
 class Settings(TypedDict):
@@ -67,6 +71,9 @@
     """
     try:
         raw = msgspec.json.decode(text)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.InvalidSettingsError(f"settings: not JSON: {error}") from error
+    try:
         settings = msgspec.convert(raw, Settings)
     except msgspec.MsgspecError as error:
         raise errors.InvalidSettingsError(f"settings: {error}") from error
--- /dev/null
+++ b/amaranthpulley/transport/tests/test_customer_export.py
@@ -0,0 +1,279 @@
+"""Tests of the export of a customer's requests, with daemons under virtual time."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+from typing import Final, NamedTuple
+
+import hypothesis
+from hypothesis import strategies
+
+from amaranthpulley.coordination import (
+    events,
+    journal_gaps,
+    journal_writing,
+    stored_values,
+)
+from amaranthpulley.state import (
+    claims,
+    journal,
+    store,
+)
+from amaranthpulley.transport import (
+    customer_export,
+    errors,
+    virtual_platform,
+)
+from amaranthpulley.transport.tests import journal_site
+
+
+class Step(NamedTuple):
+    """One thing that happens, after a wait."""
+
+    wait_ms: int
+    action: str
+    vm: str
+    customer: str
+    service: str
+    requests: int
+
+
+STEPS: Final = strategies.lists(
+    strategies.builds(
+        Step,
+        strategies.integers(0, 900),
+        strategies.sampled_from(
+            (
+                *("search",) * 6,
+                *("crash", "restart", "drain", "store_down", "store_up", "lose"),
+            )
+        ),
+        strategies.sampled_from(journal_site.VMS),
+        strategies.sampled_from(journal_site.CUSTOMERS),
+        strategies.sampled_from(journal_site.SERVICES),
+        strategies.integers(1, 6),
+    ),
+    max_size=40,
+)
+
+
+def take_step(site: journal_site.Site, step: Step) -> None:
+    """Let one thing happen."""
+    site.run(step.wait_ms)
+    running = site.network.daemons[step.vm]
+    match step.action:
+        case "search":
+            for _ in range(step.requests):
+                site.search(step.vm, step.customer, step.service)
+        case "crash":
+            site.network.crash(step.vm)
+        case "restart" if not running.alive:
+            site.start(step.vm)
+        case "drain":
+            site.network.feed(running, events.DrainRequested())
+        case "store_down":
+            site.network.platform.faults = virtual_platform.StoreFaults(down=True)
+        case "store_up":
+            site.network.platform.faults = virtual_platform.StoreFaults()
+        case "lose":
+            lossy = virtual_platform.StoreFaults(lost_replies=0.5)
+            site.network.platform.faults = lossy
+
+
+class CustomerExportTest(unittest.TestCase):
+    """An export holds each request once or lists the gap that it is in."""
+
+    def assert_accounted(self, site: journal_site.Site, from_ms: int = 0) -> None:
+        announced = site.announced()
+        for customer in journal_site.CUSTOMERS:
+            records, gaps = site.export(customer, from_ms)
+            ids = [record.request_id for record in records]
+            self.assertEqual(len(ids), len(set(ids)), "a request is there twice")
+            for sent in site.sent:
+                # A daemon that the store has never heard of took no request on.
+                if (
+                    sent.life not in announced
+                    or sent.received_ms < journal_site.WALL_MS + from_ms
+                ):
+                    continue
+                if sent.request.customer == customer:
+                    found = sent.request.request_id in ids
+                    self.assertTrue(found or journal_site.is_listed(sent, gaps), sent)
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, database=None, max_examples=150
+    )
+    @hypothesis.given(
+        STEPS,
+        strategies.integers(0, 5),
+        strategies.integers(0, 20_000),
+        strategies.sampled_from(journal.FullPolicy),
+    )
+    def test_each_request_is_there_once_or_in_a_gap(
+        self, steps: list[Step], seed: int, from_ms: int, policy: journal.FullPolicy
+    ) -> None:
+        site = journal_site.Site(
+            seed,
+            leaf_ms=300,
+            journal_life_first=True,
+            journal_memory_bytes=800,
+            journal_when_full=policy,
+        )
+        for step in steps:
+            take_step(site, step)
+        self.assert_accounted(site)
+        site.network.platform.faults = virtual_platform.StoreFaults()
+        site.run(20_000)
+        self.assert_accounted(site)
+        self.assert_accounted(site, from_ms)
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, database=None, max_examples=30
+    )
+    @hypothesis.given(STEPS, strategies.integers(0, 5))
+    def test_nothing_is_missing_when_no_daemon_crashed(
+        self, steps: list[Step], seed: int
+    ) -> None:
+        site = journal_site.Site(seed)
+        for step in steps:
+            if step.action != "crash":
+                take_step(site, step)
+        site.network.platform.faults = virtual_platform.StoreFaults()
+        for vm in journal_site.VMS:
+            site.network.feed(site.network.daemons[vm], events.DrainRequested())
+        site.run(20_000)
+        for customer in journal_site.CUSTOMERS:
+            records, gaps = site.export(customer)
+            self.assertEqual(gaps, [])
+            sent = [s.request for s in site.sent if s.request.customer == customer]
+            self.assertEqual(len(records), len(sent))
+
+    def test_record_says_what_became_of_the_request(self) -> None:
+        site = journal_site.Site()
+        site.search("vm-2", "forno")
+        site.search("vm-2", "forno", "nowhere")
+        site.run(2_000)
+        records, _ = site.export("forno")
+        found = {record.service: record for record in records}
+        self.assertEqual(
+            found["stock"],
+            journal.JournalRecord(
+                *(
+                    "r0",
+                    "forno",
+                    "stock",
+                    "search",
+                    journal_site.WALL_MS + 100,
+                    "q0",
+                    "",
+                    "vm-2",
+                ),
+                *("SearchAnswer", 1, 1.0, 1),
+            ),
+        )
+        self.assertEqual(found["nowhere"].outcome, "Refusal:unknown_service:not_run")
+
+    def test_gap_of_a_crash_ends_with_the_next_life_of_the_vm(self) -> None:
+        site = journal_site.Site()
+        site.search("vm-1", "forno")
+        site.network.crash("vm-1")
+        site.run(1_000)
+        _, gaps = site.export("forno")
+        [gap] = [gap for gap in gaps if gap.vm == "vm-1"]
+        self.assertIs(gap.reason, journal_gaps.GapReason.OPEN)
+        site.start("vm-1")
+        restarted_ms = journal_site.WALL_MS + site.network.now_ms
+        site.run(1_000)
+        _, gaps = site.export("forno")
+        [gap] = [gap for gap in gaps if gap.life == "l1"]
+        self.assertEqual(gap.until_ms, restarted_ms)
+        self.assertIs(gap.reason, journal_gaps.GapReason.UNWRITTEN)
+        self.assertEqual((gap.first_sequence, gap.last_sequence), (1, None))
+
+    def test_lost_batch_is_listed(self) -> None:
+        site = journal_site.Site()
+        for _ in range(3):
+            site.search("vm-1", "forno")
+            site.run(journal_site.FLUSH_MS)
+        keys = list(customer_export.keys_with(site.call, journal_writing.BATCH_PREFIX))
+        revision = site.call(store.Get(keys[1])).revision
+        site.call(store.Swap(keys[1], revision, None))
+        _, gaps = site.export("forno")
+        [gap] = [g for g in gaps if g.reason is journal_gaps.GapReason.MISSING]
+        self.assertEqual((gap.first_sequence, gap.last_sequence), (2, 2))
+        self.assertTrue(journal_site.is_listed(site.sent[1], [gap]))
+
+    def test_interrupted_and_repeated_gives_the_same_file(self) -> None:
+        site = journal_site.Site()
+        for number in range(20):
+            site.search(
+                journal_site.VMS[number % 3], journal_site.CUSTOMERS[number % 2]
+            )
+            site.run(100)
+        job = site.job("forno")
+        with tempfile.TemporaryDirectory() as folder:
+            whole = pathlib.Path(folder, "whole")
+            customer_export.run(job, str(whole), lambda line: None)
+            again = pathlib.Path(folder, "again")
+            cut = job._replace(call=_failing_after(site.call, 12))
+            with self.assertRaises(errors.PlatformUnreachableError):
+                customer_export.run(cut, str(again), lambda line: None)
+            self.assertFalse(again.exists())
+            customer_export.run(job, str(again), lambda line: None)
+            self.assertEqual(whole.read_bytes(), again.read_bytes())
+            names = sorted(path.name for path in pathlib.Path(folder).iterdir())
+            suffix = customer_export.SUMMARY_SUFFIX
+            self.assertEqual(
+                names, ["again", "again" + suffix, "whole", "whole" + suffix]
+            )
+            lines = [json.loads(line) for line in whole.read_text().splitlines()]
+            self.assertEqual({line["customer"] for line in lines}, {"forno"})
+            summary = json.loads(pathlib.Path(str(whole) + suffix).read_text())
+            self.assertEqual(summary["records"], len(lines))
+
+    def test_record_of_a_claim_stands_alone_if_the_journal_has_none(self) -> None:
+        site = journal_site.Site()
+        site.search("vm-1", "forno")
+        site.run(1_000)
+        [record], _ = site.export("forno")
+        newer = record._replace(outcome="claimed")
+        alone = record._replace(request_id="other")
+        foreign = record._replace(request_id="foreign", customer="timer")
+        segment = claims.Segment(True, tuple(map(_claim, (newer, alone, foreign))))
+        key, value = "claims/0000/00000001", stored_values.encode_segment(segment)
+        site.call(store.Swap(key, 0, value))
+        job = site.job("forno")
+        export = customer_export.Export(job, lambda line: None)
+        self.assertEqual(list(export.records()), [record, alone])
+
+    def test_segment_of_another_customer_is_never_opened(self) -> None:
+        site = journal_site.Site()
+        site.search("vm-1", "timer")
+        site.run(1_000)
+        [key] = customer_export.keys_with(site.call, journal_writing.BATCH_PREFIX)
+        value = site.call(store.Get(key))
+        batch = stored_values.decode_batch(value.value)
+        [chunk] = batch.chunks
+        broken = chunk.segments[0]._replace(data=b"broken")
+        batch = batch._replace(chunks=(chunk._replace(segments=(broken,)),))
+        encoded = stored_values.encode_batch(batch)
+        site.call(store.Swap(key, value.revision, encoded))
+        records, _ = site.export("forno")
+        self.assertEqual(records, [])
+
+
+def _failing_after(call: customer_export.Call, calls: int) -> customer_export.Call:
+    left = iter(range(calls))
+
+    def limited(operation: store.Operation) -> store.Result:
+        if next(left, None) is None:
+            raise errors.PlatformUnreachableError("interrupted")
+        return call(operation)
+
+    return limited
+
+
+def _claim(record: journal.JournalRecord) -> claims.Claim:
+    status = claims.ClaimStatus.DONE
+    return claims.Claim(record.request_id, "claim", "print", status, "", 0, record)
