--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -22,6 +22,7 @@
     errors,
     events,
     exchanging,
+    journal_retention,
     journal_writing,
     journaling,
     leasing,
@@ -43,6 +44,7 @@
 _MODULES: Final = (
     journal_writing,
     journaling,
+    journal_retention,
     tracing,
     searching,
     ordering,
--- a/amaranthpulley/coordination/journal_gaps.py
+++ b/amaranthpulley/coordination/journal_gaps.py
@@ -94,13 +94,18 @@
         Identify the life.
     window : Window
         What the caller looks at.
+    kept_from_ms : int
+        The time bucket before which batches are erased.
     """
 
-    def __init__(self, vm: str, life: str, window: Window) -> None:
+    def __init__(
+        self, vm: str, life: str, window: Window, kept_from_ms: int = 0
+    ) -> None:
         self._gaps: list[Gap] = []
         self._vm = vm
         self._life = life
         self._window = window
+        self._seen_from_ms = max(window.first_bucket_ms, kept_from_ms)
         self._last_sequence: int | None = None
         self._complete_ms = 0
 
@@ -146,7 +151,7 @@
     def _look_before(self, batch: journal.Batch, chunk: journal.Chunk) -> None:
         before = chunk.first_sequence - chunk.dropped - 1
         if self._last_sequence is None:
-            if batch.previous_bucket_ms < self._window.first_bucket_ms or before == 0:
+            if batch.previous_bucket_ms < self._seen_from_ms or before == 0:
                 return
             since_ms = batch.previous_bucket_ms - journaling.LONGEST_REQUEST_MS
             self._add(None, before, since_ms, chunk.first_ms, GapReason.MISSING)
@@ -209,6 +214,20 @@
         )
 
 
+def expired(horizon_ms: int, window: Window) -> list[Gap]:
+    """Return the gap of what was erased after its retention, if there is one.
+
+    Parameters
+    ----------
+    horizon_ms : int
+        The time bucket before which batches are erased.
+    window : Window
+        What the caller looks at.
+    """
+    gap = Gap("", "", None, None, 0, horizon_ms - 1, GapReason.EXPIRED)
+    return [gap] if horizon_ms > 0 and gap.overlaps(window) else []
+
+
 def successors(lives: Iterable[journal.Life]) -> dict[tuple[str, str], int]:
     """Return when the next life on the same VM began, by VM and life."""
     by_vm: dict[str, list[journal.Life]] = {}
--- /dev/null
+++ b/amaranthpulley/coordination/journal_retention.py
@@ -0,0 +1,281 @@
+"""Erasure of journal records whose retention is over, by one daemon for all.
+
+The owner of `DUTY` walks through the journal at intervals. It closes the lives of VMs
+that are gone, deletes time buckets in which no customer's retention lasts, and blanks
+the segments of single customers in the others. Repeating a sweep, or two at a time
+after the duty moved, does no harm: every write expects the revision that was read.
+"""
+
+from collections.abc import Callable, Generator
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import (
+    commands,
+    events,
+    journal_writing,
+    journaling,
+    stored_values,
+)
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import journal, log_events, store, topology
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+Steps = Generator[store.Operation, store.Result, None]
+
+DUTY: Final = "journal-retention"
+HORIZON_KEY: Final = "journal/horizon"
+SWEEP_INTERVAL_MS: Final = 600_000
+LAPSE_MS: Final = 600_000
+DAY_MS: Final = 86_400_000
+LIST_LIMIT: Final = 1_000
+LEAST_PACE_MS: Final = 5
+PACE_TIMES_DAEMONS_MS: Final = 400
+# Stands for every customer without an entry in the configuration.
+OTHERS: Final = ""
+
+
+class SweepDue(NamedTuple):
+    """Purpose of the timer that begins a sweep."""
+
+
+class SweepPaced(NamedTuple):
+    """Purpose of the timer that goes on with a sweep."""
+
+    result: store.Result
+
+
+class SweepReplied(NamedTuple):
+    """Purpose of the store calls of a sweep."""
+
+
+class Cutoffs(NamedTuple):
+    """Time buckets before which records are erased, by customer and for all others."""
+
+    by_customer: dict[str, int]
+    others_ms: int
+
+    @property
+    def horizon_ms(self) -> int:
+        """The time bucket before which nothing is kept."""
+        return min(self.all().values())
+
+    def of(self, customer: str) -> int:
+        """Return the first time bucket of which a customer's records are kept."""
+        return self.by_customer.get(customer, self.others_ms)
+
+    def all(self) -> dict[str, int]:
+        """Return the cutoffs by customer, with `OTHERS`."""
+        return {**self.by_customer, OTHERS: self.others_ms}
+
+
+def cutoffs_at(wall_ms: int, customers: list[topology.Customer]) -> Cutoffs:
+    """Return what is to be erased at a time.
+
+    Parameters
+    ----------
+    wall_ms : int
+        The present time, in milliseconds since the Unix epoch.
+    customers : list of Customer
+        The customers that have an entry in the configuration.
+    """
+    by_customer = {
+        customer.name: wall_ms
+        if customer.erased
+        else _bucket_before(wall_ms, customer.retention_days)
+        for customer in customers
+    }
+    default_days = topology.Customer(OTHERS).retention_days
+    return Cutoffs(by_customer, _bucket_before(wall_ms, default_days))
+
+
+def start(
+    daemon: daemon_state.Daemon, event: events.Started, now_ms: int, random: Random
+) -> Commands:
+    """Sweep for the first time at a moment that differs between daemons."""
+    wait_ms = int(random() * SWEEP_INTERVAL_MS)
+    return [commands.SetTimer(SweepDue(), now_ms + wait_ms)]
+
+
+def note_list(
+    daemon: daemon_state.Daemon, event: events.VmsListed, now_ms: int, random: Random
+) -> Commands:
+    """Remember which VMs the platform lists."""
+    if event.vms is not None:
+        daemon.journal.sweeping.listed_vms = frozenset(vm.name for vm in event.vms)
+    return []
+
+
+def begin(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Begin a sweep if the duty is this daemon's and its configuration is confirmed."""
+    again = commands.SetTimer(SweepDue(), now_ms + SWEEP_INTERVAL_MS)
+    sweeping = daemon.journal.sweeping
+    # Without the tickets the retention of no customer is known.
+    knows = daemon.configuration.entries and not daemon.configuration.suspended
+    if sweeping.steps is not None or not knows or not daemon.members.is_owner(DUTY):
+        return [again]
+    wall_ms = daemon.wall_ms(now_ms)
+    cutoffs = cutoffs_at(wall_ms, daemon.configuration.customers())
+    sweeping.steps = sweep(sweeping, cutoffs, wall_ms, daemon.identity.name)
+    return [again, *_advance(daemon, None)]
+
+
+def take_reply(
+    daemon: daemon_state.Daemon,
+    event: events.StoreReplied,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Go on after a pause, so that the sweep leaves the store its rates."""
+    daemons = len(daemon.members.live)
+    pace_ms = max(LEAST_PACE_MS, PACE_TIMES_DAEMONS_MS // daemons)
+    return [commands.SetTimer(SweepPaced(event.result), now_ms + pace_ms)]
+
+
+def go_on(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Make the next store call of the sweep."""
+    sweeping = daemon.journal.sweeping
+    if isinstance(event.purpose.result, store.StoreFailed):
+        sweeping.steps = None
+        return [commands.log(log_events.JOURNAL_SWEPT, whole=False)]
+    return _advance(daemon, event.purpose.result)
+
+
+def sweep(
+    sweeping: journal.Sweeping, cutoffs: Cutoffs, wall_ms: int, own_vm: str
+) -> Steps:
+    """Yield the store operations of one sweep and take their results.
+
+    Parameters
+    ----------
+    sweeping : Sweeping
+        What is remembered between sweeps; changed in place.
+    cutoffs : Cutoffs
+        What is to be erased.
+    wall_ms : int
+        The present time, in milliseconds since the Unix epoch.
+    own_vm : str
+        The VM that is alive for certain.
+    """
+    yield from _raise_horizon(cutoffs.horizon_ms)
+    for key in (yield from _keys(journal_writing.LIFE_PREFIX, "")):
+        yield from _sweep_life(sweeping, key, cutoffs.horizon_ms, wall_ms, own_vm)
+    end_ms = max(cutoffs.all().values())
+    last_key = f"{journal_writing.BATCH_PREFIX}{end_ms:014d}/"
+    for key in (yield from _keys(journal_writing.BATCH_PREFIX, "", last_key)):
+        bucket_ms = _bucket_of_key(key)
+        if bucket_ms < cutoffs.horizon_ms:
+            found = yield store.Get(key)
+            yield store.Swap(key, found.revision, None)
+        elif _is_new(sweeping, cutoffs, bucket_ms):
+            yield from _blank(key, bucket_ms, cutoffs)
+    # Records of requests that were still running may follow.
+    sweeping.erased_before_ms = {
+        customer: cutoff_ms - journaling.LONGEST_REQUEST_MS
+        for customer, cutoff_ms in cutoffs.all().items()
+    }
+
+
+def _advance(daemon: daemon_state.Daemon, result: store.Result | None) -> Commands:
+    sweeping = daemon.journal.sweeping
+    try:
+        operation = sweeping.steps.send(result)
+    except StopIteration:
+        sweeping.steps = None
+        return [commands.log(log_events.JOURNAL_SWEPT, whole=True)]
+    timeout_ms = daemon.limits.store_timeout_ms
+    return [commands.CallStore(SweepReplied(), operation, timeout_ms)]
+
+
+def _raise_horizon(horizon_ms: int) -> Steps:
+    found = yield store.Get(HORIZON_KEY)
+    if found.value is None or int(found.value) < horizon_ms:
+        yield store.Swap(HORIZON_KEY, found.revision, str(horizon_ms).encode())
+
+
+def _keys(
+    prefix: str, after: str, before: str | None = None
+) -> Generator[store.Operation, store.Result, list[str]]:
+    found: list[str] = []
+    while True:
+        keys = (yield store.ListKeys(prefix, after, LIST_LIMIT)).keys
+        found += [key for key in keys if before is None or key < before]
+        if len(keys) < LIST_LIMIT or len(found) % LIST_LIMIT:
+            return found
+        after = keys[-1]
+
+
+def _sweep_life(
+    sweeping: journal.Sweeping, key: str, horizon_ms: int, wall_ms: int, own_vm: str
+) -> Steps:
+    found = yield store.Get(key)
+    if found.value is None:
+        return
+    life = stored_values.decode_life(found.value)
+    if 0 < life.ended_ms < horizon_ms:
+        yield store.Swap(key, found.revision, None)
+        return
+    listed = sweeping.listed_vms
+    if listed is None or life.vm in listed or life.vm == own_vm:
+        sweeping.unlisted_since_ms.pop(life.vm, None)
+        return
+    since_ms = sweeping.unlisted_since_ms.setdefault(life.vm, wall_ms)
+    if life.status is journal.LifeStatus.OPEN and wall_ms - since_ms >= LAPSE_MS:
+        lapsed = life._replace(status=journal.LifeStatus.LAPSED, ended_ms=wall_ms)
+        yield store.Swap(key, found.revision, stored_values.encode_life(lapsed))
+
+
+def _is_new(sweeping: journal.Sweeping, cutoffs: Cutoffs, bucket_ms: int) -> bool:
+    return any(
+        sweeping.erased_before_ms.get(customer, 0) <= bucket_ms < cutoff_ms
+        for customer, cutoff_ms in cutoffs.all().items()
+    )
+
+
+def _blank(key: str, bucket_ms: int, cutoffs: Cutoffs) -> Steps:
+    found = yield store.Get(key)
+    if found.value is None:
+        return
+    batch = stored_values.decode_batch(found.value)
+    chunks = tuple(
+        chunk._replace(
+            segments=tuple(
+                _blank_segment(segment, bucket_ms, cutoffs)
+                for segment in chunk.segments
+            )
+        )
+        for chunk in batch.chunks
+    )
+    if chunks != batch.chunks:
+        blanked = stored_values.encode_batch(batch._replace(chunks=chunks))
+        yield store.Swap(key, found.revision, blanked)
+
+
+def _blank_segment(
+    segment: journal.Segment, bucket_ms: int, cutoffs: Cutoffs
+) -> journal.Segment:
+    if not segment.data or bucket_ms >= cutoffs.of(segment.customer):
+        return segment
+    # The count stays, so that the numbers of the life stay accounted for.
+    return journal.Segment("", segment.count, b"")
+
+
+def _bucket_before(wall_ms: int, days: int) -> int:
+    return max(0, journal_writing.bucket_of(wall_ms - days * DAY_MS))
+
+
+def _bucket_of_key(key: str) -> int:
+    return int(key.removeprefix(journal_writing.BATCH_PREFIX).partition("/")[0])
+
+
+HANDLERS: Final = {
+    events.Started: start,
+    events.VmsListed: note_list,
+    SweepDue: begin,
+    SweepPaced: go_on,
+    SweepReplied: take_reply,
+}
--- a/amaranthpulley/coordination/ticket_rules.py
+++ b/amaranthpulley/coordination/ticket_rules.py
@@ -7,6 +7,7 @@
 from amaranthpulley.state import configuration, topology
 
 MAXIMUM_NUMBER: Final = 2**53
+MAXIMUM_RETENTION_DAYS: Final = 3_650
 
 
 def first_fault(
@@ -56,7 +57,7 @@
 def _names(
     known: configuration.Configuration, ticket: topology.ChangeTicket
 ) -> _Faults:
-    for field in ("services", "failure_domains", "targets"):
+    for field in ("services", "failure_domains", "targets", "customers"):
         seen: set[str] = set()
         for index, entry in enumerate(getattr(ticket, field)):
             path = f"$.{field}[{index}].name"
@@ -82,6 +83,15 @@
             yield f"{path}.hedge_budget", "it must be from 0.0 to 1.0"
 
 
+def _customers(
+    known: configuration.Configuration, ticket: topology.ChangeTicket
+) -> _Faults:
+    for index, customer in enumerate(ticket.customers):
+        if not 1 <= customer.retention_days <= MAXIMUM_RETENTION_DAYS:
+            path = f"$.customers[{index}].retention_days"
+            yield path, f"it must be from 1 to {MAXIMUM_RETENTION_DAYS}"
+
+
 def _targets(
     known: configuration.Configuration, ticket: topology.ChangeTicket
 ) -> _Faults:
@@ -154,4 +164,12 @@
     return target.service if target is not None else ""
 
 
-_RULES: Final = (_number, _names, _services, _targets, _addresses, _shard_map)
+_RULES: Final = (
+    _number,
+    _names,
+    _services,
+    _customers,
+    _targets,
+    _addresses,
+    _shard_map,
+)
--- a/amaranthpulley/protocol/ticket_file.py
+++ b/amaranthpulley/protocol/ticket_file.py
@@ -28,6 +28,7 @@
         "services": [entry._asdict() for entry in ticket.services],
         "failure_domains": [entry._asdict() for entry in ticket.failure_domains],
         "targets": [entry._asdict() for entry in ticket.targets],
+        "customers": [entry._asdict() for entry in ticket.customers],
     }
     return msgspec.json.encode(body)
 
@@ -36,6 +37,7 @@
     "services": topology.Service,
     "failure_domains": topology.FailureDomain,
     "targets": topology.Target,
+    "customers": topology.Customer,
 }
 
 
--- a/amaranthpulley/state/configuration.py
+++ b/amaranthpulley/state/configuration.py
@@ -6,7 +6,7 @@
 
 from amaranthpulley.state import topology
 
-Entry = topology.Service | topology.FailureDomain | topology.Target
+Entry = topology.Service | topology.FailureDomain | topology.Target | topology.Customer
 
 
 BUCKETS: Final = 512
@@ -32,6 +32,7 @@
     topology.Service: "service",
     topology.FailureDomain: "failure_domain",
     topology.Target: "target",
+    topology.Customer: "customer",
 }
 
 
@@ -51,6 +52,7 @@
             services=tuple(kinds.get(topology.Service, ())),
             failure_domains=tuple(kinds.get(topology.FailureDomain, ())),
             targets=tuple(kinds.get(topology.Target, ())),
+            customers=tuple(kinds.get(topology.Customer, ())),
         )
         for number, kinds in sorted(by_number.items())
     )
@@ -58,7 +60,12 @@
 
 def entries_of(ticket: topology.ChangeTicket) -> tuple[Entry, ...]:
     """Return all that a ticket touches."""
-    return (*ticket.services, *ticket.failure_domains, *ticket.targets)
+    return (
+        *ticket.services,
+        *ticket.failure_domains,
+        *ticket.targets,
+        *ticket.customers,
+    )
 
 
 def bucket_of(scope: Scope, buckets: int = BUCKETS) -> int:
@@ -174,6 +181,14 @@
         numbered = self._entries.get(Scope("service", name))
         return numbered.entry if numbered else None
 
+    def customers(self) -> list[topology.Customer]:
+        """Return the customers whose records are not kept by the defaults."""
+        return [
+            numbered.entry
+            for numbered in self._entries.values()
+            if isinstance(numbered.entry, topology.Customer)
+        ]
+
     def target(self, name: str) -> topology.Target | None:
         """Return a target's settings, or None when it is not configured."""
         numbered = self._entries.get(Scope("target", name))
--- a/amaranthpulley/state/journal.py
+++ b/amaranthpulley/state/journal.py
@@ -7,8 +7,11 @@
 
 import collections
 import enum
+from collections.abc import Generator
 from typing import Final, NamedTuple
 
+from amaranthpulley.state import store
+
 RECORD_OVERHEAD_BYTES: Final = 600
 
 
@@ -208,6 +211,28 @@
     life: Life | None = None
 
 
+class Sweeping:
+    """What the daemon that erases old records remembers of it.
+
+    Attributes
+    ----------
+    steps : generator or None
+        The sweep that is under way.
+    listed_vms : frozenset of str or None
+        The VMs on the platform's list; None until it was read.
+    unlisted_since_ms : dict
+        When each VM with an open life was first missed on the list.
+    erased_before_ms : dict
+        By customer the time bucket before which its records are erased already.
+    """
+
+    def __init__(self) -> None:
+        self.steps: Generator[store.Operation, store.Result, None] | None = None
+        self.listed_vms: frozenset[str] | None = None
+        self.unlisted_since_ms: dict[str, int] = {}
+        self.erased_before_ms: dict[str, int] = {}
+
+
 class Journal:
     """What one daemon has recorded and not yet written."""
 
@@ -222,6 +247,7 @@
         self.sealed: collections.deque[Chunk] = collections.deque()
         self.dropped = 0
         self.dropped_since_ms = 0
+        self.sweeping = Sweeping()
         self._received: dict[str, int] = {}
         self._fresh_bytes = 0
         self._sealed_bytes = 0
--- a/amaranthpulley/state/log_events.py
+++ b/amaranthpulley/state/log_events.py
@@ -67,4 +67,5 @@
 JOURNAL_WRITE_FAILED: Final = LogEvent(602, "journal_write_failed", Level.WARNING)
 JOURNAL_FULL: Final = LogEvent(603, "journal_full", Level.ERROR)
 JOURNAL_LIFE_CLOSED: Final = LogEvent(604, "journal_life_closed", Level.INFO)
+JOURNAL_SWEPT: Final = LogEvent(606, "journal_swept", Level.INFO)
 JOURNAL_LIFE_REOPENED: Final = LogEvent(605, "journal_life_reopened", Level.WARNING)
--- a/amaranthpulley/state/topology.py
+++ b/amaranthpulley/state/topology.py
@@ -1,4 +1,4 @@
-"""What the operators configure: services, failure domains and targets."""
+"""What the operators configure: services, failure domains, targets, customers."""
 
 import enum
 from typing import NamedTuple
@@ -101,6 +101,26 @@
     status: TargetStatus = TargetStatus.SERVING
 
 
+class Customer(NamedTuple):
+    """How long the records of one customer's requests are kept.
+
+    Customers without an entry have the defaults.
+
+    Attributes
+    ----------
+    name : str
+        The name that callers give.
+    retention_days : int
+        Days after which the records of a request are erased.
+    erased : bool
+        Erase all records now, after the customer has left and has had its copy.
+    """
+
+    name: str
+    retention_days: int = 90
+    erased: bool = False
+
+
 class ChangeTicket(NamedTuple):
     """A numbered change that carries the whole new state of what it touches."""
 
@@ -108,3 +128,4 @@
     services: tuple[Service, ...] = ()
     failure_domains: tuple[FailureDomain, ...] = ()
     targets: tuple[Target, ...] = ()
+    customers: tuple[Customer, ...] = ()
--- a/amaranthpulley/transport/customer_export.py
+++ b/amaranthpulley/transport/customer_export.py
@@ -16,6 +16,7 @@
 from amaranthpulley.coordination import (
     claim_segments,
     journal_gaps,
+    journal_retention,
     journal_writing,
     stored_values,
 )
@@ -103,6 +104,8 @@
         self._erased = 0
         # Read before the batches: a life never claims more than they hold.
         self._lives = list(read_lives(job.call))
+        horizon = job.call(store.Get(journal_retention.HORIZON_KEY)).value
+        self._horizon_ms = int(horizon or 0)
         self._orders = {
             record.request_id: record
             for record in order_records(job.call)
@@ -145,7 +148,7 @@
     def gaps(self) -> list[journal_gaps.Gap]:
         """Return what is missing; to be called after all records were taken."""
         successors = journal_gaps.successors(self._lives)
-        found = []
+        found = journal_gaps.expired(self._horizon_ms, self._job.window)
         for life in self._lives:
             if journal_gaps.concerns(life, self._job.window):
                 successor_ms = successors.get((life.vm, life.life))
@@ -180,7 +183,7 @@
     def _trail(self, vm: str, life: str) -> journal_gaps.Trail:
         trail = self._trails.get((vm, life))
         if trail is None:
-            trail = journal_gaps.Trail(vm, life, self._job.window)
+            trail = journal_gaps.Trail(vm, life, self._job.window, self._horizon_ms)
             self._trails[vm, life] = trail
         return trail
 
--- a/amaranthpulley/transport/tests/journal_site.py
+++ b/amaranthpulley/transport/tests/journal_site.py
@@ -40,6 +40,7 @@
         leaf.faults = standin_leaf.LeafFaults(delay_ms=leaf_ms)
         leaf.hold(1, keyspace.split_evenly(1), ["item"])
         self.network.add_leaf("leaf", leaf)
+        self.network.add_leaf("desk", standin_leaf.StandInLeaf("boot", slots=100))
         self.sent: list[Sent] = []
         self.limits = daemon.Limits(journal_flush_ms=FLUSH_MS, **limits)
         self.lives = 0
@@ -57,12 +58,7 @@
         address = f"10.0.0.{VMS.index(vm) + 1}:1"
         identity = daemon.Identity(vm, address, "Recife", "Recife", f"l{self.lives}")
         started = self.network.start_daemon(identity, self.limits)
-        target = topology.Target("leaf", "stock", 0, "all", "Recife", "leaf")
-        service = topology.Service(
-            "stock", topology.ServiceKind.SEARCH, deadline_ms=900
-        )
-        ticket = topology.ChangeTicket(1, services=(service,), targets=(target,))
-        started.state.configuration.apply(ticket)
+        started.state.configuration.apply(_ticket())
 
     def search(self, vm: str, customer: str, service: str = "stock") -> None:
         """Send a search if the daemon runs."""
@@ -99,6 +95,21 @@
         return {life.life for life in customer_export.read_lives(self.call)}
 
 
+def _ticket() -> topology.ChangeTicket:
+    search, order = topology.ServiceKind.SEARCH, topology.ServiceKind.ORDER
+    return topology.ChangeTicket(
+        1,
+        services=(
+            topology.Service("stock", search, deadline_ms=900),
+            topology.Service("orders", order),
+        ),
+        targets=(
+            topology.Target("leaf", "stock", 0, "all", "Recife", "leaf"),
+            topology.Target("desk", "orders", 0, "all", "Recife", "desk"),
+        ),
+    )
+
+
 def is_listed(sent: Sent, gaps: list[journal_gaps.Gap]) -> bool:
     """Tell whether a gap may hold a request."""
     return any(
