Show metrics, status and recent events to the operators that the settings name

Found on the way: a refusal while draining put the caller's own service name into a metric label; logs and metrics now share one function that lets only configured names through.

--- a/amaranthpulley/coordination/answering.py
+++ b/amaranthpulley/coordination/answering.py
@@ -32,8 +32,7 @@
         How many requests were sent to targets; None takes what the outcome says.
     """
     kind = type(outcome).__name__
-    known = daemon.configuration.service(request.service) is not None
-    service = request.service if known else UNKNOWN_SERVICE
+    service = service_label(daemon, request)
     daemon.counters.add("requests_total", service=service, outcome=kind)
     event = log_events.REQUEST_ANSWERED
     fields = {"request_id": request.request_id, "elapsed_ms": elapsed_ms}
@@ -51,6 +50,17 @@
     ]
 
 
+def service_label(
+    daemon: daemon_state.Daemon, request: requests.SearchRequest | requests.OrderRequest
+) -> str:
+    """Return the service's name for logs and metrics, only if it is configured.
+
+    Any other name is whatever the caller wrote, and there is no end of them.
+    """
+    known = daemon.configuration.service(request.service) is not None
+    return request.service if known else UNKNOWN_SERVICE
+
+
 def refuse(
     daemon: daemon_state.Daemon,
     request: requests.SearchRequest | requests.OrderRequest,
--- a/amaranthpulley/coordination/tracing.py
+++ b/amaranthpulley/coordination/tracing.py
@@ -34,6 +34,21 @@
     ]
 
 
+def count_failure(
+    daemon: daemon_state.Daemon,
+    event: events.AttemptFailed,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Count a failed attempt by the failure domain of its target."""
+    domain = _domain_of(daemon, event.attempt_id)
+    if domain is not None:
+        daemon.counters.add(
+            "attempts_failed_total", failure_domain=domain, failure=event.failure.value
+        )
+    return []
+
+
 def attempt_sent(command: commands.SendAttempt) -> commands.Log:
     """Return the log event for an attempt that a front end sends."""
     return commands.log(
@@ -44,4 +59,17 @@
     )
 
 
-HANDLERS: Final = {events.AttemptAnswered: trace_answer}
+def _domain_of(daemon: daemon_state.Daemon, attempt_id: str) -> str | None:
+    search = daemon.searches.get(daemon.searches.request_of(attempt_id) or "")
+    if search is not None:
+        return search.attempts[attempt_id].target.failure_domain
+    order = daemon.orders.get(daemon.orders.request_of(attempt_id) or "")
+    if order is None or order.target is None:
+        return None
+    return order.target.failure_domain
+
+
+HANDLERS: Final = {
+    events.AttemptAnswered: trace_answer,
+    events.AttemptFailed: count_failure,
+}
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -1,13 +1,15 @@
 """The daemon's settings file: JSON, checked against typed dictionaries."""
 
 import pathlib
-from typing import Annotated, NotRequired, TypedDict
+from typing import Annotated, Final, Literal, NotRequired, TypedDict
 
 import msgspec
 
 from amaranthpulley.protocol import errors
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import journal
+from amaranthpulley.state import journal, log_events
+
+LOOPBACK_IP: Final = "127.0.0.1"
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
@@ -18,6 +20,9 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
+LogLevel = Literal["debug", "info", "warning", "error"]
+
+
 class ListenSettings(TypedDict):
     """Where a daemon listens; port 0 takes a free one."""
 
@@ -59,6 +64,8 @@
     platform: PlatformSettings
     limits: NotRequired[LimitSettings]
     log_file: NotRequired[str]
+    log_level: NotRequired[LogLevel]
+    admin_clients: NotRequired[list[IpAddress]]
 
 
 def decode(text: bytes) -> Settings:
@@ -98,6 +105,20 @@
     return decode(text)
 
 
+def log_level_of(settings: Settings) -> log_events.Level:
+    """Return the level below which log events are left out."""
+    return log_events.Level[settings.get("log_level", "info").upper()]
+
+
+def admin_clients_of(settings: Settings) -> frozenset[str]:
+    """Return the IP numbers that the admin port lets in.
+
+    Without a list in the settings they are the daemon's own and the loopback's.
+    """
+    own = (LOOPBACK_IP, settings["listen"]["ip"])
+    return frozenset(settings.get("admin_clients", own))
+
+
 def limits_of(settings: Settings) -> daemon_state.Limits:
     """Return the limits that the settings give, with defaults for the others."""
     return daemon_state.Limits(**settings.get("limits", {}))
--- /dev/null
+++ b/amaranthpulley/protocol/status_api.py
@@ -0,0 +1,187 @@
+"""What a daemon tells operators of itself: the JSON of ``GET /status``."""
+
+import collections
+from typing import Final, TypedDict
+
+from amaranthpulley.coordination import explaining, journal_retention, journaling
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import topology
+
+MAXIMUM_LISTED_TARGETS: Final = 1_000
+MAXIMUM_LISTED_PEERS: Final = 1_000
+DUTIES: Final = (journal_retention.DUTY,)
+
+
+class ConfigurationBody(TypedDict):
+    """The configuration in force."""
+
+    highest_ticket: int
+    entries: int
+    checksum: str
+    confirmed: bool
+
+
+class PeerBody(TypedDict):
+    """What is held of one peer."""
+
+    vm: str
+    address: str
+    standing: str
+    failure_domain: str
+
+
+class TargetBody(TypedDict):
+    """A target that gets no new work, and why."""
+
+    target: str
+    service: str
+    failure_domain: str
+    reason: str
+
+
+class JournalBody(TypedDict):
+    """The journal of the running life."""
+
+    life: str
+    announced: bool
+    last_sequence: int
+    unwritten_records: int
+    unwritten_bytes: int
+    refuses_requests: bool
+
+
+class StatusBody(TypedDict):
+    """All that a daemon believes; lists are cut at `MAXIMUM_LISTED_TARGETS`."""
+
+    vm: str
+    life: str
+    failure_domain: str
+    region: str
+    ready: bool
+    draining: bool
+    requests_in_progress: int
+    configuration: ConfigurationBody
+    peers_live: int
+    peers: list[PeerBody]
+    duties: list[str]
+    leases: list[str]
+    targets_configured: int
+    targets_without_work: int
+    targets: list[TargetBody]
+    journal: JournalBody
+
+
+class TargetCount(TypedDict):
+    """How many targets of a failure domain are in one state."""
+
+    failure_domain: str
+    state: str
+    count: int
+
+
+def status_of(daemon: daemon_state.Daemon, now_ms: int) -> StatusBody:
+    """Return what a daemon believes.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
+    """
+    identity = daemon.identity
+    idle = _targets_without_work(daemon)
+    return StatusBody(
+        vm=identity.name,
+        life=identity.life,
+        failure_domain=identity.failure_domain,
+        region=identity.region,
+        ready=daemon.ready,
+        draining=daemon.draining,
+        requests_in_progress=daemon.requests_in_progress,
+        configuration=_configuration_body(daemon),
+        peers_live=len(daemon.members.peers),
+        peers=_peer_bodies(daemon),
+        duties=[duty for duty in DUTIES if daemon.members.is_owner(duty)],
+        leases=sorted(daemon.leases.held(now_ms)),
+        targets_configured=len(_targets(daemon)),
+        targets_without_work=len(idle),
+        targets=idle[:MAXIMUM_LISTED_TARGETS],
+        journal=_journal_body(daemon),
+    )
+
+
+def count_targets(daemon: daemon_state.Daemon) -> list[TargetCount]:
+    """Return how many targets are in which state, by failure domain.
+
+    The state is ``serving`` or the reason why they get no work.
+    """
+    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    for target in _targets(daemon):
+        reason = explaining.why_no_work(daemon.configuration, target)
+        state = topology.TargetStatus.SERVING if reason is None else reason
+        counts[target.failure_domain, state.value] += 1
+    return [
+        TargetCount(failure_domain=domain, state=state, count=count)
+        for (domain, state), count in sorted(counts.items())
+    ]
+
+
+def _targets(daemon: daemon_state.Daemon) -> list[topology.Target]:
+    return [
+        numbered.entry
+        for numbered in daemon.configuration.entries.values()
+        if isinstance(numbered.entry, topology.Target)
+    ]
+
+
+def _targets_without_work(daemon: daemon_state.Daemon) -> list[TargetBody]:
+    found = []
+    for target in _targets(daemon):
+        reason = explaining.why_no_work(daemon.configuration, target)
+        if reason is not None:
+            body = TargetBody(
+                target=target.name,
+                service=target.service,
+                failure_domain=target.failure_domain,
+                reason=reason.value,
+            )
+            found.append(body)
+    return sorted(found, key=lambda body: body["target"])
+
+
+def _peer_bodies(daemon: daemon_state.Daemon) -> list[PeerBody]:
+    own = daemon.identity.name
+    bodies = [
+        PeerBody(
+            vm=member.vm.name,
+            address=member.vm.address,
+            standing=member.standing.name.lower(),
+            failure_domain=member.vm.failure_domain,
+        )
+        for member in daemon.members.all()
+        if member.vm.name != own
+    ]
+    return sorted(bodies, key=lambda body: body["vm"])[:MAXIMUM_LISTED_PEERS]
+
+
+def _configuration_body(daemon: daemon_state.Daemon) -> ConfigurationBody:
+    known = daemon.configuration
+    return ConfigurationBody(
+        highest_ticket=known.highest_number,
+        entries=len(known.entries),
+        checksum=f"{known.checksum:016x}",
+        confirmed=not known.suspended,
+    )
+
+
+def _journal_body(daemon: daemon_state.Daemon) -> JournalBody:
+    own = daemon.journal
+    return JournalBody(
+        life=daemon.identity.life,
+        announced=own.announced,
+        last_sequence=own.last_sequence,
+        unwritten_records=own.unwritten_records,
+        unwritten_bytes=own.size_bytes,
+        refuses_requests=journaling.refuses_requests(daemon),
+    )
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -120,6 +120,8 @@
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
         is_current = not self.configuration.suspended
+        if self.limits.journal_life_first and not self.journal.announced:
+            return False
         return is_current and not self.leaving and bool(self.configuration.entries)
 
     def wall_ms(self, now_ms: int) -> int:
--- /dev/null
+++ b/amaranthpulley/state/hybrid_clock.py
@@ -0,0 +1,50 @@
+"""A hybrid logical clock: stamps that order events of processes whose clocks differ.
+
+A stamp is one integer: milliseconds since the Unix epoch, times 65,536, plus a counter.
+It is greater than every stamp that the process has given or seen before, so that what a
+message caused has a greater stamp than the sending of the message.
+"""
+
+from typing import Final
+
+COUNTER_BITS: Final = 16
+# A clock that is wrong by more than this is not followed.
+MAXIMUM_LEAD_MS: Final = 86_400_000
+
+
+class HybridClock:
+    """The last stamp of one process."""
+
+    def __init__(self) -> None:
+        self._last = 0
+
+    def tick(self, wall_ms: int) -> int:
+        """Return a stamp for an event of this process.
+
+        Parameters
+        ----------
+        wall_ms : int
+            The process's own clock, in milliseconds since the Unix epoch.
+        """
+        self._last = max(self._last + 1, wall_ms << COUNTER_BITS)
+        return self._last
+
+    def observe(self, stamp: int, wall_ms: int) -> bool:
+        """Take in the stamp of a message; return whether it was plausible.
+
+        Parameters
+        ----------
+        stamp : int
+            What the message carries.
+        wall_ms : int
+            The process's own clock, in milliseconds since the Unix epoch.
+        """
+        if time_of(stamp) > wall_ms + MAXIMUM_LEAD_MS:
+            return False
+        self._last = max(self._last, stamp)
+        return True
+
+
+def time_of(stamp: int) -> int:
+    """Return the milliseconds of a stamp."""
+    return stamp >> COUNTER_BITS
--- /dev/null
+++ b/amaranthpulley/transport/admin.py
@@ -0,0 +1,67 @@
+"""The HTTP front end for operators: metrics, status, recent events, readiness."""
+
+import http
+from collections.abc import Callable, Collection
+from typing import Final
+
+import msgspec
+
+from amaranthpulley.protocol import status_api
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.transport import callers, log_sink, web
+
+METRICS_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+LINES_TYPE: Final = "application/x-ndjson"
+
+Routes = dict[tuple[str, str], web.Handler]
+
+
+def routes(
+    daemon: daemon_state.Daemon,
+    clock: clock_state.Clock,
+    metrics_text: Callable[[], bytes],
+    recent: log_sink.RecentEvents,
+    clients: Collection[str],
+) -> Routes:
+    """Return the handlers of the admin port.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables; only read.
+    clock : Clock
+        Source of time.
+    metrics_text : callable
+        Returns the metrics in their text format.
+    recent : RecentEvents
+        The latest log events.
+    clients : collection of str
+        IP numbers that are let in; all others are refused.
+    """
+
+    def show_status(environ: web.Environ) -> web.Reply:
+        status = status_api.status_of(daemon, clock.monotonic_ms())
+        return web.Reply(http.HTTPStatus.OK, msgspec.json.encode(status))
+
+    handlers: Routes = {
+        ("GET", "/metrics"): lambda environ: web.Reply(
+            http.HTTPStatus.OK, metrics_text(), METRICS_TYPE
+        ),
+        ("GET", "/status"): show_status,
+        ("GET", "/events"): lambda environ: web.Reply(
+            http.HTTPStatus.OK, recent.text(), LINES_TYPE
+        ),
+        ("GET", "/ready"): lambda environ: callers.show_ready(daemon),
+    }
+    return {key: _guard(handler, clients) for key, handler in handlers.items()}
+
+
+def _guard(handler: web.Handler, clients: Collection[str]) -> web.Handler:
+    def handle(environ: web.Environ) -> web.Reply:
+        if environ.get("REMOTE_ADDR") not in clients:
+            body = b'{"code":"client_not_allowed"}'
+            return web.Reply(http.HTTPStatus.FORBIDDEN, body)
+        return handler(environ)
+
+    return handle
--- a/amaranthpulley/transport/callers.py
+++ b/amaranthpulley/transport/callers.py
@@ -6,6 +6,7 @@
 from amaranthpulley.coordination import events
 from amaranthpulley.protocol import caller_api
 from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.transport import errors, runtime, web
 
 Decode = Callable[[bytes, str], runtime.Request]
@@ -20,7 +21,7 @@
         ("POST", "/v1/order"): _handler(
             driver, caller_api.decode_order, events.OrderReceived
         ),
-        ("GET", "/ready"): lambda environ: _ready(driver),
+        ("GET", "/ready"): lambda environ: show_ready(driver.daemon),
     }
 
 
@@ -53,7 +54,8 @@
     return web.Reply(response.status, response.body)
 
 
-def _ready(driver: runtime.Runtime) -> web.Reply:
-    if not driver.daemon.ready:
+def show_ready(daemon: daemon_state.Daemon) -> web.Reply:
+    """Tell the balancer whether requests may be sent here."""
+    if not daemon.ready:
         return web.Reply(http.HTTPStatus.SERVICE_UNAVAILABLE, b'{"ready":false}')
     return web.Reply(http.HTTPStatus.OK, b'{"ready":true}')
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -1,15 +1,16 @@
 """A whole daemon: its sockets, its runtime and its end."""
 
-import http
 import random
 import secrets
 import signal
 
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import settings as settings_protocol
+from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import log_events
+from amaranthpulley.state import hybrid_clock, log_events
 from amaranthpulley.transport import (
+    admin,
     callers,
     log_sink,
     metrics,
@@ -38,13 +39,13 @@
     def __init__(self, settings: settings_protocol.Settings) -> None:
         listen = settings["listen"]
         clock = system_clock.system_clock()
-        write_log = log_sink.open_log(
-            settings["vm_name"], clock, settings.get("log_file")
-        )
+        recent = log_sink.RecentEvents()
+        stamps = hybrid_clock.HybridClock()
+        write_log = _open_log(settings, clock, stamps, recent)
         sockets = _listen_all(listen["ip"], listen["caller_port"], listen["admin_port"])
         identity = _identity(settings, listen["peer_port"])
         daemon = daemon_state.Daemon(identity, settings_protocol.limits_of(settings))
-        self._metrics = metrics.Metrics(daemon.counters)
+        self._metrics = metrics.Metrics(daemon)
         self.runtime = runtime.Runtime(
             daemon,
             clock,
@@ -57,9 +58,9 @@
         self._callers = web.WebServer(
             sockets[0], web.application(callers.routes(self.runtime))
         )
-        self._admin = web.WebServer(
-            sockets[1], web.application({("GET", "/metrics"): self._show_metrics})
-        )
+        clients = settings_protocol.admin_clients_of(settings)
+        admin_routes = admin.routes(daemon, clock, self._metrics.text, recent, clients)
+        self._admin = web.WebServer(sockets[1], web.application(admin_routes))
         write_log(
             commands.log(
                 log_events.DAEMON_LISTENING,
@@ -102,8 +103,21 @@
         self._admin.stop()
         self.runtime.close()
 
-    def _show_metrics(self, environ: web.Environ) -> web.Reply:
-        return web.Reply(http.HTTPStatus.OK, self._metrics.text(), "text/plain")
+
+def _open_log(
+    settings: settings_protocol.Settings,
+    clock: clock_state.Clock,
+    stamps: hybrid_clock.HybridClock,
+    recent: log_sink.RecentEvents,
+) -> log_sink.WriteLog:
+    return log_sink.open_log(
+        settings["vm_name"],
+        clock,
+        settings.get("log_file"),
+        settings_protocol.log_level_of(settings),
+        stamps,
+        recent,
+    )
 
 
 def _identity(
--- a/amaranthpulley/transport/log_sink.py
+++ b/amaranthpulley/transport/log_sink.py
@@ -1,5 +1,6 @@
-"""Log events as JSON lines, through `logging`."""
+"""Log events as JSON lines, through `logging` and into a buffer for the admin port."""
 
+import collections
 import logging
 import sys
 from collections.abc import Callable
@@ -9,31 +10,51 @@
 
 from amaranthpulley.coordination import commands
 from amaranthpulley.state import clock as clock_state
-from amaranthpulley.state import log_events
+from amaranthpulley.state import hybrid_clock, log_events
 from amaranthpulley.transport import errors
 
 LOGGER_NAME: Final = "amaranthpulley"
+RECENT_EVENTS: Final = 10_000
 WriteLog = Callable[[commands.Log], None]
 
 
+class RecentEvents:
+    """The latest lines of one process, oldest first."""
+
+    def __init__(self) -> None:
+        self._lines: collections.deque[bytes] = collections.deque(maxlen=RECENT_EVENTS)
+
+    def add(self, line: bytes) -> None:
+        """Keep a line and forget the oldest one when there are too many."""
+        self._lines.append(line)
+
+    def text(self) -> bytes:
+        """Return all lines, each with its line end."""
+        return b"".join(line + b"\n" for line in self._lines)
+
+
 def open_log(
     process: str,
     clock: clock_state.Clock,
     path: str | None,
-    level: log_events.Level = log_events.Level.INFO,
+    level: log_events.Level,
+    stamps: hybrid_clock.HybridClock,
+    recent: RecentEvents,
 ) -> WriteLog:
     """Return a function that writes log events of one process.
 
     Parameters
     ----------
-    process : str
-        Name that each line carries.
-    clock : Clock
-        Gives the time of each line.
+    process, clock
+        Name and time of each line.
     path : str or None
         File to append to; None for standard error.
     level : Level
         Events below it are left out.
+    stamps : HybridClock
+        Gives the stamp of each line.
+    recent : RecentEvents
+        Also gets each line.
 
     Raises
     ------
@@ -46,18 +67,26 @@
         event = command.event
         if not logger.isEnabledFor(event.level):
             return
-        line = {
-            "time_ms": clock.wall_ms(),
-            "process": process,
-            "event": event.number,
-            "name": event.name,
-            **dict(command.fields),
-        }
-        logger.log(event.level, msgspec.json.encode(line).decode())
+        wall_ms = clock.wall_ms()
+        encoded = _encode(command, process, wall_ms, stamps.tick(wall_ms))
+        recent.add(encoded)
+        logger.log(event.level, encoded.decode())
 
     return write
 
 
+def _encode(command: commands.Log, process: str, wall_ms: int, stamp: int) -> bytes:
+    line = {
+        "time_ms": wall_ms,
+        "stamp": stamp,
+        "process": process,
+        "event": command.event.number,
+        "name": command.event.name,
+        **dict(command.fields),
+    }
+    return msgspec.json.encode(line)
+
+
 def _logger(process: str, path: str | None, level: log_events.Level) -> logging.Logger:
     logger = logging.getLogger(f"{LOGGER_NAME}.{process}")
     logger.setLevel(level)
--- a/amaranthpulley/transport/metrics.py
+++ b/amaranthpulley/transport/metrics.py
@@ -1,13 +1,16 @@
 """The daemon's metrics, in the text format of prometheus_client."""
 
+import collections
 from collections.abc import Iterable
 from typing import Final
 
 import prometheus_client
 from prometheus_client import core as prometheus_core
 
-from amaranthpulley.coordination import commands
+from amaranthpulley.coordination import answering, commands
+from amaranthpulley.protocol import status_api
 from amaranthpulley.state import counters, requests
+from amaranthpulley.state import daemon as daemon_state
 
 PREFIX: Final = "amaranthpulley_"
 LATENCY_BUCKETS_SECONDS: Final = (
@@ -22,13 +25,16 @@
 
     Parameters
     ----------
-    totals : Counters
-        Totals that the decisions keep.
+    daemon : Daemon
+        The daemon's tables; only read.
     """
 
-    def __init__(self, totals: counters.Counters) -> None:
+    def __init__(self, daemon: daemon_state.Daemon) -> None:
+        self._daemon = daemon
         self._registry = prometheus_client.CollectorRegistry()
-        self._registry.register(_CounterCollector(totals))
+        self._registry.register(_CounterCollector(daemon.counters))
+        self._registry.register(_StateCollector(daemon))
+        prometheus_client.ProcessCollector(registry=self._registry)
         self._latency = prometheus_client.Histogram(
             f"{PREFIX}request_seconds",
             "Time from a request's arrival to its answer",
@@ -46,10 +52,8 @@
 
     def observe(self, command: commands.AnswerCaller) -> None:
         """Enter the end of a request."""
-        service = command.request.service
+        service = answering.service_label(self._daemon, command.request)
         outcome = type(command.outcome).__name__
-        if _is_unknown_service(command.outcome):
-            service = "unknown"
         self._latency.labels(service, outcome).observe(command.elapsed_ms / 1000)
         if isinstance(command.outcome, requests.SearchAnswer):
             self._coverage.labels(service).observe(command.outcome.coverage)
@@ -79,6 +83,46 @@
         return families.values()
 
 
-def _is_unknown_service(outcome: requests.Outcome) -> bool:
-    unknown = requests.RefusalCode.UNKNOWN_SERVICE
-    return isinstance(outcome, requests.Refusal) and outcome.code is unknown
+class _StateCollector:
+    """Exposes what the daemon believes at the moment of the reading."""
+
+    def __init__(self, daemon: daemon_state.Daemon) -> None:
+        self._daemon = daemon
+
+    def collect(self) -> Iterable[prometheus_core.Metric]:
+        daemon = self._daemon
+        yield _targets(daemon)
+        yield _members(daemon)
+        gauges = {
+            "requests_in_progress": daemon.requests_in_progress,
+            "configuration_ticket_number": daemon.configuration.highest_number,
+            "configuration_confirmed": not daemon.configuration.suspended,
+            "ready": daemon.ready,
+            "journal_unwritten_records": daemon.journal.unwritten_records,
+            "journal_unwritten_bytes": daemon.journal.size_bytes,
+        }
+        for name, value in gauges.items():
+            yield prometheus_core.GaugeMetricFamily(
+                PREFIX + name, name.replace("_", " "), value=float(value)
+            )
+
+
+def _targets(daemon: daemon_state.Daemon) -> prometheus_core.Metric:
+    family = prometheus_core.GaugeMetricFamily(
+        f"{PREFIX}targets",
+        "Configured targets by failure domain, and why they get no work",
+        labels=("failure_domain", "state"),
+    )
+    for body in status_api.count_targets(daemon):
+        family.add_metric((body["failure_domain"], body["state"]), body["count"])
+    return family
+
+
+def _members(daemon: daemon_state.Daemon) -> prometheus_core.Metric:
+    family = prometheus_core.GaugeMetricFamily(
+        f"{PREFIX}members", "Known daemons by standing", labels=("standing",)
+    )
+    standings = collections.Counter(m.standing for m in daemon.members.all())
+    for standing, count in sorted(standings.items()):
+        family.add_metric((standing.name.lower(),), count)
+    return family
