--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -9,6 +9,8 @@
   amaranthpulley bench [--only NAME] [--seed N] [--out DIR] [--quick]
                        [--leaves DIR] [--revision TEXT]
   amaranthpulley settings check FILE
+  amaranthpulley customer export CUSTOMER --from TIME --to TIME
+                          (--out FILE --store ADDRESS)
   amaranthpulley version
   amaranthpulley --help
 
@@ -21,6 +23,9 @@
   --count COUNT      How many leaves to serve, with consecutive shards [default: 1].
   --only NAME        Run this experiment alone.
   --seed N           Decides all chance of an experiment [default: 1].
+  --from TIME        Requests that arrived from this time on, in ISO 8601.
+  --to TIME          Requests that arrived before this time.
+  --store ADDRESS    IP:port of the platform's store.
   --out DIR          Write the rows as JSON lines, and plots, into this folder.
   --quick            Small sizes, to try the tool out.
   --leaves DIR       Where the files with the addresses of running leaves are.
@@ -42,7 +47,7 @@
 import amaranthpulley
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import settings as settings_protocol
-from amaranthpulley.transport import errors, loop
+from amaranthpulley.transport import errors, iso_times, loop
 
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
@@ -75,6 +80,8 @@
         protocol_errors.InvalidTicketError,
     ) as error:
         return _fail(error, EXIT_USAGE)
+    except errors.InvalidTimeError as error:
+        return _fail(error, EXIT_USAGE)
     except errors.TransportError as error:
         return _fail(error, EXIT_FAILED)
 
@@ -147,6 +154,21 @@
     return EXIT_OK
 
 
+def _export_customer(arguments: Arguments) -> int:
+    window = iso_times.parse_window(arguments["--from"], arguments["--to"])
+    loop.prepare_loop()
+    from amaranthpulley.transport import customer_export
+
+    return customer_export.run_command(
+        arguments["CUSTOMER"],
+        window,
+        arguments["--store"],
+        arguments["--out"],
+        print,
+        lambda line: print(line, file=sys.stderr),
+    )
+
+
 def _show_version(arguments: Arguments) -> int:
     _show(f"amaranthpulley {amaranthpulley.__version__}")
     return EXIT_OK
@@ -159,5 +181,6 @@
     "demo": _run_demo,
     "bench": _run_bench,
     "settings": _check_settings,
+    "customer": _export_customer,
     "version": _show_version,
 }
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -67,6 +67,18 @@
     code = "unknown_experiment"
 
 
+class ExportUnwritableError(TransportError):
+    """The file of an export cannot be written."""
+
+    code = "export_unwritable"
+
+
+class InvalidTimeError(TransportError):
+    """A time given on the command line cannot be read."""
+
+    code = "invalid_time"
+
+
 class NoLeavesError(TransportError):
     """The stand-in leaves that an experiment asks are not there."""
 
