Read HTTP headers without the e-mail parser, test connections without a switch

Ruled out: a client of our own on bare sockets (HTTP is by library); fewer headers (the targets choose them).

--- a/amaranthpulley/transport/loop.py
+++ b/amaranthpulley/transport/loop.py
@@ -1,9 +1,12 @@
 """The one loop that the process runs on."""
 
+import http.client
 import logging
 import warnings
 from typing import Final
 
+from amaranthpulley.transport import http_headers
+
 HUB: Final = "epolls"
 
 
@@ -18,6 +21,7 @@
     import eventlet.hubs
 
     eventlet.hubs.use_hub(HUB)
+    http.client.parse_headers = http_headers.parse_headers
     # The archive's start-up makes locks before this; they are never held across a
     # switch of green threads, so that eventlet's message about them is of no use.
     handler = logging.lastResort
--- a/amaranthpulley/transport/store_client.py
+++ b/amaranthpulley/transport/store_client.py
@@ -1,10 +1,15 @@
 """Calls to the platform's store over HTTP."""
 
+from typing import Final
+
 import urllib3
 
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import store_api
 from amaranthpulley.state import store
+from amaranthpulley.transport import http_connections
+
+MAXIMUM_IDLE: Final = 8
 
 
 class StoreClient:
@@ -17,8 +22,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, port = address.rsplit(":", 1)
-        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=8)
+        self._pool = http_connections.connection_pool(address, MAXIMUM_IDLE)
 
     def call(self, operation: store.Operation, timeout_ms: int) -> store.Result:
         """Carry out an operation; every failure comes back as `StoreFailed`.
--- a/amaranthpulley/transport/target_client.py
+++ b/amaranthpulley/transport/target_client.py
@@ -6,6 +6,7 @@
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import leaf_api
 from amaranthpulley.state import topology
+from amaranthpulley.transport import http_connections
 
 AttemptEnd = events.AttemptAnswered | events.AttemptFailed
 
@@ -71,10 +72,7 @@
     def _pool(self, target: topology.Target) -> urllib3.HTTPConnectionPool:
         pool = self._pools.get(target.address)
         if pool is None:
-            host, port = target.address.rsplit(":", 1)
-            pool = urllib3.HTTPConnectionPool(
-                host, int(port), maxsize=target.connections
-            )
+            pool = http_connections.connection_pool(target.address, target.connections)
             self._pools[target.address] = pool
         return pool
 
