--- a/amaranthpulley/coordination/searching.py
+++ b/amaranthpulley/coordination/searching.py
@@ -106,6 +106,7 @@
         log_events.ATTEMPT_FAILED,
         request_id=search.request.request_id,
         target=attempt.target.name,
+        failure_domain=attempt.target.failure_domain,
         failure=event.failure.value,
     )
     return [
--- a/amaranthpulley/coordination/tracing.py
+++ b/amaranthpulley/coordination/tracing.py
@@ -56,6 +56,7 @@
         request_id=command.request_id,
         attempt_id=command.attempt_id,
         target=command.target.name,
+        failure_domain=command.target.failure_domain,
     )
 
 
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -83,3 +83,15 @@
     """The stand-in leaves that an experiment asks are not there."""
 
     code = "no_leaves"
+
+
+class EventsUnreadableError(TransportError):
+    """A log file or an admin port cannot be read."""
+
+    code = "events_unreadable"
+
+
+class PictureUnwritableError(TransportError):
+    """The file of a picture cannot be written."""
+
+    code = "picture_unwritable"
--- /dev/null
+++ b/amaranthpulley/transport/timeline.py
@@ -0,0 +1,198 @@
+"""One time line of the events of many processes, from log files and admin ports.
+
+Events are ordered by their hybrid stamps, so that a cause comes before its effects
+though the clocks of the processes differ. The time that is shown is the process's own.
+"""
+
+import pathlib
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Final, NamedTuple
+
+import msgspec
+import urllib3
+
+from amaranthpulley.transport import errors, iso_times
+
+READ_TIMEOUT_SECONDS: Final = 10.0
+_HEAD: Final = ("time_ms", "stamp", "process", "event", "name")
+
+Show = Callable[[str], None]
+
+
+class Event(NamedTuple):
+    """One log event of one process.
+
+    Attributes
+    ----------
+    stamp : int
+        Hybrid stamp; orders the events of all processes.
+    process : str
+        Name of the VM.
+    time_ms : int
+        The process's own clock, in milliseconds since the Unix epoch.
+    number : int
+        Number in the catalogue.
+    name : str
+        Name in the catalogue.
+    fields : tuple of (str, str)
+        The other fields, as text.
+    """
+
+    stamp: int
+    process: str
+    time_ms: int
+    number: int
+    name: str
+    fields: tuple[tuple[str, str], ...]
+
+
+class Filter(NamedTuple):
+    """What a time line is limited to; None takes everything.
+
+    Attributes
+    ----------
+    request, target, domain, ticket : str or None
+        Identifier of a request, names of a target and of a failure domain, and number
+        of a change ticket.
+    from_ms, to_ms : int or None
+        First time, and the time before which an event must lie, in milliseconds since
+        the Unix epoch.
+    """
+
+    request: str | None = None
+    target: str | None = None
+    domain: str | None = None
+    ticket: str | None = None
+    from_ms: int | None = None
+    to_ms: int | None = None
+
+
+class Merged(NamedTuple):
+    """The events of all sources in order, and how many lines were no events."""
+
+    events: tuple[Event, ...]
+    unreadable: int
+
+
+def merge(lines: Iterable[bytes]) -> Merged:
+    """Return the events of lines from any number of processes, each event once."""
+    found: set[Event] = set()
+    unreadable = 0
+    for line in lines:
+        if not line.strip():
+            continue
+        event = parse(line)
+        if event is None:
+            unreadable += 1
+        else:
+            found.add(event)
+    return Merged(tuple(sorted(found)), unreadable)
+
+
+def parse(line: bytes) -> Event | None:
+    """Return the event of a log line, None when the line is something else."""
+    try:
+        body = msgspec.json.decode(line, type=dict[str, Any])
+        head = [body.pop(name) for name in _HEAD]
+        time_ms, stamp, process, number, name = head
+        known = isinstance(stamp, int) and isinstance(number, int)
+        if not known or not isinstance(time_ms, int):
+            return None
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError):
+        return None
+    fields = tuple((key, _text(value)) for key, value in body.items())
+    return Event(stamp, str(process), time_ms, number, str(name), fields)
+
+
+def select(events: Iterable[Event], wanted: Filter) -> list[Event]:
+    """Return the events that a filter lets through, in their order."""
+    events = list(events)
+    requests = _links(events, "attempt_id", "request_id")
+    domains = _links(events, "target", "failure_domain")
+    return [event for event in events if _passes(event, wanted, requests, domains)]
+
+
+def text_of(event: Event) -> str:
+    """Return the text of one event."""
+    fields = " ".join(f"{key}={value}" for key, value in event.fields)
+    time = iso_times.format_time(event.time_ms)
+    return f"{time} {event.process} {event.number} {event.name} {fields}".rstrip()
+
+
+def read_logs(paths: Iterable[str]) -> Iterator[bytes]:
+    """Yield the lines of log files.
+
+    Raises
+    ------
+    EventsUnreadableError
+        When a file cannot be read.
+    """
+    for path in paths:
+        try:
+            with pathlib.Path(path).open("rb") as lines:
+                yield from lines
+        except OSError as error:
+            raise errors.EventsUnreadableError(
+                f"cannot read {path}: {error.strerror}"
+            ) from error
+
+
+def read_admin(address: str, path: str) -> bytes:
+    """Return what a daemon's admin port shows.
+
+    Raises
+    ------
+    EventsUnreadableError
+        When there is no answer, or the daemon does not let this machine in.
+    """
+    try:
+        response = urllib3.request(
+            "GET",
+            f"http://{address}{path}",
+            timeout=READ_TIMEOUT_SECONDS,
+            retries=False,
+        )
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise errors.EventsUnreadableError(
+            f"no answer from {address}: {type(error).__name__}; check the address, or "
+            "leave it out"
+        ) from error
+    if response.status == 403:
+        raise errors.EventsUnreadableError(
+            f"{address} does not let this machine in; see `admin_clients` in its "
+            "settings"
+        )
+    return response.data
+
+
+def _passes(
+    event: Event, wanted: Filter, requests: dict[str, str], domains: dict[str, str]
+) -> bool:
+    fields = dict(event.fields)
+    request = fields.get("request_id") or requests.get(fields.get("attempt_id", ""))
+    domain = fields.get("failure_domain") or domains.get(fields.get("target", ""))
+    checks = (
+        (wanted.request, request),
+        (wanted.target, fields.get("target")),
+        (wanted.domain, domain),
+        (wanted.ticket, fields.get("ticket")),
+    )
+    if any(asked is not None and asked != found for asked, found in checks):
+        return False
+    after = wanted.from_ms is None or event.time_ms >= wanted.from_ms
+    return after and (wanted.to_ms is None or event.time_ms < wanted.to_ms)
+
+
+def _links(events: Iterable[Event], key: str, value: str) -> dict[str, str]:
+    found = {}
+    for event in events:
+        fields = dict(event.fields)
+        if key in fields and value in fields:
+            found[fields[key]] = fields[value]
+    return found
+
+
+def _text(value: object) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    return str(value)
--- /dev/null
+++ b/amaranthpulley/transport/timeline_picture.py
@@ -0,0 +1,147 @@
+"""The picture of a time line, as SVG: one lane for each process, time to the right."""
+
+from collections.abc import Callable
+from typing import Final
+from xml.sax import saxutils
+
+from amaranthpulley.state import hybrid_clock
+from amaranthpulley.transport import iso_times, timeline
+
+WIDTH: Final = 1_400
+LEFT: Final = 140
+RIGHT: Final = 20
+TOP: Final = 40
+LANE_HEIGHT: Final = 46
+LEGEND_HEIGHT: Final = 60
+MAXIMUM_EVENTS: Final = 2_000
+TICKS: Final = 6
+# By the hundreds of the event's number.
+KINDS: Final = {
+    1: ("process", "#555555"),
+    2: ("request", "#1f77b4"),
+    3: ("attempt", "#2ca02c"),
+    4: ("configuration", "#9467bd"),
+    5: ("platform", "#d62728"),
+    6: ("journal", "#ff7f0e"),
+}
+OTHER: Final = ("other", "#17becf")
+
+Place = Callable[[timeline.Event], float]
+
+
+def draw(events: list[timeline.Event]) -> str:
+    """Return the SVG text of a time line.
+
+    Parameters
+    ----------
+    events : list of Event
+        In their order; the first `MAXIMUM_EVENTS` are drawn, and the picture says so
+        when there are more.
+    """
+    drawn = events[:MAXIMUM_EVENTS]
+    place = _scale(drawn)
+    lanes = {name: row for row, name in enumerate(sorted({e.process for e in drawn}))}
+    height = TOP + LANE_HEIGHT * max(1, len(lanes)) + LEGEND_HEIGHT
+    parts = [
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH}" height="{height}" '
+        'font-family="sans-serif" font-size="12">',
+        f'<rect width="{WIDTH}" height="{height}" fill="white"/>',
+        *_axis(drawn, height),
+        *(_lane(name, row) for name, row in lanes.items()),
+        *_paths(drawn, lanes, place),
+        *(_dot(event, lanes, place) for event in drawn),
+        *_legend(drawn, len(events), height),
+        "</svg>",
+    ]
+    return "\n".join(parts) + "\n"
+
+
+def _axis(drawn: list[timeline.Event], height: int) -> list[str]:
+    if not drawn:
+        return [_label(LEFT, TOP, "no events")]
+    first_ms, span_ms = _span(drawn)
+    parts = []
+    for tick in range(TICKS):
+        time_ms = first_ms + span_ms * tick // (TICKS - 1)
+        x = LEFT + (WIDTH - LEFT - RIGHT) * tick / (TICKS - 1)
+        bottom = height - LEGEND_HEIGHT
+        parts.append(
+            f'<line x1="{x:.1f}" y1="{TOP - 10}" x2="{x:.1f}" y2="{bottom}" '
+            'stroke="#dddddd"/>'
+        )
+        text = iso_times.format_time(time_ms)[11:]
+        parts.append(_label(x, TOP - 16, text, "middle" if tick else "start"))
+    return parts
+
+
+def _lane(name: str, row: int) -> str:
+    y = _y(row)
+    line = (
+        f'<line x1="{LEFT}" y1="{y}" x2="{WIDTH - RIGHT}" y2="{y}" stroke="#aaaaaa"/>'
+    )
+    return line + _label(LEFT - 10, y + 4, name, "end")
+
+
+def _paths(
+    drawn: list[timeline.Event], lanes: dict[str, int], place: Place
+) -> list[str]:
+    """Join the events of one request that more than one process wrote."""
+    by_request: dict[str, list[timeline.Event]] = {}
+    for event in drawn:
+        request = dict(event.fields).get("request_id")
+        if request is not None:
+            by_request.setdefault(request, []).append(event)
+    return [
+        '<polyline fill="none" stroke="#1f77b4" stroke-opacity="0.4" points="'
+        + " ".join(f"{place(e):.1f},{_y(lanes[e.process])}" for e in same)
+        + '"/>'
+        for same in by_request.values()
+        if len({event.process for event in same}) > 1
+    ]
+
+
+def _dot(event: timeline.Event, lanes: dict[str, int], place: Place) -> str:
+    _, color = KINDS.get(event.number // 100, OTHER)
+    title = saxutils.escape(timeline.text_of(event))
+    return (
+        f'<circle cx="{place(event):.1f}" cy="{_y(lanes[event.process])}" r="4" '
+        f'fill="{color}"><title>{title}</title></circle>'
+    )
+
+
+def _legend(drawn: list[timeline.Event], total: int, height: int) -> list[str]:
+    kinds = {KINDS.get(event.number // 100, OTHER) for event in drawn}
+    parts, x, y = [], LEFT, height - LEGEND_HEIGHT / 2
+    for name, color in sorted(kinds):
+        parts.append(f'<circle cx="{x}" cy="{y}" r="5" fill="{color}"/>')
+        parts.append(_label(x + 10, y + 4, name))
+        x += 130
+    if total > len(drawn):
+        text = f"the first {len(drawn)} of {total} events; narrow the filter"
+        parts.append(_label(LEFT, height - 8, text))
+    return parts
+
+
+def _label(x: float, y: float, text: str, anchor: str = "start") -> str:
+    escaped = saxutils.escape(text)
+    return f'<text x="{x:.1f}" y="{y:.1f}" text-anchor="{anchor}">{escaped}</text>'
+
+
+def _span(drawn: list[timeline.Event]) -> tuple[int, int]:
+    times_ms = [hybrid_clock.time_of(event.stamp) for event in drawn]
+    return min(times_ms), max(1, max(times_ms) - min(times_ms))
+
+
+def _scale(drawn: list[timeline.Event]) -> Place:
+    first_ms, span_ms = _span(drawn) if drawn else (0, 1)
+    width = WIDTH - LEFT - RIGHT
+
+    def place(event: timeline.Event) -> float:
+        share = (hybrid_clock.time_of(event.stamp) - first_ms) / span_ms
+        return LEFT + width * share
+
+    return place
+
+
+def _y(row: int) -> int:
+    return TOP + LANE_HEIGHT * row + LANE_HEIGHT // 2
