Merge the events of many processes into one time line, as text and as a picture

Ordered by a hybrid logical clock: sorting by wall time alone was ruled out, as a clock 5 s behind puts effects before causes. SVG is written directly; matplotlib would bring a library into the daemon's archive for one picture.

--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -11,6 +11,10 @@
   amaranthpulley settings check FILE
   amaranthpulley customer export CUSTOMER --from TIME --to TIME
                           (--out FILE --store ADDRESS)
+  amaranthpulley timeline [--log FILE]... [--admin ADDRESS]... [--request ID]
+                          [--target NAME] [--domain NAME] [--ticket NUMBER]
+                          [--from TIME] [--to TIME] [--picture FILE]
+  amaranthpulley status --admin ADDRESS
   amaranthpulley version
   amaranthpulley --help
 
@@ -23,9 +27,17 @@
   --count COUNT      How many leaves to serve, with consecutive shards [default: 1].
   --only NAME        Run this experiment alone.
   --seed N           Decides all chance of an experiment [default: 1].
-  --from TIME        Requests that arrived from this time on, in ISO 8601.
-  --to TIME          Requests that arrived before this time.
+  --from TIME        Requests, or events, from this time on, in ISO 8601.
+  --to TIME          Requests, or events, before this time.
   --store ADDRESS    IP:port of the platform's store.
+  --log FILE         A log file with events; may be given more than once.
+  --admin ADDRESS    IP:port of a daemon's admin port; for the time line it may be
+                     given more than once.
+  --request ID       Only the events of this request.
+  --target NAME      Only the events of this target.
+  --domain NAME      Only the events of targets in this failure domain.
+  --ticket NUMBER    Only the events of this change ticket.
+  --picture FILE     Also draw the time line, as SVG.
   --out DIR          Write the rows as JSON lines, and plots, into this folder.
   --quick            Small sizes, to try the tool out.
   --leaves DIR       Where the files with the addresses of running leaves are.
@@ -169,6 +181,41 @@
     )
 
 
+def _show_timeline(arguments: Arguments) -> int:
+    from amaranthpulley.transport import operator_commands, timeline
+
+    if not arguments["--log"] and not arguments["--admin"]:
+        print("give at least one --log or --admin", file=sys.stderr)
+        return EXIT_USAGE
+    times = (arguments["--from"], arguments["--to"])
+    wanted = timeline.Filter(
+        arguments["--request"],
+        arguments["--target"],
+        arguments["--domain"],
+        arguments["--ticket"],
+        *(iso_times.parse_time(text) if text else None for text in times),
+    )
+    return operator_commands.show_timeline(
+        arguments["--log"],
+        arguments["--admin"],
+        wanted,
+        arguments["--picture"],
+        print,
+        _show_problem,
+    )
+
+
+def _show_status(arguments: Arguments) -> int:
+    from amaranthpulley.transport import operator_commands
+
+    # docopt makes one list of an option that another command may repeat.
+    return operator_commands.show_status(arguments["--admin"][0], print)
+
+
+def _show_problem(line: str) -> None:
+    print(f"amaranthpulley: {line}", file=sys.stderr)
+
+
 def _show_version(arguments: Arguments) -> int:
     _show(f"amaranthpulley {amaranthpulley.__version__}")
     return EXIT_OK
@@ -182,5 +229,7 @@
     "bench": _run_bench,
     "settings": _check_settings,
     "customer": _export_customer,
+    "timeline": _show_timeline,
+    "status": _show_status,
     "version": _show_version,
 }
