--- a/amaranthpulley/transport/bench/tests/test_capacity.py
+++ b/amaranthpulley/transport/bench/tests/test_capacity.py
@@ -11,6 +11,7 @@
     slopes,
 )
 
+SMALL = 8
 GROUPS = (capacity_tables, capacity_searches, capacity_journal, capacity_control)
 
 
@@ -26,6 +27,12 @@
         names = [q.name for group in GROUPS for q in group.QUANTITIES]
         self.assertEqual(len(names), len(set(names)))
 
+    def test_each_can_be_measured(self) -> None:
+        for group in GROUPS:
+            for quantity in group.QUANTITIES:
+                with self.subTest(quantity.name):
+                    self.assertGreaterEqual(quantity.measure(SMALL, 1), 0.0)
+
 
 class SlopeTest(unittest.TestCase):
     def test_line_is_extended_to_the_target(self) -> None:
