--- a/amaranthpulley/transport/tests/journal_site.py
+++ b/amaranthpulley/transport/tests/journal_site.py
@@ -25,7 +25,7 @@
 class Sent(NamedTuple):
     """A request that reached a running daemon."""
 
-    request: requests.SearchRequest
+    request: requests.SearchRequest | requests.OrderRequest
     vm: str
     life: str
     received_ms: int
@@ -62,15 +62,33 @@
 
     def search(self, vm: str, customer: str, service: str = "stock") -> None:
         """Send a search if the daemon runs."""
-        running = self.network.daemons[vm]
-        if not running.alive:
-            return
         number = len(self.sent)
         request = requests.SearchRequest(f"r{number}", customer, service, f"q{number}")
-        wall_ms = WALL_MS + self.network.now_ms
-        life = running.state.identity.life
-        self.sent.append(Sent(request, vm, life, wall_ms))
-        self.network.search(vm, request)
+        if self._note(vm, request):
+            self.network.search(vm, request)
+
+    def order(self, vm: str, customer: str) -> None:
+        """Send an order with a key of its own if the daemon runs."""
+        number = len(self.sent)
+        request = requests.OrderRequest(
+            f"r{number}", customer, "orders", f"key{number}", "payload"
+        )
+        if self._note(vm, request):
+            self.network.order(vm, request)
+
+    @property
+    def orders_run(self) -> list[str]:
+        """The idempotency keys of the orders that the target has run."""
+        return self.network.targets.leaves["desk"].runs
+
+    def _note(
+        self, vm: str, request: requests.SearchRequest | requests.OrderRequest
+    ) -> bool:
+        running = self.network.daemons[vm]
+        if running.alive:
+            wall_ms = WALL_MS + self.network.now_ms
+            self.sent.append(Sent(request, vm, running.state.identity.life, wall_ms))
+        return running.alive
 
     def call(self, operation: store.Operation) -> store.Result:
         """Call the store as the export does."""
--- a/amaranthpulley/transport/tests/test_customer_export.py
+++ b/amaranthpulley/transport/tests/test_customer_export.py
@@ -46,6 +46,7 @@
         strategies.sampled_from(
             (
                 *("search",) * 6,
+                *("order",) * 2,
                 *("crash", "restart", "drain", "store_down", "store_up", "lose"),
             )
         ),
@@ -66,6 +67,8 @@
         case "search":
             for _ in range(step.requests):
                 site.search(step.vm, step.customer, step.service)
+        case "order":
+            site.order(step.vm, step.customer)
         case "crash":
             site.network.crash(step.vm)
         case "restart" if not running.alive:
@@ -84,6 +87,17 @@
 class CustomerExportTest(unittest.TestCase):
     """An export holds each request once or lists the gap that it is in."""
 
+    def assert_orders_recorded(self, site: journal_site.Site) -> None:
+        """Check that each order that ran is in an export, not only in a gap."""
+        recorded = [
+            record.key
+            for customer in journal_site.CUSTOMERS
+            for record in site.export(customer)[0]
+            if record.kind == "order"
+        ]
+        for key in site.orders_run:
+            self.assertEqual(recorded.count(key), 1, key)
+
     def assert_accounted(self, site: journal_site.Site, from_ms: int = 0) -> None:
         announced = site.announced()
         for customer in journal_site.CUSTOMERS:
@@ -127,6 +141,7 @@
         site.run(20_000)
         self.assert_accounted(site)
         self.assert_accounted(site, from_ms)
+        self.assert_orders_recorded(site)
 
     @hypothesis.settings(
         derandomize=True, deadline=None, database=None, max_examples=30
