--- a/amaranthpulley/transport/tests/test_customer_export.py
+++ b/amaranthpulley/transport/tests/test_customer_export.py
@@ -39,22 +39,22 @@
     requests: int
 
 
+ACTIONS: Final = (
+    *("search",) * 6,
+    *("order",) * 2,
+    *("crash", "restart", "replace", "drain", "store_down", "store_up", "lose"),
+)
 STEPS: Final = strategies.lists(
     strategies.builds(
         Step,
         strategies.integers(0, 900),
-        strategies.sampled_from(
-            (
-                *("search",) * 6,
-                *("order",) * 2,
-                *("crash", "restart", "drain", "store_down", "store_up", "lose"),
-            )
-        ),
+        strategies.sampled_from(ACTIONS),
         strategies.sampled_from(journal_site.VMS),
         strategies.sampled_from(journal_site.CUSTOMERS),
         strategies.sampled_from(journal_site.SERVICES),
         strategies.integers(1, 6),
     ),
+    min_size=10,
     max_size=40,
 )
 
@@ -71,6 +71,9 @@
             site.order(step.vm, step.customer)
         case "crash":
             site.network.crash(step.vm)
+        case "replace":
+            site.network.crash(step.vm)
+            site.start(step.vm)
         case "restart" if not running.alive:
             site.start(step.vm)
         case "drain":
@@ -131,7 +134,7 @@
             seed,
             leaf_ms=300,
             journal_life_first=True,
-            journal_memory_bytes=800,
+            journal_memory_bytes=300,
             journal_when_full=policy,
         )
         for step in steps:
