Refuse requests that crash each target that runs them

A poisoned query killed target after target, as nothing linked the deaths. Each daemon now remembers what it has at each target; when a connection was lost and the target reports another boot id, what was there becomes suspect, and the daemons share the suspicions as facts, one for each pair of request and death. An answer clears. A death with a single suspect left proves a crash, two refuse the request everywhere.

Ruled out: counting deaths for each request (blames the popular query that stands beside), several connections lost at once as a sign of death (a cut network does that too), and one counter fact for each request (two daemons' counts do not add up).

--- a/amaranthpulley/coordination/admission.py
+++ b/amaranthpulley/coordination/admission.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.coordination import journaling
+from amaranthpulley.coordination import crash_blame, journaling
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import requests, topology
 
@@ -59,6 +59,8 @@
             codes.WRONG_KIND,
             f"service {service.name!r} takes {service.kind.value} requests only",
         )
+    if crash_blame.refuses(daemon, request):
+        return _refusal(codes.CRASHES_TARGETS, "each target that ran it has crashed")
     if request.deadline_ms is not None and request.deadline_ms <= 0:
         return _refusal(codes.DEADLINE_PASSED, "the deadline had passed on arrival")
     if daemon.requests_in_progress >= daemon.limits.maximum_requests_in_progress:
--- /dev/null
+++ b/amaranthpulley/coordination/crash_blame.py
@@ -0,0 +1,207 @@
+"""Requests that crash each target that runs them are refused.
+
+A target has died when connections to it were lost and it then reports another boot id.
+Every request that was lost there, on any daemon, is a suspect of this death; the
+daemons tell each other by facts. A suspect that any target answers later is cleared.
+A death proves a crash when one suspect alone is left, and two proven crashes make the
+daemons refuse the request until the facts expire. A death is not used until the facts
+of the other daemons must have arrived, as their requests may have caused it.
+"""
+
+import hashlib
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.state import crashes, facts, log_events, requests
+from amaranthpulley.state import daemon as daemon_state
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+REVIEW_INTERVAL_MS: Final = 500
+SETTLE_MS: Final = 2_000
+LOSS_KEPT_MS: Final = 60_000
+FACT_VALID_MS: Final = 600_000
+RUNNING_GRACE_MS: Final = 1_000
+PROVEN_CRASHES: Final = 2
+# Many targets die at once with their failure domain; their requests are no news.
+FACTS_PER_WINDOW: Final = 64
+WINDOW_MS: Final = 60_000
+
+SUSPECTED: Final = 1
+CLEARED: Final = 2
+
+
+class ReviewDue(NamedTuple):
+    """Purpose of the timer that looks for proven crashes."""
+
+
+def refuses(
+    daemon: daemon_state.Daemon,
+    request: requests.SearchRequest | requests.OrderRequest,
+) -> bool:
+    """Tell whether a request has crashed targets and must not run again."""
+    if not daemon.crashes.refused:
+        return False
+    if isinstance(request, requests.OrderRequest):
+        content = crashes.Content(request.service, request.payload, "")
+    else:
+        content = crashes.Content(request.service, request.query, request.key or "")
+    return fingerprint_of(content) in daemon.crashes.refused
+
+
+def fingerprint_of(content: crashes.Content) -> str:
+    """Return a digest that is equal for requests with the same content."""
+    text = "\n".join(content)
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def note_sent(daemon: daemon_state.Daemon, decided: Commands, now_ms: int) -> None:
+    """Remember the attempts among the commands that a decision returns."""
+    for command in decided:
+        if isinstance(command, commands.SendAttempt):
+            expires_ms = now_ms + command.timeout_ms + RUNNING_GRACE_MS
+            running = crashes.Running(
+                _content_of(command), command.target.name, expires_ms
+            )
+            daemon.crashes.add_running(command.attempt_id, running, now_ms)
+
+
+def start(
+    daemon: daemon_state.Daemon, event: events.Started, now_ms: int, random: Random
+) -> Commands:
+    """Begin to look for proven crashes."""
+    return [commands.SetTimer(ReviewDue(), now_ms + REVIEW_INTERVAL_MS)]
+
+
+def take_answer(
+    daemon: daemon_state.Daemon,
+    event: events.AttemptAnswered,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Clear a request that a target has run without dying."""
+    running = daemon.crashes.end_running(event.attempt_id)
+    if running is None:
+        return []
+    noted = _note_boot(daemon, running.target, event.load.boot_id, now_ms)
+    if daemon.crashes.lost or daemon.crashes.suspected:
+        _clear(daemon, fingerprint_of(running.content), now_ms)
+    return noted
+
+
+def take_failure(
+    daemon: daemon_state.Daemon,
+    event: events.AttemptFailed,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Remember a request whose connection was lost while it ran."""
+    running = daemon.crashes.end_running(event.attempt_id)
+    if running is None:
+        return []
+    if event.failure in (events.Failure.CONNECTION_LOST, events.Failure.TIMED_OUT):
+        lost = daemon.crashes.lost.setdefault(running.target, {})
+        lost[fingerprint_of(running.content)] = now_ms
+    if event.load is None:
+        return []
+    return _note_boot(daemon, running.target, event.load.boot_id, now_ms)
+
+
+def review(
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
+) -> Commands:
+    """Refuse the requests with enough proven crashes."""
+    table = daemon.crashes
+    suspects = _suspects_by_death(daemon, now_ms)
+    table.seen_ms = {death: table.seen_ms.get(death, now_ms) for death in suspects}
+    settle_ms = SETTLE_MS if daemon.members.peers else 0
+    proven: dict[str, int] = {}
+    for death, fingerprints in suspects.items():
+        if len(fingerprints) == 1 and now_ms - table.seen_ms[death] >= settle_ms:
+            [fingerprint] = fingerprints
+            proven[fingerprint] = proven.get(fingerprint, 0) + 1
+    refused = frozenset(f for f, count in proven.items() if count >= PROVEN_CRASHES)
+    blamed = sorted(refused - table.refused)
+    table.refused = refused
+    daemon.counters.add("requests_blamed_total", len(blamed))
+    return [
+        *(commands.log(log_events.REQUEST_BLAMED, fingerprint=f) for f in blamed),
+        commands.SetTimer(ReviewDue(), now_ms + REVIEW_INTERVAL_MS),
+    ]
+
+
+def _suspects_by_death(daemon: daemon_state.Daemon, now_ms: int) -> dict[str, set[str]]:
+    daemon.crashes.suspected = {}
+    suspects: dict[str, set[str]] = {}
+    for fact, _ in daemon.facts.current(now_ms):
+        if fact.kind is facts.FactKind.CRASH_COUNT:
+            fingerprint, _, death = fact.subject.partition("@")
+            entered = suspects.setdefault(death, set())
+            if fact.value == SUSPECTED:
+                entered.add(fingerprint)
+                daemon.crashes.suspected.setdefault(fingerprint, set()).add(death)
+    return suspects
+
+
+def _note_boot(
+    daemon: daemon_state.Daemon, target: str, boot_id: str, now_ms: int
+) -> Commands:
+    table = daemon.crashes
+    before = table.boots.get(target)
+    table.boots[target] = boot_id
+    lost = table.lost.pop(target, {})
+    if before is None or before == boot_id:
+        # It lives: the connection was lost, not the target.
+        return []
+    recent = {f for f, at_ms in lost.items() if now_ms - at_ms <= LOSS_KEPT_MS}
+    if not recent:
+        return []
+    # What has not ended yet may have been sent before the target died.
+    recent |= {fingerprint_of(content) for content in table.running_at(target)}
+    daemon.counters.add("target_deaths_total")
+    death = f"{target}/{boot_id}"
+    for fingerprint in sorted(recent):
+        if _may_publish(table, now_ms):
+            _publish(daemon, fingerprint, death, SUSPECTED, now_ms)
+            table.suspected.setdefault(fingerprint, set()).add(death)
+    died = commands.log(log_events.TARGET_DIED, target=target, suspects=len(recent))
+    return [died]
+
+
+def _may_publish(table: crashes.CrashTable, now_ms: int) -> bool:
+    if now_ms - table.window_start_ms >= WINDOW_MS:
+        table.window_start_ms = now_ms
+        table.published_in_window = 0
+    table.published_in_window += 1
+    return table.published_in_window <= FACTS_PER_WINDOW
+
+
+def _clear(daemon: daemon_state.Daemon, fingerprint: str, now_ms: int) -> None:
+    daemon.crashes.forget_losses_of(fingerprint)
+    for death in daemon.crashes.suspected.pop(fingerprint, ()):
+        _publish(daemon, fingerprint, death, CLEARED, now_ms)
+
+
+def _publish(
+    daemon: daemon_state.Daemon, fingerprint: str, death: str, value: int, now_ms: int
+) -> None:
+    fact = facts.Fact(facts.FactKind.CRASH_COUNT, f"{fingerprint}@{death}", value)
+    daemon.facts.publish(fact, now_ms + FACT_VALID_MS)
+
+
+def _content_of(command: commands.SendAttempt) -> crashes.Content:
+    service = command.target.service
+    call = command.call
+    if isinstance(call, commands.OrderCall):
+        return crashes.Content(service, call.payload, "")
+    return crashes.Content(service, call.query, call.key or "")
+
+
+HANDLERS: Final = {
+    events.Started: start,
+    events.AttemptAnswered: take_answer,
+    events.AttemptFailed: take_failure,
+    ReviewDue: review,
+}
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -18,6 +18,7 @@
     claim_segments,
     claiming,
     commands,
+    crash_blame,
     draining,
     errors,
     events,
@@ -41,6 +42,7 @@
 ]
 
 _MODULES: Final = (
+    crash_blame,
     journal_writing,
     journaling,
     tracing,
@@ -98,6 +100,7 @@
             return decided + refused
     for handler in _handlers_of(event):
         decided += handler(daemon, event, now_ms, random)
+    crash_blame.note_sent(daemon, decided, now_ms)
     return decided + exchanging.push_soon(daemon, now_ms)
 
 
--- /dev/null
+++ b/amaranthpulley/state/crashes.py
@@ -0,0 +1,72 @@
+"""What a daemon knows of targets that died and of the requests that ran there."""
+
+from typing import NamedTuple
+
+
+class Content(NamedTuple):
+    """What is the same each time a request is sent."""
+
+    service: str
+    text: str
+    key: str
+
+
+class Running(NamedTuple):
+    """A request at a target, forgotten when its end is not reported in time."""
+
+    content: Content
+    target: str
+    expires_ms: int
+
+
+class CrashTable:
+    """Requests at targets, requests that were lost there, and those under suspicion.
+
+    Attributes
+    ----------
+    lost : dict of str to dict of str to int
+        By target the fingerprints whose connection was lost, with the time of it.
+    boots : dict of str to str
+        The boot id that each target last reported.
+    suspected : dict of str to set of str
+        By fingerprint the deaths that it may have caused.
+    seen_ms : dict of str to int
+        When each death became known.
+    refused : frozenset of str
+        Fingerprints of requests that are not taken on.
+    """
+
+    def __init__(self) -> None:
+        self.lost: dict[str, dict[str, int]] = {}
+        self.boots: dict[str, str] = {}
+        self.suspected: dict[str, set[str]] = {}
+        self.seen_ms: dict[str, int] = {}
+        self.refused: frozenset[str] = frozenset()
+        self.window_start_ms = 0
+        self.published_in_window = 0
+        self._running: dict[str, Running] = {}
+
+    def add_running(self, attempt_id: str, running: Running, now_ms: int) -> None:
+        """Enter an attempt that is being sent."""
+        self._running[attempt_id] = running
+        oldest = next(iter(self._running))
+        while self._running[oldest].expires_ms < now_ms:
+            del self._running[oldest]
+            oldest = next(iter(self._running))
+
+    def end_running(self, attempt_id: str) -> Running | None:
+        """Take an attempt out; None when it was already over."""
+        return self._running.pop(attempt_id, None)
+
+    def running_at(self, target: str) -> list[Content]:
+        """Return what runs at a target."""
+        return [
+            running.content
+            for running in self._running.values()
+            if running.target == target
+        ]
+
+    def forget_losses_of(self, fingerprint: str) -> None:
+        """Drop a request from those that were lost."""
+        for lost in self.lost.values():
+            lost.pop(fingerprint, None)
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -7,6 +7,7 @@
     configuration,
     control,
     counters,
+    crashes,
     facts,
     journal,
     leases,
@@ -93,6 +94,7 @@
         self.searches = searches.SearchTable()
         self.orders = orders.OrderTable()
         self.claims = claims.RangeTable()
+        self.crashes = crashes.CrashTable()
         self.counters = counters.Counters()
         self.members = members.MemberTable(
             members.Vm(
--- a/amaranthpulley/state/standin_leaf.py
+++ b/amaranthpulley/state/standin_leaf.py
@@ -61,6 +61,8 @@
     ----------
     cold : ColdMode or None
         None once it is warm.
+    poison : str
+        A request whose text contains it crashes the target; empty for none.
     falls : int
         How often it fell over because it got more than it bears while cold.
     """
@@ -72,6 +74,7 @@
         self.faults = LeafFaults()
         self.runs: list[str] = []
         self.cold: ColdMode | None = None
+        self.poison = ""
         self.falls = 0
         self._restarts = 0
         self._finished_cold = 0
@@ -119,6 +122,11 @@
         self.busy_slots += 1
         return Verdict.RUNS
 
+    def crash_on(self, text: str) -> None:
+        """Restart if a request that is being run crashes the target."""
+        if self.poison and self.poison in text:
+            self.restart()
+
     def work_ms(self, usual_ms: int) -> int:
         """Return the time that a request takes now."""
         slowness = 1 if self.cold is None else self.cold.slowness
--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/virtual_targets.py
@@ -131,6 +131,8 @@
         def finish() -> None:
             if self._running.pop(attempt_id, None) is None:
                 return
+            if leaf.boot_id == boot_id:
+                leaf.crash_on(_text_of(command.call))
             if leaf.end(boot_id, finished=True):
                 reply(_run(leaf, command))
                 return
@@ -149,6 +151,10 @@
             stop()
 
 
+def _text_of(call: commands.SearchCall | commands.OrderCall) -> str:
+    return call.payload if isinstance(call, commands.OrderCall) else call.query
+
+
 def _run(
     leaf: standin_leaf.StandInLeaf, command: commands.SendAttempt
 ) -> events.AttemptAnswered | events.AttemptFailed:
