--- /dev/null
+++ b/amaranthpulley/transport/tests/journal_site.py
@@ -0,0 +1,120 @@
+"""Daemons under virtual time whose callers' requests are to be accounted for."""
+
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import journal_gaps
+from amaranthpulley.state import (
+    clock,
+    daemon,
+    journal,
+    keyspace,
+    requests,
+    standin_leaf,
+    store,
+    topology,
+)
+from amaranthpulley.transport import customer_export, virtual_network
+
+VMS: Final = ("vm-1", "vm-2", "vm-3")
+CUSTOMERS: Final = ("forno", "timer")
+SERVICES: Final = ("stock", "nowhere")
+WALL_MS: Final = clock.VirtualClock().as_clock().wall_ms()
+FLUSH_MS: Final = 500
+
+
+class Sent(NamedTuple):
+    """A request that reached a running daemon."""
+
+    request: requests.SearchRequest
+    vm: str
+    life: str
+    received_ms: int
+
+
+class Site:
+    """Three daemons and one leaf, with what the callers sent."""
+
+    def __init__(self, seed: int = 1, leaf_ms: int = 0, **limits: object) -> None:
+        self.network = virtual_network.VirtualNetwork(seed)
+        leaf = standin_leaf.StandInLeaf("boot", slots=100)
+        leaf.faults = standin_leaf.LeafFaults(delay_ms=leaf_ms)
+        leaf.hold(1, keyspace.split_evenly(1), ["item"])
+        self.network.add_leaf("leaf", leaf)
+        self.network.add_leaf("desk", standin_leaf.StandInLeaf("boot", slots=100))
+        self.sent: list[Sent] = []
+        self.limits = daemon.Limits(journal_flush_ms=FLUSH_MS, **limits)
+        self.lives = 0
+        for vm in VMS:
+            self.start(vm)
+        self.run(100)
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass."""
+        self.network.run_until(self.network.now_ms + for_ms)
+
+    def start(self, vm: str) -> None:
+        """Start a new life of a daemon that has the configuration."""
+        self.lives += 1
+        address = f"10.0.0.{VMS.index(vm) + 1}:1"
+        identity = daemon.Identity(vm, address, "Recife", "Recife", f"l{self.lives}")
+        started = self.network.start_daemon(identity, self.limits)
+        started.state.configuration.apply(_ticket())
+
+    def search(self, vm: str, customer: str, service: str = "stock") -> None:
+        """Send a search if the daemon runs."""
+        running = self.network.daemons[vm]
+        if not running.alive:
+            return
+        number = len(self.sent)
+        request = requests.SearchRequest(f"r{number}", customer, service, f"q{number}")
+        wall_ms = WALL_MS + self.network.now_ms
+        life = running.state.identity.life
+        self.sent.append(Sent(request, vm, life, wall_ms))
+        self.network.search(vm, request)
+
+    def call(self, operation: store.Operation) -> store.Result:
+        """Call the store as the export does."""
+        return self.network.store.call(operation, self.network.now_ms)
+
+    def job(self, customer: str, from_ms: int = 0) -> customer_export.Job:
+        """Return the export of a customer up to the present."""
+        end_ms = WALL_MS + self.network.now_ms + 1
+        window = journal_gaps.Window(WALL_MS + from_ms, end_ms)
+        return customer_export.Job(customer, window, self.call)
+
+    def export(
+        self, customer: str, from_ms: int = 0
+    ) -> tuple[list[journal.JournalRecord], list[journal_gaps.Gap]]:
+        """Return the records and the gaps of an export."""
+        export = customer_export.Export(self.job(customer, from_ms), lambda line: None)
+        records = list(export.records())
+        return records, export.gaps()
+
+    def announced(self) -> set[str]:
+        """Return the lives that the store knows of."""
+        return {life.life for life in customer_export.read_lives(self.call)}
+
+
+def _ticket() -> topology.ChangeTicket:
+    search, order = topology.ServiceKind.SEARCH, topology.ServiceKind.ORDER
+    return topology.ChangeTicket(
+        1,
+        services=(
+            topology.Service("stock", search, deadline_ms=900),
+            topology.Service("orders", order),
+        ),
+        targets=(
+            topology.Target("leaf", "stock", 0, "all", "Recife", "leaf"),
+            topology.Target("desk", "orders", 0, "all", "Recife", "desk"),
+        ),
+    )
+
+
+def is_listed(sent: Sent, gaps: list[journal_gaps.Gap]) -> bool:
+    """Tell whether a gap may hold a request."""
+    return any(
+        (gap.vm, gap.life) == (sent.vm, sent.life)
+        and gap.since_ms <= sent.received_ms
+        and (gap.until_ms is None or sent.received_ms <= gap.until_ms)
+        for gap in gaps
+    )
