--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/ordering.py
@@ -22,6 +22,7 @@
     claiming,
     commands,
     events,
+    order_outcomes,
     sending,
 )
 from amaranthpulley.state import claims, journal, log_events, orders, requests, topology
@@ -163,7 +164,7 @@
         return []
     if event.failure.not_run:
         return _send(daemon, order, now_ms, random)
-    order.outcome = _unknown()
+    order.outcome = order_outcomes.unknown()
     return [
         commands.log(
             log_events.ORDER_OUTCOME_UNKNOWN,
@@ -207,12 +208,12 @@
         return _end(daemon, order, order.outcome, now_ms)
     if order.attempt_id is not None:
         # The order stays until its attempt ends: a late receipt is still recorded.
-        return _answer(daemon, order, _unknown(), now_ms)
+        return _answer(daemon, order, order_outcomes.unknown(), now_ms)
     if order.asked_again:
-        return _give_up(daemon, order, _unknown(), now_ms)
+        return _give_up(daemon, order, order_outcomes.unknown(), now_ms)
     if order.phase is _Phase.HELD:
-        return _give_up(daemon, order, _no_target(), now_ms)
-    return _give_up(daemon, order, _no_store(), now_ms)
+        return _give_up(daemon, order, order_outcomes.no_target(), now_ms)
+    return _give_up(daemon, order, order_outcomes.not_claimed(), now_ms)
 
 
 def _ask_claim(
@@ -248,7 +249,7 @@
     if verdict.kind is _Kind.FOUND:
         return _take_foreign(daemon, order, verdict, now_ms, random)
     order.uncertain = order.uncertain or verdict.kind is _Kind.UNCERTAIN
-    return _give_up(daemon, order, _no_store(), now_ms)
+    return _give_up(daemon, order, order_outcomes.not_claimed(), now_ms)
 
 
 def _take_foreign(
@@ -259,14 +260,14 @@
     random: Random,
 ) -> Commands:
     if found.status is _Status.NOT_RUN:
-        return _give_up(daemon, order, _no_store(), now_ms)
+        return _give_up(daemon, order, order_outcomes.not_claimed(), now_ms)
     if found.fingerprint != order.claim.fingerprint:
-        return _give_up(daemon, order, _key_reused(), now_ms)
+        return _give_up(daemon, order, order_outcomes.key_reused(), now_ms)
     if found.status is _Status.DONE:
         done = requests.OrderDone(found.result, repeated=True)
         return _give_up(daemon, order, done, now_ms)
     if found.status is _Status.UNKNOWN:
-        return _give_up(daemon, order, _unknown(), now_ms)
+        return _give_up(daemon, order, order_outcomes.unknown(), now_ms)
     longest_ms = min(FIRST_ASK_AGAIN_MS << order.asked_again, LAST_ASK_AGAIN_MS)
     order.asked_again += 1
     wait_ms = int(longest_ms * (0.5 + random() / 2))
@@ -277,9 +278,9 @@
     daemon: daemon_state.Daemon, order: orders.Order, now_ms: int, random: Random
 ) -> Commands:
     if now_ms >= order.deadline_ms:
-        return _give_up(daemon, order, _too_late(), now_ms)
+        return _give_up(daemon, order, order_outcomes.too_late(), now_ms)
     sent = sending.send(daemon, order, now_ms, random)
-    return sent or _give_up(daemon, order, _no_target(), now_ms)
+    return sent or _give_up(daemon, order, order_outcomes.no_target(), now_ms)
 
 
 def _give_up(
@@ -307,7 +308,7 @@
     now_ms: int,
 ) -> Commands:
     record = order.claim.record._replace(
-        outcome=_name_of(order.outcome), attempts=order.attempts_sent
+        outcome=order_outcomes.name_of(order.outcome), attempts=order.attempts_sent
     )
     claim = order.claim._replace(record=record)
     return claiming.record(daemon, claim, status, result, now_ms)
@@ -351,53 +352,6 @@
     )
 
 
-def _name_of(outcome: requests.Outcome) -> str:
-    kind = type(outcome).__name__
-    is_refusal = isinstance(outcome, requests.Refusal)
-    return f"{kind} {outcome.code.value}" if is_refusal else kind
-
-
-def _unknown() -> requests.OrderUnknown:
-    return requests.OrderUnknown(
-        "the order may have run and its outcome is not known; repeat it with the same "
-        "idempotency key to learn it"
-    )
-
-
-def _no_store() -> requests.Refusal:
-    return requests.Refusal(
-        requests.RefusalCode.STORE_UNAVAILABLE,
-        "this request ran nothing, as it could not be claimed; repeat it with the "
-        "same idempotency key",
-        not_run=True,
-    )
-
-
-def _no_target() -> requests.Refusal:
-    return requests.Refusal(
-        requests.RefusalCode.NO_TARGET,
-        "no target takes orders now; repeat with the same idempotency key",
-        not_run=True,
-    )
-
-
-def _too_late() -> requests.Refusal:
-    return requests.Refusal(
-        requests.RefusalCode.DEADLINE_PASSED,
-        "the deadline passed before the order could be sent; repeat with the same "
-        "idempotency key",
-        not_run=True,
-    )
-
-
-def _key_reused() -> requests.Refusal:
-    return requests.Refusal(
-        requests.RefusalCode.KEY_REUSED,
-        "another order used this idempotency key; choose a new key",
-        not_run=True,
-    )
-
-
 HANDLERS: Final = {
     events.OrderReceived: receive,
     events.AttemptAnswered: take_receipt,
--- a/amaranthpulley/transport/tests/test_order_properties.py
+++ b/amaranthpulley/transport/tests/test_order_properties.py
@@ -135,7 +135,15 @@
 
     @PROFILE
     @hypothesis.given(SEEDS)
-    def test_not_run_is_true(self, seed: int) -> None:
+    def test_not_run_is_true_of_each_request(self, seed: int) -> None:
+        site = _run_chaos(seed)
+        for request_id, outcome in site.outcomes.items():
+            if isinstance(outcome, requests.Refusal) and outcome.not_run:
+                self.assertNotIn(request_id, site.network.targets.reached)
+
+    @PROFILE
+    @hypothesis.given(SEEDS)
+    def test_not_run_is_true_of_each_key(self, seed: int) -> None:
         # Each order has a key of its own: a run belongs to the one request.
         def order_once(site: order_site.OrderSite, chance: random.Random) -> None:
             site.order(_any_vm(site, chance), f"once-{len(site.tries)}")
