--- a/amaranthpulley/coordination/ticketing.py
+++ b/amaranthpulley/coordination/ticketing.py
@@ -155,12 +155,12 @@
             return Verdict(Status.ALREADY_ACCEPTED, text)
         text = f"number {number} is used with other content; take a higher one"
         return Verdict(Status.NUMBER_USED, text)
-    if number <= stored.head.floor:
-        text = f"numbers up to {stored.head.floor} are closed; take a higher one"
-        return Verdict(Status.NUMBER_TOO_OLD, text)
     fault = ticket_rules.first_fault(stored.configuration, accepted.ticket)
     if fault is not None:
         return Verdict(Status.INVALID, fault)
+    if number <= stored.head.floor:
+        text = f"numbers up to {stored.head.floor} are closed; take a higher one"
+        return Verdict(Status.NUMBER_TOO_OLD, text)
     over = ticket_rules.superseded(stored.configuration, accepted.ticket)
     if len(over) == len(configuration.entries_of(accepted.ticket)):
         text = "a higher number has set all that the ticket touches; take a higher one"
--- a/amaranthpulley/transport/tests/control_site.py
+++ b/amaranthpulley/transport/tests/control_site.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from amaranthpulley.coordination import ticketing
-from amaranthpulley.state import daemon, members, topology
+from amaranthpulley.state import daemon, members, store, topology
 from amaranthpulley.transport import virtual_network
 
 DOMAINS = ("Kathmandu", "Pokhara", "Biratnagar")
@@ -46,6 +46,8 @@
     ----------
     cut : set of frozenset of str
         Pairs of addresses between which no message passes.
+    configuration_calls : int
+        Calls to the store about the configuration.
     reverted : list of str
         Daemons, and what of theirs went back to a lower number.
     """
@@ -60,6 +62,9 @@
         self.reverted: list[str] = []
         self._numbers: dict[tuple, int] = {}
         self._lives = 0
+        self.configuration_calls = 0
+        self._call_store = self.network.store.call
+        self.network.store.call = self._count_call
         for number in range(size):
             self.start(f"vm-{number:03d}")
 
@@ -130,6 +135,11 @@
         for one in left:
             self.cut |= {frozenset((one, other)) for other in right}
 
+    def _count_call(self, operation: store.Operation, now_ms: int) -> store.Result:
+        key = getattr(operation, "key", getattr(operation, "prefix", ""))
+        self.configuration_calls += key.startswith("config/")
+        return self._call_store(operation, now_ms)
+
     def _delay(self, sender: str, receiver: str) -> int | None:
         if self.cut and frozenset((sender, receiver)) in self.cut:
             return None
--- a/amaranthpulley/transport/virtual_platform.py
+++ b/amaranthpulley/transport/virtual_platform.py
@@ -120,6 +120,10 @@
             1, lambda: self._network.feed(daemon, events.VmsListed(vms))
         )
 
+    def forget_watches(self) -> None:
+        """Lose all waiting watches in silence."""
+        self._watches.clear()
+
     def _arrive(
         self, operation: store.Operation, reply: Callable[[store.Result], None]
     ) -> None:
