Carry messages between daemons, and take signals on the loop

Cause: the runtime answered every call to a peer with 'unreachable', and a signal handler could cut into a decision. Peers speak version, name and content in MessagePack; a second SIGTERM ends the daemon at once and says what is left.

--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/draining.py
@@ -38,9 +38,12 @@
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Become unready and tell the peers; go on taking requests for the grace."""
+    """Become unready and tell the peers; go on taking requests for the grace.
+
+    Asked a second time, the daemon ends at once and says what is left.
+    """
     if daemon.leaving:
-        return []
+        return _cut_short(daemon)
     daemon.leaving = True
     daemon.control.drain_end_ms = now_ms + daemon.limits.drain_limit_ms
     membership.leave(daemon, now_ms)
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -3,16 +3,21 @@
 import http
 import random
 import secrets
-import signal
+import socket
+from typing import Final
 
 from amaranthpulley.coordination import commands, events
+from amaranthpulley.protocol import peer_codec
 from amaranthpulley.protocol import settings as settings_protocol
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events
 from amaranthpulley.transport import (
     callers,
+    errors,
     log_sink,
     metrics,
+    peers,
+    process_signals,
     runtime,
     store_client,
     system_clock,
@@ -20,6 +25,8 @@
     web,
 )
 
+PEER_GRACE_MS: Final = 1_000
+
 
 class DaemonProcess:
     """A daemon with open sockets.
@@ -42,7 +49,8 @@
             settings["vm_name"], clock, settings.get("log_file")
         )
         sockets = _listen_all(listen["ip"], listen["caller_port"], listen["admin_port"])
-        identity = _identity(settings, listen["peer_port"])
+        self._peers = _serve_peers(settings, sockets, self._take_peer_call)
+        identity = _identity(settings, self._peers.address)
         daemon = daemon_state.Daemon(identity, settings_protocol.limits_of(settings))
         self._metrics = metrics.Metrics(daemon.counters)
         self.runtime = runtime.Runtime(
@@ -83,12 +91,9 @@
 
     def drain_on_signals(self) -> None:
         """Leave without cutting a request on SIGTERM and SIGINT."""
-
-        def drain(number: int, frame: object) -> None:
-            self.runtime.feed(events.DrainRequested())
-
-        signal.signal(signal.SIGTERM, drain)
-        signal.signal(signal.SIGINT, drain)
+        process_signals.on_end_signals(
+            lambda: self.runtime.feed(events.DrainRequested())
+        )
 
     def wait(self) -> int:
         """Serve until the daemon has drained, and return the exit code."""
@@ -100,24 +105,43 @@
         """Close all sockets."""
         self._callers.stop()
         self._admin.stop()
+        self._peers.stop(PEER_GRACE_MS)
         self.runtime.close()
 
+    def _take_peer_call(self, sender_ip: str, body: bytes) -> bytes:
+        return self.runtime.peers.take(sender_ip, body)
+
     def _show_metrics(self, environ: web.Environ) -> web.Reply:
         return web.Reply(http.HTTPStatus.OK, self._metrics.text(), "text/plain")
 
 
 def _identity(
-    settings: settings_protocol.Settings, peer_port: int
+    settings: settings_protocol.Settings, address: str
 ) -> daemon_state.Identity:
     return daemon_state.Identity(
         settings["vm_name"],
-        f"{settings['listen']['ip']}:{peer_port}",
+        address,
         settings["failure_domain"],
         settings["region"],
         secrets.token_hex(4),
     )
 
 
+def _serve_peers(
+    settings: settings_protocol.Settings,
+    opened: list[socket.socket],
+    handle: peers.Handle,
+) -> peers.PeerServer:
+    listen = settings["listen"]
+    address = f"{listen['ip']}:{listen['peer_port']}"
+    try:
+        return peers.serve_peers(address, handle, peer_codec.MAXIMUM_MESSAGE_BYTES)
+    except errors.AddressInUseError:
+        for listener in opened:
+            listener.close()
+        raise
+
+
 def _listen_all(ip: str, *ports: int) -> list:
     sockets: list = []
     try:
--- a/amaranthpulley/transport/peers.py
+++ b/amaranthpulley/transport/peers.py
@@ -15,7 +15,7 @@
 import eventlet.wsgi
 import urllib3
 
-from amaranthpulley.transport import errors, web
+from amaranthpulley.transport import errors, http_connections, web
 
 MAXIMUM_CHANNELS: Final = 64
 MAXIMUM_INCOMING_CONNECTIONS: Final = 1024
@@ -209,9 +209,7 @@
         raise errors.PeerUnreachableError(
             f"{address!r} is not an address; give a peer as IP:port"
         )
-    return urllib3.HTTPConnectionPool(
-        ip, int(port), maxsize=IDLE_CONNECTIONS_PER_PEER, retries=False
-    )
+    return http_connections.connection_pool(address, IDLE_CONNECTIONS_PER_PEER)
 
 
 def _post(
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -12,6 +12,7 @@
 from amaranthpulley.state import log_events, requests
 from amaranthpulley.transport import (
     log_sink,
+    peer_calls,
     store_client,
     target_client,
     vm_list_client,
@@ -64,6 +65,7 @@
         self._vm_list = vm_list
         self._observe = observe
         self._targets = target_client.TargetClient()
+        self.peers = peer_calls.PeerCalls(self.feed, self._note_refused)
         self._waiting: dict[str, eventlet.event.Event] = {}
         self._carry_out: Final[dict[type, Callable[[Any], None]]] = {
             commands.SendAttempt: self._send_attempt,
@@ -73,6 +75,8 @@
             commands.CallStore: self._call_store,
             commands.ListVms: self._list_vms,
             commands.CallPeer: self._call_peer,
+            commands.ReplyPeer: self.peers.reply,
+            commands.RejectPeer: self.peers.reject,
             commands.Log: write_log,
             commands.Exit: self._exit,
         }
@@ -97,6 +101,7 @@
         self._targets.close()
         self._store.close()
         self._vm_list.close()
+        self.peers.close()
 
     def _decide(self, event: events.Event, now_ms: int) -> list[commands.Command]:
         try:
@@ -143,9 +148,12 @@
         eventlet.spawn_n(call)
 
     def _call_peer(self, command: commands.CallPeer) -> None:
-        unreachable = events.PeerFailure.UNREACHABLE
-        replied = events.PeerReplied(command.purpose, command.address, unreachable)
-        eventlet.spawn_n(self.feed, replied)
+        eventlet.spawn_n(self.peers.call, command)
+
+    def _note_refused(self, sender_ip: str, reason: str) -> None:
+        self.daemon.counters.add("peer_messages_refused_total", reason=reason)
+        refused = log_events.PEER_MESSAGE_REFUSED
+        self._write_log(commands.log(refused, reason=reason, sender=sender_ip))
 
     def _exit(self, command: commands.Exit) -> None:
         if not self.exit_code.ready():
--- a/amaranthpulley/transport/vm_list_client.py
+++ b/amaranthpulley/transport/vm_list_client.py
@@ -5,6 +5,7 @@
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import vm_list_api
 from amaranthpulley.state import members
+from amaranthpulley.transport import http_connections
 
 
 class VmListClient:
@@ -17,8 +18,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, port = address.rsplit(":", 1)
-        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
+        self._pool = http_connections.connection_pool(address, 1)
 
     def read(self, timeout_ms: int) -> tuple[members.Vm, ...] | None:
         """Return the list, or None when there is no sound answer in time."""
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -69,6 +69,7 @@
       | key                |
       | listen.caller_port |
       | listen.admin_port  |
+      | listen.peer_port   |
 
   Scenario: A log file that cannot be written
     Given the settings with log_file set to "/nowhere/daemon.log"
