--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -1,6 +1,5 @@
 """A whole daemon: its sockets, its runtime and its end."""
 
-import http
 import random
 import secrets
 import socket
@@ -9,9 +8,11 @@
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import peer_codec
 from amaranthpulley.protocol import settings as settings_protocol
+from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import log_events
+from amaranthpulley.state import hybrid_clock, log_events
 from amaranthpulley.transport import (
+    admin,
     callers,
     errors,
     log_sink,
@@ -45,14 +46,14 @@
     def __init__(self, settings: settings_protocol.Settings) -> None:
         listen = settings["listen"]
         clock = system_clock.system_clock()
-        write_log = log_sink.open_log(
-            settings["vm_name"], clock, settings.get("log_file")
-        )
+        recent = log_sink.RecentEvents()
+        stamps = hybrid_clock.HybridClock()
+        write_log = _open_log(settings, clock, stamps, recent)
         sockets = _listen_all(listen["ip"], listen["caller_port"], listen["admin_port"])
         self._peers = _serve_peers(settings, sockets, self._take_peer_call)
         identity = _identity(settings, self._peers.address)
         daemon = daemon_state.Daemon(identity, settings_protocol.limits_of(settings))
-        self._metrics = metrics.Metrics(daemon.counters)
+        self._metrics = metrics.Metrics(daemon)
         self.runtime = runtime.Runtime(
             daemon,
             clock,
@@ -65,9 +66,9 @@
         self._callers = web.WebServer(
             sockets[0], web.application(callers.routes(self.runtime))
         )
-        self._admin = web.WebServer(
-            sockets[1], web.application({("GET", "/metrics"): self._show_metrics})
-        )
+        clients = settings_protocol.admin_clients_of(settings)
+        admin_routes = admin.routes(daemon, clock, self._metrics.text, recent, clients)
+        self._admin = web.WebServer(sockets[1], web.application(admin_routes))
         write_log(
             commands.log(
                 log_events.DAEMON_LISTENING,
@@ -111,8 +112,21 @@
     def _take_peer_call(self, sender_ip: str, body: bytes) -> bytes:
         return self.runtime.peers.take(sender_ip, body)
 
-    def _show_metrics(self, environ: web.Environ) -> web.Reply:
-        return web.Reply(http.HTTPStatus.OK, self._metrics.text(), "text/plain")
+
+def _open_log(
+    settings: settings_protocol.Settings,
+    clock: clock_state.Clock,
+    stamps: hybrid_clock.HybridClock,
+    recent: log_sink.RecentEvents,
+) -> log_sink.WriteLog:
+    return log_sink.open_log(
+        settings["vm_name"],
+        clock,
+        settings.get("log_file"),
+        settings_protocol.log_level_of(settings),
+        stamps,
+        recent,
+    )
 
 
 def _identity(
