--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/draining.py
@@ -38,12 +38,9 @@
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Become unready and tell the peers; go on taking requests for the grace.
-
-    Asked a second time, the daemon ends at once and says what is left.
-    """
+    """Become unready and tell the peers; go on taking requests for the grace."""
     if daemon.leaving:
-        return _cut_short(daemon)
+        return []
     daemon.leaving = True
     daemon.control.drain_end_ms = now_ms + daemon.limits.drain_limit_ms
     membership.leave(daemon, now_ms)
@@ -54,6 +51,16 @@
     return [started, commands.SetTimer(GraceOver(), now_ms + grace_ms)]
 
 
+def stop(
+    daemon: daemon_state.Daemon,
+    event: events.StopRequested,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """End the process at once and say what is left."""
+    return _cut_short(daemon)
+
+
 def refuse_new(
     daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
 ) -> Commands:
@@ -93,6 +100,7 @@
 
 HANDLERS: Final = {
     events.DrainRequested: begin,
+    events.StopRequested: stop,
     GraceOver: refuse_new,
     DrainCheck: check,
 }
--- a/amaranthpulley/coordination/events.py
+++ b/amaranthpulley/coordination/events.py
@@ -126,6 +126,10 @@
     """The process was asked to stop once its requests are answered."""
 
 
+class StopRequested(NamedTuple):
+    """The process was asked to stop at once."""
+
+
 Event = (
     Started
     | SearchReceived
@@ -138,4 +142,5 @@
     | PeerReplied
     | VmsListed
     | DrainRequested
+    | StopRequested
 )
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -1,5 +1,6 @@
 """A whole daemon: its sockets, its runtime and its end."""
 
+import itertools
 import random
 import secrets
 import socket
@@ -91,10 +92,11 @@
         return self._admin.address
 
     def drain_on_signals(self) -> None:
-        """Leave without cutting a request on SIGTERM and SIGINT."""
-        process_signals.on_end_signals(
-            lambda: self.runtime.feed(events.DrainRequested())
+        """Leave without cutting a request on a signal, at once on a second one."""
+        asked = itertools.chain(
+            [events.DrainRequested()], itertools.repeat(events.StopRequested())
         )
+        process_signals.on_end_signals(lambda: self.runtime.feed(next(asked)))
 
     def wait(self) -> int:
         """Serve until the daemon has drained, and return the exit code."""
--- a/tests/test_separate_processes.py
+++ b/tests/test_separate_processes.py
@@ -38,7 +38,7 @@
         self._apply_ticket()
         self.log = pathlib.Path(self._folder.name, "vm-1.log")
         self.daemon = self._start_daemon()
-        self.caller_address = self._caller_address()
+        self.caller_address = self.wait_for_event("daemon_listening")["callers"]
 
     def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         """Send a request to the daemon and return its answer."""
@@ -54,6 +54,17 @@
                 return
             time.sleep(0.05)
 
+    def wait_for_event(self, name: str) -> dict[str, Any]:
+        """Wait until the daemon has logged an event, and return it."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            lines = self.log.read_text().splitlines() if self.log.exists() else []
+            for line in map(json.loads, lines):
+                if line["name"] == name:
+                    return line
+            time.sleep(0.05)
+        raise TimeoutError(f"the daemon has not logged {name}")
+
     def close(self) -> None:
         """End all processes."""
         for process in self._processes:
@@ -121,16 +132,6 @@
         path.write_text(json.dumps(settings))
         return self._start("daemon", "--settings", str(path))
 
-    def _caller_address(self) -> str:
-        deadline = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < deadline:
-            lines = self.log.read_text().splitlines() if self.log.exists() else []
-            for line in map(json.loads, lines):
-                if line["name"] == "daemon_listening":
-                    return line["callers"]
-            time.sleep(0.05)
-        raise TimeoutError("the daemon does not listen")
-
 
 class SeparateProcessesTest(unittest.TestCase):
     """Requests through processes that share nothing but sockets."""
@@ -177,6 +178,15 @@
         site.daemon.send_signal(signal.SIGTERM)
         self.assertEqual(site.daemon.wait(START_TIMEOUT_S), 0)
 
+    def test_second_signal_ends_a_daemon_at_once(self) -> None:
+        site = SeparateProcesses()
+        self.addCleanup(site.close)
+        site.daemon.send_signal(signal.SIGTERM)
+        site.wait_for_event("drain_started")
+        site.daemon.send_signal(signal.SIGTERM)
+        self.assertEqual(site.daemon.wait(START_TIMEOUT_S), 1)
+        site.wait_for_event("drain_cut_short")
+
 
 if __name__ == "__main__":
     unittest.main()
