--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -9,6 +9,12 @@
   amaranthpulley bench [--only NAME] [--seed N] [--out DIR] [--quick]
                        [--leaves DIR] [--revision TEXT]
   amaranthpulley settings check FILE
+  amaranthpulley customer export CUSTOMER --from TIME --to TIME
+                          (--out FILE --store ADDRESS)
+  amaranthpulley timeline [--log FILE]... [--admin ADDRESS]... [--request ID]
+                          [--target NAME] [--domain NAME] [--ticket NUMBER]
+                          [--from TIME] [--to TIME] [--picture FILE]
+  amaranthpulley status --admin ADDRESS
   amaranthpulley version
   amaranthpulley --help
 
@@ -21,6 +27,17 @@
   --count COUNT      How many leaves to serve, with consecutive shards [default: 1].
   --only NAME        Run this experiment alone.
   --seed N           Decides all chance of an experiment [default: 1].
+  --from TIME        Requests, or events, from this time on, in ISO 8601.
+  --to TIME          Requests, or events, before this time.
+  --store ADDRESS    IP:port of the platform's store.
+  --log FILE         A log file with events; may be given more than once.
+  --admin ADDRESS    IP:port of a daemon's admin port; for the time line it may be
+                     given more than once.
+  --request ID       Only the events of this request.
+  --target NAME      Only the events of this target.
+  --domain NAME      Only the events of targets in this failure domain.
+  --ticket NUMBER    Only the events of this change ticket.
+  --picture FILE     Also draw the time line, as SVG.
   --out DIR          Write the rows as JSON lines, and plots, into this folder.
   --quick            Small sizes, to try the tool out.
   --leaves DIR       Where the files with the addresses of running leaves are.
@@ -42,7 +59,7 @@
 import amaranthpulley
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import settings as settings_protocol
-from amaranthpulley.transport import errors, loop
+from amaranthpulley.transport import errors, iso_times, loop
 
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
@@ -75,10 +92,17 @@
         protocol_errors.InvalidTicketError,
     ) as error:
         return _fail(error, EXIT_USAGE)
+    except errors.InvalidTimeError as error:
+        return _fail(error, EXIT_USAGE)
     except errors.TransportError as error:
         return _fail(error, EXIT_FAILED)
 
 
+def _show(line: str) -> None:
+    # Readers at the other end of a pipe wait for single lines, such as an address.
+    print(line, flush=True)
+
+
 def _fail(error: Exception, code: int) -> int:
     print(f"amaranthpulley: {error}", file=sys.stderr)
     return code
@@ -103,7 +127,7 @@
         int(arguments["--shard"]),
         int(arguments["--shards"]),
         int(arguments["--count"]),
-        print,
+        _show,
     )
 
 
@@ -111,14 +135,14 @@
     loop.prepare_loop()
     from amaranthpulley.transport import standins
 
-    return standins.run_store(arguments["--address"], print)
+    return standins.run_store(arguments["--address"], _show)
 
 
 def _run_demo(arguments: Arguments) -> int:
     loop.prepare_loop()
     from amaranthpulley.transport import demo
 
-    return demo.run(print)
+    return demo.run(_show)
 
 
 def _run_bench(arguments: Arguments) -> int:
@@ -133,17 +157,67 @@
         arguments["--leaves"],
         arguments["--revision"] or "",
     )
-    return tool.run(options, print)
+    return tool.run(options, _show)
 
 
 def _check_settings(arguments: Arguments) -> int:
     settings_protocol.read(arguments["FILE"])
-    print(f"{arguments['FILE']}: the settings are in order")
+    _show(f"{arguments['FILE']}: the settings are in order")
     return EXIT_OK
 
 
+def _export_customer(arguments: Arguments) -> int:
+    window = iso_times.parse_window(arguments["--from"], arguments["--to"])
+    loop.prepare_loop()
+    from amaranthpulley.transport import customer_export
+
+    return customer_export.run_command(
+        arguments["CUSTOMER"],
+        window,
+        arguments["--store"],
+        arguments["--out"],
+        print,
+        lambda line: print(line, file=sys.stderr),
+    )
+
+
+def _show_timeline(arguments: Arguments) -> int:
+    from amaranthpulley.transport import operator_commands, timeline
+
+    if not arguments["--log"] and not arguments["--admin"]:
+        print("give at least one --log or --admin", file=sys.stderr)
+        return EXIT_USAGE
+    times = (arguments["--from"], arguments["--to"])
+    wanted = timeline.Filter(
+        arguments["--request"],
+        arguments["--target"],
+        arguments["--domain"],
+        arguments["--ticket"],
+        *(iso_times.parse_time(text) if text else None for text in times),
+    )
+    return operator_commands.show_timeline(
+        arguments["--log"],
+        arguments["--admin"],
+        wanted,
+        arguments["--picture"],
+        print,
+        _show_problem,
+    )
+
+
+def _show_status(arguments: Arguments) -> int:
+    from amaranthpulley.transport import operator_commands
+
+    # docopt makes one list of an option that another command may repeat.
+    return operator_commands.show_status(arguments["--admin"][0], print)
+
+
+def _show_problem(line: str) -> None:
+    print(f"amaranthpulley: {line}", file=sys.stderr)
+
+
 def _show_version(arguments: Arguments) -> int:
-    print(f"amaranthpulley {amaranthpulley.__version__}")
+    _show(f"amaranthpulley {amaranthpulley.__version__}")
     return EXIT_OK
 
 
@@ -154,5 +228,8 @@
     "demo": _run_demo,
     "bench": _run_bench,
     "settings": _check_settings,
+    "customer": _export_customer,
+    "timeline": _show_timeline,
+    "status": _show_status,
     "version": _show_version,
 }
--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/draining.py
@@ -51,6 +51,16 @@
     return [started, commands.SetTimer(GraceOver(), now_ms + grace_ms)]
 
 
+def stop(
+    daemon: daemon_state.Daemon,
+    event: events.StopRequested,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """End the process at once and say what is left."""
+    return _cut_short(daemon)
+
+
 def refuse_new(
     daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
 ) -> Commands:
@@ -69,7 +79,7 @@
     if now_ms >= daemon.control.drain_end_ms:
         return _cut_short(daemon)
     again = commands.SetTimer(DrainCheck(), now_ms + CHECK_INTERVAL_MS)
-    if daemon.requests_in_progress > 0:
+    if daemon.requests_in_progress > 0 or daemon.orders.unsettled > 0:
         return [again]
     handed_over = leasing.release_all(daemon, now_ms)
     if handed_over or daemon.leases.call_in_flight or daemon.facts.has_news:
@@ -90,6 +100,7 @@
 
 HANDLERS: Final = {
     events.DrainRequested: begin,
+    events.StopRequested: stop,
     GraceOver: refuse_new,
     DrainCheck: check,
 }
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -14,11 +14,16 @@
 from typing import Final
 
 from amaranthpulley.coordination import (
+    claim_commit,
+    claim_segments,
+    claiming,
     commands,
+    crash_blame,
     draining,
     errors,
     events,
     exchanging,
+    journal_retention,
     journal_writing,
     journaling,
     leasing,
@@ -38,11 +43,16 @@
 ]
 
 _MODULES: Final = (
+    crash_blame,
     journal_writing,
     journaling,
+    journal_retention,
     tracing,
     searching,
     ordering,
+    claiming,
+    claim_commit,
+    claim_segments,
     refreshing,
     membership,
     exchanging,
@@ -92,6 +102,7 @@
             return decided + refused
     for handler in _handlers_of(event):
         decided += handler(daemon, event, now_ms, random)
+    crash_blame.note_sent(daemon, decided, now_ms)
     return decided + exchanging.push_soon(daemon, now_ms)
 
 
--- a/amaranthpulley/coordination/peer_messages.py
+++ b/amaranthpulley/coordination/peer_messages.py
@@ -1,8 +1,8 @@
-"""Messages between daemons about members, facts and the configuration."""
+"""Messages between daemons."""
 
 from typing import NamedTuple
 
-from amaranthpulley.state import facts, topology
+from amaranthpulley.state import claims, facts, topology
 
 
 class Exchange(NamedTuple):
@@ -69,5 +69,5 @@
     reached: bool
 
 
-CALLS = (Exchange, SyncAsked, ProbeAsked)
-REPLIES = (Exchanged, Synced, Probed)
+CALLS = (Exchange, SyncAsked, ProbeAsked, claims.Operation)
+REPLIES = (Exchanged, Synced, Probed, claims.Verdict)
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -3,9 +3,11 @@
 from typing import NamedTuple
 
 from amaranthpulley.state import (
+    claims,
     configuration,
     control,
     counters,
+    crashes,
     facts,
     journal,
     leases,
@@ -70,6 +72,7 @@
     journal_memory_bytes: int = 32 * 1024 * 1024
     journal_when_full: journal.FullPolicy = journal.FullPolicy.REFUSE
     journal_life_first: bool = False
+    order_retention_ms: int = 86_400_000
 
 
 class Daemon:
@@ -90,6 +93,8 @@
         self.targets = targets.TargetTable()
         self.searches = searches.SearchTable()
         self.orders = orders.OrderTable()
+        self.claims = claims.RangeTable()
+        self.crashes = crashes.CrashTable()
         self.counters = counters.Counters()
         self.members = members.MemberTable(
             members.Vm(
@@ -117,6 +122,8 @@
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
         is_current = not self.configuration.suspended
+        if self.limits.journal_life_first and not self.journal.announced:
+            return False
         return is_current and not self.leaving and bool(self.configuration.entries)
 
     def wall_ms(self, now_ms: int) -> int:
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -67,7 +67,31 @@
     code = "unknown_experiment"
 
 
+class ExportUnwritableError(TransportError):
+    """The file of an export cannot be written."""
+
+    code = "export_unwritable"
+
+
+class InvalidTimeError(TransportError):
+    """A time given on the command line cannot be read."""
+
+    code = "invalid_time"
+
+
 class NoLeavesError(TransportError):
     """The stand-in leaves that an experiment asks are not there."""
 
     code = "no_leaves"
+
+
+class EventsUnreadableError(TransportError):
+    """A log file or an admin port cannot be read."""
+
+    code = "events_unreadable"
+
+
+class PictureUnwritableError(TransportError):
+    """The file of a picture cannot be written."""
+
+    code = "picture_unwritable"
