Measure the store's writes for each order, and orders under faults

A range paced its commits evenly, so that at one order a second the outcome waited 150 ms behind the claim: p50 160 ms.

Under lost messages, lost store replies, outages, restarts and pauses: no key run twice, no false 'not run'.

--- a/amaranthpulley/coordination/claim_commit.py
+++ b/amaranthpulley/coordination/claim_commit.py
@@ -24,11 +24,13 @@
 Commands = list[commands.Command]
 
 GATHER_MS: Final = 3
+# A range may commit this often at once, and then once in each interval.
+COMMIT_BURST: Final = 4
 COMMIT_INTERVAL_MS: Final = 150
 CONFIRM_INTERVAL_MS: Final = 60_000
 UNSETTLED_CONFIRM_MS: Final = 200
 IDLE_RANGE_MS: Final = 600_000
-SEGMENT_BYTES: Final = 128 * 1024
+SEGMENT_BYTES: Final = 64 * 1024
 MAXIMUM_BATCH_BYTES: Final = 512 * 1024
 OPERATION_OVERHEAD_BYTES: Final = 512
 MAXIMUM_TRIES: Final = 5
@@ -78,8 +80,7 @@
     daemon.claims.forget_idle(now_ms - IDLE_RANGE_MS)
     claim_range = daemon.claims.of(claims.range_of(operation.key))
     if not claim_range.waiting:
-        gathered_ms = now_ms + GATHER_MS
-        claim_range.next_commit_ms = max(claim_range.next_commit_ms, gathered_ms)
+        claim_range.gathered_ms = now_ms + GATHER_MS
     waiting = claims.Waiting(operation, call_id, now_ms + operation.wait_ms)
     claim_range.waiting.append(waiting)
     daemon.counters.add("claim_operations_total", status=operation.status.value)
@@ -158,7 +159,8 @@
         return claim_segments.load(daemon, claim_range)
     if now_ms - claim_range.confirmed_ms > CONFIRM_INTERVAL_MS:
         return claim_segments.refresh(daemon, claim_range)
-    due_ms = claim_range.next_commit_ms
+    burst_ms = (COMMIT_BURST - 1) * COMMIT_INTERVAL_MS
+    due_ms = max(claim_range.gathered_ms, claim_range.paced_ms - burst_ms)
     if now_ms < due_ms:
         if claim_range.timer_due_ms is not None:
             return []
@@ -194,7 +196,7 @@
     value, sealed = _encode(claim_range, changed)
     claim_range.batch = claims.Batch(tuple(taken), tuple(verdicts), changed, sealed)
     claim_range.busy = True
-    claim_range.next_commit_ms = now_ms + COMMIT_INTERVAL_MS
+    claim_range.paced_ms = max(claim_range.paced_ms, now_ms) + COMMIT_INTERVAL_MS
     daemon.counters.add("claim_commits_total")
     key = claim_segments.segment_key(claim_range.index, claim_range.open_number)
     swap = store.Swap(key, claim_range.open_revision, value)
--- a/amaranthpulley/coordination/order_outcomes.py
+++ b/amaranthpulley/coordination/order_outcomes.py
@@ -3,13 +3,6 @@
 from amaranthpulley.state import requests
 
 
-def name_of(outcome: requests.Outcome) -> str:
-    """Return the name of an outcome for the journal."""
-    kind = type(outcome).__name__
-    is_refusal = isinstance(outcome, requests.Refusal)
-    return f"{kind} {outcome.code.value}" if is_refusal else kind
-
-
 def unknown() -> requests.OrderUnknown:
     """Return the outcome of an order that may have run."""
     return requests.OrderUnknown(
--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/ordering.py
@@ -22,10 +22,11 @@
     claiming,
     commands,
     events,
+    journaling,
     order_outcomes,
     sending,
 )
-from amaranthpulley.state import claims, journal, log_events, orders, requests, topology
+from amaranthpulley.state import claims, log_events, orders, requests, topology
 from amaranthpulley.state import daemon as daemon_state
 
 Random = Callable[[], float]
@@ -86,7 +87,7 @@
         daemon.next_id("claim"),
         fingerprint_of(request),
         _Status.CLAIMED,
-        _record_of(daemon, request, now_ms),
+        journaling.record_of(daemon, request, None, daemon.wall_ms(now_ms), 0),
     )
     order = orders.Order(request, verdict.service, now_ms, verdict.deadline_ms, claim)
     daemon.orders.add(order)
@@ -307,8 +308,9 @@
     result: str,
     now_ms: int,
 ) -> Commands:
-    record = order.claim.record._replace(
-        outcome=order_outcomes.name_of(order.outcome), attempts=order.attempts_sent
+    received_ms = order.claim.record.received_ms
+    record = journaling.record_of(
+        daemon, order.request, order.outcome, received_ms, order.attempts_sent
     )
     claim = order.claim._replace(record=record)
     return claiming.record(daemon, claim, status, result, now_ms)
@@ -337,21 +339,6 @@
     )
 
 
-def _record_of(
-    daemon: daemon_state.Daemon, request: requests.OrderRequest, now_ms: int
-) -> journal.JournalRecord:
-    return journal.JournalRecord(
-        request.request_id,
-        request.customer,
-        request.service,
-        "order",
-        daemon.wall_ms(now_ms),
-        request.payload,
-        request.idempotency_key,
-        daemon.identity.name,
-    )
-
-
 HANDLERS: Final = {
     events.OrderReceived: receive,
     events.AttemptAnswered: take_receipt,
--- a/amaranthpulley/state/claims.py
+++ b/amaranthpulley/state/claims.py
@@ -154,6 +154,18 @@
     The knowledge may be out of date when another daemon has taken the range over. The
     write of a batch expects the known revision of the open segment, so that it fails
     in that case.
+
+    Attributes
+    ----------
+    loaded, busy : bool
+        Whether the segments have been read, and whether a store call is on its way.
+    open_number, open_revision : int
+        The open segment; revision 0 when it does not exist yet.
+    gathered_ms, paced_ms : int
+        When the first operation has waited for others long enough, and the time up to
+        which the commits so far use the range's share of the store's writes.
+    confirmed_ms : int
+        When the knowledge was last in step with the store.
     """
 
     def __init__(self, index: int) -> None:
@@ -166,7 +178,8 @@
         self.open_keys: set[str] = set()
         self.waiting: list[Waiting] = []
         self.batch: Batch | None = None
-        self.next_commit_ms = 0
+        self.gathered_ms = 0
+        self.paced_ms = 0
         self.confirmed_ms = 0
         self.forgotten_ms = 0
         self.timer_due_ms: int | None = None
--- /dev/null
+++ b/amaranthpulley/transport/bench/order_site.py
@@ -0,0 +1,155 @@
+"""A site of order targets and daemons under virtual time, with callers that repeat."""
+
+import collections
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import claim_segments
+from amaranthpulley.state import (
+    daemon,
+    members,
+    requests,
+    standin_leaf,
+    store,
+    topology,
+)
+from amaranthpulley.transport import (
+    standin_tickets,
+    virtual_network,
+    virtual_platform,
+)
+
+SERVICE: Final = "booking"
+DOMAINS: Final = ("Recife", "Fortaleza", "Salvador")
+TARGETS: Final = 20
+DEADLINE_MS: Final = 1_000
+READY_MS: Final = 3_000
+STORE_DELAY_MS: Final = 2
+LIMITS: Final = daemon.Limits(maximum_requests_in_progress=10_000)
+USUAL_STORE: Final = virtual_platform.StoreFaults(delay_ms=STORE_DELAY_MS)
+
+
+class Sent(NamedTuple):
+    """One try of a caller."""
+
+    key: str
+    at_ms: int
+
+
+class StoreCalls(NamedTuple):
+    """Calls to the store that concern claims, up to now."""
+
+    writes: int = 0
+    reads: int = 0
+    written_bytes: int = 0
+
+
+class StoreUse:
+    """Counts the calls to the store that concern claims."""
+
+    def __init__(self) -> None:
+        self.calls = StoreCalls()
+
+    def note(self, operation: store.Operation) -> None:
+        """Count an operation if it concerns claims."""
+        is_listing = isinstance(operation, store.ListKeys)
+        key = operation.prefix if is_listing else getattr(operation, "key", "")
+        if not key.startswith(claim_segments.PREFIX):
+            return
+        writes, reads, written_bytes = self.calls
+        if isinstance(operation, store.Swap):
+            size = len(operation.value or b"")
+            self.calls = StoreCalls(writes + 1, reads, written_bytes + size)
+        else:
+            self.calls = StoreCalls(writes, reads + 1, written_bytes)
+
+
+class OrderSite:
+    """Daemons ``vm-0`` and on, `TARGETS` targets, and what callers sent.
+
+    Parameters
+    ----------
+    seed : int
+        Decides all chance.
+    daemons : int
+        Number of daemons.
+    slots : int
+        Orders that a target runs at the same time.
+    """
+
+    def __init__(self, seed: int, daemons: int, slots: int) -> None:
+        self.network = virtual_network.VirtualNetwork(seed)
+        self.network.platform.faults = USUAL_STORE
+        self.sent: dict[str, Sent] = {}
+        self.use = StoreUse()
+        self._lives = 0
+        targets = tuple(self._add_target(number, slots) for number in range(TARGETS))
+        service = topology.Service(
+            SERVICE, topology.ServiceKind.ORDER, deadline_ms=DEADLINE_MS
+        )
+        ticket = topology.ChangeTicket(1, services=(service,), targets=targets)
+        standin_tickets.put(self.network.store, ticket)
+        self.vms = tuple(_vm(number) for number in range(daemons))
+        self.network.vms = self.vms
+        for vm in self.vms:
+            self.start(vm)
+        self.network.run_until(READY_MS)
+        self._count_store_calls()
+
+    @property
+    def runs(self) -> collections.Counter[str]:
+        """How often the targets ran each key."""
+        leaves = self.network.targets.leaves.values()
+        return collections.Counter(key for leaf in leaves for key in leaf.runs)
+
+    def start(self, vm: members.Vm) -> None:
+        """Start a daemon, for the first time or again after a crash."""
+        self._lives += 1
+        identity = daemon.Identity(*vm[:4], f"life{self._lives}")
+        started = self.network.start_daemon(identity, LIMITS)
+        started.state.members.replace(self.vms)
+
+    def order(self, vm: members.Vm, key: str) -> str:
+        """Send an order to a daemon; return its request."""
+        request_id = f"request-{len(self.sent)}"
+        self.sent[request_id] = Sent(key, self.network.now_ms)
+        request = requests.OrderRequest(
+            request_id, "forno-limpo", SERVICE, key, f"oven visit {key} in the morning"
+        )
+        self.network.order(vm.name, request)
+        return request_id
+
+    def draw_vm(self) -> members.Vm:
+        """Return a daemon drawn by chance, as the balancer does."""
+        return self.network.random.choice(self.vms)
+
+    def arrive(
+        self, rate_per_second: float, end_ms: int, send: Callable[[int], None]
+    ) -> None:
+        """Let orders arrive at random times; `send` gets the number of each."""
+        due_ms = float(self.network.now_ms)
+        number = 0
+        while due_ms < end_ms:
+            self.network.at(int(due_ms), lambda number=number: send(number))
+            due_ms += self.network.random.expovariate(rate_per_second) * 1_000
+            number += 1
+
+    def _add_target(self, number: int, slots: int) -> topology.Target:
+        name = f"desk-{number}"
+        self.network.add_leaf(name, standin_leaf.StandInLeaf(f"{name}-boot", slots))
+        domain = DOMAINS[number % len(DOMAINS)]
+        return topology.Target(name, SERVICE, 0, "all", domain, name, slots)
+
+    def _count_store_calls(self) -> None:
+        call = self.network.store.call
+
+        def counted(operation: store.Operation, now_ms: int) -> store.Result:
+            self.use.note(operation)
+            return call(operation, now_ms)
+
+        self.network.store.call = counted
+
+
+def _vm(number: int) -> members.Vm:
+    domain = DOMAINS[number % len(DOMAINS)]
+    return members.Vm(f"vm-{number}", f"10.0.0.{number}:7000", domain, domain)
--- /dev/null
+++ b/amaranthpulley/transport/bench/tests/test_orders.py
@@ -0,0 +1,26 @@
+"""Tests of the experiment with orders."""
+
+import unittest
+
+from amaranthpulley.transport.bench import orders
+
+
+class OrdersExperimentTest(unittest.TestCase):
+    """A quick run of the whole experiment."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.rows = orders.run(seed=1, quick=True)
+
+    def test_store_is_spared_at_a_higher_rate(self) -> None:
+        costs = [row for row in self.rows if isinstance(row, orders.OrderCostRow)]
+        self.assertTrue(all(row.done == row.orders for row in costs))
+        self.assertLess(costs[-1].writes_for_each, costs[0].writes_for_each)
+
+    def test_no_fault_doubles_or_mislabels_an_order(self) -> None:
+        faults = [row for row in self.rows if isinstance(row, orders.OrderFaultRow)]
+        self.assertEqual(len(faults), len(orders.FAULTS))
+        for row in faults:
+            with self.subTest(row.fault):
+                self.assertEqual((row.runs_over_one, row.false_not_run), (0, 0))
+                self.assertGreater(row.done, row.orders // 2)
--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -8,6 +8,7 @@
 from amaranthpulley.transport.bench import (
     capacity,
     domain_loss,
+    orders,
     overload,
     plots,
     report,
@@ -84,6 +85,11 @@
         "index versions that roll over the leaves under load",
         lambda options: rolling.run(options.seed, options.quick),
     ),
+    Experiment(
+        "orders",
+        "store writes for each order, and orders under faults",
+        lambda options: orders.run(options.seed, options.quick),
+    ),
     Experiment(
         "search_cost",
         "processor time of a search by leaves asked, over loopback",
