--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -75,6 +75,7 @@
                 log_events.DAEMON_LISTENING,
                 callers=self._callers.address,
                 admin=self._admin.address,
+                peers=self._peers.address,
             )
         )
         write_log(commands.log(log_events.DAEMON_STARTED, life=identity.life))
--- a/amaranthpulley/transport/standin_server.py
+++ b/amaranthpulley/transport/standin_server.py
@@ -5,12 +5,11 @@
 
 import eventlet
 import eventlet.event
-import msgspec
 
 from amaranthpulley.coordination import events
-from amaranthpulley.protocol import json_codec, leaf_api, store_api
+from amaranthpulley.protocol import json_codec, leaf_api, store_api, vm_list_api
 from amaranthpulley.state import clock as clock_state
-from amaranthpulley.state import standin_leaf, standin_store, store, targets
+from amaranthpulley.state import members, standin_leaf, standin_store, store, targets
 from amaranthpulley.transport import web
 
 MAXIMUM_STORE_BODY_BYTES: Final = 2 * 1024 * 1024
@@ -30,6 +29,7 @@
                     ("POST", "/order"): self._order,
                     ("POST", "/cancel"): self._cancel,
                     ("GET", "/load"): lambda environ: self._load(),
+                    ("GET", "/runs"): lambda environ: self._runs(),
                 }
             ),
         )
@@ -94,6 +94,9 @@
         body = json_codec.encode(_load_body(self.leaf.load))
         return web.Reply(http.HTTPStatus.OK, body)
 
+    def _runs(self) -> web.Reply:
+        return web.Reply(http.HTTPStatus.OK, json_codec.encode(self.leaf.runs))
+
     def _refuse(self, attempt_id: str, code: str) -> web.Reply:
         body = leaf_api.RefusalBody(
             attempt_id=attempt_id, code=code, load=_load_body(self.leaf.load)
@@ -120,16 +123,15 @@
 
     def __init__(self, address: str, clock: clock_state.Clock) -> None:
         self.store = standin_store.StandInStore()
-        self.vms: list[dict[str, str]] = []
+        self.vms: tuple[members.Vm, ...] = ()
         self._clock = clock
         self._changed = eventlet.event.Event()
         routes = {
             ("POST", store_api.PATH_PREFIX + name): self._call
             for name in store_api.OPERATION_NAMES
         }
-        routes[("GET", "/vms")] = lambda environ: web.Reply(
-            http.HTTPStatus.OK, msgspec.json.encode(self.vms)
-        )
+        routes[("GET", vm_list_api.PATH)] = self._list_vms
+        routes[("PUT", vm_list_api.PATH)] = self._replace_vms
         self._server = web.WebServer(web.listen(address), web.application(routes))
 
     @property
@@ -141,6 +143,14 @@
         """Stop serving."""
         self._server.stop()
 
+    def _list_vms(self, environ: web.Environ) -> web.Reply:
+        return web.Reply(http.HTTPStatus.OK, vm_list_api.encode(self.vms))
+
+    def _replace_vms(self, environ: web.Environ) -> web.Reply:
+        body = web.read_body(environ, MAXIMUM_STORE_BODY_BYTES)
+        self.vms = vm_list_api.decode(body)
+        return self._list_vms(environ)
+
     def _call(self, environ: web.Environ) -> web.Reply:
         body = web.read_body(environ, MAXIMUM_STORE_BODY_BYTES)
         operation = store_api.decode_operation(environ["PATH_INFO"], body)
