Wait for the answers that are being sent before the process ends

Cause, found by reading: a daemon ended once its decisions had ended every request; an answer that was still being written to a slow caller could be cut. The callers' server now stops as the peers' one did, and both are one class. The tests pin the new contract: the stop waits, cuts after the grace, closes idle connections. No run showed the old cut: answers of the stand-ins fit into the kernel's buffers.

--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -27,6 +27,8 @@
     web,
 )
 
+# The decisions have ended every request; slow callers may still be reading answers.
+ANSWER_GRACE_MS: Final = 5_000
 PEER_GRACE_MS: Final = 1_000
 
 
@@ -107,7 +109,7 @@
 
     def close(self) -> None:
         """Close all sockets."""
-        self._callers.stop()
+        self._callers.stop(ANSWER_GRACE_MS)
         self._admin.stop()
         self._peers.stop(PEER_GRACE_MS)
         self.runtime.close()
@@ -148,7 +150,7 @@
     settings: settings_protocol.Settings,
     opened: list[socket.socket],
     handle: peers.Handle,
-) -> peers.PeerServer:
+) -> web.WebServer:
     listen = settings["listen"]
     address = f"{listen['ip']}:{listen['peer_port']}"
     try:
--- a/amaranthpulley/transport/peers.py
+++ b/amaranthpulley/transport/peers.py
@@ -7,18 +7,15 @@
 
 import collections
 import http
-import socket
 from collections.abc import Callable
 from typing import Final
 
 import eventlet
-import eventlet.wsgi
 import urllib3
 
 from amaranthpulley.transport import errors, http_connections, web
 
 MAXIMUM_CHANNELS: Final = 64
-MAXIMUM_INCOMING_CONNECTIONS: Final = 1024
 IDLE_CONNECTIONS_PER_PEER: Final = 8
 # How long after its deadline a call whose reply trickles in is cut.
 DEADLINE_SLACK_MS: Final = 50
@@ -30,56 +27,9 @@
 Handle = Callable[[str, bytes], bytes]
 
 
-class PeerServer:
-    """A server that takes messages from peers; `serve_peers` starts one.
-
-    Parameters
-    ----------
-    listener : socket
-        A listening socket.
-    application : callable
-        The WSGI application that it serves.
-    """
-
-    def __init__(self, listener: socket.socket, application: web.Application) -> None:
-        self._listener = listener
-        host, port = listener.getsockname()[:2]
-        self._address = f"{host}:{port}"
-        self._connections = eventlet.GreenPool(MAXIMUM_INCOMING_CONNECTIONS)
-        self._acceptor = eventlet.spawn(
-            eventlet.wsgi.server,
-            listener,
-            application,
-            custom_pool=self._connections,
-            log_output=False,
-            socket_timeout=web.IDLE_TIMEOUT_SECONDS,
-            debug=False,
-        )
-
-    @property
-    def address(self) -> str:
-        """The ``IP:port`` that it listens on."""
-        return self._address
-
-    def stop(self, grace_ms: int) -> None:
-        """Stop listening and wait for the messages that are being handled.
-
-        Idle connections are closed at once.
-
-        Parameters
-        ----------
-        grace_ms : int
-            How long to wait before the handlers that still run are cut.
-        """
-        self._acceptor.kill()
-        self._listener.close()
-        with eventlet.Timeout(grace_ms / 1000, False):
-            self._connections.waitall()
-        for connection in list(self._connections.coroutines_running):
-            connection.kill()
-
-
-def serve_peers(address: str, handle: Handle, maximum_message_bytes: int) -> PeerServer:
+def serve_peers(
+    address: str, handle: Handle, maximum_message_bytes: int
+) -> web.WebServer:
     """Start a server for the messages of peers.
 
     Parameters
@@ -99,7 +49,7 @@
         When the address cannot be bound.
     """
     routes = {("POST", _PATH): _web_handler(handle, maximum_message_bytes)}
-    return PeerServer(web.listen(address), web.application(routes))
+    return web.WebServer(web.listen(address), web.application(routes))
 
 
 class PeerChannels:
--- a/amaranthpulley/transport/tests/test_peers.py
+++ b/amaranthpulley/transport/tests/test_peers.py
@@ -14,7 +14,7 @@
 import eventlet  # noqa: E402
 import eventlet.event  # noqa: E402
 
-from amaranthpulley.transport import errors, peers  # noqa: E402
+from amaranthpulley.transport import errors, peers, web  # noqa: E402
 from amaranthpulley.transport.tests import fake_peer  # noqa: E402
 
 LOOPBACK: Final = "127.0.0.1:0"
@@ -95,7 +95,7 @@
         self,
         handle: Callable[[str, bytes], bytes] = _echo,
         address: str = LOOPBACK,
-    ) -> peers.PeerServer:
+    ) -> web.WebServer:
         server = peers.serve_peers(address, handle, LIMIT_BYTES)
         self.addCleanup(server.stop, 0)
         return server
--- /dev/null
+++ b/amaranthpulley/transport/tests/test_web.py
@@ -0,0 +1,61 @@
+"""Tests of the HTTP servers."""
+
+from amaranthpulley.transport import loop
+
+loop.prepare_loop()
+
+import http  # noqa: E402
+import unittest  # noqa: E402
+
+import eventlet  # noqa: E402
+import eventlet.event  # noqa: E402
+import urllib3  # noqa: E402
+
+from amaranthpulley.transport import http_connections, web  # noqa: E402
+
+_LONG_MS = 30_000
+
+
+class WebServerTest(unittest.TestCase):
+    """The end of a server."""
+
+    def setUp(self) -> None:
+        self.began = eventlet.event.Event()
+        self.may_end = eventlet.event.Event()
+        routes = {("GET", "/"): self._answer}
+        listener = web.listen("127.0.0.1:0")
+        self.server = web.WebServer(listener, web.application(routes))
+        self.pool = http_connections.connection_pool(self.server.address, 1)
+        self.addCleanup(self.pool.close)
+
+    def _answer(self, environ: web.Environ) -> web.Reply:
+        if not self.began.ready():
+            self.began.send()
+        self.may_end.wait()
+        return web.Reply(http.HTTPStatus.OK, b"whole")
+
+    def _call(self) -> bytes:
+        return self.pool.urlopen("GET", "/", retries=False, timeout=30).data
+
+    def test_stop_waits_for_the_answer(self) -> None:
+        call = eventlet.spawn(self._call)
+        self.began.wait()
+        stop = eventlet.spawn(self.server.stop, _LONG_MS)
+        eventlet.sleep(0)
+        self.may_end.send()
+        self.assertEqual(call.wait(), b"whole")
+        stop.wait()
+
+    def test_stop_cuts_the_answer_after_the_grace(self) -> None:
+        call = eventlet.spawn(self._call)
+        self.began.wait()
+        self.server.stop(grace_ms=1)
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            call.wait()
+
+    def test_stop_closes_idle_connections(self) -> None:
+        self.may_end.send()
+        self._call()
+        self.server.stop(_LONG_MS)
+        with self.assertRaises(urllib3.exceptions.HTTPError):
+            self._call()
--- a/amaranthpulley/transport/web.py
+++ b/amaranthpulley/transport/web.py
@@ -12,6 +12,7 @@
 
 READ_TIMEOUT_SECONDS: Final = 5
 IDLE_TIMEOUT_SECONDS: Final = 120
+MAXIMUM_CONNECTIONS: Final = 1_024
 JSON_TYPE: Final = "application/json"
 
 Environ = dict[str, Any]
@@ -45,10 +46,12 @@
         self._listener = listener
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
-        self._thread = eventlet.spawn(
+        self._connections = eventlet.GreenPool(MAXIMUM_CONNECTIONS)
+        self._acceptor = eventlet.spawn(
             eventlet.wsgi.server,
             listener,
             application,
+            custom_pool=self._connections,
             log_output=False,
             socket_timeout=IDLE_TIMEOUT_SECONDS,
             debug=False,
@@ -59,10 +62,22 @@
         """The ``IP:port`` that it listens on."""
         return self._address
 
-    def stop(self) -> None:
-        """Accept no more connections; those that are open are left to end."""
-        self._thread.kill()
+    def stop(self, grace_ms: int = 0) -> None:
+        """Stop listening and wait for the requests that are being answered.
+
+        Idle connections are closed at once.
+
+        Parameters
+        ----------
+        grace_ms : int
+            How long to wait before the requests that still run are cut.
+        """
+        self._acceptor.kill()
         self._listener.close()
+        with eventlet.Timeout(grace_ms / 1000, False):
+            self._connections.waitall()
+        for connection in list(self._connections.coroutines_running):
+            connection.kill()
 
 
 def listen(address: str) -> socket.socket:
