Show that rolling versions starve the leaves that moved on unseen

A leaf is left out when its last report lacks the pinned version, and only its own answers renew the report. Ruled out: the choice of the version (it follows half of the replicas) and lost messages (none).

--- a/amaranthpulley/transport/bench/rolling.py
+++ b/amaranthpulley/transport/bench/rolling.py
@@ -39,7 +39,7 @@
     shapes = (sites.DISPATCH,) if quick else (sites.DISPATCH, sites.COUNTER_DESK)
     seconds = QUICK_SECONDS if quick else SECONDS
     return [
-        _row(shape, policy, overlap_ms, seconds, seed)
+        row_of(shape, policy, overlap_ms, seconds, seed)
         for shape in shapes
         for policy in (sites.PLAIN, sites.FULL)
         for overlap_ms in (None, OVERLAP_MS, 0)
@@ -81,13 +81,14 @@
     return lambda: leaf.drop(version)
 
 
-def _row(
+def row_of(
     shape: sites.Shape,
     policy: sites.Policy,
     overlap_ms: int | None,
     seconds: int,
     seed: int,
 ) -> RollingRow:
+    """Return the row of one run; without `overlap_ms` nothing rolls."""
     capacity = shape.capacity_per_second(workload.MEAN_SERVICE_MS)
     rate = workload.constant(LOAD * capacity)
     running = trial.Trial(trial.Plan(shape, policy, rate, seconds), seed)
--- /dev/null
+++ b/amaranthpulley/transport/bench/tests/test_rolling.py
@@ -0,0 +1,18 @@
+"""Tests of searches while index versions roll over the leaves."""
+
+import unittest
+
+from amaranthpulley.transport.bench import rolling, sites
+
+SHAPE = sites.DISPATCH._replace(instances=6)
+SECONDS = 12
+
+
+class RollingVersionsTest(unittest.TestCase):
+    def test_leaves_that_moved_on_are_asked_again(self) -> None:
+        row = rolling.row_of(SHAPE, sites.FULL, rolling.OVERLAP_MS, SECONDS, seed=1)
+        self.assertGreaterEqual(row.versions, 4)
+        self.assertEqual(row.mixed_answers, 0)
+        self.assertEqual(row.coverage_errors, 0)
+        self.assertEqual(row.refused, 0)
+        self.assertEqual(row.least_coverage, 1.0)
