--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/draining.py
@@ -51,6 +51,16 @@
     return [started, commands.SetTimer(GraceOver(), now_ms + grace_ms)]
 
 
+def stop(
+    daemon: daemon_state.Daemon,
+    event: events.StopRequested,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """End the process at once and say what is left."""
+    return _cut_short(daemon)
+
+
 def refuse_new(
     daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
 ) -> Commands:
@@ -90,6 +100,7 @@
 
 HANDLERS: Final = {
     events.DrainRequested: begin,
+    events.StopRequested: stop,
     GraceOver: refuse_new,
     DrainCheck: check,
 }
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -18,6 +18,7 @@
     claim_segments,
     claiming,
     commands,
+    crash_blame,
     draining,
     errors,
     events,
@@ -42,6 +43,7 @@
 ]
 
 _MODULES: Final = (
+    crash_blame,
     journal_writing,
     journaling,
     journal_retention,
@@ -100,6 +102,7 @@
             return decided + refused
     for handler in _handlers_of(event):
         decided += handler(daemon, event, now_ms, random)
+    crash_blame.note_sent(daemon, decided, now_ms)
     return decided + exchanging.push_soon(daemon, now_ms)
 
 
