Carry the hybrid stamp in messages to peers and requests to targets

The envelope of peers gets a fourth item; a header of the HTTP transport was ruled out, as the codec is what both transports share.

--- a/amaranthpulley/protocol/peer_codec.py
+++ b/amaranthpulley/protocol/peer_codec.py
@@ -1,4 +1,4 @@
-"""Messages between daemons as MessagePack: version, name of the message, content."""
+"""Messages between daemons as MessagePack: version, name, content, hybrid stamp."""
 
 from typing import Final
 
@@ -17,13 +17,29 @@
     for kind in (*peer_messages.CALLS, *peer_messages.REPLIES)
 }
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_ENVELOPE: Final = msgspec.msgpack.Decoder(tuple[int, str, msgspec.Raw])
+_ENVELOPE: Final = msgspec.msgpack.Decoder(tuple[int, str, msgspec.Raw, int])
 
 
-def encode(message: tuple) -> bytes:
-    """Return the bytes of a call or a reply."""
+def encode(message: tuple, stamp: int = 0) -> bytes:
+    """Return the bytes of a call or a reply.
+
+    Parameters
+    ----------
+    message : tuple
+        What is sent.
+    stamp : int
+        The sender's hybrid stamp, which orders the events of both sides.
+    """
     content = msgspec.Raw(_ENCODER.encode(message))
-    return _ENCODER.encode((VERSION, type(message).__name__, content))
+    return _ENCODER.encode((VERSION, type(message).__name__, content, stamp))
+
+
+def stamp_of(body: bytes) -> int:
+    """Return the hybrid stamp of a message, 0 when it is no message."""
+    try:
+        return _ENVELOPE.decode(body)[3]
+    except msgspec.MsgspecError:
+        return 0
 
 
 def decode_call(body: bytes) -> tuple:
@@ -44,7 +60,7 @@
 
 def _decode(body: bytes, kinds: dict[str, type]) -> tuple:
     try:
-        version, name, content = _ENVELOPE.decode(body)
+        version, name, content, _ = _ENVELOPE.decode(body)
     except msgspec.MsgspecError as error:
         raise errors.MalformedMessageError(f"no message of a peer: {error}") from error
     if version != VERSION:
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -21,6 +21,7 @@
     peers,
     process_signals,
     runtime,
+    stamping,
     store_client,
     system_clock,
     vm_list_client,
@@ -65,6 +66,7 @@
             store_client.StoreClient(settings["platform"]["store_address"]),
             vm_list_client.VmListClient(settings["platform"]["vm_list_address"]),
             self._metrics.observe,
+            stamping.stamping(stamps, clock),
         )
         self._callers = web.WebServer(
             sockets[0], web.application(callers.routes(self.runtime))
--- a/amaranthpulley/transport/peer_calls.py
+++ b/amaranthpulley/transport/peer_calls.py
@@ -9,7 +9,7 @@
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import peer_codec
-from amaranthpulley.transport import errors, peers
+from amaranthpulley.transport import errors, peers, stamping
 
 Feed = Callable[[events.Event], None]
 Refused = Callable[[str, str], None]
@@ -28,9 +28,12 @@
         Takes the events.
     refused : callable
         Told of the sender's IP number and the reason when a message is malformed.
+    stamps : Stamping
+        Gives and takes the hybrid stamps of messages.
     """
 
-    def __init__(self, feed: Feed, refused: Refused) -> None:
+    def __init__(self, feed: Feed, refused: Refused, stamps: stamping.Stamping) -> None:
+        self._stamps = stamps
         self._feed = feed
         self._refused = refused
         self._channels = peers.PeerChannels()
@@ -52,6 +55,7 @@
         PeerRejectedError
             When the daemon refuses it.
         """
+        self._stamps.observe(peer_codec.stamp_of(body))
         try:
             message = peer_codec.decode_call(body)
         except protocol_errors.MalformedMessageError:
@@ -66,7 +70,7 @@
             self._waiting.pop(call_id, None)
         if isinstance(reply, _Rejection):
             raise errors.PeerRejectedError(reply.reason)
-        return peer_codec.encode(reply)
+        return peer_codec.encode(reply, self._stamps.give())
 
     def reply(self, command: commands.ReplyPeer) -> None:
         """Give a waiting call its reply."""
@@ -86,9 +90,10 @@
             done.send(reply)
 
     def _call(self, command: commands.CallPeer) -> tuple | events.PeerFailure:
-        body = peer_codec.encode(command.message)
+        body = peer_codec.encode(command.message, self._stamps.give())
         try:
             reply = self._channels.call(command.address, body, command.timeout_ms)
+            self._stamps.observe(peer_codec.stamp_of(reply))
             return peer_codec.decode_reply(reply)
         except errors.PeerUnreachableError:
             return events.PeerFailure.UNREACHABLE
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -13,6 +13,7 @@
 from amaranthpulley.transport import (
     log_sink,
     peer_calls,
+    stamping,
     store_client,
     target_client,
     vm_list_client,
@@ -44,6 +45,8 @@
         Reads the platform's VM list.
     observe : callable
         Told of every answer, for the metrics.
+    stamps : Stamping
+        Gives and takes the hybrid stamps of messages.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         store: store_client.StoreClient,
         vm_list: vm_list_client.VmListClient,
         observe: Observer,
+        stamps: stamping.Stamping,
     ) -> None:
         self.daemon = daemon
         self.exit_code = eventlet.event.Event()
@@ -64,8 +68,8 @@
         self._store = store
         self._vm_list = vm_list
         self._observe = observe
-        self._targets = target_client.TargetClient()
-        self.peers = peer_calls.PeerCalls(self.feed, self._note_refused)
+        self._targets = target_client.TargetClient(stamps)
+        self.peers = peer_calls.PeerCalls(self.feed, self._note_refused, stamps)
         self._waiting: dict[str, eventlet.event.Event] = {}
         self._carry_out: Final[dict[type, Callable[[Any], None]]] = {
             commands.SendAttempt: self._send_attempt,
--- a/amaranthpulley/transport/target_client.py
+++ b/amaranthpulley/transport/target_client.py
@@ -6,7 +6,7 @@
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import leaf_api
 from amaranthpulley.state import topology
-from amaranthpulley.transport import http_connections
+from amaranthpulley.transport import http_connections, stamping
 
 AttemptEnd = events.AttemptAnswered | events.AttemptFailed
 
@@ -14,9 +14,16 @@
 
 
 class TargetClient:
-    """Connection pools by target address."""
+    """Connection pools by target address.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    stamps : Stamping
+        Gives the hybrid stamp of each request.
+    """
+
+    def __init__(self, stamps: stamping.Stamping) -> None:
+        self._stamps = stamps
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
 
     def attempt(self, command: commands.SendAttempt) -> AttemptEnd:
@@ -64,7 +71,7 @@
             "POST",
             path,
             body=body,
-            headers=_HEADERS,
+            headers=_HEADERS | {stamping.HEADER: str(self._stamps.give())},
             timeout=urllib3.Timeout(total=seconds),
             retries=False,
         )
--- /dev/null
+++ b/amaranthpulley/transport/tests/test_stamping.py
@@ -0,0 +1,49 @@
+"""Tests of the hybrid stamps that messages between processes carry."""
+
+import unittest
+
+from amaranthpulley.coordination import commands, events, peer_messages
+from amaranthpulley.protocol import errors, peer_codec
+from amaranthpulley.state import clock, hybrid_clock
+from amaranthpulley.transport import peer_calls, stamping
+
+
+def _stamps(skew_ms: int = 0) -> stamping.Stamping:
+    readings = clock.VirtualClock(10_000_000 + skew_ms).as_clock()
+    return stamping.stamping(hybrid_clock.HybridClock(), readings)
+
+
+class StampingTest(unittest.TestCase):
+    """A message orders the events of both sides, whatever their clocks say."""
+
+    def test_call_and_reply_order_both_sides(self) -> None:
+        for skew_ms in (0, 5_000, -5_000):
+            with self.subTest(skew_ms=skew_ms):
+                asking, answering = _stamps(), _stamps(skew_ms)
+                seen: list[int] = []
+
+                def feed(
+                    event: events.PeerCalled,
+                    seen: list[int] = seen,
+                    stamps: stamping.Stamping = answering,
+                ) -> None:
+                    seen.append(stamps.give())
+                    calls.reply(
+                        commands.ReplyPeer(event.call_id, peer_messages.Probed(True))
+                    )
+
+                calls = peer_calls.PeerCalls(feed, lambda ip, why: None, answering)
+                sent = asking.give()
+                message = peer_messages.ProbeAsked("10.0.0.1:1", "10.0.0.2:1")
+                reply = calls.take("10.0.0.1", peer_codec.encode(message, sent))
+                self.assertGreater(seen[0], sent)
+                self.assertGreater(peer_codec.stamp_of(reply), seen[0])
+                asking.observe(peer_codec.stamp_of(reply))
+                self.assertGreater(asking.give(), peer_codec.stamp_of(reply))
+
+    def test_what_is_no_message_has_no_stamp(self) -> None:
+        for body in (b"", b"\xc1", b"\x90", b"\x93\x01\xa1x\xc0"):
+            with self.subTest(body=body):
+                self.assertEqual(peer_codec.stamp_of(body), 0)
+                with self.assertRaises(errors.MalformedMessageError):
+                    peer_codec.decode_call(body)
