--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from amaranthpulley.coordination import (
+    cold,
     commands,
     configuring,
     draining,
@@ -38,6 +39,7 @@
     journaling,
     tracing,
     searching,
+    cold,
     ordering,
     configuring,
     leasing,
--- a/amaranthpulley/coordination/events.py
+++ b/amaranthpulley/coordination/events.py
@@ -53,6 +53,7 @@
     CONNECTION_LOST = "connection_lost"
     TIMED_OUT = "timed_out"
     MALFORMED = "malformed"
+    CANCELLED = "cancelled"
 
     @property
     def not_run(self) -> bool:
--- a/amaranthpulley/coordination/fanout.py
+++ b/amaranthpulley/coordination/fanout.py
@@ -1,26 +1,35 @@
-"""Sending a search's attempts and entering their ends."""
+"""Sending a search's attempts, and entering their ends."""
 
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, routing, snapshots
+from amaranthpulley.coordination import (
+    cold,
+    commands,
+    events,
+    limits,
+    retrying,
+    routing,
+    snapshots,
+)
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import searches, topology
+from amaranthpulley.state import searches, services, targets, topology
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
 
-MAXIMUM_ROUNDS: Final = 3
-BACKOFF_BASE_MS: Final = 4
-MAXIMUM_BACKOFF_MS: Final = 100
+TAIL: Final = 0.95
+TIMEOUT_FACTOR: Final = 4
+LAST_REPLICA_FACTOR: Final = 2
+SHORTEST_TIMEOUT_MS: Final = 50
+LATENCY_WEIGHT: Final = 0.2
+SHORTEST_ROOM_CHECK_MS: Final = 5
 
 
-class RetryDue(NamedTuple):
-    """Purpose of the timer that asks a shard again after a pause."""
+class RoomDue(NamedTuple):
+    """Purpose of the timer that looks for room for the attempts that wait."""
 
-    request_id: str
-    shard: str
-    restarts: int
+    service: str
 
 
 def ask_missing(
@@ -49,16 +58,26 @@
     random: Random,
     kind: searches.AttemptKind = searches.AttemptKind.FIRST,
 ) -> Commands:
-    """Ask an untried replica of a shard; nothing when there is none."""
+    """Ask an untried replica of a shard, or wait until it has room.
+
+    Returns
+    -------
+    list of Command
+        Empty when there is no replica left to ask, or when the attempt waits.
+    """
     tried = search.tried.get(shard, ())
-    replicas = routing.candidates(
-        daemon, search.request.service, shard, search.version, tried
-    )
-    target = routing.choose(daemon, replicas, random)
-    if target is None:
+    service = search.request.service
+    choice = routing.pick(daemon, service, shard, search.version, tried, now_ms, random)
+    if choice.target is not None:
+        return [_send(daemon, search, shard, choice, kind, now_ms)]
+    if not choice.is_busy:
         return []
-    last_chance = len(replicas) == 1
-    return [_send(daemon, search, shard, target, kind, last_chance, now_ms)]
+    search.waiting.add(shard)
+    waiting = services.WaitingAttempt(search.request.request_id, shard, search.restarts)
+    state = daemon.services.of(service)
+    state.wait(waiting)
+    daemon.counters.add("attempts_waited_total", service=service)
+    return _set_room_timer(daemon, service, now_ms)
 
 
 def ask_again(
@@ -67,16 +86,31 @@
     shard: str,
     now_ms: int,
     random: Random,
+    is_free: bool,
 ) -> Commands:
-    """Ask another replica of a shard; when all were tried, begin anew after a pause."""
+    """Ask another replica of a shard; when all were tried, begin anew after a pause.
+
+    Parameters
+    ----------
+    daemon, search, shard, now_ms, random
+        As for `ask_shard`.
+    is_free : bool
+        The attempt before cost its target no work, so that this one needs no token.
+    """
     if any(attempt.shard == shard for attempt in search.attempts.values()):
         return []
-    retry = searches.AttemptKind.RETRY
-    sent = ask_shard(daemon, search, shard, now_ms, random, retry)
-    return sent or _pause(search, shard, now_ms, random)
+    retries = daemon.services.of(search.request.service).retries
+    if is_free or retries.spend():
+        retry = searches.AttemptKind.RETRY
+        sent = ask_shard(daemon, search, shard, now_ms, random, retry)
+        if sent or shard in search.waiting:
+            return sent
+    else:
+        daemon.counters.add("retries_denied_total", service=search.request.service)
+    return retrying.pause(search, shard, now_ms, random)
 
 
-def end_waiting(
+def end_pause(
     daemon: daemon_state.Daemon,
     search: searches.Search,
     shard: str,
@@ -86,69 +120,181 @@
     """Ask a shard again whose pause is over."""
     search.waiting.discard(shard)
     search.tried.pop(shard, None)
-    return ask_again(daemon, search, shard, now_ms, random)
+    return ask_again(daemon, search, shard, now_ms, random, is_free=False)
 
 
-def end_attempt(daemon: daemon_state.Daemon, attempt: searches.Attempt) -> None:
-    """Enter that an attempt is over for this daemon."""
-    daemon.targets.of(attempt.target.name).in_flight -= 1
+def serve_waiting(
+    daemon: daemon_state.Daemon,
+    service: str,
+    shard: str,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Send the attempts that wait for a shard, as far as there is room."""
+    state = daemon.services.of(service)
+    sent: Commands = []
+    while (waiting := state.next_waiting(shard)) is not None:
+        search = daemon.searches.get(waiting.request_id)
+        if search is None or not _still_waits(search, waiting):
+            state.end_waiting(shard)
+            continue
+        tried = search.tried.get(shard, ())
+        choice = routing.pick(
+            daemon, service, shard, search.version, tried, now_ms, random
+        )
+        if choice.target is None and choice.is_busy:
+            break
+        state.end_waiting(shard)
+        search.waiting.discard(shard)
+        if choice.target is None:
+            sent += retrying.pause(search, shard, now_ms, random)
+            continue
+        first = searches.AttemptKind.FIRST
+        sent.append(_send(daemon, search, shard, choice, first, now_ms))
+    return sent
+
+
+def serve_all_waiting(
+    daemon: daemon_state.Daemon, service: str, now_ms: int, random: Random
+) -> Commands:
+    """Send the attempts that wait for any shard, as far as there is room."""
+    state = daemon.services.of(service)
+    state.room_timer_set = False
+    sent: Commands = []
+    for shard in list(state.waiting):
+        sent += serve_waiting(daemon, service, shard, now_ms, random)
+    if state.waiting:
+        sent += _set_room_timer(daemon, service, now_ms)
+    return sent
+
+
+def end_attempt(
+    daemon: daemon_state.Daemon,
+    attempt: searches.Attempt,
+    event: events.AttemptAnswered | events.AttemptFailed,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Learn from the end of an attempt, also of one that was given up before."""
+    target, service = attempt.target, attempt.target.service
+    state = daemon.targets.of(target.name)
+    failure = getattr(event, "failure", None)
+    elapsed_ms = now_ms - attempt.sent_ms
+    median_ms = limits.median_ms(daemon, service)
+    learnt: Commands = []
+    if event.load is not None:
+        refused = failure is events.Failure.REFUSED
+        learnt += cold.note_load(daemon, target, event.load, refused, now_ms)
+        daemon.targets.report(target.name, event.load)
+    if failure is None:
+        learnt += cold.note_answer(daemon, target, elapsed_ms, median_ms, now_ms)
+        limits.note_answer(state, target, now_ms)
+        _observe(daemon, state, service, elapsed_ms, now_ms)
+    state.in_flight -= 1
+    if failure is events.Failure.REFUSED:
+        daemon.counters.add("attempts_refused_total", service=service)
+        limits.note_refusal(state, median_ms, now_ms, random)
+    elif failure in retrying.SILENCES:
+        learnt += cold.note_silence(daemon, target.name, now_ms)
+        _observe(daemon, state, service, elapsed_ms, now_ms)
+    return learnt
 
 
 def cancel(
     daemon: daemon_state.Daemon,
     search: searches.Search,
     attempts: list[searches.Attempt],
+    now_ms: int,
 ) -> Commands:
-    """Give up attempts in flight; they may have run."""
+    """Give up attempts in flight; they may have run.
+
+    Each one counts as in flight at its target until its end is reported.
+    """
     cancelled: Commands = []
     for attempt in attempts:
-        daemon.searches.end_attempt(attempt.attempt_id)
-        end_attempt(daemon, attempt)
+        daemon.searches.give_up(attempt.attempt_id)
         search.may_have_run = True
+        # The true latency is longer still; without it the quantiles would shrink.
+        elapsed_ms = now_ms - attempt.sent_ms
+        daemon.services.of(attempt.target.service).latency.observe(elapsed_ms)
         cancelled.append(commands.CancelAttempt(attempt.attempt_id, attempt.target))
     return cancelled
 
 
-def _pause(
-    search: searches.Search, shard: str, now_ms: int, random: Random
-) -> Commands:
-    rounds = search.retries.get(shard, 0) + 1
-    if rounds > MAXIMUM_ROUNDS and not waits_for_coverage(search):
-        return []
-    search.retries[shard] = rounds
-    search.waiting.add(shard)
-    # Full jitter: callers that failed together do not come back together.
-    longest_ms = min(BACKOFF_BASE_MS << min(rounds, 10), MAXIMUM_BACKOFF_MS)
-    due_ms = now_ms + 1 + int(random() * longest_ms)
-    purpose = RetryDue(search.request.request_id, shard, search.restarts)
-    return [commands.SetTimer(purpose, due_ms)]
+def tail_ms(daemon: daemon_state.Daemon, service: str, default_ms: int) -> int:
+    """Return the latency that all but the slowest attempts keep to."""
+    return daemon.services.of(service).latency.quantile_ms(TAIL, default_ms)
+
+
+def _observe(
+    daemon: daemon_state.Daemon,
+    state: targets.TargetState,
+    service: str,
+    elapsed_ms: int,
+    now_ms: int,
+) -> None:
+    daemon.services.of(service).latency.observe(elapsed_ms)
+    if state.latency_ms == 0.0:
+        state.latency_ms = float(max(1, elapsed_ms))
+    state.latency_ms += LATENCY_WEIGHT * (elapsed_ms - state.latency_ms)
+    state.latency_at_ms = now_ms
 
 
-def waits_for_coverage(search: searches.Search) -> bool:
-    """Tell whether a search has less coverage than its service is to wait for."""
-    gives_time = search.service.give_way is topology.GiveWay.TIME
-    return gives_time and search.coverage < search.service.minimum_coverage
+def _still_waits(search: searches.Search, waiting: services.WaitingAttempt) -> bool:
+    return search.restarts == waiting.restarts and waiting.shard in search.waiting
+
+
+def _set_room_timer(daemon: daemon_state.Daemon, service: str, now_ms: int) -> Commands:
+    state = daemon.services.of(service)
+    if state.room_timer_set:
+        return []
+    state.room_timer_set = True
+    wait_ms = max(SHORTEST_ROOM_CHECK_MS, limits.median_ms(daemon, service) // 2)
+    return [commands.SetTimer(RoomDue(service), now_ms + wait_ms)]
 
 
 def _send(
     daemon: daemon_state.Daemon,
     search: searches.Search,
     shard: str,
-    target: topology.Target,
+    choice: routing.Choice,
     kind: searches.AttemptKind,
-    last_chance: bool,
     now_ms: int,
 ) -> commands.SendAttempt:
-    request = search.request
+    request, target = search.request, choice.target
     attempt = searches.Attempt(
         daemon.next_id("attempt"), request.request_id, shard, target, now_ms, kind
     )
     daemon.searches.add_attempt(search, attempt)
     daemon.targets.of(target.name).in_flight += 1
     daemon.counters.add("attempts_total", service=request.service, kind=kind.value)
+    if kind is searches.AttemptKind.FIRST:
+        state = daemon.services.of(request.service)
+        state.hedges.earn(search.service.hedge_budget)
+        state.retries.earn(retrying.RETRY_SHARE)
     call = commands.SearchCall(request.query, request.key, search.version)
-    remaining_ms = search.hard_deadline_ms - now_ms
-    timeout_ms = remaining_ms if last_chance else max(1, remaining_ms // 2)
+    timeout_ms = _timeout_ms(daemon, search, target, choice.has_others, now_ms)
     return commands.SendAttempt(
         attempt.attempt_id, request.request_id, target, call, timeout_ms
     )
+
+
+def _timeout_ms(
+    daemon: daemon_state.Daemon,
+    search: searches.Search,
+    target: topology.Target,
+    has_others: bool,
+    now_ms: int,
+) -> int:
+    """Return the time for an attempt, short enough to ask elsewhere afterwards."""
+    remaining_ms = max(1, search.hard_deadline_ms - now_ms)
+    if daemon.targets.of(target.name).cold is not None:
+        remaining_ms = min(remaining_ms, cold.FEED_TIMEOUT_MS)
+    usual_ms = tail_ms(daemon, search.request.service, remaining_ms)
+    learnt_ms = max(SHORTEST_TIMEOUT_MS, TIMEOUT_FACTOR * usual_ms)
+    if not has_others:
+        # The next one goes to the same target over a fresh connection.
+        learnt_ms *= LAST_REPLICA_FACTOR
+    learnt_ms = min(learnt_ms, remaining_ms // 2)
+    # With less time than that, silence would prove nothing.
+    return learnt_ms if learnt_ms >= SHORTEST_TIMEOUT_MS else remaining_ms
--- /dev/null
+++ b/amaranthpulley/coordination/hedging.py
@@ -0,0 +1,114 @@
+"""A second attempt where the first one takes longer than nearly all others.
+
+The delay is a quantile that the service has learnt. Each first attempt earns a share of
+a token, the service's hedge budget, and each hedge spends one, so that the extra load
+stays within the budget. While attempts wait for room there are no hedges, and a hedge
+goes only to a replica that has room.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands, fanout, limits, routing
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import searches
+
+Random = Callable[[], float]
+Commands = list[commands.Command]
+
+# A hedge sooner than this would double attempts that are on their way.
+MEDIAN_FACTOR: Final = 1.5
+EARLIEST_MS: Final = 2
+DEFAULT_SHARE_OF_DEADLINE: Final = 4
+
+
+class HedgeDue(NamedTuple):
+    """Purpose of the timer that looks for stragglers."""
+
+    request_id: str
+
+
+def watch(
+    daemon: daemon_state.Daemon, search: searches.Search, now_ms: int
+) -> Commands:
+    """Look for stragglers when the oldest attempt without a hedge becomes one."""
+    if search.service.hedge_budget <= 0.0:
+        return []
+    sent_ms = [attempt.sent_ms for attempt in _unhedged(search)]
+    if not sent_ms:
+        return []
+    due_ms = min(sent_ms) + _delay_ms(daemon, search)
+    if due_ms >= search.hard_deadline_ms:
+        return []
+    purpose = HedgeDue(search.request.request_id)
+    return [commands.SetTimer(purpose, max(due_ms, now_ms + 1))]
+
+
+def hedge(
+    daemon: daemon_state.Daemon,
+    search: searches.Search,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Send second attempts for the stragglers, and watch on."""
+    delay_ms = _delay_ms(daemon, search)
+    service = daemon.services.of(search.request.service)
+    sent: Commands = []
+    for attempt in _unhedged(search):
+        if now_ms - attempt.sent_ms < delay_ms:
+            continue
+        search.hedged.add(attempt.shard)
+        if service.waiting or not _has_room(daemon, search, attempt, now_ms, random):
+            continue
+        if not service.hedges.spend():
+            daemon.counters.add("hedges_denied_total", service=attempt.target.service)
+            continue
+        sent += fanout.ask_shard(
+            daemon,
+            search,
+            attempt.shard,
+            now_ms,
+            random,
+            searches.AttemptKind.HEDGE,
+        )
+    return [*sent, *watch(daemon, search, now_ms)]
+
+
+def losers(search: searches.Search, winner: searches.Attempt) -> list[searches.Attempt]:
+    """Return the attempts that an answer has made needless."""
+    if winner.shard not in search.hedged:
+        return []
+    return [a for a in search.attempts.values() if a.shard == winner.shard]
+
+
+def _unhedged(search: searches.Search) -> list[searches.Attempt]:
+    return [a for a in search.attempts.values() if a.shard not in search.hedged]
+
+
+def _delay_ms(daemon: daemon_state.Daemon, search: searches.Search) -> int:
+    allowed_ms = search.deadline_ms - search.started_ms
+    default_ms = max(EARLIEST_MS, allowed_ms // DEFAULT_SHARE_OF_DEADLINE)
+    service = search.request.service
+    tail_ms = fanout.tail_ms(daemon, service, default_ms)
+    usual_ms = int(MEDIAN_FACTOR * limits.median_ms(daemon, service))
+    return max(EARLIEST_MS, tail_ms, usual_ms) + 1
+
+
+def _has_room(
+    daemon: daemon_state.Daemon,
+    search: searches.Search,
+    attempt: searches.Attempt,
+    now_ms: int,
+    random: Random,
+) -> bool:
+    tried = search.tried.get(attempt.shard, ())
+    choice = routing.pick(
+        daemon,
+        search.request.service,
+        attempt.shard,
+        search.version,
+        tried,
+        now_ms,
+        random,
+    )
+    return choice.target is not None
--- /dev/null
+++ b/amaranthpulley/coordination/queueing.py
@@ -0,0 +1,70 @@
+"""Searches that wait to begin, so that a search that is shed has truly not run.
+
+A search begins only while the attempts of the searches before it do not pile up at most
+of the shards. Otherwise it waits in a queue that is bounded in length and age. What is
+refused from the queue has sent nothing.
+"""
+
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import searches
+
+Commands = list[commands.Command]
+
+# Attempts that wait for each shard, so that a slot that becomes free is used at once.
+WAITING_PER_SHARD: Final = 2
+# Share of a search's time that it may wait to begin: one part in four.
+QUEUE_SHARE_OF_DEADLINE: Final = 4
+
+
+class QueueDue(NamedTuple):
+    """Purpose of the timer that ends a search's wait to begin."""
+
+    request_id: str
+
+
+def is_crowded(daemon: daemon_state.Daemon, service: str) -> bool:
+    """Tell whether attempts pile up at half of a service's shards or more."""
+    waiting = daemon.services.of(service).waiting
+    if not waiting:
+        return False
+    shards = len(daemon.configuration.shards(service))
+    if len(waiting) * 2 < shards:
+        return False
+    return sum(map(len, waiting.values())) >= WAITING_PER_SHARD * shards
+
+
+def must_wait(daemon: daemon_state.Daemon, service: str) -> bool:
+    """Tell whether a new search has to wait to begin."""
+    return bool(daemon.services.of(service).queue) or is_crowded(daemon, service)
+
+
+def is_full(daemon: daemon_state.Daemon, service: str) -> bool:
+    """Tell whether a service's queue takes no more searches."""
+    queue = daemon.services.of(service).queue
+    return len(queue) >= daemon.limits.maximum_queued_searches
+
+
+def enter(daemon: daemon_state.Daemon, search: searches.Search) -> Commands:
+    """Let a search wait to begin."""
+    service = search.request.service
+    daemon.services.of(service).queue.append(search.request.request_id)
+    daemon.counters.add("searches_queued_total", service=service)
+    allowed_ms = search.deadline_ms - search.started_ms
+    due_ms = search.started_ms + max(1, allowed_ms // QUEUE_SHARE_OF_DEADLINE)
+    return [commands.SetTimer(QueueDue(search.request.request_id), due_ms)]
+
+
+def leave(daemon: daemon_state.Daemon, search: searches.Search) -> None:
+    """Take a search out that has waited too long."""
+    daemon.services.of(search.request.service).queue.remove(search.request.request_id)
+
+
+def next_to_begin(daemon: daemon_state.Daemon, service: str) -> searches.Search | None:
+    """Take the search that has waited longest, None while attempts pile up."""
+    queue = daemon.services.of(service).queue
+    if not queue or is_crowded(daemon, service):
+        return None
+    return daemon.searches.get(queue.popleft())
--- /dev/null
+++ b/amaranthpulley/coordination/retrying.py
@@ -0,0 +1,67 @@
+"""When a shard is asked again after a failure.
+
+A failure that may have cost its target work is followed by another attempt only while
+the service's retry budget lasts: a share of the first attempts, so that retries cannot
+multiply a load. A refusal costs nothing but lowers the target's limit. Once every
+replica was tried, the shard waits for a pause with full jitter, a few times; a service
+whose time gives way goes on until its hard deadline.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.state import searches, topology
+
+Commands = list[commands.Command]
+
+RETRY_SHARE: Final = 0.2
+MAXIMUM_PAUSES: Final = 3
+FIRST_PAUSE_MS: Final = 8
+LONGEST_PAUSE_MS: Final = 100
+# Failures after which it is not known whether the target is still there.
+SILENCES: Final = frozenset(
+    {
+        events.Failure.UNREACHABLE,
+        events.Failure.CONNECTION_LOST,
+        events.Failure.TIMED_OUT,
+    }
+)
+# Failures that cost the target no work.
+FREE_FAILURES: Final = frozenset(
+    {
+        events.Failure.REFUSED,
+        events.Failure.UNREACHABLE,
+        events.Failure.VERSION_GONE,
+    }
+)
+
+
+class RetryDue(NamedTuple):
+    """Purpose of the timer that asks a shard again after a pause."""
+
+    request_id: str
+    shard: str
+    restarts: int
+
+
+def pause(
+    search: searches.Search, shard: str, now_ms: int, random: Callable[[], float]
+) -> Commands:
+    """Let a shard wait before it is asked again; nothing after the last pause."""
+    pauses = search.retries.get(shard, 0) + 1
+    if pauses > MAXIMUM_PAUSES and not waits_for_coverage(search):
+        return []
+    search.retries[shard] = pauses
+    search.waiting.add(shard)
+    # Full jitter: searches that failed together do not come back together.
+    longest_ms = min(FIRST_PAUSE_MS << min(pauses - 1, 10), LONGEST_PAUSE_MS)
+    due_ms = now_ms + 1 + int(random() * longest_ms)
+    purpose = RetryDue(search.request.request_id, shard, search.restarts)
+    return [commands.SetTimer(purpose, due_ms)]
+
+
+def waits_for_coverage(search: searches.Search) -> bool:
+    """Tell whether a search has less coverage than its service is to wait for."""
+    gives_time = search.service.give_way is topology.GiveWay.TIME
+    return gives_time and search.coverage < search.service.minimum_coverage
--- a/amaranthpulley/coordination/routing.py
+++ b/amaranthpulley/coordination/routing.py
@@ -1,9 +1,91 @@
 """Which replica of a shard gets an attempt."""
 
 from collections.abc import Callable, Collection
+from typing import Final, NamedTuple
 
+from amaranthpulley.coordination import limits
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import topology
+from amaranthpulley.state import targets, topology
+
+# Replicas that are compared; of many more, these are drawn by chance.
+MAXIMUM_COMPARED: Final = 8
+# A latency older than this says nothing; the target gets a chance to show another.
+LATENCY_VALID_MS: Final = 5_000
+REPORT_VALID_MS: Final = 50
+LATENCY_STEP: Final = 1.5
+
+
+class Choice(NamedTuple):
+    """The replica for an attempt.
+
+    Attributes
+    ----------
+    target : Target or None
+        None when no replica can take it now.
+    has_others : bool
+        Another replica can be asked afterwards.
+    is_busy : bool
+        Without a target: some replica will take it once it has room.
+    """
+
+    target: topology.Target | None
+    has_others: bool
+    is_busy: bool
+
+
+def pick(
+    daemon: daemon_state.Daemon,
+    service: str,
+    shard: str,
+    version: int | None,
+    tried: Collection[str],
+    now_ms: int,
+    random: Callable[[], float],
+) -> Choice:
+    """Choose the replica that is expected to answer first.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    service, shard : str
+        What to look for.
+    version : int or None
+        Leaves out replicas known not to hold this index version.
+    tried : collection of str
+        Names of replicas that have been asked already.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
+    random : callable
+        Returns a number drawn evenly from ``[0.0, 1.0)``.
+    """
+    replicas = daemon.configuration.shards(service).get(shard, {})
+    view = daemon.services.of(service).view
+    names = view.names.get(shard) if view is not None else None
+    names = names or list(replicas)
+    users = view.users if view is not None else 1
+    begin = int(random() * len(names))
+    best: topology.Target | None = None
+    best_score = 0.0
+    compared = busy = 0
+    usual_ms = limits.median_ms(daemon, service)
+    for index in range(len(names)):
+        target = replicas.get(names[(begin + index) % len(names)])
+        if target is None or not _is_eligible(daemon, target, version, tried):
+            continue
+        room = limits.room(daemon, target, users, now_ms)
+        if room is None:
+            continue
+        if room <= 0:
+            busy += 1
+            continue
+        score = _score(daemon.targets.of(target.name), usual_ms, now_ms)
+        if best is None or score < best_score:
+            best, best_score = target, score
+        compared += 1
+        if compared >= MAXIMUM_COMPARED:
+            break
+    return Choice(best, compared + busy > 1, best is None and busy > 0)
 
 
 def candidates(
@@ -12,6 +94,7 @@
     shard: str,
     version: int | None,
     tried: Collection[str],
+    now_ms: int | None = None,
 ) -> list[topology.Target]:
     """Return the replicas that may get an attempt.
 
@@ -25,6 +108,9 @@
         Leaves out replicas known not to hold this index version.
     tried : collection of str
         Names of replicas that have been asked already.
+    now_ms : int or None
+        With it a cold target is left out unless this daemon may feed it now; without
+        it every cold target is.
 
     Returns
     -------
@@ -35,9 +121,8 @@
     return [
         target
         for target in replicas.values()
-        if target.name not in tried
-        and daemon.configuration.takes_work(target)
-        and _may_hold(daemon, target, version)
+        if _is_eligible(daemon, target, version, tried)
+        and _may_be_fed(daemon, target, now_ms)
     ]
 
 
@@ -53,8 +138,38 @@
     return min(drawn, key=lambda target: daemon.targets.of(target.name).in_flight)
 
 
-def _may_hold(
-    daemon: daemon_state.Daemon, target: topology.Target, version: int | None
+def _is_eligible(
+    daemon: daemon_state.Daemon,
+    target: topology.Target,
+    version: int | None,
+    tried: Collection[str],
 ) -> bool:
+    if target.name in tried or not daemon.configuration.takes_work(target):
+        return False
     versions = daemon.targets.of(target.name).versions
     return version is None or not versions or version in versions
+
+
+def _may_be_fed(
+    daemon: daemon_state.Daemon, target: topology.Target, now_ms: int | None
+) -> bool:
+    if daemon.targets.of(target.name).cold is None:
+        return True
+    if now_ms is None:
+        return False
+    return (limits.room(daemon, target, 1, now_ms) or 0) > 0
+
+
+def _score(state: targets.TargetState, usual_ms: int, now_ms: int) -> float:
+    """Return the expected time until an answer; equal within a step of latency."""
+    latency_ms = state.latency_ms
+    age_ms = now_ms - state.latency_at_ms
+    if latency_ms == 0.0 or age_ms > LATENCY_VALID_MS:
+        latency_ms = float(usual_ms)
+    waiting = state.in_flight
+    if state.load is not None and age_ms <= REPORT_VALID_MS:
+        waiting = max(waiting, state.load.busy_slots)
+    step = 1.0
+    while step < latency_ms:
+        step *= LATENCY_STEP
+    return step * (1 + waiting)
--- a/amaranthpulley/coordination/searching.py
+++ b/amaranthpulley/coordination/searching.py
@@ -6,9 +6,14 @@
 from amaranthpulley.coordination import (
     admission,
     answering,
+    cold,
     commands,
     events,
     fanout,
+    hedging,
+    limits,
+    queueing,
+    retrying,
     snapshots,
 )
 from amaranthpulley.state import daemon as daemon_state
@@ -30,11 +35,17 @@
     now_ms: int,
     random: Random,
 ) -> Commands:
-    """Begin a search or refuse it."""
+    """Begin a search, let it wait to begin, or refuse it."""
     request = event.request
     verdict = admission.admit(daemon, request, topology.ServiceKind.SEARCH, now_ms)
     if isinstance(verdict, requests.Refusal):
         return answering.answer(daemon, request, verdict, elapsed_ms=0)
+    service = request.service
+    learnt = limits.refresh_view(daemon, service, now_ms)
+    learnt += cold.learn_facts(daemon, now_ms)
+    waits = queueing.must_wait(daemon, service)
+    if waits and queueing.is_full(daemon, service):
+        return [*learnt, *_shed(daemon, request, 0)]
     search = searches.Search(
         request,
         verdict.service,
@@ -44,17 +55,18 @@
     )
     daemon.searches.add(search)
     received = commands.log(
-        log_events.REQUEST_RECEIVED,
-        request_id=request.request_id,
-        service=request.service,
+        log_events.REQUEST_RECEIVED, request_id=request.request_id, service=service
     )
     deadline = SearchDeadline(request.request_id)
-    search.version = snapshots.pin_version(daemon, request.service)
     return [
+        *learnt,
         received,
         commands.SetTimer(deadline, search.deadline_ms),
-        *fanout.ask_missing(daemon, search, now_ms, random),
-        *_proceed(daemon, search, now_ms, random),
+        *(
+            queueing.enter(daemon, search)
+            if waits
+            else _begin(daemon, search, now_ms, random)
+        ),
     ]
 
 
@@ -67,24 +79,15 @@
     """Merge a leaf's answer into its search."""
     ended = daemon.searches.end_attempt(event.attempt_id)
     if ended is None:
-        return []
+        return _take_end_of_given_up(daemon, event, now_ms, random)
     search, attempt = ended
     search.may_have_run = True
-    fanout.end_attempt(daemon, attempt)
-    daemon.targets.report(attempt.target.name, event.load)
-    part = event.answer
-    state = daemon.targets.of(attempt.target.name)
-    is_news = state.ranges.get(part.version) != part.ranges
-    state.ranges[part.version] = part.ranges
-    if search.version is None:
-        search.version = part.version
-    if part.version != search.version:
-        return _ask_pinned(daemon, search, attempt, now_ms, random)
-    search.merge(part)
-    asked: Commands = []
-    if is_news and not search.complete:
-        asked = fanout.ask_missing(daemon, search, now_ms, random)
-    return [*asked, *_proceed(daemon, search, now_ms, random)]
+    learnt = fanout.end_attempt(daemon, attempt, event, now_ms, random)
+    return [
+        *learnt,
+        *_take_part(daemon, search, attempt, event.answer, now_ms, random),
+        *_serve(daemon, attempt, now_ms, random),
+    ]
 
 
 def take_failure(
@@ -96,22 +99,23 @@
     """Ask another replica after a failed attempt."""
     ended = daemon.searches.end_attempt(event.attempt_id)
     if ended is None:
-        return []
+        return _take_end_of_given_up(daemon, event, now_ms, random)
     search, attempt = ended
-    fanout.end_attempt(daemon, attempt)
+    learnt = fanout.end_attempt(daemon, attempt, event, now_ms, random)
     search.may_have_run |= not event.failure.not_run
-    if event.load is not None:
-        daemon.targets.report(attempt.target.name, event.load)
     failed = commands.log(
         log_events.ATTEMPT_FAILED,
         request_id=search.request.request_id,
         target=attempt.target.name,
         failure=event.failure.value,
     )
+    is_free = event.failure in retrying.FREE_FAILURES
     return [
         failed,
-        *fanout.ask_again(daemon, search, attempt.shard, now_ms, random),
+        *learnt,
+        *fanout.ask_again(daemon, search, attempt.shard, now_ms, random, is_free),
         *_proceed(daemon, search, now_ms, random),
+        *_serve(daemon, attempt, now_ms, random),
     ]
 
 
@@ -127,11 +131,53 @@
     if search is None or purpose.restarts != search.restarts:
         return []
     return [
-        *fanout.end_waiting(daemon, search, purpose.shard, now_ms, random),
+        *fanout.end_pause(daemon, search, purpose.shard, now_ms, random),
         *_proceed(daemon, search, now_ms, random),
     ]
 
 
+def hedge(
+    daemon: daemon_state.Daemon,
+    event: events.TimerDue,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Look for stragglers."""
+    search = daemon.searches.get(event.purpose.request_id)
+    if search is None:
+        return []
+    return hedging.hedge(daemon, search, now_ms, random)
+
+
+def look_for_room(
+    daemon: daemon_state.Daemon,
+    event: events.TimerDue,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Send what waits, and begin what waits behind it."""
+    service = event.purpose.service
+    return [
+        *fanout.serve_all_waiting(daemon, service, now_ms, random),
+        *_begin_queued(daemon, service, now_ms, random),
+    ]
+
+
+def end_wait_to_begin(
+    daemon: daemon_state.Daemon,
+    event: events.TimerDue,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Refuse a search that has waited too long to begin; nothing of it was sent."""
+    search = daemon.searches.get(event.purpose.request_id)
+    if search is None or search.has_begun:
+        return []
+    queueing.leave(daemon, search)
+    daemon.searches.remove(search)
+    return _shed(daemon, search.request, now_ms - search.started_ms)
+
+
 def end_at_deadline(
     daemon: daemon_state.Daemon,
     event: events.TimerDue,
@@ -142,11 +188,99 @@
     search = daemon.searches.get(event.purpose.request_id)
     if search is None:
         return []
-    if now_ms < search.hard_deadline_ms and fanout.waits_for_coverage(search):
+    if now_ms < search.hard_deadline_ms and retrying.waits_for_coverage(search):
         return [commands.SetTimer(event.purpose, search.hard_deadline_ms)]
     return _end(daemon, search, now_ms)
 
 
+def _begin(
+    daemon: daemon_state.Daemon,
+    search: searches.Search,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    search.has_begun = True
+    search.version = snapshots.pin_version(daemon, search.request.service)
+    return [
+        *fanout.ask_missing(daemon, search, now_ms, random),
+        *_proceed(daemon, search, now_ms, random),
+        *hedging.watch(daemon, search, now_ms),
+    ]
+
+
+def _begin_queued(
+    daemon: daemon_state.Daemon, service: str, now_ms: int, random: Random
+) -> Commands:
+    begun: Commands = []
+    while (search := queueing.next_to_begin(daemon, service)) is not None:
+        begun += _begin(daemon, search, now_ms, random)
+    return begun
+
+
+def _serve(
+    daemon: daemon_state.Daemon,
+    ended: searches.Attempt,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Use the room that an ended attempt has left."""
+    service = ended.target.service
+    return [
+        *fanout.serve_waiting(daemon, service, ended.shard, now_ms, random),
+        *_begin_queued(daemon, service, now_ms, random),
+    ]
+
+
+def _take_end_of_given_up(
+    daemon: daemon_state.Daemon,
+    event: events.AttemptAnswered | events.AttemptFailed,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    """Learn from an attempt that its search no longer waits for."""
+    attempt = daemon.searches.end_given_up(event.attempt_id)
+    if attempt is None:
+        return []
+    return [
+        *fanout.end_attempt(daemon, attempt, event, now_ms, random),
+        *_serve(daemon, attempt, now_ms, random),
+    ]
+
+
+def _take_part(
+    daemon: daemon_state.Daemon,
+    search: searches.Search,
+    attempt: searches.Attempt,
+    part: searches.SearchPart,
+    now_ms: int,
+    random: Random,
+) -> Commands:
+    state = daemon.targets.of(attempt.target.name)
+    is_news = state.ranges.get(part.version) != part.ranges
+    state.ranges[part.version] = part.ranges
+    if search.version is None:
+        search.version = part.version
+    if part.version != search.version:
+        return _ask_pinned(daemon, search, attempt, now_ms, random)
+    search.merge(part)
+    decided = fanout.cancel(daemon, search, hedging.losers(search, attempt), now_ms)
+    if is_news and not search.complete:
+        decided += fanout.ask_missing(daemon, search, now_ms, random)
+    return [*decided, *_proceed(daemon, search, now_ms, random)]
+
+
+def _shed(
+    daemon: daemon_state.Daemon, request: requests.SearchRequest, elapsed_ms: int
+) -> Commands:
+    daemon.counters.add("searches_shed_total", service=request.service)
+    refusal = requests.Refusal(
+        requests.RefusalCode.OVERLOADED,
+        "more searches than the targets can run; try again later",
+        not_run=True,
+    )
+    return answering.answer(daemon, request, refusal, elapsed_ms)
+
+
 def _ask_pinned(
     daemon: daemon_state.Daemon,
     search: searches.Search,
@@ -158,7 +292,7 @@
     # hold the pinned one too.
     search.tried[attempt.shard].discard(attempt.target.name)
     return [
-        *fanout.ask_again(daemon, search, attempt.shard, now_ms, random),
+        *fanout.ask_again(daemon, search, attempt.shard, now_ms, random, is_free=True),
         *_proceed(daemon, search, now_ms, random),
     ]
 
@@ -172,17 +306,20 @@
     """End a search that has all it can get; begin it again where that helps."""
     if search.complete or now_ms >= search.hard_deadline_ms:
         return _end(daemon, search, now_ms)
-    if now_ms >= search.deadline_ms and not fanout.waits_for_coverage(search):
+    if now_ms >= search.deadline_ms and not retrying.waits_for_coverage(search):
         return _end(daemon, search, now_ms)
     if search.attempts:
         return []
-    version = snapshots.next_version(daemon, search)
-    if version is not None:
-        return _restart(daemon, search, version, now_ms, random)
+    if snapshots.is_gone(daemon, search):
+        version = snapshots.next_version(daemon, search)
+        if version is not None:
+            return _restart(daemon, search, version, now_ms, random)
     if search.waiting:
         return []
     asked = fanout.ask_missing(daemon, search, now_ms, random)
-    return asked or _end(daemon, search, now_ms)
+    if search.attempts or search.waiting:
+        return asked
+    return _end(daemon, search, now_ms)
 
 
 def _restart(
@@ -198,18 +335,19 @@
         version=version,
     )
     daemon.counters.add("search_restarts_total", service=search.request.service)
-    cancelled = fanout.cancel(daemon, search, list(search.attempts.values()))
+    cancelled = fanout.cancel(daemon, search, list(search.attempts.values()), now_ms)
     search.restart(version)
     return [
         restarted,
         *cancelled,
         *fanout.ask_missing(daemon, search, now_ms, random),
         *_proceed(daemon, search, now_ms, random),
+        *hedging.watch(daemon, search, now_ms),
     ]
 
 
 def _end(daemon: daemon_state.Daemon, search: searches.Search, now_ms: int) -> Commands:
-    cancelled = fanout.cancel(daemon, search, list(search.attempts.values()))
+    cancelled = fanout.cancel(daemon, search, list(search.attempts.values()), now_ms)
     daemon.searches.remove(search)
     elapsed_ms = now_ms - search.started_ms
     outcome = _outcome_of(search)
@@ -247,5 +385,8 @@
     events.AttemptAnswered: take_answer,
     events.AttemptFailed: take_failure,
     SearchDeadline: end_at_deadline,
-    fanout.RetryDue: retry,
+    retrying.RetryDue: retry,
+    hedging.HedgeDue: hedge,
+    fanout.RoomDue: look_for_room,
+    queueing.QueueDue: end_wait_to_begin,
 }
--- a/amaranthpulley/coordination/snapshots.py
+++ b/amaranthpulley/coordination/snapshots.py
@@ -58,6 +58,21 @@
     return pin_version(daemon, search.request.service, above=search.version)
 
 
+def is_gone(daemon: daemon_state.Daemon, search: searches.Search) -> bool:
+    """Tell whether some shard has replicas, but none that may hold the version."""
+    if search.version is None:
+        return False
+    for replicas in daemon.configuration.shards(search.request.service).values():
+        reported = [
+            daemon.targets.of(target.name).versions
+            for target in replicas.values()
+            if daemon.configuration.takes_work(target)
+        ]
+        if reported and all(v and search.version not in v for v in reported):
+            return True
+    return False
+
+
 def known_ranges(
     daemon: daemon_state.Daemon, target: topology.Target, version: int | None
 ) -> tuple[keyspace.KeyRange, ...] | None:
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -38,6 +38,7 @@
 
     maximum_requests_in_progress: NotRequired[Count]
     maximum_row_count: NotRequired[Count]
+    maximum_queued_searches: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
     journal_flush_ms: NotRequired[Milliseconds]
     journal_memory_bytes: NotRequired[Count]
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -11,6 +11,7 @@
     members,
     orders,
     searches,
+    services,
     targets,
 )
 
@@ -44,6 +45,8 @@
     ----------
     maximum_requests_in_progress, maximum_row_count : int
         Requests at a time, and rows of one answer.
+    maximum_queued_searches : int
+        Searches of each service that wait to begin.
     store_timeout_ms : int
         Time to wait for the store's reply.
     journal_flush_ms : int
@@ -58,6 +61,7 @@
 
     maximum_requests_in_progress: int = 1_000
     maximum_row_count: int = 100_000
+    maximum_queued_searches: int = 200
     store_timeout_ms: int = 500
     journal_flush_ms: int = 5_000
     journal_memory_bytes: int = 32 * 1024 * 1024
@@ -81,6 +85,7 @@
         self.limits = limits
         self.configuration = configuration.Configuration()
         self.targets = targets.TargetTable()
+        self.services = services.ServiceTable()
         self.searches = searches.SearchTable()
         self.orders = orders.OrderTable()
         self.counters = counters.Counters()
--- /dev/null
+++ b/amaranthpulley/state/latency.py
@@ -0,0 +1,76 @@
+"""Latencies that were seen, as a histogram that forgets old ones."""
+
+import bisect
+import itertools
+from typing import Final
+
+GROWTH: Final = 1.1
+LONGEST_MS: Final = 60_000
+HALVED_AT: Final = 4_000
+FRESH_FOR: Final = 32
+
+
+def _upper_bounds() -> list[float]:
+    bounds = [1.0]
+    while bounds[-1] < LONGEST_MS:
+        bounds.append(bounds[-1] * GROWTH)
+    return bounds
+
+
+_BOUNDS: Final = _upper_bounds()
+
+
+class LatencyHistogram:
+    """Counts by bucket; each bucket is a tenth wider than the one before it.
+
+    All counts are halved once there are `HALVED_AT`, so that the quantiles follow the
+    latest thousands of observations. A quantile is computed again after every
+    `FRESH_FOR` observations.
+    """
+
+    def __init__(self) -> None:
+        self._counts = [0.0] * (len(_BOUNDS) + 1)
+        self._total = 0.0
+        self._observed = 0
+        self._quantiles: dict[float, int] = {}
+
+    @property
+    def observed(self) -> int:
+        """The number of observations so far."""
+        return self._observed
+
+    def observe(self, elapsed_ms: int) -> None:
+        """Count a latency, in milliseconds."""
+        self._counts[bisect.bisect_left(_BOUNDS, elapsed_ms)] += 1.0
+        self._total += 1.0
+        self._observed += 1
+        if self._total >= HALVED_AT:
+            self._counts = [count / 2 for count in self._counts]
+            self._total /= 2
+        if self._observed % FRESH_FOR == 0:
+            self._quantiles.clear()
+
+    def quantile_ms(self, share: float, default_ms: int) -> int:
+        """Return the latency that a share of the observations does not exceed.
+
+        Parameters
+        ----------
+        share : float
+            From 0.0 to 1.0.
+        default_ms : int
+            Returned until there are `FRESH_FOR` observations.
+        """
+        if self._observed < FRESH_FOR:
+            return default_ms
+        known = self._quantiles.get(share)
+        if known is None:
+            known = self._quantiles[share] = self._compute(share)
+        return known
+
+    def _compute(self, share: float) -> int:
+        wanted = share * self._total
+        sums = itertools.accumulate(self._counts)
+        for bound, total in zip(_BOUNDS, sums, strict=False):
+            if total >= wanted:
+                return round(bound)
+        return LONGEST_MS
--- a/amaranthpulley/state/searches.py
+++ b/amaranthpulley/state/searches.py
@@ -73,7 +73,11 @@
     retries : dict of str to int
         How often each shard was asked again.
     waiting : set of str
-        Shards that are asked again after a pause.
+        Shards that are asked after a pause, or once a replica has room.
+    hedged : set of str
+        Shards for which a second attempt was sent or considered.
+    has_begun : bool
+        False while the search waits to begin.
     restarts : int
         How often the search began again at another version.
     may_have_run : bool
@@ -105,6 +109,8 @@
         self.tried: dict[str, set[str]] = {}
         self.retries: dict[str, int] = {}
         self.waiting: set[str] = set()
+        self.hedged: set[str] = set()
+        self.has_begun = False
         self.restarts = 0
         self.may_have_run = False
         self._best: Snapshot | None = None
@@ -151,6 +157,7 @@
         self.rows = []
         self.tried = {}
         self.waiting = set()
+        self.hedged = set()
         self.restarts += 1
 
     def _current(self) -> Snapshot | None:
@@ -168,6 +175,7 @@
     def __init__(self) -> None:
         self._searches: dict[str, Search] = {}
         self._requests_by_attempt: dict[str, str] = {}
+        self._given_up: dict[str, Attempt] = {}
 
     def __len__(self) -> int:
         return len(self._searches)
@@ -199,6 +207,16 @@
             return None
         return search, search.attempts.pop(attempt_id)
 
+    def give_up(self, attempt_id: str) -> None:
+        """End an attempt for its search; its target may still work on it."""
+        ended = self.end_attempt(attempt_id)
+        if ended is not None:
+            self._given_up[attempt_id] = ended[1]
+
+    def end_given_up(self, attempt_id: str) -> Attempt | None:
+        """Take out an attempt that was given up; None when it was not."""
+        return self._given_up.pop(attempt_id, None)
+
     def remove(self, search: Search) -> None:
         """End a search, whose attempts have ended before."""
         del self._searches[search.request.request_id]
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -24,6 +24,34 @@
     versions: tuple[int, ...]
 
 
+class ColdStart(NamedTuple):
+    """A target that is cold, or may be, and how far it has come.
+
+    Attributes
+    ----------
+    since_ms : int
+        Reading of the monotonic clock when that was noticed.
+    suspected : bool
+        True while all that is known is that the target did not answer; an answer
+        under the old boot id clears it.
+    boot_id : str
+        The boot id known before; empty when there was none.
+    limit : int
+        Attempts at a time that the daemon that feeds it may send.
+    finished : int
+        Attempts that it has answered at this limit as fast as a warm target does.
+    answered : int
+        Attempts that it has answered at this limit.
+    """
+
+    since_ms: int
+    suspected: bool
+    boot_id: str
+    limit: int = 1
+    finished: int = 0
+    answered: int = 0
+
+
 class TargetState:
     """The view of one target.
 
@@ -35,12 +63,36 @@
         The target's last report.
     ranges : dict of int to tuple of KeyRange
         The parts of the key space that it searched, by index version.
+    latency_ms : float
+        Moving average of its answers' latencies; 0 while there is none.
+    latency_at_ms : int
+        When the last latency was seen.
+    slots : int or None
+        Attempts at a time that it took of this daemon; None while not known.
+    probe_at_ms : int
+        From then on one attempt more may be tried.
+    slow_answers : int
+        Answers in a row that took far longer than the average.
+    was_out : bool
+        Operators had taken it out of service when it was last looked at.
+    cold : ColdStart or None
+        None while it counts as warm.
+    cold_fact_value : int
+        Value of the last fact about its coldness that was taken in.
     """
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.load: TargetLoad | None = None
         self.ranges: dict[int, tuple[keyspace.KeyRange, ...]] = {}
+        self.latency_ms = 0.0
+        self.latency_at_ms = 0
+        self.slots: int | None = None
+        self.probe_at_ms = 0
+        self.slow_answers = 0
+        self.was_out = False
+        self.cold: ColdStart | None = None
+        self.cold_fact_value = 0
 
     @property
     def versions(self) -> tuple[int, ...]:
@@ -54,6 +106,7 @@
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
         self.versions_revision = 0
+        self.facts_read_ms = 0
 
     def of(self, name: str) -> TargetState:
         """Return the view of a target, a fresh one when it was never seen."""
--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/virtual_targets.py
@@ -4,13 +4,17 @@
 
 import typing
 from collections.abc import Callable
+from typing import Final
 
 from amaranthpulley.coordination import commands, events
-from amaranthpulley.state import standin_leaf
+from amaranthpulley.state import searches, standin_leaf
 
 if typing.TYPE_CHECKING:
     from amaranthpulley.transport import virtual_network
 
+# Time for a target to confirm a cancellation.
+CANCEL_GRACE_MS: Final = 200
+
 ServiceTime = Callable[[standin_leaf.StandInLeaf, commands.SendAttempt], int]
 Reply = Callable[[events.Event], None]
 
@@ -42,6 +46,8 @@
         self._network = network
         self._connected_boots: dict[tuple[str, str, str], str] = {}
         self._running: dict[str, Callable[[], None]] = {}
+        self._replies: dict[str, Reply] = {}
+        self._cancelled_ms: dict[str, int] = {}
 
     def send(
         self, daemon: virtual_network.VirtualDaemon, command: commands.SendAttempt
@@ -56,7 +62,9 @@
             nonlocal ended
             if not ended:
                 ended = True
+                self._cancelled_ms.pop(command.attempt_id, None)
                 network.feed(daemon, event)
+                self._drop_connection(daemon, command, event)
 
         def send_back(event: events.Event) -> None:
             back_ms = network.delay(address, own)
@@ -66,20 +74,30 @@
             if network.random.random() < self.duplicates:
                 network.after(back_ms + 1, lambda: network.feed(daemon, event))
 
+        def time_out() -> None:
+            cancelled_ms = self._cancelled_ms.get(command.attempt_id)
+            if cancelled_ms is not None:
+                grace_ms = cancelled_ms + CANCEL_GRACE_MS - network.now_ms
+                if grace_ms > 0:
+                    network.after(grace_ms, time_out)
+                    return
+            timed_out = events.Failure.TIMED_OUT
+            end(events.AttemptFailed(command.attempt_id, timed_out))
+
         there_ms = network.delay(own, address)
         if there_ms is not None:
             network.after(there_ms, lambda: self._arrive(daemon, command, send_back))
-        timed_out = events.AttemptFailed(command.attempt_id, events.Failure.TIMED_OUT)
-        network.after(command.timeout_ms, lambda: end(timed_out))
+        network.after(command.timeout_ms, time_out)
 
     def cancel(
         self, daemon: virtual_network.VirtualDaemon, command: commands.CancelAttempt
     ) -> None:
         """Tell a target that nobody waits for an attempt."""
+        self._cancelled_ms[command.attempt_id] = self._network.now_ms
         own = daemon.state.identity.address
         there_ms = self._network.delay(own, command.target.address)
         if there_ms is not None:
-            self._network.after(there_ms, lambda: self._stop(command.attempt_id))
+            self._network.after(there_ms, lambda: self._cancel(command.attempt_id))
 
     def _arrive(
         self,
@@ -114,9 +132,27 @@
     ) -> bool:
         identity = daemon.state.identity
         connection = identity.name, identity.life, command.target.address
-        before = self._connected_boots.get(connection)
-        self._connected_boots[connection] = leaf.boot_id
-        return before is not None and before != leaf.boot_id
+        before = self._connected_boots.setdefault(connection, leaf.boot_id)
+        if before == leaf.boot_id:
+            return False
+        return before != leaf.boot_id
+
+    def _drop_connection(
+        self,
+        daemon: virtual_network.VirtualDaemon,
+        command: commands.SendAttempt,
+        event: events.Event,
+    ) -> None:
+        failure = getattr(event, "failure", None)
+        if failure not in (events.Failure.CONNECTION_LOST, events.Failure.TIMED_OUT):
+            return
+        identity = daemon.state.identity
+        connection = identity.name, identity.life, command.target.address
+        # A paused daemon notices the loss, and opens a fresh one, once it goes on.
+        noticed_ms = max(self._network.now_ms, daemon.paused_until_ms)
+        self._network.at(
+            noticed_ms, lambda: self._connected_boots.pop(connection, None)
+        )
 
     def _work(
         self,
@@ -126,38 +162,61 @@
     ) -> None:
         boot_id = leaf.boot_id
         attempt_id = command.attempt_id
-        self.reached.add(command.request_id)
+        # A leaf pins the version when it begins.
+        part = _search(leaf, command)
+        if part is not None:
+            self.reached.add(command.request_id)
 
         def finish() -> None:
             if self._running.pop(attempt_id, None) is None:
                 return
+            del self._replies[attempt_id]
             if leaf.end(boot_id, finished=True):
-                reply(_run(leaf, command))
+                reply(_end_of(leaf, command, part))
                 return
             lost = events.Failure.CONNECTION_LOST
             reply(events.AttemptFailed(attempt_id, lost))
 
+        self._replies[attempt_id] = reply
         self._running[attempt_id] = lambda: leaf.end(boot_id, finished=False)
         work_ms = leaf.work_ms(self.service_ms(leaf, command))
         self._network.after(work_ms, finish)
         # A target stops working on a request whose deadline has passed.
         self._network.after(command.timeout_ms, lambda: self._stop(attempt_id))
 
+    def _cancel(self, attempt_id: str) -> None:
+        reply = self._replies.get(attempt_id)
+        if reply is not None:
+            self._stop(attempt_id)
+            cancelled = events.Failure.CANCELLED
+            reply(events.AttemptFailed(attempt_id, cancelled))
+
     def _stop(self, attempt_id: str) -> None:
+        self._replies.pop(attempt_id, None)
         stop = self._running.pop(attempt_id, None)
         if stop is not None:
             stop()
 
 
-def _run(
+def _search(
     leaf: standin_leaf.StandInLeaf, command: commands.SendAttempt
+) -> searches.SearchPart | None:
+    call = command.call
+    if isinstance(call, commands.OrderCall):
+        return None
+    return leaf.search(call.query, call.key, call.version)
+
+
+def _end_of(
+    leaf: standin_leaf.StandInLeaf,
+    command: commands.SendAttempt,
+    part: searches.SearchPart | None,
 ) -> events.AttemptAnswered | events.AttemptFailed:
     call = command.call
     if isinstance(call, commands.OrderCall):
         receipt = leaf.order(call.idempotency_key, call.payload)
         answer = events.OrderReceipt(receipt)
         return events.AttemptAnswered(command.attempt_id, answer, leaf.load)
-    part = leaf.search(call.query, call.key, call.version)
     if part is None:
         gone = events.Failure.VERSION_GONE
         return events.AttemptFailed(command.attempt_id, gone, leaf.load)
