Hedge stragglers, bound retries, queue whole searches and learn limits

Cause: one straggler set a search's latency, a failed attempt was repeated without bound, and a daemon sent whatever arrived. A second attempt is sent after the learnt 95% quantile from a token budget, retries from another; slots are learnt from refusals, connections are divided by the live daemons; a search waits to begin in a bounded queue and is shed with a true "not run". Ruled out: queueing whole searches until every shard has room (slots idle), counting every refusal as congestion (two slots refuse by chance at 30% load), doubling the pause after each refused probe without end (a daemon starves at one shard).

--- a/amaranthpulley/coordination/cold.py
+++ b/amaranthpulley/coordination/cold.py
@@ -65,14 +65,9 @@
     int or None
         None when another daemon feeds it, or nobody does.
     """
-    if state.cold.suspected and now_ms < state.probe_at_ms:
+    if now_ms < state.probe_at_ms or not _may_feed(daemon, target, state, now_ms):
         return None
-    until_ms = now_ms + FEED_TIMEOUT_MS + FEED_MARGIN_MS
-    if daemon.leases.holds(lease_name(target.name), until_ms):
-        return state.cold.limit - state.in_flight
-    if state.cold.suspected and now_ms >= _alone_at_ms(daemon, target.name, state):
-        return state.cold.limit - state.in_flight
-    return None
+    return state.cold.limit - state.in_flight
 
 
 def note_load(
@@ -87,8 +82,10 @@
     known = state.load.boot_id if state.load is not None else load.boot_id
     if load.boot_id != known:
         return mark(daemon, target.name, False, now_ms)
-    if refused and load.busy_slots * 2 < target.slots:
-        return [] if state.cold else mark(daemon, target.name, False, now_ms)
+    if refused and state.cold is not None:
+        state.cold = state.cold._replace(limit=1, finished=0, answered=0)
+    elif refused and load.busy_slots == 0:
+        return mark(daemon, target.name, False, now_ms)
     if state.cold is not None and state.cold.suspected:
         return _warm(daemon, target.name, now_ms)
     return []
@@ -198,6 +195,18 @@
     return [*decided, timer]
 
 
+def _may_feed(
+    daemon: daemon_state.Daemon,
+    target: topology.Target,
+    state: targets.TargetState,
+    now_ms: int,
+) -> bool:
+    until_ms = now_ms + FEED_TIMEOUT_MS + FEED_MARGIN_MS
+    if daemon.leases.holds(lease_name(target.name), until_ms):
+        return True
+    return state.cold.suspected and now_ms >= _alone_at_ms(daemon, target.name, state)
+
+
 def _enter(
     daemon: daemon_state.Daemon,
     target: str,
--- a/amaranthpulley/coordination/fanout.py
+++ b/amaranthpulley/coordination/fanout.py
@@ -268,8 +268,9 @@
     daemon.searches.add_attempt(search, attempt)
     daemon.targets.of(target.name).in_flight += 1
     daemon.counters.add("attempts_total", service=request.service, kind=kind.value)
+    state = daemon.services.of(request.service)
+    state.sent_ms[shard] = now_ms
     if kind is searches.AttemptKind.FIRST:
-        state = daemon.services.of(request.service)
         state.hedges.earn(search.service.hedge_budget)
         state.retries.earn(retrying.RETRY_SHARE)
     call = commands.SearchCall(request.query, request.key, search.version)
--- a/amaranthpulley/coordination/limits.py
+++ b/amaranthpulley/coordination/limits.py
@@ -26,6 +26,7 @@
 # Rendezvous ranking spreads the daemons unevenly over the instances.
 CONNECTION_HEADROOM: Final = 0.75
 VIEW_AGE_MS: Final = 1_000
+MAXIMUM_DOUBLINGS: Final = 2
 DEFAULT_LATENCY_MS: Final = 10
 MEDIAN: Final = 0.5
 
@@ -83,17 +84,25 @@
 ) -> None:
     """Lower a target's limit to what is in flight after a refusal."""
     state.slots = max(0, state.in_flight)
-    state.probe_at_ms = now_ms + 1 + int((0.5 + random()) * median_ms)
+    if state.load is not None:
+        state.full_at = max(1, state.load.busy_slots)
+    longest_ms = median_ms << min(state.refusals, MAXIMUM_DOUBLINGS)
+    state.refusals += 1
+    state.probe_at_ms = now_ms + 1 + int((0.5 + random()) * longest_ms)
 
 
 def note_answer(
     state: targets.TargetState, target: topology.Target, now_ms: int
 ) -> None:
     """Raise a target's limit to what is in flight with the answered attempt."""
+    state.refusals = 0
     if state.slots is None:
         return
     state.slots = max(state.slots, state.in_flight)
-    if state.load is not None and state.load.busy_slots < target.slots:
+    # The report leaves out the answered attempt, whose slot is this daemon's own.
+    busy = state.load.busy_slots + 1 if state.load is not None else 0
+    state.full_at = max(state.full_at or target.slots, busy)
+    if busy < state.full_at:
         state.probe_at_ms = min(state.probe_at_ms, now_ms)
 
 
--- a/amaranthpulley/coordination/queueing.py
+++ b/amaranthpulley/coordination/queueing.py
@@ -1,20 +1,21 @@
 """Searches that wait to begin, so that a search that is shed has truly not run.
 
-A search begins only while the attempts of the searches before it do not pile up at most
-of the shards. Otherwise it waits in a queue that is bounded in length and age. What is
+A search begins only while the attempts of the searches before it do not pile up at a
+shard. Otherwise it waits in a queue that is bounded in length and age. What is
 refused from the queue has sent nothing.
 """
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands
+from amaranthpulley.coordination import commands, limits
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import searches
 
 Commands = list[commands.Command]
 
 # Attempts that wait for each shard, so that a slot that becomes free is used at once.
-WAITING_PER_SHARD: Final = 2
+WAITING_PER_SHARD: Final = 3
+MOVING_FACTOR: Final = 4
 # Share of a search's time that it may wait to begin: one part in four.
 QUEUE_SHARE_OF_DEADLINE: Final = 4
 
@@ -25,20 +26,28 @@
     request_id: str
 
 
-def is_crowded(daemon: daemon_state.Daemon, service: str) -> bool:
-    """Tell whether attempts pile up at half of a service's shards or more."""
-    waiting = daemon.services.of(service).waiting
-    if not waiting:
-        return False
-    shards = len(daemon.configuration.shards(service))
-    if len(waiting) * 2 < shards:
+def is_crowded(daemon: daemon_state.Daemon, service: str, now_ms: int) -> bool:
+    """Tell whether attempts pile up at a shard that still gets through.
+
+    A shard that gets nothing through at all is not waited for: the searches go on
+    without it rather than queue for it.
+    """
+    state = daemon.services.of(service)
+    if not state.waiting:
         return False
-    return sum(map(len, waiting.values())) >= WAITING_PER_SHARD * shards
+    usual_ms = limits.median_ms(daemon, service)
+    recent_ms = now_ms - MOVING_FACTOR * usual_ms
+    return any(
+        len(queue) >= WAITING_PER_SHARD and state.sent_ms.get(shard, 0) >= recent_ms
+        for shard, queue in state.waiting.items()
+    )
 
 
-def must_wait(daemon: daemon_state.Daemon, service: str) -> bool:
+def must_wait(daemon: daemon_state.Daemon, service: str, now_ms: int) -> bool:
     """Tell whether a new search has to wait to begin."""
-    return bool(daemon.services.of(service).queue) or is_crowded(daemon, service)
+    return bool(daemon.services.of(service).queue) or is_crowded(
+        daemon, service, now_ms
+    )
 
 
 def is_full(daemon: daemon_state.Daemon, service: str) -> bool:
@@ -62,9 +71,11 @@
     daemon.services.of(search.request.service).queue.remove(search.request.request_id)
 
 
-def next_to_begin(daemon: daemon_state.Daemon, service: str) -> searches.Search | None:
+def next_to_begin(
+    daemon: daemon_state.Daemon, service: str, now_ms: int
+) -> searches.Search | None:
     """Take the search that has waited longest, None while attempts pile up."""
     queue = daemon.services.of(service).queue
-    if not queue or is_crowded(daemon, service):
+    if not queue or is_crowded(daemon, service, now_ms):
         return None
     return daemon.searches.get(queue.popleft())
--- a/amaranthpulley/coordination/searching.py
+++ b/amaranthpulley/coordination/searching.py
@@ -43,7 +43,7 @@
     service = request.service
     learnt = limits.refresh_view(daemon, service, now_ms)
     learnt += cold.learn_facts(daemon, now_ms)
-    waits = queueing.must_wait(daemon, service)
+    waits = queueing.must_wait(daemon, service, now_ms)
     if waits and queueing.is_full(daemon, service):
         return [*learnt, *_shed(daemon, request, 0)]
     search = searches.Search(
@@ -109,6 +109,9 @@
         target=attempt.target.name,
         failure=event.failure.value,
     )
+    if event.failure is events.Failure.REFUSED:
+        # The target's limit keeps the search away until there is room again.
+        search.tried[attempt.shard].discard(attempt.target.name)
     is_free = event.failure in retrying.FREE_FAILURES
     return [
         failed,
@@ -212,7 +215,7 @@
     daemon: daemon_state.Daemon, service: str, now_ms: int, random: Random
 ) -> Commands:
     begun: Commands = []
-    while (search := queueing.next_to_begin(daemon, service)) is not None:
+    while (search := queueing.next_to_begin(daemon, service, now_ms)) is not None:
         begun += _begin(daemon, search, now_ms, random)
     return begun
 
--- a/amaranthpulley/state/services.py
+++ b/amaranthpulley/state/services.py
@@ -59,6 +59,8 @@
         Searches that have not begun, by request identifier.
     waiting : dict of str to deque of WaitingAttempt
         Attempts of searches that have begun, by shard.
+    sent_ms : dict of str to int
+        When an attempt was last sent to each shard.
     room_timer_set : bool
         Whether a timer will look for room.
     """
@@ -69,6 +71,7 @@
         self.retries = budgets.TokenBudget(RETRY_BURST)
         self.queue: collections.deque[str] = collections.deque()
         self.waiting: dict[str, collections.deque[WaitingAttempt]] = {}
+        self.sent_ms: dict[str, int] = {}
         self.room_timer_set = False
         self.view: ServiceView | None = None
 
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -69,6 +69,10 @@
         When the last latency was seen.
     slots : int or None
         Attempts at a time that it took of this daemon; None while not known.
+    full_at : int or None
+        Busy slots at which it refused; None while it has not refused.
+    refusals : int
+        Refusals since its last answer.
     probe_at_ms : int
         From then on one attempt more may be tried.
     slow_answers : int
@@ -88,6 +92,8 @@
         self.latency_ms = 0.0
         self.latency_at_ms = 0
         self.slots: int | None = None
+        self.full_at: int | None = None
+        self.refusals = 0
         self.probe_at_ms = 0
         self.slow_answers = 0
         self.was_out = False
--- /dev/null
+++ b/amaranthpulley/transport/tests/test_searching_stragglers.py
@@ -0,0 +1,170 @@
+"""Tests of hedges and retries, and of the budgets that bound them."""
+
+import unittest
+
+from amaranthpulley.coordination import commands, events, retrying
+from amaranthpulley.state import (
+    budgets,
+    keyspace,
+    latency,
+    requests,
+    standin_leaf,
+    topology,
+)
+from amaranthpulley.transport.tests import search_site
+
+_SERVICE = topology.Service(search_site.SERVICE, topology.ServiceKind.SEARCH)
+_SETTINGS = search_site.SiteSettings(instances=3, service=_SERVICE)
+_WARM_UP_SEARCHES = 60
+
+
+def _warm_site(
+    settings: search_site.SiteSettings = _SETTINGS, seed: int = 1
+) -> search_site.Site:
+    site = search_site.Site(seed, settings)
+    for _ in range(_WARM_UP_SEARCHES):
+        site.search()
+        site.run_for(20)
+    return site
+
+
+def _total(site: search_site.Site, name: str, **labels: str) -> float:
+    return sum(
+        vm.state.counters.total(name, service=search_site.SERVICE, **labels)
+        for vm in site.network.daemons.values()
+    )
+
+
+class HedgeTest(unittest.TestCase):
+    """Second attempts for stragglers."""
+
+    def test_straggler_is_overtaken_and_cancelled(self) -> None:
+        site = _warm_site()
+        for number in (0, 1, 2):
+            site.leaf(number).faults = standin_leaf.LeafFaults(delay_ms=150)
+        for _ in range(30):
+            site.search()
+            site.run_for(200)
+        elapsed_ms = [answered.command.elapsed_ms for answered in site.network.answers]
+        self.assertLess(max(elapsed_ms), 60)
+        self.assertEqual(search_site.wrongs_of(site), [])
+        self.assertEqual([site.leaf(number).busy_slots for number in range(9)], [0] * 9)
+        for vm in site.network.daemons.values():
+            for target in site.targets:
+                self.assertEqual(vm.state.targets.of(target.name).in_flight, 0)
+
+    def test_hedges_stay_within_their_budget(self) -> None:
+        site = _warm_site()
+        site.network.targets.service_ms = lambda leaf, command: (
+            100 if site.network.random.random() < 0.3 else 5
+        )
+        for _ in range(300):
+            site.search()
+            site.run_for(30)
+        hedges = _total(site, "attempts_total", kind="hedge")
+        first = _total(site, "attempts_total", kind="first")
+        self.assertGreater(_total(site, "hedges_denied_total"), 0)
+        self.assertLessEqual(hedges, 10 + 0.05 * first)
+
+    def test_budget_of_nothing_sends_no_hedge(self) -> None:
+        service = _SERVICE._replace(hedge_budget=0.0)
+        site = _warm_site(_SETTINGS._replace(service=service))
+        site.leaf(0).faults = standin_leaf.LeafFaults(delay_ms=100)
+        for _ in range(20):
+            site.search()
+            site.run_for(200)
+        self.assertEqual(_total(site, "attempts_total", kind="hedge"), 0)
+
+
+class RetryTest(unittest.TestCase):
+    """Attempts after a failure."""
+
+    def test_silent_target_does_not_hold_a_search(self) -> None:
+        site = _warm_site()
+        site.leaf(0).faults = standin_leaf.LeafFaults(lost=True)
+        for _ in range(10):
+            site.search()
+            site.run_for(300)
+        elapsed_ms = [answered.command.elapsed_ms for answered in site.network.answers]
+        self.assertLess(max(elapsed_ms), 150)
+        self.assertEqual(search_site.wrongs_of(site), [])
+
+    def test_retries_cannot_multiply_a_load(self) -> None:
+        site = _warm_site()
+        vm = site.network.daemons["vm-0"]
+        lost = events.Failure.CONNECTION_LOST
+
+        def answer_with_loss(daemon: object, command: commands.SendAttempt) -> None:
+            end = events.AttemptFailed(command.attempt_id, lost)
+            site.network.after(2, lambda: site.network.feed(vm, end))
+
+        site.network.targets.send = answer_with_loss
+        before = _total(site, "attempts_total", kind="first")
+        for _ in range(400):
+            site.search()
+            site.run_for(10)
+        first = _total(site, "attempts_total", kind="first") - before
+        retries = _total(site, "attempts_total", kind="retry")
+        self.assertLessEqual(retries, 100 + retrying.RETRY_SHARE * first + 1)
+
+    def test_refusals_are_answered_elsewhere(self) -> None:
+        site = _warm_site()
+        for number in range(3):
+            site.leaf(number).slots = 0
+        for _ in range(20):
+            site.search()
+            site.run_for(50)
+        coverages = {a.command.outcome.coverage for a in site.network.answers}
+        self.assertEqual(coverages, {1.0})
+
+    def test_failures_of_all_replicas_end_before_the_deadline(self) -> None:
+        site = _warm_site()
+        site.network.targets.leaves.clear()
+        request_id = site.search()
+        site.run_for(1_000)
+        outcome = site.outcome(request_id)
+        self.assertIs(outcome.code, requests.RefusalCode.NO_TARGET)
+        self.assertTrue(outcome.not_run)
+        self.assertLess(site.network.answers[-1].command.elapsed_ms, 200)
+
+    def test_late_answer_is_dropped(self) -> None:
+        site = _warm_site()
+        site.network.targets.duplicates = 1.0
+        position = keyspace.position_of(search_site.KEYS[0])
+        self.assertLess(position, keyspace.KEY_SPACE_SIZE)
+        for key in search_site.KEYS[:20]:
+            site.search(key)
+            site.search()
+            site.run_for(2)
+        site.run_for(500)
+        self.assertEqual(search_site.wrongs_of(site), [])
+        self.assertEqual(len(site.network.answers), len(site.sent))
+
+
+class LatencyHistogramTest(unittest.TestCase):
+    """Quantiles that follow what was seen last."""
+
+    def test_quantiles(self) -> None:
+        histogram = latency.LatencyHistogram()
+        self.assertEqual(histogram.quantile_ms(0.95, default_ms=77), 77)
+        for value in [10] * 90 + [200] * 10:
+            histogram.observe(value)
+        self.assertAlmostEqual(histogram.quantile_ms(0.5, 0), 10, delta=1)
+        self.assertAlmostEqual(histogram.quantile_ms(0.95, 0), 200, delta=20)
+
+    def test_old_latencies_are_forgotten(self) -> None:
+        histogram = latency.LatencyHistogram()
+        for value in [500] * 4_000 + [10] * 20_000:
+            histogram.observe(value)
+        self.assertLess(histogram.quantile_ms(0.95, 0), 20)
+
+
+class TokenBudgetTest(unittest.TestCase):
+    """Tokens earned and spent."""
+
+    def test_spends_no_more_than_was_earned(self) -> None:
+        budget = budgets.TokenBudget(2.0)
+        self.assertEqual([budget.spend() for _ in range(3)], [True, True, False])
+        for _ in range(100):
+            budget.earn(0.05)
+        self.assertEqual(budget.tokens, 2.0)
--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/virtual_targets.py
@@ -89,6 +89,12 @@
             network.after(there_ms, lambda: self._arrive(daemon, command, send_back))
         network.after(command.timeout_ms, time_out)
 
+    def connect(self, daemon: virtual_network.VirtualDaemon, address: str) -> None:
+        """Open a daemon's connection to a leaf."""
+        identity = daemon.state.identity
+        connection = identity.name, identity.life, address
+        self._connected_boots[connection] = self.leaves[address].boot_id
+
     def cancel(
         self, daemon: virtual_network.VirtualDaemon, command: commands.CancelAttempt
     ) -> None:
