--- a/amaranthpulley/coordination/commands.py
+++ b/amaranthpulley/coordination/commands.py
@@ -14,10 +14,11 @@
 
 
 class OrderCall(NamedTuple):
-    """What a target is asked to run."""
+    """What a target is asked to run, with the time in which it may begin."""
 
     idempotency_key: str
     payload: str
+    deadline_ms: int
 
 
 class SendAttempt(NamedTuple):
@@ -98,12 +99,22 @@
 
 
 class ReplyPeer(NamedTuple):
-    """Reply to a peer's call; each `events.PeerCalled` gets exactly one."""
+    """Reply to a peer's call.
+
+    Each `events.PeerCalled` gets exactly one `ReplyPeer` or `RejectPeer`.
+    """
 
     call_id: str
     reply: tuple
 
 
+class RejectPeer(NamedTuple):
+    """Refuse a peer's call in place of a reply."""
+
+    call_id: str
+    reason: str
+
+
 class ListVms(NamedTuple):
     """Read the platform's VM list; ends with one `events.VmsListed`."""
 
@@ -131,6 +142,7 @@
     | CallStore
     | CallPeer
     | ReplyPeer
+    | RejectPeer
     | ListVms
     | Log
     | Exit
--- a/amaranthpulley/coordination/events.py
+++ b/amaranthpulley/coordination/events.py
@@ -127,6 +127,10 @@
     """The process was asked to stop once its requests are answered."""
 
 
+class StopRequested(NamedTuple):
+    """The process was asked to stop at once."""
+
+
 Event = (
     Started
     | SearchReceived
@@ -139,4 +143,5 @@
     | PeerReplied
     | VmsListed
     | DrainRequested
+    | StopRequested
 )
--- a/amaranthpulley/coordination/routing.py
+++ b/amaranthpulley/coordination/routing.py
@@ -1,6 +1,7 @@
 """Which replica of a shard gets an attempt."""
 
-from collections.abc import Callable, Collection
+import itertools
+from collections.abc import Callable, Collection, Iterator
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination import limits
@@ -59,19 +60,13 @@
     random : callable
         Returns a number drawn evenly from ``[0.0, 1.0)``.
     """
-    replicas = daemon.configuration.shards(service).get(shard, {})
-    view = daemon.services.of(service).view
-    names = view.names.get(shard) if view is not None else None
-    names = names or list(replicas)
-    users = view.users if view is not None else 1
-    begin = int(random() * len(names))
     best: topology.Target | None = None
     best_score = 0.0
-    compared = busy = 0
+    free = busy = 0
     usual_ms = limits.median_ms(daemon, service)
-    for index in range(len(names)):
-        target = replicas.get(names[(begin + index) % len(names)])
-        if target is None or not _is_eligible(daemon, target, version, tried):
+    users = _users(daemon, service)
+    for target in _in_random_order(daemon, service, shard, random):
+        if not _is_eligible(daemon, target, version, tried):
             continue
         room = limits.room(daemon, target, users, now_ms)
         if room is None:
@@ -82,10 +77,10 @@
         score = _score(daemon.targets.of(target.name), usual_ms, now_ms)
         if best is None or score < best_score:
             best, best_score = target, score
-        compared += 1
-        if compared >= MAXIMUM_COMPARED:
+        free += 1
+        if free >= MAXIMUM_COMPARED:
             break
-    return Choice(best, compared + busy > 1, best is None and busy > 0)
+    return Choice(best, free + busy > 1, best is None and busy > 0)
 
 
 def candidates(
@@ -138,6 +133,29 @@
     return min(drawn, key=lambda target: daemon.targets.of(target.name).in_flight)
 
 
+def _users(daemon: daemon_state.Daemon, service: str) -> int:
+    view = daemon.services.of(service).view
+    return view.users if view is not None else 1
+
+
+def _in_random_order(
+    daemon: daemon_state.Daemon,
+    service: str,
+    shard: str,
+    random: Callable[[], float],
+) -> Iterator[topology.Target]:
+    """Return the replicas that this daemon uses, in a circle from one by chance."""
+    replicas = daemon.configuration.shards(service).get(shard, {})
+    view = daemon.services.of(service).view
+    names = view.names.get(shard) if view is not None else None
+    names = names or list(replicas)
+    begin = int(random() * len(names))
+    for name in itertools.chain(names[begin:], names[:begin]):
+        target = replicas.get(name)
+        if target is not None:
+            yield target
+
+
 def _is_eligible(
     daemon: daemon_state.Daemon,
     target: topology.Target,
--- a/amaranthpulley/coordination/stored_values.py
+++ b/amaranthpulley/coordination/stored_values.py
@@ -4,35 +4,67 @@
 part of the decisions and not of a protocol.
 """
 
+import hashlib
 import zlib
 from typing import Final
 
 import msgspec
 
 from amaranthpulley.coordination import errors
-from amaranthpulley.state import journal, orders, topology
+from amaranthpulley.state import claims, journal, tickets, topology
 
 COMPRESSION_LEVEL: Final = 6
 
 
-def encode_claim(claim: orders.Claim) -> bytes:
-    """Return the stored form of a claim."""
-    return msgspec.msgpack.encode(claim)
+def encode_segment(segment: claims.Segment) -> bytes:
+    """Return the stored form of a segment of claims."""
+    return msgspec.msgpack.encode(segment)
 
 
-def decode_claim(value: bytes) -> orders.Claim:
-    """Return the claim of a stored value."""
-    return _decode(value, orders.Claim)
+def decode_segment(value: bytes) -> claims.Segment:
+    """Return the segment of a stored value."""
+    return _decode(value, claims.Segment)
 
 
-def encode_ticket(ticket: topology.ChangeTicket) -> bytes:
-    """Return the stored form of a change ticket."""
-    return msgspec.msgpack.encode(ticket)
+def journal_records(value: bytes) -> list[journal.JournalRecord]:
+    """Return the records of the orders in a stored segment of claims.
+
+    Each one has the latest outcome that the segment knows. A later segment may hold
+    the same order, by its request, with a newer outcome.
+    """
+    return [claim.record for claim in decode_segment(value).claims]
+
+
+def encode_head(head: tickets.Head) -> bytes:
+    """Return the stored form of the head of the change tickets."""
+    return msgspec.msgpack.encode(head)
+
+
+def decode_head(value: bytes) -> tickets.Head:
+    """Return the head of a stored value."""
+    return _decode(value, tickets.Head)
 
 
-def decode_ticket(value: bytes) -> topology.ChangeTicket:
-    """Return the change ticket of a stored value."""
-    return _decode(value, topology.ChangeTicket)
+def encode_tickets(entries: tuple[topology.ChangeTicket, ...]) -> bytes:
+    """Return the stored form of a chunk: configured entries by number."""
+    return msgspec.msgpack.encode(entries)
+
+
+def decode_tickets(value: bytes) -> tuple[topology.ChangeTicket, ...]:
+    """Return the configured entries of a chunk."""
+    return _decode(value, tuple[topology.ChangeTicket, ...])
+
+
+def digest_of(ticket: topology.ChangeTicket) -> str:
+    """Return a digest that is equal for equal tickets."""
+    encoded = msgspec.msgpack.encode(ticket)
+    return hashlib.blake2b(encoded, digest_size=8).hexdigest()
+
+
+def encode_ticket(ticket: topology.ChangeTicket) -> bytes:
+    """Return the head of a store in which one ticket has been accepted."""
+    accepted = tickets.AcceptedTicket(ticket, "first", digest_of(ticket), 0)
+    return encode_head(tickets.Head(sequence=1, tail=(accepted,)))
 
 
 def _decode(value: bytes, kind: type) -> object:
--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/virtual_targets.py
@@ -177,6 +177,8 @@
             if self._running.pop(attempt_id, None) is None:
                 return
             del self._replies[attempt_id]
+            if leaf.boot_id == boot_id:
+                leaf.crash_on(_text_of(command.call))
             if leaf.end(boot_id, finished=True):
                 reply(_end_of(leaf, command, part))
                 return
@@ -204,6 +206,10 @@
             stop()
 
 
+def _text_of(call: commands.SearchCall | commands.OrderCall) -> str:
+    return call.payload if isinstance(call, commands.OrderCall) else call.query
+
+
 def _search(
     leaf: standin_leaf.StandInLeaf, command: commands.SendAttempt
 ) -> searches.SearchPart | None:
--- /dev/null
+++ b/tests/test_separate_processes.py
@@ -0,0 +1,59 @@
+"""Tests of the whole path with each part in a process of its own."""
+
+import signal
+import unittest
+
+from tests import process_site
+
+
+class SeparateProcessesTest(unittest.TestCase):
+    """Requests through processes that share nothing but sockets."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.site = process_site.ProcessSite()
+        cls.addClassCleanup(cls.site.close)
+        cls.site.wait_until_ready()
+
+    def test_search_is_whole_and_labelled(self) -> None:
+        answer = self.site.search("vm-1", "item-01")
+        keys = sorted(row["key"] for row in answer["rows"])
+        self.assertEqual(keys, [f"item-{number:04d}" for number in range(100, 200)])
+        self.assertEqual((answer["coverage"], answer["version"]), (1.0, 1))
+
+    def test_look_up_finds_its_key(self) -> None:
+        body = {"customer": "c", "service": "stock", "query": "", "key": "item-0042"}
+        answer = self.site.post("vm-1", "search", body)
+        self.assertEqual([row["key"] for row in answer["rows"]], ["item-0042"])
+        self.assertEqual(answer["coverage"], 1.0)
+
+    def test_repeated_order_gets_the_first_result(self) -> None:
+        first = self.site.order("vm-1", "order-1")
+        second = self.site.order("vm-1", "order-1")
+        self.assertEqual((first["outcome"], first["repeated"]), ("done", False))
+        self.assertEqual((second["outcome"], second["repeated"]), ("done", True))
+        self.assertEqual(first["result"], second["result"])
+
+
+class DaemonEndTest(unittest.TestCase):
+    """The end of a daemon's process."""
+
+    def setUp(self) -> None:
+        self.site = process_site.ProcessSite(drain_grace_ms=500)
+        self.addCleanup(self.site.close)
+        self.daemon = self.site.daemons["vm-1"]
+
+    def test_sigterm_ends_an_idle_daemon_with_0(self) -> None:
+        self.daemon.process.send(signal.SIGTERM)
+        self.assertEqual(self.daemon.process.wait(), 0)
+
+    def test_second_signal_ends_a_daemon_at_once(self) -> None:
+        self.daemon.process.send(signal.SIGTERM)
+        self.daemon.wait_for_event("drain_started")
+        self.daemon.process.send(signal.SIGTERM)
+        self.assertEqual(self.daemon.process.wait(), 1)
+        self.daemon.wait_for_event("drain_cut_short")
+
+
+if __name__ == "__main__":
+    unittest.main()
