--- a/amaranthpulley/transport/tests/control_site.py
+++ b/amaranthpulley/transport/tests/control_site.py
@@ -2,11 +2,20 @@
 
 from collections.abc import Iterable
 
-from amaranthpulley.coordination import ticketing
-from amaranthpulley.state import daemon, members, store, topology
+from amaranthpulley.coordination import commands, events, ticketing
+from amaranthpulley.state import (
+    daemon,
+    keyspace,
+    members,
+    requests,
+    standin_leaf,
+    store,
+    topology,
+)
 from amaranthpulley.transport import virtual_network
 
 DOMAINS = ("Kathmandu", "Pokhara", "Biratnagar")
+KEYS = [f"item-{number}" for number in range(50)]
 WARM_UP_MS = 5_000
 SETTINGS = {"derandomize": True, "deadline": None, "database": None}
 
@@ -39,6 +48,74 @@
     return topology.ChangeTicket(number, failure_domains=(domain,))
 
 
+class Load:
+    """Callers behind a balancer that sees late which daemons are ready.
+
+    Attributes
+    ----------
+    sent : dict
+        For each request the time when it was sent and the daemon that got it.
+    attempts : list
+        Time, daemon and target of each attempt.
+    """
+
+    def __init__(self, site: "ControlSite", lag_ms: int = 300) -> None:
+        self.sent: dict[str, tuple[int, str]] = {}
+        self.attempts: list[tuple[int, str, topology.Target]] = []
+        self.site = site
+        self._lag_ms = lag_ms
+        self._ready: list[str] = []
+        self._carry = site.network.targets.send
+        site.network.targets.send = self._send
+        ranges = keyspace.split_evenly(2)
+        for place, _ in enumerate(DOMAINS):
+            for shard in range(2):
+                leaf = standin_leaf.StandInLeaf("boot-1", slots=1_000)
+                leaf.hold(1, (ranges[shard],), KEYS)
+                site.network.add_leaf(f"{place}{shard}", leaf)
+        self._look()
+
+    def search(self, name: str | None = None) -> None:
+        """Send a search to a daemon, or to one that the balancer takes for ready."""
+        if name is None:
+            if not self._ready:
+                return
+            name = self._ready[len(self.sent) % len(self._ready)]
+        request_id = f"request-{len(self.sent)}"
+        self.sent[request_id] = self.site.network.now_ms, name
+        request = requests.SearchRequest(request_id, "c", "stock", "item")
+        self.site.network.search(name, request)
+
+    def run(self, for_ms: int, interval_ms: int = 50) -> None:
+        """Send searches for a while."""
+        for _ in range(for_ms // interval_ms):
+            self.search()
+            self.site.run(interval_ms)
+
+    def outcomes(self) -> dict[str, requests.Outcome]:
+        """Return the answers by request."""
+        return {
+            answered.command.request.request_id: answered.command.outcome
+            for answered in self.site.network.answers
+        }
+
+    def _look(self) -> None:
+        ready = [state.identity.name for state in self.site.alive() if state.ready]
+
+        def see() -> None:
+            self._ready = ready
+
+        self.site.network.after(self._lag_ms, see)
+        self.site.network.after(100, self._look)
+
+    def _send(
+        self, daemon: virtual_network.VirtualDaemon, command: commands.SendAttempt
+    ) -> None:
+        name = daemon.state.identity.name
+        self.attempts.append((self.site.network.now_ms, name, command.target))
+        self._carry(daemon, command)
+
+
 class ControlSite:
     """Daemons, the platform and the verdicts that operators got.
 
@@ -99,6 +176,10 @@
             self.network.run_until(min(end_ms, self.network.now_ms + step_ms))
             self._note_reverts()
 
+    def drain(self, name: str) -> None:
+        """Ask a daemon to leave."""
+        self.network.feed(self.network.daemons[name], events.DrainRequested())
+
     def alive(self) -> list[daemon.Daemon]:
         """Return the tables of the daemons that run."""
         now_ms = self.network.now_ms
