--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -9,6 +9,10 @@
   amaranthpulley bench [--only NAME] [--seed N] [--out DIR] [--quick]
                        [--leaves DIR] [--revision TEXT]
   amaranthpulley settings check FILE
+  amaranthpulley ticket apply FILE (--settings FILE | --store ADDRESS)
+  amaranthpulley ticket show (--settings FILE | --store ADDRESS)
+  amaranthpulley ticket status NUMBER (--settings FILE | --store ADDRESS)
+                          [--admin ADDRESS]...
   amaranthpulley customer export CUSTOMER --from TIME --to TIME
                           (--out FILE --store ADDRESS)
   amaranthpulley timeline [--log FILE]... [--admin ADDRESS]... [--request ID]
@@ -31,8 +35,8 @@
   --to TIME          Requests, or events, before this time.
   --store ADDRESS    IP:port of the platform's store.
   --log FILE         A log file with events; may be given more than once.
-  --admin ADDRESS    IP:port of a daemon's admin port; for the time line it may be
-                     given more than once.
+  --admin ADDRESS    IP:port of a daemon's admin port; for the time line and for
+                     tickets it may be given more than once.
   --request ID       Only the events of this request.
   --target NAME      Only the events of this target.
   --domain NAME      Only the events of targets in this failure domain.
@@ -47,7 +51,8 @@
 Exit codes:
   0  success
   1  the work could not be done
-  2  wrong usage, settings or input; nothing was started or written
+  2  wrong usage, settings or input, or a refused ticket; nothing was started or
+     written
 """
 
 import sys
@@ -212,6 +217,25 @@
     return operator_commands.show_status(arguments["--admin"][0], print)
 
 
+def _run_ticket(arguments: Arguments) -> int:
+    address = arguments["--store"]
+    if address is None:
+        settings = settings_protocol.read(arguments["--settings"])
+        address = settings["platform"]["store_address"]
+    loop.prepare_loop()
+    from amaranthpulley.transport import ticket_commands
+
+    if arguments["apply"]:
+        return ticket_commands.apply(arguments["FILE"], address, _show)
+    if arguments["show"]:
+        return ticket_commands.show_all(address, _show)
+    if not arguments["NUMBER"].isdecimal():
+        _show_problem("NUMBER must be a number")
+        return EXIT_USAGE
+    number = int(arguments["NUMBER"])
+    return ticket_commands.show_status(number, address, arguments["--admin"], _show)
+
+
 def _show_problem(line: str) -> None:
     print(f"amaranthpulley: {line}", file=sys.stderr)
 
@@ -222,6 +246,7 @@
 
 
 _COMMANDS: Final[dict[str, Callable[[Arguments], int]]] = {
+    "ticket": _run_ticket,
     "daemon": _run_daemon,
     "leaf": _run_leaf,
     "store": _run_store,
--- a/amaranthpulley/protocol/ticket_file.py
+++ b/amaranthpulley/protocol/ticket_file.py
@@ -1,10 +1,44 @@
 """The JSON file in which operators write a change ticket."""
 
+import pathlib
+import re
+from typing import Final
+
 import msgspec
 
 from amaranthpulley.protocol import errors
 from amaranthpulley.state import topology
 
+MAXIMUM_FILE_BYTES: Final = 4 * 1024 * 1024
+_HOST_PORT: Final = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+
+
+def read(path: str) -> topology.ChangeTicket:
+    """Return the change ticket of a file.
+
+    Raises
+    ------
+    InvalidTicketError
+        When the file cannot be read, is too large or is wrong.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise errors.InvalidTicketError(
+            f"ticket: cannot read {path}: {error.strerror}"
+        ) from error
+    if len(text) > MAXIMUM_FILE_BYTES:
+        raise errors.InvalidTicketError(
+            f"ticket: the file is over {MAXIMUM_FILE_BYTES} bytes; split it - at `$`"
+        )
+    ticket = decode(text)
+    for index, target in enumerate(ticket.targets):
+        if not _HOST_PORT.fullmatch(target.address):
+            raise errors.InvalidTicketError(
+                f"ticket: expected IP:port - at `$.targets[{index}].address`"
+            )
+    return ticket
+
 
 def decode(text: bytes) -> topology.ChangeTicket:
     """Return the change ticket of a JSON text.
@@ -33,7 +67,7 @@
     return msgspec.json.encode(body)
 
 
-_LISTS = {
+_LISTS: Final = {
     "services": topology.Service,
     "failure_domains": topology.FailureDomain,
     "targets": topology.Target,
--- a/amaranthpulley/transport/admin.py
+++ b/amaranthpulley/transport/admin.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from amaranthpulley.protocol import status_api
+from amaranthpulley.protocol import status_api, ticket_status_api
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.transport import callers, log_sink, web
@@ -49,6 +49,9 @@
             http.HTTPStatus.OK, metrics_text(), METRICS_TYPE
         ),
         ("GET", "/status"): show_status,
+        ("GET", ticket_status_api.PATH): lambda environ: web.Reply(
+            http.HTTPStatus.OK, ticket_status_api.encode(daemon)
+        ),
         ("GET", "/events"): lambda environ: web.Reply(
             http.HTTPStatus.OK, recent.text(), LINES_TYPE
         ),
--- a/amaranthpulley/transport/tests/test_membership.py
+++ b/amaranthpulley/transport/tests/test_membership.py
@@ -63,6 +63,10 @@
         site.separate(_addresses(site, ["vm-000"]), _addresses(site, ["vm-001"]))
         site.run(30_000)
         self.assertEqual([state.members.version for state in site.alive()], before)
+        suspected = [
+            state.counters.total("members_suspected_total") for state in site.alive()
+        ]
+        self.assertEqual(sum(suspected), 0)
 
     def test_slow_links_do_not_change_the_view(self) -> None:
         site = control_site.ControlSite(6)
--- /dev/null
+++ b/amaranthpulley/transport/ticket_commands.py
@@ -0,0 +1,121 @@
+"""The commands by which operators bring change tickets in and look at them."""
+
+import secrets
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from amaranthpulley.coordination import ticketing
+from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.protocol import ticket_file, ticket_status_api
+from amaranthpulley.state import configuration, store
+from amaranthpulley.transport import (
+    errors,
+    iso_times,
+    store_client,
+    system_clock,
+    timeline,
+)
+
+STORE_TIMEOUT_MS: Final = 2_000
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_REFUSED: Final = 2
+
+_FAILED: Final = (
+    ticketing.Status.STORE_UNAVAILABLE,
+    ticketing.Status.CONTENDED,
+    ticketing.Status.UNKNOWN,
+)
+
+Show = Callable[[str], None]
+
+
+def apply(path: str, store_address: str, show: Show) -> int:
+    """Bring the ticket of a file in, and return the exit code."""
+    ticket = ticket_file.read(path)
+    wall_ms = system_clock.system_clock().wall_ms()
+    steps = ticketing.apply(ticket, secrets.token_hex(8), wall_ms)
+    verdict = _run(steps, store_address)
+    show(f"{verdict.status.value}: {verdict.message}")
+    if verdict.status.is_accepted:
+        return EXIT_OK
+    return EXIT_FAILED if verdict.status in _FAILED else EXIT_REFUSED
+
+
+def show_all(store_address: str, show: Show) -> int:
+    """Print all that is configured as tickets, one a line, ascending by number."""
+    stored = _read(store_address)
+    for ticket in configuration.as_tickets(stored.configuration.entries.values()):
+        show(ticket_file.encode(ticket).decode())
+    return EXIT_OK
+
+
+def show_status(
+    number: int, store_address: str, admin_addresses: Sequence[str], show: Show
+) -> int:
+    """Print whether a ticket is accepted, and in which daemons it is in force."""
+    stored = _read(store_address)
+    used = ticketing.find(stored.head, number)
+    if used is None:
+        known = "not known any more" if number <= stored.head.floor else "not accepted"
+        show(f"ticket {number}: {known}")
+        return EXIT_FAILED
+    show(f"ticket {number}: accepted{_accepted_at(stored, number)}")
+    for line in _scopes(stored, number):
+        show(line)
+    lacking = [
+        address
+        for address in admin_addresses
+        if not _show_daemon(address, number, show)
+    ]
+    return EXIT_FAILED if lacking else EXIT_OK
+
+
+def _accepted_at(stored: ticketing.Stored, number: int) -> str:
+    for accepted in stored.head.tail:
+        if accepted.ticket.number == number:
+            return f" at {iso_times.format_time(accepted.accepted_ms)}"
+    return ""
+
+
+def _scopes(stored: ticketing.Stored, number: int) -> list[str]:
+    current = [
+        f"  {scope.kind} {scope.name}"
+        for scope, numbered in sorted(stored.configuration.entries.items())
+        if numbered.number == number
+    ]
+    return current or ["  higher numbers have set all that it touched"]
+
+
+def _show_daemon(address: str, number: int, show: Show) -> bool:
+    try:
+        body = ticket_status_api.decode(
+            timeline.read_admin(address, ticket_status_api.PATH)
+        )
+    except (errors.TransportError, protocol_errors.ProtocolError) as error:
+        show(f"{address}: no answer ({error})")
+        return False
+    since_ms = body["in_force_since_ms"].get(number)
+    where = f"{body['vm']} in {body['failure_domain']}"
+    if since_ms is not None:
+        show(f"{where}: in force since {iso_times.format_time(since_ms)}")
+        return True
+    show(f"{where}: not seen in force, highest number {body['highest_number']}")
+    return False
+
+
+def _read(store_address: str) -> ticketing.Stored:
+    stored = _run(ticketing.read(), store_address)
+    if isinstance(stored, store.StoreFailed):
+        raise errors.PlatformUnreachableError(
+            f"the store at {store_address} gave no answer ({stored.reason}); try later"
+        )
+    return stored
+
+
+def _run(steps: ticketing.Steps, store_address: str) -> object:
+    client = store_client.StoreClient(store_address)
+    try:
+        return ticketing.run(steps, lambda one: client.call(one, STORE_TIMEOUT_MS))
+    finally:
+        client.close()
