--- a/amaranthpulley/coordination/probing.py
+++ b/amaranthpulley/coordination/probing.py
@@ -90,6 +90,9 @@
     if not isinstance(event.reply, events.PeerFailure):
         membership.remind(daemon, name, now_ms)
         return exchanging.take_reply(daemon, event, now_ms, random)
+    if event.reply is events.PeerFailure.REJECTED:
+        # It lives; its VM list does not show this daemon yet.
+        return []
     member = daemon.members.get(name)
     if member is None or not member.is_live or now_ms - sent_ms > LATE_MS:
         return []
@@ -137,7 +140,8 @@
     daemon: daemon_state.Daemon, event: events.PeerReplied, now_ms: int, random: Random
 ) -> Commands:
     """Tell the peer that asked whether the other one answered."""
-    reached = not isinstance(event.reply, events.PeerFailure)
+    lost = (events.PeerFailure.UNREACHABLE, events.PeerFailure.TIMED_OUT)
+    reached = event.reply not in lost
     reply = commands.ReplyPeer(event.purpose.call_id, peer_messages.Probed(reached))
     return [reply, *exchanging.take_reply(daemon, event, now_ms, random)]
 
--- a/amaranthpulley/transport/admin.py
+++ b/amaranthpulley/transport/admin.py
@@ -42,24 +42,24 @@
 
     def show_status(environ: web.Environ) -> web.Reply:
         status = status_api.status_of(daemon, clock.monotonic_ms())
-        return web.Reply(http.HTTPStatus.OK, msgspec.json.encode(status))
+        return _ok(msgspec.json.encode(status))
 
     handlers: Routes = {
-        ("GET", "/metrics"): lambda environ: web.Reply(
-            http.HTTPStatus.OK, metrics_text(), METRICS_TYPE
-        ),
+        ("GET", "/metrics"): lambda environ: _ok(metrics_text(), METRICS_TYPE),
         ("GET", "/status"): show_status,
-        ("GET", ticket_status_api.PATH): lambda environ: web.Reply(
-            http.HTTPStatus.OK, ticket_status_api.encode(daemon)
-        ),
-        ("GET", "/events"): lambda environ: web.Reply(
-            http.HTTPStatus.OK, recent.text(), LINES_TYPE
+        ("GET", ticket_status_api.PATH): lambda environ: _ok(
+            ticket_status_api.encode(daemon)
         ),
+        ("GET", "/events"): lambda environ: _ok(recent.text(), LINES_TYPE),
         ("GET", "/ready"): lambda environ: callers.show_ready(daemon),
     }
     return {key: _guard(handler, clients) for key, handler in handlers.items()}
 
 
+def _ok(body: bytes, media_type: str = web.JSON_TYPE) -> web.Reply:
+    return web.Reply(http.HTTPStatus.OK, body, media_type)
+
+
 def _guard(handler: web.Handler, clients: Collection[str]) -> web.Handler:
     def handle(environ: web.Environ) -> web.Reply:
         if environ.get("REMOTE_ADDR") not in clients:
--- a/amaranthpulley/transport/tests/test_daemons.py
+++ b/amaranthpulley/transport/tests/test_daemons.py
@@ -64,7 +64,7 @@
         process = daemon_process.DaemonProcess(settings)
         identity = process.runtime.daemon.identity
         vm = members.Vm(identity.name, identity.address, domain, domain)
-        self.platform.vms.append(vm._asdict())
+        self.platform.vms = (*self.platform.vms, vm)
         self.daemons.append(process)
 
     def states(self) -> list:
