Ask leaves with an old report again, and clear what another target has answered

Reports older than a second no longer exclude a leaf, and a search waits for a replica that is closed for a moment until its deadline. Ruled out: polling the leaves for their versions (load without a question).

--- a/amaranthpulley/coordination/crash_blame.py
+++ b/amaranthpulley/coordination/crash_blame.py
@@ -2,7 +2,8 @@
 
 A target has died when connections to it were lost and it then reports another boot id.
 Every request that was lost there, on any daemon, is a suspect of this death; the
-daemons tell each other by facts. A suspect that any target answers later is cleared.
+daemons tell each other by facts. A suspect that any target answers, once it was sent
+to the one that died, is cleared: hedges and cancelled attempts are judged alike.
 A death proves a crash when one suspect alone is left, and two proven crashes make the
 daemons refuse the request until the facts expire. A death is not used until the facts
 of the other daemons must have arrived, as their requests may have caused it.
@@ -29,6 +30,8 @@
 FACTS_PER_WINDOW: Final = 64
 WINDOW_MS: Final = 60_000
 
+_SILENCES: Final = (events.Failure.CONNECTION_LOST, events.Failure.TIMED_OUT)
+
 SUSPECTED: Final = 1
 CLEARED: Final = 2
 
@@ -63,7 +66,7 @@
         if isinstance(command, commands.SendAttempt):
             expires_ms = now_ms + command.timeout_ms + RUNNING_GRACE_MS
             running = crashes.Running(
-                _content_of(command), command.target.name, expires_ms
+                _content_of(command), command.target.name, now_ms, expires_ms
             )
             daemon.crashes.add_running(command.attempt_id, running, now_ms)
 
@@ -85,6 +88,7 @@
     running = daemon.crashes.end_running(event.attempt_id)
     if running is None:
         return []
+    daemon.crashes.note_answered(running.content, now_ms)
     noted = _note_boot(daemon, running.target, event.load.boot_id, now_ms)
     if daemon.crashes.lost or daemon.crashes.suspected:
         _clear(daemon, fingerprint_of(running.content), now_ms)
@@ -101,7 +105,8 @@
     running = daemon.crashes.end_running(event.attempt_id)
     if running is None:
         return []
-    if event.failure in (events.Failure.CONNECTION_LOST, events.Failure.TIMED_OUT):
+    silent = event.failure in _SILENCES
+    if silent and not daemon.crashes.is_cleared(running):
         lost = daemon.crashes.lost.setdefault(running.target, {})
         lost[fingerprint_of(running.content)] = now_ms
     if event.load is None:
--- a/amaranthpulley/coordination/fanout.py
+++ b/amaranthpulley/coordination/fanout.py
@@ -99,15 +99,17 @@
     """
     if any(attempt.shard == shard for attempt in search.attempts.values()):
         return []
-    retries = daemon.services.of(search.request.service).retries
+    service = search.request.service
+    retries = daemon.services.of(service).retries
     if is_free or retries.spend():
         retry = searches.AttemptKind.RETRY
         sent = ask_shard(daemon, search, shard, now_ms, random, retry)
         if sent or shard in search.waiting:
             return sent
     else:
-        daemon.counters.add("retries_denied_total", service=search.request.service)
-    return retrying.pause(search, shard, now_ms, random)
+        daemon.counters.add("retries_denied_total", service=service)
+    may_open = routing.has_closed(daemon, service, shard)
+    return retrying.pause(search, shard, now_ms, random, may_open)
 
 
 def end_pause(
@@ -147,7 +149,8 @@
         state.end_waiting(shard)
         search.waiting.discard(shard)
         if choice.target is None:
-            sent += retrying.pause(search, shard, now_ms, random)
+            may_open = routing.has_closed(daemon, service, shard)
+            sent += retrying.pause(search, shard, now_ms, random, may_open)
             continue
         first = searches.AttemptKind.FIRST
         sent.append(_send(daemon, search, shard, choice, first, now_ms))
@@ -186,6 +189,7 @@
         refused = failure is events.Failure.REFUSED
         learnt += cold.note_load(daemon, target, event.load, refused, now_ms)
         daemon.targets.report(target.name, event.load)
+        state.reported_ms = now_ms
     if failure is None:
         learnt += cold.note_answer(daemon, target, elapsed_ms, median_ms, now_ms)
         limits.note_answer(state, target, now_ms)
--- a/amaranthpulley/coordination/retrying.py
+++ b/amaranthpulley/coordination/retrying.py
@@ -3,8 +3,9 @@
 A failure that may have cost its target work is followed by another attempt only while
 the service's retry budget lasts: a share of the first attempts, so that retries cannot
 multiply a load. A refusal costs nothing but lowers the target's limit. Once every
-replica was tried, the shard waits for a pause with full jitter, a few times; a service
-whose time gives way goes on until its hard deadline.
+replica was tried, the shard waits for a pause with full jitter, a few times. While a
+replica is only closed for a moment, and for a service whose time gives way, that goes
+on until the deadline.
 """
 
 from collections.abc import Callable
@@ -46,11 +47,25 @@
 
 
 def pause(
-    search: searches.Search, shard: str, now_ms: int, random: Callable[[], float]
+    search: searches.Search,
+    shard: str,
+    now_ms: int,
+    random: Callable[[], float],
+    may_open: bool,
 ) -> Commands:
-    """Let a shard wait before it is asked again; nothing after the last pause."""
+    """Let a shard wait before it is asked again; nothing after the last pause.
+
+    Parameters
+    ----------
+    search, shard, now_ms, random
+        What waits, when, and the source of chance.
+    may_open : bool
+        A replica is kept closed for a while only, so that the search waits for it
+        until its deadline.
+    """
     pauses = search.retries.get(shard, 0) + 1
-    if pauses > MAXIMUM_PAUSES and not waits_for_coverage(search):
+    persists = may_open or waits_for_coverage(search)
+    if pauses > MAXIMUM_PAUSES and not persists:
         return []
     search.retries[shard] = pauses
     search.waiting.add(shard)
--- a/amaranthpulley/coordination/routing.py
+++ b/amaranthpulley/coordination/routing.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Collection, Iterator
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import limits
+from amaranthpulley.coordination import limits, snapshots
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import targets, topology
+from amaranthpulley.state import topology
 
 # Replicas that are compared; of many more, these are drawn by chance.
 MAXIMUM_COMPARED: Final = 8
@@ -49,12 +49,8 @@
     ----------
     daemon : Daemon
         The daemon's tables.
-    service, shard : str
-        What to look for.
-    version : int or None
-        Leaves out replicas known not to hold this index version.
-    tried : collection of str
-        Names of replicas that have been asked already.
+    service, shard, version, tried
+        As for `candidates`.
     now_ms : int
         Reading of the monotonic clock, in milliseconds.
     random : callable
@@ -63,18 +59,15 @@
     best: topology.Target | None = None
     best_score = 0.0
     free = busy = 0
-    usual_ms = limits.median_ms(daemon, service)
     users = _users(daemon, service)
     for target in _in_random_order(daemon, service, shard, random):
-        if not _is_eligible(daemon, target, version, tried):
+        if not _is_eligible(daemon, target, version, tried, now_ms):
             continue
         room = limits.room(daemon, target, users, now_ms)
-        if room is None:
-            continue
-        if room <= 0:
-            busy += 1
+        if room is None or room <= 0:
+            busy += room is not None
             continue
-        score = _score(daemon.targets.of(target.name), usual_ms, now_ms)
+        score = _score(daemon, target, now_ms)
         if best is None or score < best_score:
             best, best_score = target, score
         free += 1
@@ -83,6 +76,15 @@
     return Choice(best, free + busy > 1, best is None and busy > 0)
 
 
+def has_closed(daemon: daemon_state.Daemon, service: str, shard: str) -> bool:
+    """Tell whether a replica of a shard is closed only while it counts as cold."""
+    return any(
+        daemon.targets.of(target.name).cold is not None
+        and daemon.configuration.takes_work(target)
+        for target in daemon.configuration.shards(service).get(shard, {}).values()
+    )
+
+
 def candidates(
     daemon: daemon_state.Daemon,
     service: str,
@@ -116,7 +118,7 @@
     return [
         target
         for target in replicas.values()
-        if _is_eligible(daemon, target, version, tried)
+        if _is_eligible(daemon, target, version, tried, now_ms)
         and _may_be_fed(daemon, target, now_ms)
     ]
 
@@ -161,11 +163,13 @@
     target: topology.Target,
     version: int | None,
     tried: Collection[str],
+    now_ms: int | None,
 ) -> bool:
     if target.name in tried or not daemon.configuration.takes_work(target):
         return False
-    versions = daemon.targets.of(target.name).versions
-    return version is None or not versions or version in versions
+    return version is None or snapshots.may_hold(
+        daemon.targets.of(target.name), version, now_ms
+    )
 
 
 def _may_be_fed(
@@ -178,12 +182,13 @@
     return (limits.room(daemon, target, 1, now_ms) or 0) > 0
 
 
-def _score(state: targets.TargetState, usual_ms: int, now_ms: int) -> float:
+def _score(daemon: daemon_state.Daemon, target: topology.Target, now_ms: int) -> float:
     """Return the expected time until an answer; equal within a step of latency."""
+    state = daemon.targets.of(target.name)
     latency_ms = state.latency_ms
     age_ms = now_ms - state.latency_at_ms
     if latency_ms == 0.0 or age_ms > LATENCY_VALID_MS:
-        latency_ms = float(usual_ms)
+        latency_ms = float(limits.median_ms(daemon, target.service))
     waiting = state.in_flight
     if state.load is not None and age_ms <= REPORT_VALID_MS:
         waiting = max(waiting, state.load.busy_slots)
--- a/amaranthpulley/coordination/searching.py
+++ b/amaranthpulley/coordination/searching.py
@@ -204,7 +204,7 @@
     random: Random,
 ) -> Commands:
     search.has_begun = True
-    search.version = snapshots.pin_version(daemon, search.request.service)
+    search.version = snapshots.pin_version(daemon, search.request.service, now_ms)
     return [
         *fanout.ask_missing(daemon, search, now_ms, random),
         *_proceed(daemon, search, now_ms, random),
@@ -314,8 +314,8 @@
         return _end(daemon, search, now_ms)
     if search.attempts:
         return []
-    if snapshots.is_gone(daemon, search):
-        version = snapshots.next_version(daemon, search)
+    if snapshots.is_gone(daemon, search, now_ms):
+        version = snapshots.next_version(daemon, search, now_ms)
         if version is not None:
             return _restart(daemon, search, version, now_ms, random)
     if search.waiting:
--- a/amaranthpulley/coordination/snapshots.py
+++ b/amaranthpulley/coordination/snapshots.py
@@ -9,13 +9,22 @@
 from typing import Final
 
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import keyspace, searches, topology
+from amaranthpulley.state import keyspace, searches, targets, topology
 
 MAXIMUM_RESTARTS: Final = 3
+# Leaves that are seldom asked move on unseen.
+REPORT_VALID_MS: Final = 1_000
+
+
+def may_hold(state: targets.TargetState, version: int, now_ms: int | None) -> bool:
+    """Tell whether a target may hold a version; an old report does not exclude it."""
+    if state.load is None or version in state.load.versions:
+        return True
+    return now_ms is not None and not _is_fresh(state, now_ms)
 
 
 def pin_version(
-    daemon: daemon_state.Daemon, service: str, above: int = 0
+    daemon: daemon_state.Daemon, service: str, now_ms: int, above: int = 0
 ) -> int | None:
     """Return the index version that a new search reads.
 
@@ -29,6 +38,8 @@
         The daemon's tables.
     service : str
         Name of the service.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
     above : int
         Versions up to this one are left out.
 
@@ -40,7 +51,7 @@
     held: list[set[int]] = []
     common: list[set[int]] = []
     for replicas in daemon.configuration.shards(service).values():
-        counts, reporting = _count_versions(daemon, replicas)
+        counts, reporting = _count_versions(daemon, replicas, now_ms)
         if not reporting:
             continue
         held.append({v for v in counts if v > above})
@@ -51,24 +62,23 @@
     return max(widely_held or set.intersection(*held), default=None)
 
 
-def next_version(daemon: daemon_state.Daemon, search: searches.Search) -> int | None:
+def next_version(
+    daemon: daemon_state.Daemon, search: searches.Search, now_ms: int
+) -> int | None:
     """Return a newer version to begin a search again at, None if there is none."""
     if search.version is None or search.restarts >= MAXIMUM_RESTARTS:
         return None
-    return pin_version(daemon, search.request.service, above=search.version)
+    return pin_version(daemon, search.request.service, now_ms, search.version)
 
 
-def is_gone(daemon: daemon_state.Daemon, search: searches.Search) -> bool:
+def is_gone(daemon: daemon_state.Daemon, search: searches.Search, now_ms: int) -> bool:
     """Tell whether some shard has replicas, but none that may hold the version."""
     if search.version is None:
         return False
     for replicas in daemon.configuration.shards(search.request.service).values():
-        reported = [
-            daemon.targets.of(target.name).versions
-            for target in replicas.values()
-            if daemon.configuration.takes_work(target)
-        ]
-        if reported and all(v and search.version not in v for v in reported):
+        serving = [t for t in replicas.values() if daemon.configuration.takes_work(t)]
+        states = [daemon.targets.of(target.name) for target in serving]
+        if states and not any(may_hold(s, search.version, now_ms) for s in states):
             return True
     return False
 
@@ -142,14 +152,22 @@
     return any(wanted.overlaps(key_range) for key_range in ranges or ())
 
 
+def _is_fresh(state: targets.TargetState, now_ms: int) -> bool:
+    return now_ms - state.reported_ms <= REPORT_VALID_MS
+
+
 def _count_versions(
-    daemon: daemon_state.Daemon, replicas: dict[str, topology.Target]
+    daemon: daemon_state.Daemon, replicas: dict[str, topology.Target], now_ms: int
 ) -> tuple[collections.Counter[int], int]:
+    """Count the fresh reports of each version; old ones only if there are no others."""
     counts: collections.Counter[int] = collections.Counter()
-    reporting = 0
-    for target in replicas.values():
-        versions = daemon.targets.of(target.name).versions
-        if versions and daemon.configuration.takes_work(target):
-            counts.update(versions)
-            reporting += 1
-    return counts, reporting
+    states = [
+        daemon.targets.of(target.name)
+        for target in replicas.values()
+        if daemon.configuration.takes_work(target)
+    ]
+    reporting = [state for state in states if state.versions]
+    fresh = [state for state in reporting if _is_fresh(state, now_ms)]
+    for state in fresh or reporting:
+        counts.update(state.versions)
+    return counts, len(fresh or reporting)
--- a/amaranthpulley/state/crashes.py
+++ b/amaranthpulley/state/crashes.py
@@ -1,6 +1,8 @@
 """What a daemon knows of targets that died and of the requests that ran there."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+MAXIMUM_ANSWERED: Final = 4_096
 
 
 class Content(NamedTuple):
@@ -16,6 +18,7 @@
 
     content: Content
     target: str
+    sent_ms: int
     expires_ms: int
 
 
@@ -45,6 +48,7 @@
         self.window_start_ms = 0
         self.published_in_window = 0
         self._running: dict[str, Running] = {}
+        self._answered_ms: dict[Content, int] = {}
 
     def add_running(self, attempt_id: str, running: Running, now_ms: int) -> None:
         """Enter an attempt that is being sent."""
@@ -58,12 +62,24 @@
         """Take an attempt out; None when it was already over."""
         return self._running.pop(attempt_id, None)
 
+    def note_answered(self, content: Content, now_ms: int) -> None:
+        """Remember that a target has run a request without dying."""
+        self._answered_ms.pop(content, None)
+        self._answered_ms[content] = now_ms
+        if len(self._answered_ms) > MAXIMUM_ANSWERED:
+            del self._answered_ms[next(iter(self._answered_ms))]
+
+    def is_cleared(self, running: Running) -> bool:
+        """Tell whether another target has answered the request since it was sent."""
+        answered_ms = self._answered_ms.get(running.content)
+        return answered_ms is not None and answered_ms >= running.sent_ms
+
     def running_at(self, target: str) -> list[Content]:
-        """Return what runs at a target."""
+        """Return what runs at a target and was not answered elsewhere meanwhile."""
         return [
             running.content
             for running in self._running.values()
-            if running.target == target
+            if running.target == target and not self.is_cleared(running)
         ]
 
     def forget_losses_of(self, fingerprint: str) -> None:
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -61,6 +61,8 @@
         Attempts that this daemon has sent and that have not ended.
     load : TargetLoad or None
         The target's last report.
+    reported_ms : int
+        When that report came.
     ranges : dict of int to tuple of KeyRange
         The parts of the key space that it searched, by index version.
     latency_ms : float
@@ -88,6 +90,7 @@
     def __init__(self) -> None:
         self.in_flight = 0
         self.load: TargetLoad | None = None
+        self.reported_ms = 0
         self.ranges: dict[int, tuple[keyspace.KeyRange, ...]] = {}
         self.latency_ms = 0.0
         self.latency_at_ms = 0
