--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -218,15 +218,16 @@
 
 
 def _run_ticket(arguments: Arguments) -> int:
-    address = arguments["--store"]
+    address, vm_list_address = arguments["--store"], None
     if address is None:
         settings = settings_protocol.read(arguments["--settings"])
         address = settings["platform"]["store_address"]
+        vm_list_address = settings["platform"]["vm_list_address"]
     loop.prepare_loop()
     from amaranthpulley.transport import ticket_commands
 
     if arguments["apply"]:
-        return ticket_commands.apply(arguments["FILE"], address, _show)
+        return ticket_commands.apply(arguments["FILE"], address, _show, vm_list_address)
     if arguments["show"]:
         return ticket_commands.show_all(address, _show)
     if not arguments["NUMBER"].isdecimal():
--- a/amaranthpulley/coordination/configuring.py
+++ b/amaranthpulley/coordination/configuring.py
@@ -10,7 +10,6 @@
 from amaranthpulley.coordination import commands
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events, topology
-from amaranthpulley.state import tickets as tickets_state
 
 Commands = list[commands.Command]
 
@@ -57,11 +56,6 @@
     ]
 
 
-def ticket_key(number: int) -> str:
-    """Return the store key under which the first ticket is accepted."""
-    return tickets_state.HEAD_KEY
-
-
 def suspend(daemon: daemon_state.Daemon, now_ms: int) -> None:
     """Give no target new work until the configuration is confirmed."""
     daemon.configuration.suspended = True
--- a/amaranthpulley/coordination/exchanging.py
+++ b/amaranthpulley/coordination/exchanging.py
@@ -187,6 +187,19 @@
     )
 
 
+def take_ticket(
+    daemon: daemon_state.Daemon, event: events.PeerCalled, now_ms: int, random: Random
+) -> Commands:
+    """Merge an accepted ticket that its operator's command hands over.
+
+    The store may go down before a watch has seen the ticket; the news then spreads
+    from here.
+    """
+    decided = configuring.merge(daemon, (event.message.ticket,), now_ms)
+    taken = peer_messages.TicketTaken(daemon.identity.name)
+    return [*decided, commands.ReplyPeer(event.call_id, taken)]
+
+
 def _merge_facts(
     daemon: daemon_state.Daemon, told: tuple[facts.SpreadFact, ...], now_ms: int
 ) -> Commands:
@@ -205,4 +218,5 @@
     SyncSent: take_sync,
     peer_messages.Exchange: take_exchange,
     peer_messages.SyncAsked: answer_sync,
+    peer_messages.TicketHandedOver: take_ticket,
 }
--- a/amaranthpulley/coordination/peer_messages.py
+++ b/amaranthpulley/coordination/peer_messages.py
@@ -69,5 +69,17 @@
     reached: bool
 
 
-CALLS = (Exchange, SyncAsked, ProbeAsked, claims.Operation)
-REPLIES = (Exchanged, Synced, Probed, claims.Verdict)
+class TicketHandedOver(NamedTuple):
+    """An operator's command hands an accepted ticket over; replied by `TicketTaken`."""
+
+    ticket: topology.ChangeTicket
+
+
+class TicketTaken(NamedTuple):
+    """Reply to `TicketHandedOver`: the ticket is in force here."""
+
+    vm: str
+
+
+CALLS = (Exchange, SyncAsked, ProbeAsked, TicketHandedOver, claims.Operation)
+REPLIES = (Exchanged, Synced, Probed, TicketTaken, claims.Verdict)
--- a/amaranthpulley/coordination/stored_values.py
+++ b/amaranthpulley/coordination/stored_values.py
@@ -61,12 +61,6 @@
     return hashlib.blake2b(encoded, digest_size=8).hexdigest()
 
 
-def encode_ticket(ticket: topology.ChangeTicket) -> bytes:
-    """Return the head of a store in which one ticket has been accepted."""
-    accepted = tickets.AcceptedTicket(ticket, "first", digest_of(ticket), 0)
-    return encode_head(tickets.Head(sequence=1, tail=(accepted,)))
-
-
 def _decode(value: bytes, kind: type) -> object:
     try:
         return msgspec.msgpack.decode(value, type=kind)
--- a/amaranthpulley/transport/tests/order_site.py
+++ b/amaranthpulley/transport/tests/order_site.py
@@ -3,7 +3,7 @@
 import collections
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import claim_segments, configuring, stored_values
+from amaranthpulley.coordination import claim_segments, stored_values
 from amaranthpulley.state import (
     claims,
     daemon,
@@ -13,7 +13,7 @@
     store,
     topology,
 )
-from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport import standin_tickets, virtual_network
 
 SERVICE: Final = "booking"
 CUSTOMER: Final = "forno-limpo"
@@ -56,9 +56,7 @@
             SERVICE, topology.ServiceKind.ORDER, deadline_ms=DEADLINE_MS
         )
         ticket = topology.ChangeTicket(1, services=(service,), targets=tuple(targets))
-        value = stored_values.encode_ticket(ticket)
-        swap = store.Swap(configuring.ticket_key(1), 0, value)
-        self.network.store.call(swap, now_ms=0)
+        standin_tickets.put(self.network.store, ticket)
         self.vms = tuple(_vm(number) for number in range(daemons))
         self.network.vms = self.vms
         for vm in self.vms:
--- a/amaranthpulley/transport/tests/test_daemons.py
+++ b/amaranthpulley/transport/tests/test_daemons.py
@@ -76,7 +76,9 @@
         path = pathlib.Path(self.folder.name, "ticket.json")
         path.write_bytes(ticket_file.encode(ticket))
         lines: list[str] = []
-        code = ticket_commands.apply(str(path), self.platform.address, lines.append)
+        code = ticket_commands.apply(
+            str(path), self.platform.address, lines.append, self.platform.address
+        )
         return code, lines
 
     def close(self) -> None:
@@ -125,6 +127,7 @@
     def test_2_ticket_is_in_force_everywhere_and_its_status_says_so(self) -> None:
         code, lines = self.fleet.apply(_real_ticket())
         self.assertEqual(code, 0, lines)
+        self.assertEqual(sum("handed over to" in line for line in lines), 3, lines)
         states = self.fleet.states()
         self.assertTrue(
             wait_until(lambda: all(s.configuration.highest_number == 1 for s in states))
--- a/amaranthpulley/transport/tests/test_dissemination.py
+++ b/amaranthpulley/transport/tests/test_dissemination.py
@@ -140,6 +140,17 @@
         site.network.platform.faults = FAULTS(down=True)
         self._assert_in_force(site, 2)
 
+    def test_accepted_between_two_outages_without_a_watch(self) -> None:
+        site = _warm(8)
+        site.network.platform.faults = FAULTS(down=True)
+        site.run(6_000)
+        site.network.platform.faults = FAULTS()
+        site.apply(control_site.domain_ticket(2, DOMAINS[0], False))
+        while 2 not in site.verdicts:
+            site.network.run_until(site.network.now_ms + 1)
+        site.network.platform.faults = FAULTS(down=True)
+        self._assert_in_force(site, 2)
+
     def test_watch_lost_in_silence(self) -> None:
         site = _warm(8)
         site.network.platform.forget_watches()
--- a/amaranthpulley/transport/ticket_commands.py
+++ b/amaranthpulley/transport/ticket_commands.py
@@ -1,22 +1,27 @@
 """The commands by which operators bring change tickets in and look at them."""
 
+import random
 import secrets
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from amaranthpulley.coordination import ticketing
+from amaranthpulley.coordination import peer_messages, ticketing
 from amaranthpulley.protocol import errors as protocol_errors
-from amaranthpulley.protocol import ticket_file, ticket_status_api
-from amaranthpulley.state import configuration, store
+from amaranthpulley.protocol import peer_codec, ticket_file, ticket_status_api
+from amaranthpulley.state import configuration, store, topology
 from amaranthpulley.transport import (
     errors,
     iso_times,
+    peers,
     store_client,
     system_clock,
     timeline,
+    vm_list_client,
 )
 
 STORE_TIMEOUT_MS: Final = 2_000
+PEER_TIMEOUT_MS: Final = 1_000
+HAND_OVERS: Final = 3
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_REFUSED: Final = 2
@@ -30,14 +35,31 @@
 Show = Callable[[str], None]
 
 
-def apply(path: str, store_address: str, show: Show) -> int:
-    """Bring the ticket of a file in, and return the exit code."""
+def apply(
+    path: str, store_address: str, show: Show, vm_list_address: str | None = None
+) -> int:
+    """Bring the ticket of a file in, and return the exit code.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+    store_address : str
+        ``IP:port`` of the store.
+    show : callable
+        Prints a line.
+    vm_list_address : str or None
+        Some of the listed daemons are handed the accepted ticket, in case the store
+        goes down before they have seen it; None leaves that out.
+    """
     ticket = ticket_file.read(path)
     wall_ms = system_clock.system_clock().wall_ms()
     steps = ticketing.apply(ticket, secrets.token_hex(8), wall_ms)
     verdict = _run(steps, store_address)
     show(f"{verdict.status.value}: {verdict.message}")
     if verdict.status.is_accepted:
+        if vm_list_address is not None:
+            _hand_over(ticket, vm_list_address, show)
         return EXIT_OK
     return EXIT_FAILED if verdict.status in _FAILED else EXIT_REFUSED
 
@@ -71,6 +93,22 @@
     return EXIT_FAILED if lacking else EXIT_OK
 
 
+def _hand_over(ticket: topology.ChangeTicket, vm_list_address: str, show: Show) -> None:
+    vm_list = vm_list_client.VmListClient(vm_list_address)
+    listed = vm_list.read(STORE_TIMEOUT_MS) or ()
+    vm_list.close()
+    message = peer_codec.encode(peer_messages.TicketHandedOver(ticket))
+    channels = peers.PeerChannels()
+    drawn = random.sample(listed, min(len(listed), HAND_OVERS))
+    for vm in drawn:
+        try:
+            channels.call(vm.address, message, PEER_TIMEOUT_MS)
+            show(f"handed over to {vm.name}")
+        except errors.TransportError as error:
+            show(f"not handed over to {vm.name}: {type(error).__name__}")
+    channels.close()
+
+
 def _accepted_at(stored: ticketing.Stored, number: int) -> str:
     for accepted in stored.head.tail:
         if accepted.ticket.number == number:
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/virtual_network.py
@@ -11,19 +11,27 @@
 >>> network.run_until(1_000)  # doctest: +SKIP
 """
 
+import functools
 import heapq
 import itertools
 import random
 from collections.abc import Callable
 from typing import NamedTuple
 
-from amaranthpulley.coordination import commands, engine, events
+from amaranthpulley.coordination import commands, engine, events, peer_messages
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import members, requests, standin_leaf, standin_store
+from amaranthpulley.state import (
+    members,
+    requests,
+    standin_leaf,
+    standin_store,
+    topology,
+)
 from amaranthpulley.transport import virtual_platform, virtual_targets
 
 DEFAULT_DELAY_MS = 1
+HAND_OVERS = 3
 
 Delay = Callable[[str, str], int | None]
 Observe = Callable[["VirtualDaemon", events.Event], None]
@@ -154,6 +162,20 @@
         """Send an order to a daemon."""
         self.feed(self.daemons[name], events.OrderReceived(request))
 
+    def hand_over(self, ticket: topology.ChangeTicket) -> None:
+        """Hand an accepted ticket to some daemons, as the operators' command does."""
+        count = min(len(self.vms), HAND_OVERS)
+        for vm in self.random.sample(self.vms, count):
+            peer = self._daemon_at(vm.address)
+            delay_ms = self.delay(virtual_platform.OPERATOR_ADDRESS, vm.address)
+            if peer is None or delay_ms is None:
+                continue
+            call_id = f"call-{next(self._sequence)}"
+            self._calls[call_id] = lambda reply: None
+            message = peer_messages.TicketHandedOver(ticket)
+            called = events.PeerCalled(call_id, vm.ip, message)
+            self.after(delay_ms, functools.partial(self.feed, peer, called))
+
     def feed(self, daemon: VirtualDaemon, event: events.Event) -> None:
         """Give an event to a daemon, later if it is paused, never if it is dead."""
         if not daemon.alive:
--- a/amaranthpulley/transport/virtual_platform.py
+++ b/amaranthpulley/transport/virtual_platform.py
@@ -13,6 +13,7 @@
     from amaranthpulley.transport import virtual_network
 
 STORE_ADDRESS = "store"
+OPERATOR_ADDRESS = "operator"
 
 
 class StoreFaults(NamedTuple):
@@ -91,7 +92,7 @@
         self,
         ticket: topology.ChangeTicket,
         done: Callable[[ticketing.Verdict], None],
-        operator: str = "operator",
+        operator: str = OPERATOR_ADDRESS,
         timeout_ms: int = 1_000,
     ) -> None:
         """Let an operator bring a ticket in, over the network and with its faults."""
@@ -105,6 +106,8 @@
             try:
                 operation = steps.send(result)
             except StopIteration as stop:
+                if stop.value.status.is_accepted:
+                    self._network.hand_over(ticket)
                 done(stop.value)
                 return
             self.call(operator, operation, timeout_ms, go_on)
