--- a/amaranthpulley/transport/bench/tool.py
+++ b/amaranthpulley/transport/bench/tool.py
@@ -7,6 +7,7 @@
 from amaranthpulley.transport import errors
 from amaranthpulley.transport.bench import (
     capacity,
+    control,
     domain_loss,
     orders,
     overload,
@@ -96,6 +97,11 @@
         lambda options: search_cost.run(options.leaves, options.seed, options.quick),
         needs_leaves=True,
     ),
+    Experiment(
+        "control",
+        "change tickets, duties and the cost of control, under virtual time",
+        lambda options: control.run(options.seed, options.quick),
+    ),
     Experiment(
         "capacity",
         "growth of state, time and messages with the size of the system",
