--- a/amaranthpulley/transport/web.py
+++ b/amaranthpulley/transport/web.py
@@ -14,6 +14,10 @@
 IDLE_TIMEOUT_SECONDS: Final = 120
 MAXIMUM_CONNECTIONS: Final = 1_024
 JSON_TYPE: Final = "application/json"
+NO_SUCH_PATH: Final = (
+    b'{"code":"no_such_path","message":"see the page for callers for the paths",'
+    b'"not_run":true}'
+)
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -115,7 +119,7 @@
         key = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         handler = routes.get(key)
         if handler is None:
-            reply = Reply(http.HTTPStatus.NOT_FOUND, b'{"code":"no_such_path"}')
+            reply = Reply(http.HTTPStatus.NOT_FOUND, NO_SUCH_PATH)
         else:
             reply = handler(environ)
         status = f"{reply.status.value} {reply.status.phrase}"
--- /dev/null
+++ b/features/caller_orders.feature
@@ -0,0 +1,34 @@
+Feature: What callers of orders are told
+  Each order is done, refused and not run, or unknown. A repeat with the same
+  idempotency key learns the first one's outcome, at any daemon, and runs nothing.
+
+  Scenario: A repeat at another daemon
+    Given a site with 2 daemons
+    When the order "first" is sent to vm-1
+    And the order "first" is sent to vm-2
+    Then the outcomes are "done, done again"
+    And the target has run "first" 1 time
+
+  Scenario: Another order under the same key
+    Given a site with 2 daemons
+    When the order "reused" is sent to vm-1
+    And the order "reused" with another payload is sent to vm-2
+    Then the outcomes are "done, key_reused not run"
+    And the target has run "reused" 1 time
+
+  Scenario Outline: Faults while an order is on its way
+    Given a site of its own with 2 daemons
+    And <fault>
+    When the order "faulty" is sent to vm-1
+    And <repair>
+    And the order "faulty" is sent to <second>
+    Then the outcomes are "<outcomes>"
+    And the target has run "faulty" <runs> time
+
+    Examples:
+      | fault                | repair              | second | outcomes                                             | runs |
+      | the target is gone   | nothing is repaired | vm-2   | no_target not run, no_target not run                 | 0    |
+      | the target is silent | the target answers  | vm-2   | unknown, done again                                  | 1    |
+      | the store is gone    | nothing is repaired | vm-2   | store_unavailable not run, store_unavailable not run | 0    |
+      | the store is silent  | the store answers   | vm-2   | store_unavailable not run, done                      | 1    |
+      | vm-2 is gone         | vm-3 is started     | vm-3   | done, done again                                     | 1    |
