--- a/amaranthpulley/transport/bench/capacity.py
+++ b/amaranthpulley/transport/bench/capacity.py
@@ -12,7 +12,7 @@
     slopes,
 )
 
-QUICK_SIZES: Final = 2
+QUICK_SIZES: Final = 3
 
 
 class PointRow(NamedTuple):
@@ -33,7 +33,7 @@
     quantity, unit, per : str
         What grows, in which unit, with what.
     sizes : str
-        The measured sizes.
+        The sizes that the line goes through.
     intercept, slope, slope_error : float
         The line, and the standard error of its slope.
     largest_residual : float
@@ -87,12 +87,13 @@
 
 def slope_of(quantity: slopes.Quantity, points: Sequence[PointRow]) -> SlopeRow:
     """Return the line through the points of a quantity."""
-    line = linear_fit.fit([(point.size, point.value) for point in points])
+    fitted = [point for point in points if point.size >= quantity.fit_from]
+    line = linear_fit.fit([(point.size, point.value) for point in fitted])
     return SlopeRow(
         quantity.name,
         quantity.unit,
         quantity.per,
-        "/".join(str(point.size) for point in points),
+        "/".join(str(point.size) for point in fitted),
         line.intercept,
         line.slope,
         line.slope_error,
--- a/amaranthpulley/transport/bench/capacity_control.py
+++ b/amaranthpulley/transport/bench/capacity_control.py
@@ -11,7 +11,9 @@
 from amaranthpulley.transport import standin_tickets, virtual_network
 from amaranthpulley.transport.bench import capacity_tables, slopes
 
-DAEMONS: Final = (8, 32, 128, 512)
+DAEMONS: Final = (8, 32, 64, 128, 256, 512)
+# Smaller fleets have fewer daemons than there are watchers in all failure domains.
+FIT_FROM: Final = 32
 TARGET_DAEMONS: Final = 8_300
 LEAVES: Final = 90
 WARM_UP_MS: Final = 20_000
@@ -104,6 +106,7 @@
         DAEMONS,
         TARGET_DAEMONS,
         lambda daemons, seed: getattr(control_load(daemons, seed), field),
+        FIT_FROM,
     )
 
 
--- a/amaranthpulley/transport/bench/slopes.py
+++ b/amaranthpulley/transport/bench/slopes.py
@@ -24,6 +24,8 @@
         The size that the system is to reach.
     measure : callable
         Given a size and a seed returns the value.
+    fit_from : int
+        Smaller sizes are measured but left out of the line.
     """
 
     name: str
@@ -32,6 +34,7 @@
     sizes: tuple[int, ...]
     target_size: int
     measure: Callable[[int, int], float]
+    fit_from: int = 0
 
 
 def bytes_of(build: Callable[[], object]) -> int:
--- a/amaranthpulley/transport/bench/tests/test_capacity.py
+++ b/amaranthpulley/transport/bench/tests/test_capacity.py
@@ -49,6 +49,22 @@
         self.assertAlmostEqual(row.at_target, 205.0)
         self.assertEqual(row.sizes, "1/2/3")
 
+    def test_small_sizes_may_be_left_out(self) -> None:
+        quantity = slopes.Quantity(
+            "calls",
+            "calls/s",
+            "daemons",
+            (1, 10, 20, 30),
+            100,
+            lambda size, seed: min(size, 10),
+            fit_from=10,
+        )
+        points = capacity.points_of(quantity, quantity.sizes, 1)
+        row = capacity.slope_of(quantity, points)
+        self.assertEqual(len(points), 4)
+        self.assertAlmostEqual(row.slope, 0.0)
+        self.assertEqual(row.sizes, "10/20/30")
+
 
 class ControlLoadTest(unittest.TestCase):
     def test_same_seed_gives_the_same_messages(self) -> None:
