--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -20,6 +20,6 @@
     [ "$tries" -lt 300 ] || { echo "the leaves did not start" >&2; exit 1; }
     sleep 0.1
 done
-revision=$(git rev-parse --short HEAD 2>/dev/null || echo unknown)
+revision=${REVISION:-$(git rev-parse --short HEAD 2>/dev/null || echo unknown)}
 "$python" -m amaranthpulley bench --leaves "$folder" --out "$folder" \
     --revision "$revision" "$@"
