Refuse a leaf's answer whose key ranges are impossible

Cause: such an answer raised an error inside the decision, and the search then waited for its deadline. It now counts as malformed and another replica is asked.

--- a/amaranthpulley/protocol/leaf_api.py
+++ b/amaranthpulley/protocol/leaf_api.py
@@ -3,7 +3,7 @@
 from typing import NotRequired, TypedDict
 
 from amaranthpulley.coordination import commands, events
-from amaranthpulley.protocol import json_codec
+from amaranthpulley.protocol import errors, json_codec
 from amaranthpulley.state import keyspace, requests, searches, targets
 
 
@@ -99,7 +99,9 @@
     message = json_codec.decode(body, SearchAnswerBody)
     part = searches.SearchPart(
         message["version"],
-        tuple(keyspace.KeyRange(*pair) for pair in message["ranges"]),
+        tuple(
+            _key_range_of(pair, index) for index, pair in enumerate(message["ranges"])
+        ),
         tuple(requests.Row(*row) for row in message["rows"]),
     )
     return message["attempt_id"], part, message["load"]
@@ -133,3 +135,12 @@
 def encode_cancel(attempt_id: str) -> bytes:
     """Return the request body that cancels an attempt."""
     return json_codec.encode(CancelBody(attempt_id=attempt_id))
+
+
+def _key_range_of(pair: tuple[int, int], index: int) -> keyspace.KeyRange:
+    start, end = pair
+    if not 0 <= start < end <= keyspace.KEY_SPACE_SIZE:
+        raise errors.MalformedMessageError(
+            f"`$.ranges[{index}]` [{start}, {end}) is no range of the key space"
+        )
+    return keyspace.KeyRange(start, end)
