--- a/amaranthpulley/protocol/peer_codec.py
+++ b/amaranthpulley/protocol/peer_codec.py
@@ -1,6 +1,6 @@
 """Messages between daemons as MessagePack: version, name, content, hybrid stamp."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -10,6 +10,14 @@
 VERSION: Final = 1
 MAXIMUM_MESSAGE_BYTES: Final = 4 * 1024 * 1024
 
+
+class _Envelope(NamedTuple):
+    version: int
+    name: str
+    content: msgspec.Raw
+    stamp: int = 0
+
+
 _CALLS: Final = {kind.__name__: kind for kind in peer_messages.CALLS}
 _REPLIES: Final = {kind.__name__: kind for kind in peer_messages.REPLIES}
 _DECODERS: Final = {
@@ -17,7 +25,7 @@
     for kind in (*peer_messages.CALLS, *peer_messages.REPLIES)
 }
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_ENVELOPE: Final = msgspec.msgpack.Decoder(tuple[int, str, msgspec.Raw, int])
+_ENVELOPE: Final = msgspec.msgpack.Decoder(_Envelope)
 
 
 def encode(message: tuple, stamp: int = 0) -> bytes:
@@ -31,13 +39,13 @@
         The sender's hybrid stamp, which orders the events of both sides.
     """
     content = msgspec.Raw(_ENCODER.encode(message))
-    return _ENCODER.encode((VERSION, type(message).__name__, content, stamp))
+    return _ENCODER.encode(_Envelope(VERSION, type(message).__name__, content, stamp))
 
 
 def stamp_of(body: bytes) -> int:
     """Return the hybrid stamp of a message, 0 when it is no message."""
     try:
-        return _ENVELOPE.decode(body)[3]
+        return _ENVELOPE.decode(body).stamp
     except msgspec.MsgspecError:
         return 0
 
--- a/amaranthpulley/transport/tests/test_stamping.py
+++ b/amaranthpulley/transport/tests/test_stamping.py
@@ -19,25 +19,12 @@
     def test_call_and_reply_order_both_sides(self) -> None:
         for skew_ms in (0, 5_000, -5_000):
             with self.subTest(skew_ms=skew_ms):
-                asking, answering = _stamps(), _stamps(skew_ms)
-                seen: list[int] = []
-
-                def feed(
-                    event: events.PeerCalled,
-                    seen: list[int] = seen,
-                    stamps: stamping.Stamping = answering,
-                ) -> None:
-                    seen.append(stamps.give())
-                    calls.reply(
-                        commands.ReplyPeer(event.call_id, peer_messages.Probed(True))
-                    )
-
-                calls = peer_calls.PeerCalls(feed, lambda ip, why: None, answering)
+                asking = _stamps()
                 sent = asking.give()
                 message = peer_messages.ProbeAsked("10.0.0.1:1", "10.0.0.2:1")
-                reply = calls.take("10.0.0.1", peer_codec.encode(message, sent))
-                self.assertGreater(seen[0], sent)
-                self.assertGreater(peer_codec.stamp_of(reply), seen[0])
+                seen, reply = _take(peer_codec.encode(message, sent), _stamps(skew_ms))
+                self.assertGreater(seen, sent)
+                self.assertGreater(peer_codec.stamp_of(reply), seen)
                 asking.observe(peer_codec.stamp_of(reply))
                 self.assertGreater(asking.give(), peer_codec.stamp_of(reply))
 
@@ -47,3 +34,16 @@
                 self.assertEqual(peer_codec.stamp_of(body), 0)
                 with self.assertRaises(errors.MalformedMessageError):
                     peer_codec.decode_call(body)
+
+
+def _take(body: bytes, stamps: stamping.Stamping) -> tuple[int, bytes]:
+    """Return a stamp given while a call was handled, and the reply."""
+    seen: list[int] = []
+
+    def feed(event: events.PeerCalled) -> None:
+        seen.append(stamps.give())
+        calls.reply(commands.ReplyPeer(event.call_id, peer_messages.Probed(True)))
+
+    calls = peer_calls.PeerCalls(feed, lambda ip, why: None, stamps)
+    reply = calls.take("10.0.0.1", body)
+    return seen[0], reply
