--- a/amaranthpulley/coordination/explaining.py
+++ b/amaranthpulley/coordination/explaining.py
@@ -2,27 +2,32 @@
 
 import enum
 
-from amaranthpulley.state import configuration, topology
+from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import topology
 
 
 class NoWork(enum.StrEnum):
-    """Why a target gets no new work from a daemon."""
+    """Why a target gets no new work from a daemon.
+
+    `COLD`: it gets no more than it bears while it starts, from one daemon at a time.
+    `FULL`: it refused this daemon, which tries one attempt after a pause.
+    """
 
     UNCONFIRMED = "configuration_unconfirmed"
     DOMAIN_OUT = "failure_domain_out_of_service"
     LEAVING = "target_leaving"
     REMOVED = "target_removed"
+    COLD = "target_cold"
+    FULL = "target_full"
 
 
-def why_no_work(
-    known: configuration.Configuration, target: topology.Target
-) -> NoWork | None:
+def why_no_work(daemon: daemon_state.Daemon, target: topology.Target) -> NoWork | None:
     """Return why a target gets no new work, None when it may get some.
 
     Parameters
     ----------
-    known : Configuration
-        The configuration in force.
+    daemon : Daemon
+        The daemon's tables; only read.
     target : Target
         The target's settings.
     """
@@ -30,6 +35,12 @@
         return NoWork.REMOVED
     if target.status is topology.TargetStatus.LEAVING:
         return NoWork.LEAVING
-    if known.suspended:
+    if daemon.configuration.suspended:
         return NoWork.UNCONFIRMED
-    return None if known.takes_work(target) else NoWork.DOMAIN_OUT
+    if not daemon.configuration.takes_work(target):
+        return NoWork.DOMAIN_OUT
+    state = daemon.targets.seen(target.name)
+    if state is not None and state.cold is not None:
+        return NoWork.COLD
+    is_full = state is not None and state.slots == 0 and state.in_flight == 0
+    return NoWork.FULL if is_full else None
--- a/amaranthpulley/protocol/status_api.py
+++ b/amaranthpulley/protocol/status_api.py
@@ -118,7 +118,7 @@
     """
     counts: collections.Counter[tuple[str, str]] = collections.Counter()
     for target in _targets(daemon):
-        reason = explaining.why_no_work(daemon.configuration, target)
+        reason = explaining.why_no_work(daemon, target)
         state = topology.TargetStatus.SERVING if reason is None else reason
         counts[target.failure_domain, state.value] += 1
     return [
@@ -138,7 +138,7 @@
 def _targets_without_work(daemon: daemon_state.Daemon) -> list[TargetBody]:
     found = []
     for target in _targets(daemon):
-        reason = explaining.why_no_work(daemon.configuration, target)
+        reason = explaining.why_no_work(daemon, target)
         if reason is not None:
             body = TargetBody(
                 target=target.name,
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -124,6 +124,10 @@
             state = self._states[name] = TargetState()
         return state
 
+    def seen(self, name: str) -> TargetState | None:
+        """Return the view of a target, None when it was never seen."""
+        return self._states.get(name)
+
     def forget(self, name: str) -> None:
         """Drop the view of a target."""
         self._states.pop(name, None)
--- a/amaranthpulley/transport/tests/test_sight.py
+++ b/amaranthpulley/transport/tests/test_sight.py
@@ -5,7 +5,7 @@
 
 from amaranthpulley.coordination import commands, events, explaining
 from amaranthpulley.protocol import settings, status_api
-from amaranthpulley.state import hybrid_clock, log_events, requests, topology
+from amaranthpulley.state import hybrid_clock, log_events, requests, targets, topology
 from amaranthpulley.transport import admin, callers, log_sink, metrics, web
 from amaranthpulley.transport.tests import journal_site
 
@@ -112,7 +112,8 @@
         for status, in_service, suspended, expected in cases:
             with self.subTest(status=status, expected=expected):
                 site = journal_site.Site()
-                known = site.network.daemons["vm-1"].state.configuration
+                daemon = site.network.daemons["vm-1"].state
+                known = daemon.configuration
                 known.apply(
                     topology.ChangeTicket(
                         2,
@@ -123,7 +124,19 @@
                 )
                 known.suspended = suspended
                 target = known.target("leaf")._replace(status=status)
-                self.assertEqual(explaining.why_no_work(known, target), expected)
+                self.assertEqual(explaining.why_no_work(daemon, target), expected)
+
+    def test_reasons_that_a_daemon_has_learnt(self) -> None:
+        daemon = journal_site.Site().network.daemons["vm-1"].state
+        target = daemon.configuration.target("leaf")
+        self.assertIsNone(explaining.why_no_work(daemon, target))
+        self.assertIsNone(daemon.targets.seen("leaf"), "a question leaves no trace")
+        daemon.targets.of("leaf").slots = 0
+        full = explaining.why_no_work(daemon, target)
+        self.assertIs(full, explaining.NoWork.FULL)
+        daemon.targets.of("leaf").cold = targets.ColdStart(0, False, "boot-2")
+        cold = explaining.why_no_work(daemon, target)
+        self.assertIs(cold, explaining.NoWork.COLD)
 
     def test_status_follows_the_tables(self) -> None:
         site = journal_site.Site()
