End every request and attempt also when the code fails

Cause, found by reading: an error in a decision left the caller without an answer, and an attempt that could not be sent (a target without an address) never ended. Both now end truly: the refusal does not claim 'not run', the attempt counts as lost after the send.

--- a/amaranthpulley/state/requests.py
+++ b/amaranthpulley/state/requests.py
@@ -113,6 +113,7 @@
     KEY_REUSED = "key_reused"
     CRASHES_TARGETS = "crashes_targets"
     SHUTTING_DOWN = "shutting_down"
+    INTERNAL_ERROR = "internal_error"
 
 
 class Refusal(NamedTuple):
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -21,6 +21,9 @@
 Request = requests.SearchRequest | requests.OrderRequest
 Observer = Callable[[commands.AnswerCaller], None]
 
+# Above every hard deadline; reached only when a decision has failed.
+ANSWER_LIMIT_SECONDS: Final = 120
+
 
 class Runtime:
     """Feeds events to one daemon's decisions and carries out their commands.
@@ -90,11 +93,27 @@
     def ask(
         self, event: events.SearchReceived | events.OrderReceived
     ) -> requests.Outcome:
-        """Feed a caller's request and wait for its outcome."""
-        done = eventlet.event.Event()
-        self._waiting[event.request.request_id] = done
-        self.feed(event)
-        return done.wait()
+        """Feed a caller's request and wait for its outcome.
+
+        An error in the decisions is a refusal that does not claim "not run".
+        """
+        request_id = event.request.request_id
+        done = self._waiting[request_id] = eventlet.event.Event()
+        failed = requests.Refusal(
+            requests.RefusalCode.INTERNAL_ERROR,
+            "the daemon failed at this request; report its request_id",
+            not_run=False,
+        )
+        try:
+            self.feed(event)
+            with eventlet.Timeout(ANSWER_LIMIT_SECONDS, False):
+                return done.wait()
+        except Exception:
+            # The event that failed is in the log by now.
+            return failed
+        finally:
+            self._waiting.pop(request_id, None)
+        return failed
 
     def close(self) -> None:
         """Close the connections to targets and store."""
@@ -107,18 +126,31 @@
         try:
             return engine.step(self.daemon, event, now_ms, self._random)
         except Exception as error:
-            # Only the types: the text of an error may quote a customer's data.
-            failed = commands.log(
-                log_events.INTERNAL_ERROR,
-                error=type(error).__name__,
-                cause=type(event).__name__,
-            )
-            self._write_log(failed)
+            self._note_error(error, type(event))
             raise
 
+    def _note_error(self, error: Exception, cause: type) -> None:
+        # Only the types: the text of an error may quote a customer's data.
+        failed = commands.log(
+            log_events.INTERNAL_ERROR,
+            error=type(error).__name__,
+            cause=cause.__name__,
+        )
+        self._write_log(failed)
+
     def _send_attempt(self, command: commands.SendAttempt) -> None:
         self._write_log(tracing.attempt_sent(command))
-        eventlet.spawn_n(lambda: self.feed(self._targets.attempt(command)))
+        eventlet.spawn_n(self._attempt, command)
+
+    def _attempt(self, command: commands.SendAttempt) -> None:
+        try:
+            end = self._targets.attempt(command)
+        except Exception as error:
+            self._note_error(error, commands.SendAttempt)
+            # Whether the target has run it is not known.
+            lost = events.Failure.CONNECTION_LOST
+            end = events.AttemptFailed(command.attempt_id, lost)
+        self.feed(end)
 
     def _cancel_attempt(self, command: commands.CancelAttempt) -> None:
         eventlet.spawn_n(self._targets.cancel, command)
--- /dev/null
+++ b/amaranthpulley/transport/tests/test_runtime.py
@@ -0,0 +1,68 @@
+"""Tests of the front end on the real loop."""
+
+from amaranthpulley.transport import loop
+
+loop.prepare_loop()
+
+import unittest  # noqa: E402
+from unittest import mock  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from amaranthpulley.coordination import commands, engine, events  # noqa: E402
+from amaranthpulley.state import daemon, log_events, requests, topology  # noqa: E402
+from amaranthpulley.transport import runtime, system_clock  # noqa: E402
+
+_TARGET = topology.Target("leaf-1", "stock", 0, "s0", "Pokhara", "no address")
+_REQUEST = requests.SearchRequest("r1", "c", "stock", "query")
+
+
+class RuntimeTest(unittest.TestCase):
+    """Events in and commands out while something is wrong."""
+
+    def setUp(self) -> None:
+        self.logs: list[commands.Log] = []
+        self.runtime = runtime.Runtime(
+            daemon.Daemon(
+                daemon.Identity("vm-1", "127.0.0.1:9", "Pokhara", "Pokhara", "l1"),
+                daemon.Limits(),
+            ),
+            system_clock.system_clock(),
+            lambda: 0.5,
+            self.logs.append,
+            mock.Mock(),
+            mock.Mock(),
+            lambda command: None,
+        )
+
+    def test_error_in_a_decision_is_told_to_the_caller(self) -> None:
+        with mock.patch.object(engine, "step", side_effect=KeyError("secret")):
+            outcome = self.runtime.ask(events.SearchReceived(_REQUEST))
+        self.assertIs(outcome.code, requests.RefusalCode.INTERNAL_ERROR)
+        self.assertFalse(outcome.not_run)
+        [line] = self.logs
+        self.assertIs(line.event, log_events.INTERNAL_ERROR)
+        self.assertNotIn("secret", str(line))
+
+    def test_request_without_a_decision_ends(self) -> None:
+        with (
+            mock.patch.object(engine, "step", return_value=[]),
+            mock.patch.object(runtime, "ANSWER_LIMIT_SECONDS", 0),
+        ):
+            outcome = self.runtime.ask(events.SearchReceived(_REQUEST))
+        self.assertIs(outcome.code, requests.RefusalCode.INTERNAL_ERROR)
+
+    def test_attempt_that_cannot_be_sent_ends(self) -> None:
+        call = commands.SearchCall("query", None, None)
+        command = commands.SendAttempt("a1", "r1", _TARGET, call, 100)
+        fed: list[events.Event] = []
+
+        def step(state: daemon.Daemon, event: events.Event, *rest: object) -> list:
+            fed.append(event)
+            return [command] if isinstance(event, events.SearchReceived) else []
+
+        with mock.patch.object(engine, "step", side_effect=step):
+            self.runtime.feed(events.SearchReceived(_REQUEST))
+            eventlet.sleep(0.01)
+        lost = events.Failure.CONNECTION_LOST
+        self.assertEqual(fed[1:], [events.AttemptFailed("a1", lost)])
