Say 'not run' to a holder that had waited for its claim

Cause: a behave row (target gone, order sent to two daemons) gave 'unknown' when the second order found the first one's claim not yet released. At its deadline 'was asked again' was looked at before 'holds the claim'; a holder that no target has taken from knows that nothing ran. The new test fails before and passes after.

--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/ordering.py
@@ -210,10 +210,10 @@
     if order.attempt_id is not None:
         # The order stays until its attempt ends: a late receipt is still recorded.
         return _answer(daemon, order, order_outcomes.unknown(), now_ms)
-    if order.asked_again:
-        return _give_up(daemon, order, order_outcomes.unknown(), now_ms)
     if order.phase is _Phase.HELD:
         return _give_up(daemon, order, order_outcomes.no_target(), now_ms)
+    if order.asked_again:
+        return _give_up(daemon, order, order_outcomes.unknown(), now_ms)
     return _give_up(daemon, order, order_outcomes.not_claimed(), now_ms)
 
 
--- a/amaranthpulley/transport/tests/test_order_faults.py
+++ b/amaranthpulley/transport/tests/test_order_faults.py
@@ -161,6 +161,16 @@
         _run(self.site, 500)
         self.assertFalse(self._told(repeat).repeated)
 
+    def test_holder_that_waited_for_its_claim_says_not_run(self) -> None:
+        for leaf in self.site.network.targets.leaves.values():
+            leaf.slots = 0
+        self.site.order("vm-0", "key")
+        _run(self.site, order_site.DEADLINE_MS // 2)
+        waited = self.site.order("vm-1", "key")
+        _run(self.site, 3 * order_site.DEADLINE_MS)
+        self.assertIs(self._refusal(waited), CODES.NO_TARGET)
+        self.assertEqual(self.site.runs["key"], 0)
+
     def test_daemon_paused_before_the_send_does_not_send(self) -> None:
         first = self.site.order("vm-0", "key")
         self.site.network.pause("vm-0", 3_000)
