Add the fault tables of the store, the VM list, the peers and the operators

Found by them: a list field of a ticket file that is no list ended in a TypeError, and a number of the wrong kind was refused without its path.

--- a/amaranthpulley/protocol/ticket_file.py
+++ b/amaranthpulley/protocol/ticket_file.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import re
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
@@ -50,9 +50,9 @@
     """
     try:
         raw = msgspec.json.decode(text)
-        return _ticket_of(raw)
     except msgspec.MsgspecError as error:
-        raise errors.InvalidTicketError(f"ticket: {error}") from error
+        raise errors.InvalidTicketError(f"ticket: {error} - at `$`") from error
+    return _ticket_of(raw)
 
 
 def encode(ticket: topology.ChangeTicket) -> bytes:
@@ -76,7 +76,7 @@
 
 
 def _ticket_of(raw: object) -> topology.ChangeTicket:
-    body = msgspec.convert(raw, dict)
+    body = _convert(raw, dict, "$")
     unknown = sorted(set(body) - {"number", *_LISTS})
     if unknown:
         raise errors.InvalidTicketError(f"ticket: unknown key - at `$.{unknown[0]}`")
@@ -85,28 +85,34 @@
     lists = {
         name: tuple(
             _entry_of(item, kind, f"$.{name}[{index}]")
-            for index, item in enumerate(body.get(name, []))
+            for index, item in enumerate(
+                _convert(body.get(name, []), list, f"$.{name}")
+            )
         )
         for name, kind in _LISTS.items()
     }
-    return topology.ChangeTicket(msgspec.convert(body["number"], int), **lists)
+    number = _convert(body["number"], int, "$.number")
+    return topology.ChangeTicket(number, **lists)
+
+
+def _convert(value: object, kind: object, path: str) -> Any:
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.MsgspecError as error:
+        raise errors.InvalidTicketError(f"ticket: {error} - at `{path}`") from error
 
 
 def _entry_of(item: object, kind: type, path: str) -> object:
     fields = kind.__annotations__
-    given = msgspec.convert(item, dict)
+    given = _convert(item, dict, path)
     for key in given:
         if key not in fields:
             raise errors.InvalidTicketError(f"ticket: unknown key - at `{path}.{key}`")
     for key in fields:
         if key not in given and key not in kind._field_defaults:
             raise errors.InvalidTicketError(f"ticket: missing key - at `{path}.{key}`")
-    values = {}
-    for key, value in given.items():
-        try:
-            values[key] = msgspec.convert(value, fields[key])
-        except msgspec.MsgspecError as error:
-            raise errors.InvalidTicketError(
-                f"ticket: {error} - at `{path}.{key}`"
-            ) from error
+    values = {
+        key: _convert(value, fields[key], f"{path}.{key}")
+        for key, value in given.items()
+    }
     return kind(**values)
--- /dev/null
+++ b/features/control_members.feature
@@ -0,0 +1,52 @@
+Feature: Members by the VM list and by peers
+  The VM list lags, and peers fail in every way; the view of who is live follows.
+
+  Scenario Outline: what the VM list shows
+    Given a control site of 5 daemons
+    When the VM list <change>
+    Then all daemons hold <live> to be live within <seconds> seconds
+
+    Examples: no answer, late entries, stale entries
+      | change                            | live | seconds |
+      | gives no answer                   | 5    | 10      |
+      | still shows vm-002 after its end  | 4    | 12      |
+      | shows vm-002 as leaving           | 4    | 10      |
+      | lacks vm-002 from now on          | 4    | 10      |
+      | shows a fresh VM                  | 6    | 6       |
+
+  Scenario: a daemon that the VM list lacks is a stranger
+    Given a control site of 3 daemons
+    When a daemon starts that the VM list lacks
+    Then its messages are refused with the reason "stranger" and counted
+    And all other daemons hold 3 to be live within 5 seconds
+
+  Scenario Outline: a link fails
+    Given a control site of 5 daemons
+    When the link <fault>
+    Then all daemons hold 5 to be live within 1 seconds
+    And nobody was held dead in 20 seconds
+
+    Examples: lost requests, lost replies, delay
+      | fault                                    |
+      | between vm-000 and vm-001 is cut         |
+      | from vm-000 to vm-001 loses all messages |
+      | between any two takes 250 ms             |
+
+  Scenario Outline: a message that no peer of this release sends
+    When a peer's message is <fault>
+    Then decoding it fails with "<code>"
+
+    Examples:
+      | fault                   | code              |
+      | no MessagePack          | malformed_message |
+      | of version 99           | malformed_message |
+      | of an unknown name      | malformed_message |
+      | short of a field        | malformed_message |
+      | a reply in place of one | malformed_message |
+
+  Scenario: a peer with an old view
+    Given a control site of 6 daemons
+    When vm-003 was cut off while ticket 2 came in
+    And the cut is over
+    Then ticket 2 is in force in all of the daemons within 5 seconds
+    And no daemon went back to an older ticket
--- /dev/null
+++ b/features/steps/operator_ticket_steps.py
@@ -0,0 +1,127 @@
+"""Steps about the tickets that operators bring in."""
+
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+import behave
+from behave import runner
+
+from amaranthpulley.coordination import ticketing
+from amaranthpulley.protocol import errors, ticket_file
+from amaranthpulley.state import standin_store, topology
+from amaranthpulley.transport import virtual_network
+from amaranthpulley.transport.tests import control_site
+
+
+class OperatorSubject:
+    """A store, a ticket file and what the operators were told."""
+
+    def __init__(self) -> None:
+        self.store = standin_store.StandInStore()
+        self.body: dict[str, Any] = json.loads(ticket_file.encode(_real_ticket()))
+        self.told: list[str] = []
+        self.message = ""
+
+    def apply(self, ticket: topology.ChangeTicket) -> ticketing.Verdict:
+        """Bring a ticket in without a fault of the store."""
+        apply_id = f"run-{len(self.told)}"
+        verdict = ticketing.run(
+            ticketing.apply(ticket, apply_id, 0),
+            lambda operation: self.store.call(operation, 0),
+        )
+        self.told.append(verdict.status.value)
+        self.message = verdict.message
+        return verdict
+
+
+def _real_ticket() -> topology.ChangeTicket:
+    ticket = control_site.first_ticket()
+    targets = tuple(
+        target._replace(address=f"10.0.0.{index + 1}:1")
+        for index, target in enumerate(ticket.targets)
+    )
+    return ticket._replace(number=7, targets=targets)
+
+
+def _put(holder: Any, place: str, value: object) -> None:
+    *parents, last = [
+        int(word) if word.isdecimal() else word for word in place.split(".")
+    ]
+    for word in parents:
+        holder = holder[word]
+    holder[last] = value
+
+
+@behave.given("a ticket file that is in order")
+def make_file(context: runner.Context) -> None:
+    context.subject = OperatorSubject()
+
+
+@behave.when("its {place} becomes {value}")
+def change_file(context: runner.Context, place: str, value: str) -> None:
+    _put(context.subject.body, place, json.loads(value))
+
+
+@behave.when("the operator applies the file")
+def apply_file(context: runner.Context) -> None:
+    subject = context.subject
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder, "ticket.json")
+        path.write_text(json.dumps(subject.body))
+        try:
+            subject.apply(ticket_file.read(str(path)))
+        except errors.InvalidTicketError as error:
+            subject.told.append(ticketing.Status.INVALID.value)
+            subject.message = str(error)
+
+
+@behave.then('the ticket is refused with "{path}" and nothing is written')
+def check_refusal(context: runner.Context, path: str) -> None:
+    subject = context.subject
+    assert subject.told == ["invalid"], subject.told
+    assert f"at `{path}`" in subject.message, subject.message
+    assert subject.store.revision == 0
+
+
+@behave.given('a store with ticket {number:d} for the failure domain "{domain}"')
+def make_store(context: runner.Context, number: int, domain: str) -> None:
+    subject = context.subject = OperatorSubject()
+    subject.apply(_real_ticket()._replace(number=1))
+    subject.apply(control_site.domain_ticket(number, domain, False))
+    assert subject.told == ["accepted", "accepted"], subject.message
+    subject.told.clear()
+
+
+@behave.when('the operator applies ticket {number:d} that takes "{domain}" {direction}')
+def apply_ticket(
+    context: runner.Context, number: int, domain: str, direction: str
+) -> None:
+    in_service = direction == "back"
+    context.subject.apply(control_site.domain_ticket(number, domain, in_service))
+
+
+@behave.then('the operator is told "{verdict}"')
+def check_told(context: runner.Context, verdict: str) -> None:
+    assert context.subject.told == [verdict], context.subject.message
+
+
+@behave.when(
+    'two operators apply tickets {first:d} and {second:d} for "{domain}" at once'
+)
+def race(context: runner.Context, first: int, second: int, domain: str) -> None:
+    network = virtual_network.VirtualNetwork(seed=1)
+    network.platform.store = context.subject.store
+    told = context.subject.told
+    for number, in_service in ((first, True), (second, False)):
+        ticket = control_site.domain_ticket(number, domain, in_service)
+        network.platform.apply_ticket(
+            ticket, lambda verdict: told.append(verdict.status.value)
+        )
+    network.run_until(60_000)
+
+
+@behave.then('the operators are told "{verdicts}"')
+def check_both(context: runner.Context, verdicts: str) -> None:
+    assert sorted(context.subject.told) == verdicts.split(", "), context.subject.told
