Delete the segments of claims whose records need not be kept any more

The owner now looks at the oldest segment when it seals one. Ruled out: a timer (calls for quiet ranges) and deletion of the last sealed segment (numbers would begin again, and a stale owner could create a segment once more).

--- a/amaranthpulley/coordination/claim_commit.py
+++ b/amaranthpulley/coordination/claim_commit.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination import (
+    claim_pruning,
     claim_rules,
     claim_segments,
     commands,
@@ -271,7 +272,8 @@
         claim_range.begin_segment(claim_range.open_number + 1)
     pairs = zip(batch.waiting, batch.verdicts, strict=True)
     given = [_deliver(entry, verdict, now_ms) for entry, verdict in pairs]
-    return [*given, *_advance(daemon, claim_range, now_ms)]
+    pruned = claim_pruning.look(daemon, claim_range) if batch.sealed else []
+    return [*given, *pruned, *_advance(daemon, claim_range, now_ms)]
 
 
 def _requeue(claim_range: claims.ClaimRange, uncertain: bool) -> None:
--- a/amaranthpulley/coordination/claim_segments.py
+++ b/amaranthpulley/coordination/claim_segments.py
@@ -85,6 +85,8 @@
     result = event.result
     if isinstance(result, store.StoreFailed):
         return _fail(claim_range, result, now_ms)
+    if result.keys and not event.operation.after:
+        claim_range.oldest_number = _number_of(result.keys[0])
     if len(result.keys) == LIST_LIMIT:
         return [_list(daemon, claim_range.index, after=result.keys[-1])]
     # The keys of an earlier page only matter when this one is empty.
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -15,6 +15,7 @@
 
 from amaranthpulley.coordination import (
     claim_commit,
+    claim_pruning,
     claim_segments,
     claiming,
     commands,
@@ -52,6 +53,7 @@
     ordering,
     claiming,
     claim_commit,
+    claim_pruning,
     claim_segments,
     refreshing,
     membership,
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -16,6 +16,7 @@
 IpAddress = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
 HostPort = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+RecordRetentionMilliseconds = Annotated[int, msgspec.Meta(ge=600_000)]
 RetentionMilliseconds = Annotated[int, msgspec.Meta(ge=600_000, le=604_800_000)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -52,6 +53,7 @@
     journal_when_full: NotRequired[journal.FullPolicy]
     journal_life_first: NotRequired[bool]
     order_retention_ms: NotRequired[RetentionMilliseconds]
+    order_record_retention_ms: NotRequired[RecordRetentionMilliseconds]
 
 
 class Settings(TypedDict):
--- a/amaranthpulley/state/claims.py
+++ b/amaranthpulley/state/claims.py
@@ -159,6 +159,10 @@
     ----------
     loaded, busy : bool
         Whether the segments have been read, and whether a store call is on its way.
+    oldest_number : int
+        The first segment that may still exist.
+    pruning : bool
+        Whether a store call about the oldest segment is on its way.
     open_number, open_revision : int
         The open segment; revision 0 when it does not exist yet.
     gathered_ms, paced_ms : int
@@ -173,6 +177,8 @@
         self.loaded = False
         self.busy = False
         self.claims: dict[str, Claim] = {}
+        self.oldest_number = 1
+        self.pruning = False
         self.open_number = 1
         self.open_revision = 0
         self.open_keys: set[str] = set()
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -61,6 +61,12 @@
         Time after which a leaving daemon ends whatever is left.
     journal_life_first : bool
         Refuse requests until the store knows of the daemon's life.
+    order_retention_ms : int
+        How long an idempotency key is remembered, by the wall clocks of the daemons;
+        a repeat after that is a new order.
+    order_record_retention_ms : int
+        How long the records that came with the claims of orders stay in the store,
+        at least as long as their keys are remembered.
     """
 
     maximum_requests_in_progress: int = 1_000
@@ -73,6 +79,7 @@
     journal_when_full: journal.FullPolicy = journal.FullPolicy.REFUSE
     journal_life_first: bool = False
     order_retention_ms: int = 86_400_000
+    order_record_retention_ms: int = 7_776_000_000
 
 
 class Daemon:
--- a/amaranthpulley/transport/tests/test_order_faults.py
+++ b/amaranthpulley/transport/tests/test_order_faults.py
@@ -266,6 +266,30 @@
         sizes = [site.segment_bytes(key) for key in segments]
         self.assertLess(max(sizes), 1_000_000)
 
+    def test_old_segments_are_deleted_when_newer_ones_are_sealed(self) -> None:
+        limits = daemon.Limits(
+            order_retention_ms=600_000, order_record_retention_ms=1_200_000
+        )
+        site = order_site.OrderSite(seed=1, slots=1_000, limits=limits)
+        counts = []
+        for _ in range(4):
+            self._fill(site)
+            counts.append(len(site.segment_keys()))
+            _run(site, 700_000)
+        self.assertGreater(counts[1], counts[0])
+        # What is kept at a time is what two rounds have written, and the open ones.
+        self.assertLessEqual(counts[3], counts[1] + 2 * claims.RANGE_COUNT)
+        self.assertLess(counts[3], 3 * counts[0])
+
+    def _fill(self, site: order_site.OrderSite) -> None:
+        payload = "x" * (claim_commit.SEGMENT_BYTES // 2)
+        for number in range(400):
+            key = f"key-{site.network.now_ms}-{number}"
+            site.network.after(
+                number * 10, lambda key=key: site.order("vm-0", key, payload)
+            )
+        _run(site, 10_000)
+
 
 class RecordTest(unittest.TestCase):
     """The order's record goes with its claim."""
