--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -45,6 +45,7 @@
 
     maximum_requests_in_progress: NotRequired[Count]
     maximum_row_count: NotRequired[Count]
+    maximum_queued_searches: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
     drain_grace_ms: NotRequired[Milliseconds]
     drain_limit_ms: NotRequired[Milliseconds]
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -14,6 +14,7 @@
     members,
     orders,
     searches,
+    services,
     targets,
 )
 
@@ -47,6 +48,8 @@
     ----------
     maximum_requests_in_progress, maximum_row_count : int
         Requests at a time, and rows of one answer.
+    maximum_queued_searches : int
+        Searches of each service that wait to begin.
     store_timeout_ms : int
         Time to wait for the store's reply.
     journal_flush_ms : int
@@ -71,6 +74,7 @@
 
     maximum_requests_in_progress: int = 1_000
     maximum_row_count: int = 100_000
+    maximum_queued_searches: int = 200
     store_timeout_ms: int = 500
     drain_grace_ms: int = 2_000
     drain_limit_ms: int = 30_000
@@ -98,6 +102,7 @@
         self.limits = limits
         self.configuration = configuration.Configuration()
         self.targets = targets.TargetTable()
+        self.services = services.ServiceTable()
         self.searches = searches.SearchTable()
         self.orders = orders.OrderTable()
         self.claims = claims.RangeTable()
