--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -15,8 +15,10 @@
 
 from amaranthpulley.coordination import (
     claim_commit,
+    claim_pruning,
     claim_segments,
     claiming,
+    cold,
     commands,
     crash_blame,
     draining,
@@ -49,9 +51,11 @@
     journal_retention,
     tracing,
     searching,
+    cold,
     ordering,
     claiming,
     claim_commit,
+    claim_pruning,
     claim_segments,
     refreshing,
     membership,
--- a/amaranthpulley/coordination/routing.py
+++ b/amaranthpulley/coordination/routing.py
@@ -1,10 +1,89 @@
 """Which replica of a shard gets an attempt."""
 
-from collections.abc import Callable, Collection
+import itertools
+from collections.abc import Callable, Collection, Iterator
+from typing import Final, NamedTuple
 
+from amaranthpulley.coordination import limits, snapshots
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import topology
 
+# Replicas that are compared; of many more, these are drawn by chance.
+MAXIMUM_COMPARED: Final = 8
+# A latency older than this says nothing; the target gets a chance to show another.
+LATENCY_VALID_MS: Final = 5_000
+REPORT_VALID_MS: Final = 50
+LATENCY_STEP: Final = 1.5
+
+
+class Choice(NamedTuple):
+    """The replica for an attempt.
+
+    Attributes
+    ----------
+    target : Target or None
+        None when no replica can take it now.
+    has_others : bool
+        Another replica can be asked afterwards.
+    is_busy : bool
+        Without a target: some replica will take it once it has room.
+    """
+
+    target: topology.Target | None
+    has_others: bool
+    is_busy: bool
+
+
+def pick(
+    daemon: daemon_state.Daemon,
+    service: str,
+    shard: str,
+    version: int | None,
+    tried: Collection[str],
+    now_ms: int,
+    random: Callable[[], float],
+) -> Choice:
+    """Choose the replica that is expected to answer first.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon's tables.
+    service, shard, version, tried
+        As for `candidates`.
+    now_ms : int
+        Reading of the monotonic clock, in milliseconds.
+    random : callable
+        Returns a number drawn evenly from ``[0.0, 1.0)``.
+    """
+    best: topology.Target | None = None
+    best_score = 0.0
+    free = busy = 0
+    users = _users(daemon, service)
+    for target in _in_random_order(daemon, service, shard, random):
+        if not _is_eligible(daemon, target, version, tried, now_ms):
+            continue
+        room = limits.room(daemon, target, users, now_ms)
+        if room is None or room <= 0:
+            busy += room is not None
+            continue
+        score = _score(daemon, target, now_ms)
+        if best is None or score < best_score:
+            best, best_score = target, score
+        free += 1
+        if free >= MAXIMUM_COMPARED:
+            break
+    return Choice(best, free + busy > 1, best is None and busy > 0)
+
+
+def has_closed(daemon: daemon_state.Daemon, service: str, shard: str) -> bool:
+    """Tell whether a replica of a shard is closed only while it counts as cold."""
+    return any(
+        daemon.targets.of(target.name).cold is not None
+        and daemon.configuration.takes_work(target)
+        for target in daemon.configuration.shards(service).get(shard, {}).values()
+    )
+
 
 def candidates(
     daemon: daemon_state.Daemon,
@@ -12,6 +91,7 @@
     shard: str,
     version: int | None,
     tried: Collection[str],
+    now_ms: int | None = None,
 ) -> list[topology.Target]:
     """Return the replicas that may get an attempt.
 
@@ -25,6 +105,9 @@
         Leaves out replicas known not to hold this index version.
     tried : collection of str
         Names of replicas that have been asked already.
+    now_ms : int or None
+        With it a cold target is left out unless this daemon may feed it now; without
+        it every cold target is.
 
     Returns
     -------
@@ -35,9 +118,8 @@
     return [
         target
         for target in replicas.values()
-        if target.name not in tried
-        and daemon.configuration.takes_work(target)
-        and _may_hold(daemon, target, version)
+        if _is_eligible(daemon, target, version, tried, now_ms)
+        and _may_be_fed(daemon, target, now_ms)
     ]
 
 
@@ -53,8 +135,64 @@
     return min(drawn, key=lambda target: daemon.targets.of(target.name).in_flight)
 
 
-def _may_hold(
-    daemon: daemon_state.Daemon, target: topology.Target, version: int | None
+def _users(daemon: daemon_state.Daemon, service: str) -> int:
+    view = daemon.services.of(service).view
+    return view.users if view is not None else 1
+
+
+def _in_random_order(
+    daemon: daemon_state.Daemon,
+    service: str,
+    shard: str,
+    random: Callable[[], float],
+) -> Iterator[topology.Target]:
+    """Return the replicas that this daemon uses, in a circle from one by chance."""
+    replicas = daemon.configuration.shards(service).get(shard, {})
+    view = daemon.services.of(service).view
+    names = view.names.get(shard) if view is not None else None
+    names = names or list(replicas)
+    begin = int(random() * len(names))
+    for name in itertools.chain(names[begin:], names[:begin]):
+        target = replicas.get(name)
+        if target is not None:
+            yield target
+
+
+def _is_eligible(
+    daemon: daemon_state.Daemon,
+    target: topology.Target,
+    version: int | None,
+    tried: Collection[str],
+    now_ms: int | None,
 ) -> bool:
-    versions = daemon.targets.of(target.name).versions
-    return version is None or not versions or version in versions
+    if target.name in tried or not daemon.configuration.takes_work(target):
+        return False
+    return version is None or snapshots.may_hold(
+        daemon.targets.of(target.name), version, now_ms
+    )
+
+
+def _may_be_fed(
+    daemon: daemon_state.Daemon, target: topology.Target, now_ms: int | None
+) -> bool:
+    if daemon.targets.of(target.name).cold is None:
+        return True
+    if now_ms is None:
+        return False
+    return (limits.room(daemon, target, 1, now_ms) or 0) > 0
+
+
+def _score(daemon: daemon_state.Daemon, target: topology.Target, now_ms: int) -> float:
+    """Return the expected time until an answer; equal within a step of latency."""
+    state = daemon.targets.of(target.name)
+    latency_ms = state.latency_ms
+    age_ms = now_ms - state.latency_at_ms
+    if latency_ms == 0.0 or age_ms > LATENCY_VALID_MS:
+        latency_ms = float(limits.median_ms(daemon, target.service))
+    waiting = state.in_flight
+    if state.load is not None and age_ms <= REPORT_VALID_MS:
+        waiting = max(waiting, state.load.busy_slots)
+    step = 1.0
+    while step < latency_ms:
+        step *= LATENCY_STEP
+    return step * (1 + waiting)
