--- a/amaranthpulley/state/facts.py
+++ b/amaranthpulley/state/facts.py
@@ -52,6 +52,8 @@
 
 
 class _Entry(NamedTuple):
+    """A fact with the time until which it counts."""
+
     fact: Fact
     expires_ms: int
     checksum: int
--- a/amaranthpulley/transport/demo.py
+++ b/amaranthpulley/transport/demo.py
@@ -21,6 +21,8 @@
 INSTANCES: Final = 10
 SHARDS: Final = 3
 LEAF_DELAY_MS: Final = 5
+STRAGGLER_DELAY_MS: Final = 300
+WARM_UP_SEARCHES: Final = 30
 INDEX_VERSION: Final = 7
 SLOTS_OFFERED: Final = [
     f"{city}-{hour:02d}:00" for city in DOMAINS for hour in range(24)
@@ -140,12 +142,15 @@
     search = {"customer": "forno-limpo", "service": "dispatch", "query": "09:00"}
     for number in range(1, 4):
         _show_search(site, show, f"search {number}", search)
-    _set_faults(site, "dispatch-4", standin_leaf.LeafFaults(delay_ms=300))
-    _show_search(site, show, "search while the leaves of an instance straggle", search)
-    _set_faults(site, "dispatch-4", standin_leaf.LeafFaults(delay_ms=LEAF_DELAY_MS))
-    for instance in range(INSTANCES):
-        leaf = site.leaves[f"dispatch-{instance}-2"].leaf
-        leaf.faults = standin_leaf.LeafFaults(lost=True)
+    # The daemon learns from these how long a leaf usually takes.
+    for _ in range(WARM_UP_SEARCHES):
+        site.post("/v1/search", search)
+    straggling = standin_leaf.LeafFaults(delay_ms=STRAGGLER_DELAY_MS)
+    _set_faults(site, 1, INSTANCES // 2, straggling)
+    title = f"search while half of shard 1 takes {STRAGGLER_DELAY_MS} ms"
+    for number in range(1, 4):
+        _show_search(site, show, f"{title}, {number}", search)
+    _set_faults(site, 2, INSTANCES, standin_leaf.LeafFaults(lost=True))
     _show_search(site, show, "search while every leaf of shard 2 is lost", search)
 
 
@@ -178,10 +183,11 @@
     )
 
 
-def _set_faults(site: Site, prefix: str, faults: standin_leaf.LeafFaults) -> None:
-    for name, server in site.leaves.items():
-        if name.startswith(prefix):
-            server.leaf.faults = faults
+def _set_faults(
+    site: Site, shard: int, instances: int, faults: standin_leaf.LeafFaults
+) -> None:
+    for instance in range(instances):
+        site.leaves[f"dispatch-{instance}-{shard}"].leaf.faults = faults
 
 
 def _dispatch_places() -> list[tuple[int, int]]:
--- a/amaranthpulley/transport/peer_calls.py
+++ b/amaranthpulley/transport/peer_calls.py
@@ -16,6 +16,8 @@
 
 
 class _Rejection(NamedTuple):
+    """Ends a waiting call without a reply."""
+
     reason: str
 
 
