--- a/amaranthpulley/coordination/journal_retention.py
+++ b/amaranthpulley/coordination/journal_retention.py
@@ -10,6 +10,8 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination import (
+    claim_erasure,
+    claim_segments,
     commands,
     events,
     journal_writing,
@@ -173,6 +175,7 @@
             yield store.Swap(key, found.revision, None)
         elif _is_new(sweeping, cutoffs, bucket_ms):
             yield from _blank(key, bucket_ms, cutoffs)
+    yield from _erase_from_claims(sweeping, cutoffs)
     # Records of requests that were still running may follow.
     sweeping.erased_before_ms = {
         customer: cutoff_ms - journaling.LONGEST_REQUEST_MS
@@ -236,6 +239,17 @@
     )
 
 
+def _erase_from_claims(sweeping: journal.Sweeping, cutoffs: Cutoffs) -> Steps:
+    # The claims are not in the order of time, so that all of them must be read.
+    before_ms = sweeping.claims_erased_before_ms
+    cutoffs_ms = cutoffs.all()
+    if all(ms - before_ms.get(c, 0) < DAY_MS for c, ms in cutoffs_ms.items()):
+        return
+    keys = yield from _keys(claim_segments.PREFIX, "")
+    yield from claim_erasure.erase_all(keys, cutoffs.of)
+    sweeping.claims_erased_before_ms = cutoffs_ms
+
+
 def _blank(key: str, bucket_ms: int, cutoffs: Cutoffs) -> Steps:
     found = yield store.Get(key)
     if found.value is None:
--- a/amaranthpulley/coordination/stored_values.py
+++ b/amaranthpulley/coordination/stored_values.py
@@ -30,9 +30,10 @@
     """Return the records of the orders in a stored segment of claims.
 
     Each one has the latest outcome that the segment knows. A later segment may hold
-    the same order, by its request, with a newer outcome.
+    the same order, by its request, with a newer outcome. Erased records are left out.
     """
-    return [claim.record for claim in decode_segment(value).claims]
+    records = [claim.record for claim in decode_segment(value).claims]
+    return [record for record in records if record.request_id]
 
 
 def encode_head(head: tickets.Head) -> bytes:
--- a/amaranthpulley/coordination/tests/test_claim_rules.py
+++ b/amaranthpulley/coordination/tests/test_claim_rules.py
@@ -3,7 +3,7 @@
 import unittest
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import claim_rules, stored_values
+from amaranthpulley.coordination import claim_erasure, claim_rules, stored_values
 from amaranthpulley.state import claims, journal
 
 WALL_MS: Final = 1_700_000_000_000
@@ -177,6 +177,22 @@
         value = stored_values.encode_segment(segment)
         self.assertEqual(stored_values.decode_segment(value), segment)
 
+    def test_erasure_keeps_the_claim_without_its_data(self) -> None:
+        other = _claim("b", STATUS.DONE, "r")
+        other = other._replace(record=RECORD._replace(customer="other"))
+        segment = claims.Segment(True, (_claim("a", STATUS.DONE, "r"), other))
+        erased = claim_erasure.erase(
+            segment, lambda customer: WALL_MS + (customer == RECORD.customer)
+        )
+        first, second = erased.claims
+        self.assertEqual(second, other)
+        self.assertEqual((first.claim_id, first.status), ("a", STATUS.DONE))
+        value = stored_values.encode_segment(erased)
+        self.assertNotIn(
+            b"payload", stored_values.encode_segment(erased._replace(claims=(first,)))
+        )
+        self.assertEqual(stored_values.journal_records(value), [other.record])
+
     def test_records_of_a_segment(self) -> None:
         segment = claims.Segment(False, (_claim("a", STATUS.CLAIMED),))
         value = stored_values.encode_segment(segment)
--- a/amaranthpulley/state/journal.py
+++ b/amaranthpulley/state/journal.py
@@ -224,6 +224,8 @@
         When each VM with an open life was first missed on the list.
     erased_before_ms : dict
         By customer the time bucket before which its records are erased already.
+    claims_erased_before_ms : dict
+        The same for the records that came with the claims of orders.
     """
 
     def __init__(self) -> None:
@@ -231,6 +233,7 @@
         self.listed_vms: frozenset[str] | None = None
         self.unlisted_since_ms: dict[str, int] = {}
         self.erased_before_ms: dict[str, int] = {}
+        self.claims_erased_before_ms: dict[str, int] = {}
 
 
 class Journal:
