Confirm a range before an outcome is dropped; match deaths that daemons saw differently

Deaths of one target within 7 s are one now, and a suspicion makes the other daemons add what they lost there.

--- a/amaranthpulley/coordination/claim_commit.py
+++ b/amaranthpulley/coordination/claim_commit.py
@@ -188,7 +188,7 @@
         if decision.changed is not None:
             changed[key] = decision.changed
     if not changed:
-        if _must_confirm(claim_range, verdicts, now_ms):
+        if _must_confirm(claim_range, taken, verdicts, now_ms):
             claim_range.waiting = taken + claim_range.waiting
             return [*refused, *claim_segments.refresh(daemon, claim_range)]
         pairs = zip(taken, verdicts, strict=True)
@@ -208,14 +208,22 @@
 
 
 def _must_confirm(
-    claim_range: claims.ClaimRange, verdicts: list[claims.Verdict], now_ms: int
+    claim_range: claims.ClaimRange,
+    taken: list[claims.Waiting],
+    verdicts: list[claims.Verdict],
+    now_ms: int,
 ) -> bool:
-    # Another daemon may have recorded the outcome since this one owned the range.
-    unsettled = any(
-        verdict.kind is _Kind.FOUND and verdict.status in _UNSETTLED
-        for verdict in verdicts
-    )
-    return unsettled and now_ms - claim_range.confirmed_ms > UNSETTLED_CONFIRM_MS
+    # Another daemon may have written claims or outcomes since this one owned the range.
+    age_ms = now_ms - claim_range.confirmed_ms
+    for entry, verdict in zip(taken, verdicts, strict=True):
+        if verdict.kind is not _Kind.FOUND:
+            continue
+        # Without its claim an outcome would be lost; no later write would tell.
+        if entry.operation.status is not claims.ClaimStatus.CLAIMED and age_ms > 0:
+            return True
+        if verdict.status in _UNSETTLED and age_ms > UNSETTLED_CONFIRM_MS:
+            return True
+    return False
 
 
 def _encode(
--- a/amaranthpulley/coordination/claim_rules.py
+++ b/amaranthpulley/coordination/claim_rules.py
@@ -63,6 +63,8 @@
         claim = _claim_of(operation, wall_ms)
         return _granted(_release(claim, operation))
     if claim.claim_id != operation.claim_id:
+        if operation.status is not _Status.NOT_RUN:
+            return _found(claim)
         # A holder that gave up must not be granted the key by a late message.
         released = _release(claim, operation)
         return _granted(released if released != claim else None)
--- a/amaranthpulley/coordination/crash_blame.py
+++ b/amaranthpulley/coordination/crash_blame.py
@@ -4,9 +4,11 @@
 Every request that was lost there, on any daemon, is a suspect of this death; the
 daemons tell each other by facts. A suspect that any target answers, once it was sent
 to the one that died, is cleared: hedges and cancelled attempts are judged alike.
-A death proves a crash when one suspect alone is left, and two proven crashes make the
-daemons refuse the request until the facts expire. A death is not used until the facts
-of the other daemons must have arrived, as their requests may have caused it.
+Deaths of one target that follow each other closely count as one, since each daemon may
+have missed some of its restarts. A death proves a crash when one suspect alone is
+left, and two proven crashes make the daemons refuse the request until the facts expire.
+A death is not used until every daemon must have noticed it and its facts have arrived,
+as the requests of the others may have caused it.
 """
 
 import hashlib
@@ -21,8 +23,11 @@
 Commands = list[commands.Command]
 
 REVIEW_INTERVAL_MS: Final = 500
-SETTLE_MS: Final = 2_000
-LOSS_KEPT_MS: Final = 60_000
+LOSS_KEPT_MS: Final = 10_000
+SPREAD_MS: Final = 1_500
+# A suspicion spreads, the others look at what they lost, and theirs spread.
+SETTLE_MS: Final = 2 * (SPREAD_MS + REVIEW_INTERVAL_MS)
+SAME_DEATH_MS: Final = 7_000
 FACT_VALID_MS: Final = 600_000
 RUNNING_GRACE_MS: Final = 1_000
 PROVEN_CRASHES: Final = 2
@@ -40,6 +45,15 @@
     """Purpose of the timer that looks for proven crashes."""
 
 
+class Suspicion(NamedTuple):
+    """That a request may have caused a target's death, and when that was noted."""
+
+    target: str
+    noted_ms: int
+    fingerprint: str
+    death: str
+
+
 def refuses(
     daemon: daemon_state.Daemon,
     request: requests.SearchRequest | requests.OrderRequest,
@@ -107,8 +121,9 @@
         return []
     silent = event.failure in _SILENCES
     if silent and not daemon.crashes.is_cleared(running):
-        lost = daemon.crashes.lost.setdefault(running.target, {})
+        lost = _recently_lost(daemon.crashes, running.target, now_ms)
         lost[fingerprint_of(running.content)] = now_ms
+        daemon.crashes.lost[running.target] = lost
     if event.load is None:
         return []
     return _note_boot(daemon, running.target, event.load.boot_id, now_ms)
@@ -119,12 +134,13 @@
 ) -> Commands:
     """Refuse the requests with enough proven crashes."""
     table = daemon.crashes
-    suspects = _suspects_by_death(daemon, now_ms)
-    table.seen_ms = {death: table.seen_ms.get(death, now_ms) for death in suspects}
-    settle_ms = SETTLE_MS if daemon.members.peers else 0
+    settled_ms = now_ms - (SETTLE_MS if daemon.members.peers else 0)
     proven: dict[str, int] = {}
-    for death, fingerprints in suspects.items():
-        if len(fingerprints) == 1 and now_ms - table.seen_ms[death] >= settle_ms:
+    suspicions = _suspicions(daemon, now_ms)
+    _add_own_losses(daemon, suspicions, now_ms)
+    for death in _deaths(suspicions):
+        fingerprints = {suspicion.fingerprint for suspicion in death}
+        if len(fingerprints) == 1 and death[-1].noted_ms <= settled_ms:
             [fingerprint] = fingerprints
             proven[fingerprint] = proven.get(fingerprint, 0) + 1
     refused = frozenset(f for f, count in proven.items() if count >= PROVEN_CRASHES)
@@ -137,17 +153,57 @@
     ]
 
 
-def _suspects_by_death(daemon: daemon_state.Daemon, now_ms: int) -> dict[str, set[str]]:
-    daemon.crashes.suspected = {}
-    suspects: dict[str, set[str]] = {}
-    for fact, _ in daemon.facts.current(now_ms):
-        if fact.kind is facts.FactKind.CRASH_COUNT:
+def _suspicions(daemon: daemon_state.Daemon, now_ms: int) -> list[Suspicion]:
+    suspected = daemon.crashes.suspected = {}
+    found = []
+    for fact, remaining_ms in daemon.facts.current(now_ms):
+        if fact.kind is facts.FactKind.CRASH_COUNT and fact.value == SUSPECTED:
             fingerprint, _, death = fact.subject.partition("@")
-            entered = suspects.setdefault(death, set())
-            if fact.value == SUSPECTED:
-                entered.add(fingerprint)
-                daemon.crashes.suspected.setdefault(fingerprint, set()).add(death)
-    return suspects
+            suspected.setdefault(fingerprint, set()).add(death)
+            target = death.partition("@")[0]
+            noted_ms = now_ms + remaining_ms - FACT_VALID_MS
+            found.append(Suspicion(target, noted_ms, fingerprint, death))
+    return sorted(found)
+
+
+def _add_own_losses(
+    daemon: daemon_state.Daemon, suspicions: list[Suspicion], now_ms: int
+) -> None:
+    # This daemon may not ask the target again soon, and so not see its new boot id.
+    for target, noted_ms, _, death in suspicions:
+        if now_ms - noted_ms <= SETTLE_MS:
+            for fingerprint in sorted(_recently_lost(daemon.crashes, target, now_ms)):
+                _suspect(daemon, fingerprint, death, now_ms)
+
+
+def _recently_lost(
+    table: crashes.CrashTable, target: str, now_ms: int
+) -> dict[str, int]:
+    lost = table.lost.get(target, {})
+    return {f: at_ms for f, at_ms in lost.items() if now_ms - at_ms <= LOSS_KEPT_MS}
+
+
+def _suspect(
+    daemon: daemon_state.Daemon, fingerprint: str, death: str, now_ms: int
+) -> None:
+    table = daemon.crashes
+    subject = f"{fingerprint}@{death}"
+    known = daemon.facts.get(facts.FactKind.CRASH_COUNT, subject, now_ms)
+    if known is None and _may_publish(table, now_ms):
+        _publish(daemon, fingerprint, death, SUSPECTED, now_ms)
+        table.suspected.setdefault(fingerprint, set()).add(death)
+
+
+def _deaths(suspicions: list[Suspicion]) -> list[list[Suspicion]]:
+    deaths: list[list[Suspicion]] = []
+    for suspicion in suspicions:
+        last = deaths[-1][-1] if deaths else None
+        same_target = last is not None and last.target == suspicion.target
+        if same_target and suspicion.noted_ms - last.noted_ms <= SAME_DEATH_MS:
+            deaths[-1].append(suspicion)
+        else:
+            deaths.append([suspicion])
+    return deaths
 
 
 def _note_boot(
@@ -156,22 +212,21 @@
     table = daemon.crashes
     before = table.boots.get(target)
     table.boots[target] = boot_id
-    lost = table.lost.pop(target, {})
-    if before is None or before == boot_id:
-        # It lives: the connection was lost, not the target.
+    if before is None:
         return []
-    recent = {f for f, at_ms in lost.items() if now_ms - at_ms <= LOSS_KEPT_MS}
-    if not recent:
+    recent = _recently_lost(table, target, now_ms)
+    table.lost.pop(target, None)
+    if before == boot_id or not recent:
+        # It lives: connections were lost, not the target.
         return []
     # What has not ended yet may have been sent before the target died.
-    recent |= {fingerprint_of(content) for content in table.running_at(target)}
+    suspects = {fingerprint_of(content) for content in table.running_at(target)}
+    suspects.update(recent)
     daemon.counters.add("target_deaths_total")
-    death = f"{target}/{boot_id}"
-    for fingerprint in sorted(recent):
-        if _may_publish(table, now_ms):
-            _publish(daemon, fingerprint, death, SUSPECTED, now_ms)
-            table.suspected.setdefault(fingerprint, set()).add(death)
-    died = commands.log(log_events.TARGET_DIED, target=target, suspects=len(recent))
+    death = f"{target}@{boot_id}"
+    for fingerprint in sorted(suspects):
+        _suspect(daemon, fingerprint, death, now_ms)
+    died = commands.log(log_events.TARGET_DIED, target=target, suspects=len(suspects))
     return [died]
 
 
--- a/amaranthpulley/state/crashes.py
+++ b/amaranthpulley/state/crashes.py
@@ -33,8 +33,6 @@
         The boot id that each target last reported.
     suspected : dict of str to set of str
         By fingerprint the deaths that it may have caused.
-    seen_ms : dict of str to int
-        When each death became known.
     refused : frozenset of str
         Fingerprints of requests that are not taken on.
     """
@@ -43,7 +41,6 @@
         self.lost: dict[str, dict[str, int]] = {}
         self.boots: dict[str, str] = {}
         self.suspected: dict[str, set[str]] = {}
-        self.seen_ms: dict[str, int] = {}
         self.refused: frozenset[str] = frozenset()
         self.window_start_ms = 0
         self.published_in_window = 0
