--- a/amaranthpulley/coordination/configuring.py
+++ b/amaranthpulley/coordination/configuring.py
@@ -70,7 +70,7 @@
     if not daemon.configuration.suspended or not fresh:
         return []
     daemon.control.confirmations.add(address)
-    needed = min(CONFIRMATIONS, len(daemon.members.peers))
+    needed = min(CONFIRMATIONS, daemon.members.peer_count)
     if len(daemon.control.confirmations) < needed:
         return []
     return resume(daemon, "peers", now_ms)
--- a/amaranthpulley/coordination/exchanging.py
+++ b/amaranthpulley/coordination/exchanging.py
@@ -63,13 +63,13 @@
 
 def draw_peers(daemon: daemon_state.Daemon, count: int, random: Random) -> list[str]:
     """Return the addresses of live peers drawn by chance."""
-    peers = daemon.members.peers
-    if len(peers) <= count:
-        return [vm.address for vm in peers]
-    drawn: dict[str, None] = {}
+    table = daemon.members
+    if table.peer_count <= count:
+        return [vm.address for vm in table.peers]
+    drawn: dict[int, None] = {}
     while len(drawn) < count:
-        drawn[peers[int(random() * len(peers))].address] = None
-    return list(drawn)
+        drawn[int(random() * table.peer_count)] = None
+    return [table.peer_at(index).address for index in drawn]
 
 
 def push_soon(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
--- a/amaranthpulley/coordination/membership.py
+++ b/amaranthpulley/coordination/membership.py
@@ -44,7 +44,7 @@
     if control.next_list_ms and now_ms < control.last_list_ms + LIST_AGAIN_MS:
         return []
     control.last_list_ms = now_ms
-    known = len(daemon.members.live)
+    known = daemon.members.peer_count
     interval_ms = LIST_INTERVAL_MS + known * LIST_INTERVAL_PER_MEMBER_MS
     control.next_list_ms = now_ms + interval_ms
     return [commands.ListVms(LIST_TIMEOUT_MS)]
--- a/amaranthpulley/coordination/refreshing.py
+++ b/amaranthpulley/coordination/refreshing.py
@@ -116,7 +116,7 @@
     """
     if now_ms - daemon.control.suspended_since_ms < STORE_PATIENCE_MS:
         return False
-    return random() < STORE_READERS_AT_ONCE / len(daemon.members.live)
+    return random() < STORE_READERS_AT_ONCE / (1 + daemon.members.peer_count)
 
 
 HANDLERS: Final = {
--- a/amaranthpulley/state/facts.py
+++ b/amaranthpulley/state/facts.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import heapq
 import zlib
 from typing import Final, NamedTuple
 
@@ -55,14 +56,25 @@
     fact: Fact
     expires_ms: int
     checksum: int
+    bucket: int
+
+
+_Key = tuple[FactKind, str]
 
 
 class FactTable:
-    """The facts that have not expired."""
+    """The facts that have not expired; its work does not grow with their number."""
 
     def __init__(self) -> None:
-        self._entries: dict[tuple[FactKind, str], _Entry] = {}
-        self._news: dict[tuple[FactKind, str], None] = {}
+        self._entries: dict[_Key, _Entry] = {}
+        self._news: dict[_Key, None] = {}
+        self._buckets: list[dict[_Key, None]] = [{} for _ in range(DIGEST_BUCKETS)]
+        self._sums = [0] * DIGEST_BUCKETS
+        # Facts that are still passed on, and the heaps of when each one ends to be
+        # passed on and to be valid.
+        self._spreading: set[_Key] = set()
+        self._fading: list[tuple[int, _Key]] = []
+        self._expiring: list[tuple[int, _Key]] = []
 
     @property
     def has_news(self) -> bool:
@@ -83,8 +95,14 @@
         known = self._entries.get(key)
         if known is not None and known.fact.value >= fact.value:
             return False
-        text = f"{fact.kind.value}\n{fact.subject}\n{fact.value}"
-        self._entries[key] = _Entry(fact, expires_ms, zlib.crc32(text.encode()))
+        self._stop_spreading(key)
+        entry = _entry_of(fact, expires_ms)
+        self._entries[key] = entry
+        self._buckets[entry.bucket][key] = None
+        self._sums[entry.bucket] ^= entry.checksum
+        self._spreading.add(key)
+        heapq.heappush(self._fading, (expires_ms - SPREAD_MARGIN_MS, key))
+        heapq.heappush(self._expiring, (expires_ms, key))
         self._news[key] = None
         return True
 
@@ -95,7 +113,7 @@
 
     def current(self, now_ms: int) -> list[tuple[Fact, int]]:
         """Return the facts with the milliseconds that each one is still valid."""
-        self._expire(now_ms)
+        self._age(now_ms)
         return [
             (entry.fact, entry.expires_ms - now_ms) for entry in self._entries.values()
         ]
@@ -110,12 +128,8 @@
 
     def digest(self, now_ms: int) -> tuple[int, ...]:
         """Return a checksum of the facts in each bucket."""
-        self._expire(now_ms)
-        sums = [0] * DIGEST_BUCKETS
-        for entry in self._entries.values():
-            if entry.expires_ms - now_ms > SPREAD_MARGIN_MS:
-                sums[_bucket_of(entry)] ^= entry.checksum
-        return tuple(sums)
+        self._age(now_ms)
+        return tuple(self._sums)
 
     def differing(
         self, digest: tuple[int, ...], now_ms: int, limit: int, draw: float
@@ -137,24 +151,39 @@
         if own == digest:
             return ()
         entries = [
-            entry
-            for entry in self._entries.values()
-            if own[_bucket_of(entry)] != digest[_bucket_of(entry)]
+            self._entries[key]
+            for index, keys in enumerate(self._buckets)
+            if own[index] != digest[index]
+            for key in keys
         ]
         first = int(draw * len(entries)) if len(entries) > limit else 0
         return _spread((entries[first:] + entries[:first])[:limit], now_ms)
 
-    def _expire(self, now_ms: int) -> None:
-        over = [
-            key for key, entry in self._entries.items() if entry.expires_ms <= now_ms
-        ]
-        for key in over:
-            del self._entries[key]
-
-
-def _bucket_of(entry: _Entry) -> int:
-    text = f"{entry.fact.kind.value}\n{entry.fact.subject}"
-    return zlib.crc32(text.encode()) % DIGEST_BUCKETS
+    def _age(self, now_ms: int) -> None:
+        while self._fading and self._fading[0][0] <= now_ms:
+            fades_ms, key = heapq.heappop(self._fading)
+            entry = self._entries.get(key)
+            if entry is not None and entry.expires_ms - SPREAD_MARGIN_MS == fades_ms:
+                self._stop_spreading(key)
+        while self._expiring and self._expiring[0][0] <= now_ms:
+            expires_ms, key = heapq.heappop(self._expiring)
+            entry = self._entries.get(key)
+            if entry is not None and entry.expires_ms == expires_ms:
+                del self._entries[key]
+                del self._buckets[entry.bucket][key]
+
+    def _stop_spreading(self, key: _Key) -> None:
+        if key in self._spreading:
+            entry = self._entries[key]
+            self._sums[entry.bucket] ^= entry.checksum
+            self._spreading.discard(key)
+
+
+def _entry_of(fact: Fact, expires_ms: int) -> _Entry:
+    name = f"{fact.kind.value}\n{fact.subject}"
+    checksum = zlib.crc32(f"{name}\n{fact.value}".encode())
+    bucket = zlib.crc32(name.encode()) % DIGEST_BUCKETS
+    return _Entry(fact, expires_ms, checksum, bucket)
 
 
 def _spread(entries: list[_Entry], now_ms: int) -> tuple[SpreadFact, ...]:
--- a/amaranthpulley/state/members.py
+++ b/amaranthpulley/state/members.py
@@ -1,5 +1,6 @@
 """The daemons that a daemon knows of."""
 
+import bisect
 import enum
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -97,6 +98,7 @@
         self._ips: dict[str, int] = {own.ip: 1}
         self._ring = ring.Ring()
         self._ring.add(own.name)
+        self._live_names = [own.name]
         self._live: tuple[Vm, ...] | None = None
         self._peers: tuple[Vm, ...] | None = None
         self.version = 0
@@ -105,11 +107,7 @@
     def live(self) -> tuple[Vm, ...]:
         """The live daemons in ascending order of their names."""
         if self._live is None:
-            names = sorted(
-                name
-                for name, member in self._members.items()
-                if member.is_live or name == self._own.name
-            )
+            names = self._live_names
             self._live = tuple(self._members[name].vm for name in names)
         return self._live
 
@@ -121,6 +119,17 @@
             self._peers = tuple(vm for vm in self.live if vm.name != own)
         return self._peers
 
+    @property
+    def peer_count(self) -> int:
+        """The number of live daemons without the daemon itself."""
+        return len(self._live_names) - 1
+
+    def peer_at(self, index: int) -> Vm:
+        """Return a live daemon but the daemon itself, by its place among the names."""
+        own = bisect.bisect_left(self._live_names, self._own.name)
+        name = self._live_names[index + 1 if index >= own else index]
+        return self._members[name].vm
+
     def all(self) -> list[Member]:
         """Return every known member, also the dead ones."""
         return list(self._members.values())
@@ -184,9 +193,12 @@
         self.version += 1
         if name == self._own.name or was_live == is_live:
             return
+        place = bisect.bisect_left(self._live_names, name)
         if is_live:
+            self._live_names.insert(place, name)
             self._ring.add(name)
         else:
+            del self._live_names[place]
             self._ring.remove(name)
 
     def _forget_ip(self, ip: str) -> None:
