Measure a lost failure domain with leaves that stay cold for longer

The policy ramps a cold leaf up after 10 finished requests, which is just what the stand-in needs by default; one that needs 20 shows whether the ramp learns.

--- a/amaranthpulley/transport/bench/domain_loss.py
+++ b/amaranthpulley/transport/bench/domain_loss.py
@@ -2,13 +2,15 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import members
+from amaranthpulley.state import members, standin_leaf
 from amaranthpulley.transport.bench import measuring, sites, trial, workload
 
 LOAD: Final = 0.4
 LOST_S: Final = 5
 BACK_S: Final = 20
 END_S: Final = 40
+# Requests that a leaf finishes until it is warm.
+WARM_AFTER: Final = (10, 20)
 QUICK_S: Final = (1, 3, 5)
 # The balancer's health check finds a dead VM after this time.
 BALANCER_MS: Final = 1_000
@@ -18,6 +20,7 @@
     """What callers got in one second of a run."""
 
     policy: str
+    warm_after: int
     second: int
     sent: int
     useful: int
@@ -29,6 +32,8 @@
 
     Attributes
     ----------
+    warm_after : int
+        Requests that a leaf finishes until it is warm.
     unanswered : int
         Searches whose VM died with the failure domain.
     least_useful_share : float
@@ -46,6 +51,7 @@
 
     service: str
     policy: str
+    warm_after: int
     sent: int
     useful: int
     refused: int
@@ -65,11 +71,12 @@
     times = QUICK_S if quick else (LOST_S, BACK_S, END_S)
     totals: list[tuple] = []
     by_second: list[tuple] = []
-    for policy in (sites.PLAIN, sites.FULL):
-        running = _Loss(sites.DISPATCH, policy, seed, *times)
-        measured = running.trial.run()
-        totals.append(_total(running, measured))
-        by_second += _seconds(running, measured)
+    for warm_after in WARM_AFTER[:1] if quick else WARM_AFTER:
+        for policy in (sites.PLAIN, sites.FULL):
+            running = _Loss(sites.DISPATCH, policy, warm_after, seed, *times)
+            measured = running.trial.run()
+            totals.append(_total(running, measured))
+            by_second += _seconds(running, measured)
     return [*totals, *by_second]
 
 
@@ -80,12 +87,16 @@
         self,
         shape: sites.Shape,
         policy: sites.Policy,
+        warm_after: int,
         seed: int,
         lost_s: int,
         back_s: int,
         end_s: int,
     ) -> None:
         self.lost_s = lost_s
+        self.cold = standin_leaf.ColdMode(
+            workload.COLD_BOUND, warm_after, workload.COLD_SLOWNESS
+        )
         rate = workload.constant(
             LOAD * shape.capacity_per_second(workload.MEAN_SERVICE_MS)
         )
@@ -114,7 +125,7 @@
     def _come_back(self) -> None:
         self._site.links.cut.clear()
         for leaf in self._site.leaves_of(self._domain):
-            leaf.restart(workload.COLD)
+            leaf.restart(self.cold)
         for vm in self._vms:
             self._site.start_daemon(vm, life="2")
 
@@ -129,6 +140,7 @@
     return DomainLossRow(
         plan.shape.service,
         plan.policy.name,
+        running.cold.warm_after,
         measured.sent,
         measured.useful,
         measured.refused,
@@ -137,7 +149,7 @@
         sum(_useful_share(measured, second) < 0.95 for second in seconds),
         measured.latency_ms.quantile(0.99),
         measured.cold_runs,
-        workload.COLD.bears,
+        workload.COLD_BOUND,
         sum(leaf.falls for leaf in running.trial.site.leaves.values()),
         measured.mixed_answers,
         measured.coverage_errors,
@@ -149,6 +161,7 @@
     return [
         SecondRow(
             running.trial.plan.policy.name,
+            running.cold.warm_after,
             second - first,
             measured.sent_by_second[second],
             measured.useful_by_second[second],
--- a/amaranthpulley/transport/bench/plots.py
+++ b/amaranthpulley/transport/bench/plots.py
@@ -86,7 +86,12 @@
 def _draw_domain_loss(rows: Sequence[tuple]) -> Any:
     from matplotlib import pyplot
 
-    seconds = [row for row in rows if isinstance(row, domain_loss.SecondRow)]
+    seconds = [
+        row
+        for row in rows
+        if isinstance(row, domain_loss.SecondRow)
+        and row.warm_after == domain_loss.WARM_AFTER[0]
+    ]
     figure, (goodput, tail) = pyplot.subplots(
         2, 1, figsize=(WIDTH_INCHES, 1.4 * HEIGHT_INCHES), sharex=True
     )
--- a/amaranthpulley/transport/bench/tests/test_plots.py
+++ b/amaranthpulley/transport/bench/tests/test_plots.py
@@ -15,7 +15,7 @@
 
     def test_plot_by_second_is_a_picture(self) -> None:
         rows = [
-            domain_loss.SecondRow(policy.name, second, 10, 9, 100.0)
+            domain_loss.SecondRow(policy.name, 10, second, 10, 9, 100.0)
             for policy in (sites.PLAIN, sites.FULL)
             for second in range(3)
         ]
--- a/amaranthpulley/transport/bench/workload.py
+++ b/amaranthpulley/transport/bench/workload.py
@@ -13,7 +13,8 @@
 MEAN_SERVICE_MS: Final = 20.0
 SERVICE_SIGMA: Final = 0.5
 # How a leaf bears load after a restart.
-COLD: Final = standin_leaf.ColdMode(bears=1, warm_after=20, slowness=3)
+COLD_BOUND: Final = 1
+COLD_SLOWNESS: Final = 3
 CUSTOMER: Final = "bench"
 
 Rate = Callable[[int], float]
