--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -14,6 +14,7 @@
     members,
     orders,
     searches,
+    services,
     targets,
 )
 
@@ -47,6 +48,8 @@
     ----------
     maximum_requests_in_progress, maximum_row_count : int
         Requests at a time, and rows of one answer.
+    maximum_queued_searches : int
+        Searches of each service that wait to begin.
     store_timeout_ms : int
         Time to wait for the store's reply.
     journal_flush_ms : int
@@ -61,10 +64,17 @@
         Time after which a leaving daemon ends whatever is left.
     journal_life_first : bool
         Refuse requests until the store knows of the daemon's life.
+    order_retention_ms : int
+        How long an idempotency key is remembered, by the wall clocks of the daemons;
+        a repeat after that is a new order.
+    order_record_retention_ms : int
+        How long the records that came with the claims of orders stay in the store,
+        at least as long as their keys are remembered.
     """
 
     maximum_requests_in_progress: int = 1_000
     maximum_row_count: int = 100_000
+    maximum_queued_searches: int = 200
     store_timeout_ms: int = 500
     drain_grace_ms: int = 2_000
     drain_limit_ms: int = 30_000
@@ -73,6 +83,7 @@
     journal_when_full: journal.FullPolicy = journal.FullPolicy.REFUSE
     journal_life_first: bool = False
     order_retention_ms: int = 86_400_000
+    order_record_retention_ms: int = 7_776_000_000
 
 
 class Daemon:
@@ -91,6 +102,7 @@
         self.limits = limits
         self.configuration = configuration.Configuration()
         self.targets = targets.TargetTable()
+        self.services = services.ServiceTable()
         self.searches = searches.SearchTable()
         self.orders = orders.OrderTable()
         self.claims = claims.RangeTable()
