--- a/amaranthpulley/transport/bench/domain_loss.py
+++ b/amaranthpulley/transport/bench/domain_loss.py
@@ -80,6 +80,14 @@
     return [*totals, *by_second]
 
 
+def total_of(
+    shape: sites.Shape, policy: sites.Policy, seed: int, times_s: tuple[int, int, int]
+) -> DomainLossRow:
+    """Return the totals of one run; the times are those of loss, return and end."""
+    running = _Loss(shape, policy, WARM_AFTER[0], seed, *times_s)
+    return _total(running, running.trial.run())
+
+
 class _Loss:
     """A trial in which the first failure domain is lost and comes back."""
 
