--- a/amaranthpulley/coordination/tests/test_crash_blame.py
+++ b/amaranthpulley/coordination/tests/test_crash_blame.py
@@ -78,6 +78,21 @@
         _answer(state, "running", "boot-2")
         self.assertEqual(_suspects(state), {"lost"})
 
+    def test_suspicion_of_another_daemon_adds_what_was_lost_here(self) -> None:
+        state = _daemon()
+        _send(state, "lost")
+        _lose(state, "lost")
+        subject = f"another@{TARGET.name}@boot-2"
+        told = facts.Fact(facts.FactKind.CRASH_COUNT, subject, crash_blame.SUSPECTED)
+        state.facts.publish(told, 100 + crash_blame.FACT_VALID_MS)
+        due = events.TimerDue(crash_blame.ReviewDue())
+        crash_blame.review(state, due, 100, lambda: 0.0)
+        fingerprint = crash_blame.fingerprint_of(crashes.Content("stock", "lost", ""))
+        found = state.facts.get(
+            facts.FactKind.CRASH_COUNT, f"{fingerprint}@{TARGET.name}@boot-2", 100
+        )
+        self.assertIsNotNone(found)
+
     def test_facts_are_bounded_when_many_targets_die(self) -> None:
         state = _daemon()
         for number in range(2 * crash_blame.FACTS_PER_WINDOW):
