--- a/amaranthpulley/transport/tests/test_runtime.py
+++ b/amaranthpulley/transport/tests/test_runtime.py
@@ -10,8 +10,14 @@
 import eventlet  # noqa: E402
 
 from amaranthpulley.coordination import commands, engine, events  # noqa: E402
-from amaranthpulley.state import daemon, log_events, requests, topology  # noqa: E402
-from amaranthpulley.transport import runtime, system_clock  # noqa: E402
+from amaranthpulley.state import (  # noqa: E402
+    daemon,
+    hybrid_clock,
+    log_events,
+    requests,
+    topology,
+)
+from amaranthpulley.transport import runtime, stamping, system_clock  # noqa: E402
 
 _TARGET = topology.Target("leaf-1", "stock", 0, "s0", "Pokhara", "no address")
 _REQUEST = requests.SearchRequest("r1", "c", "stock", "query")
@@ -33,6 +39,7 @@
             mock.Mock(),
             mock.Mock(),
             lambda command: None,
+            stamping.stamping(hybrid_clock.HybridClock(), system_clock.system_clock()),
         )
 
     def test_error_in_a_decision_is_told_to_the_caller(self) -> None:
