--- a/amaranthpulley/state/ring.py
+++ b/amaranthpulley/state/ring.py
@@ -1,11 +1,13 @@
 """A consistent hash ring: the owner of a key in logarithmic time."""
 
 import bisect
+import functools
 import hashlib
 from collections.abc import Iterable
 from typing import Final
 
 POINTS_PER_MEMBER: Final = 16
+CACHED_MEMBERS: Final = 16_384
 
 
 class Ring:
@@ -40,8 +42,10 @@
         return self._points[index % len(self._points)][1]
 
 
-def _points_of(member: str) -> list[tuple[int, str]]:
-    return [(_hash(f"{member}\n{n}"), member) for n in range(POINTS_PER_MEMBER)]
+@functools.lru_cache(maxsize=CACHED_MEMBERS)
+def _points_of(member: str) -> tuple[tuple[int, str], ...]:
+    # Members come and go, and come again.
+    return tuple((_hash(f"{member}\n{n}"), member) for n in range(POINTS_PER_MEMBER))
 
 
 def _hash(text: str) -> int:
