--- a/amaranthpulley/transport/bench/control.py
+++ b/amaranthpulley/transport/bench/control.py
@@ -10,7 +10,7 @@
 from amaranthpulley.coordination import events, leasing, ticketing
 from amaranthpulley.protocol import peer_codec, store_api
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import topology
+from amaranthpulley.state import store, topology
 from amaranthpulley.transport import virtual_network, virtual_platform
 
 DAEMONS: Final = (8, 64, 512)
@@ -27,6 +27,7 @@
 LARGE_FLEET: Final = 256
 LARGE_FLEET_TICKETS: Final = 4
 RECOVERIES: Final = 10
+CONTROL_PREFIX: Final = "config/"
 DUTY: Final = "duty"
 STEP_MS: Final = 10
 
@@ -70,6 +71,9 @@
         self.network = virtual_network.VirtualNetwork(seed)
         self.network.delay = self._delay
         self.network.observe = self._observe
+        self.store_calls = 0
+        self._call_store = self.network.store.call
+        self.network.store.call = self._count_call
         self.accepted_ms: dict[int, int] = {}
         self.bytes: dict[str, int] = {}
         self.measures_bytes = False
@@ -112,6 +116,11 @@
         while not holds() and self.network.now_ms < end_ms:
             self.network.run_until(self.network.now_ms + STEP_MS)
 
+    def _count_call(self, operation: store.Operation, now_ms: int) -> store.Result:
+        key = getattr(operation, "key", getattr(operation, "prefix", ""))
+        self.store_calls += key.startswith(CONTROL_PREFIX)
+        return self._call_store(operation, now_ms)
+
     def _delay(self, sender: str, receiver: str) -> int:
         same = self._domains.get(sender) == self._domains.get(receiver)
         return NEAR_MS if same else FAR_MS
@@ -202,13 +211,13 @@
     size = len(fleet.network.daemons)
     fleet.bytes.clear()
     fleet.measures_bytes = True
-    calls, begun_ms = fleet.network.store.calls, fleet.network.now_ms
+    calls, begun_ms = fleet.store_calls, fleet.network.now_ms
     for _ in range(tickets):
         if changes:
             fleet.apply()
         fleet.network.run_until(fleet.network.now_ms + TICKET_INTERVAL_MS)
     seconds = (fleet.network.now_ms - begun_ms) / 1000
-    calls = fleet.network.store.calls - calls
+    calls = fleet.store_calls - calls
     sizes = [count / seconds for count in fleet.bytes.values()]
     fleet.measures_bytes = False
     cpu_ms = _cpu_ms(fleet, changes) / size
