--- a/amaranthpulley/coordination/cold.py
+++ b/amaranthpulley/coordination/cold.py
@@ -26,15 +26,16 @@
 FEED_TIMEOUT_MS: Final = 1_000
 FEED_MARGIN_MS: Final = 500
 RECHECK_MS: Final = 1_000
-ALONE_AFTER_MS: Final = 3_000
+ALONE_AFTER_MS: Final = 6_000
 ALONE_STEP_MS: Final = 1_000
 FACT_VALID_MS: Final = 60_000
 FACTS_READ_MS: Final = 200
 FIRST_PROBE_PAUSE_MS: Final = 50
-LONGEST_PROBE_PAUSE_MS: Final = 5_000
+MAXIMUM_DOUBLINGS: Final = 7
+LATE_ATTEMPT_MS: Final = 1_000
 RAMP_FINISHED: Final = 10
 RAMP_ANSWERED: Final = 200
-USUAL_FACTOR: Final = 2
+USUAL_FACTOR: Final = 1.5
 JUMP_FACTOR: Final = 5
 JUMP_ANSWERS: Final = 3
 COLD: Final = "cold"
@@ -75,18 +76,33 @@
     target: topology.Target,
     load: targets.TargetLoad,
     refused: bool,
+    sent_ms: int,
     now_ms: int,
 ) -> Commands:
-    """Compare a target's report with what is known, before it is entered."""
+    """Compare a target's report with what is known, before it is entered.
+
+    Parameters
+    ----------
+    daemon, target, load, now_ms
+        Whose report it is, and when it came.
+    refused : bool
+        The target refused the attempt that the report answers.
+    sent_ms : int
+        When that attempt was sent.
+    """
     state = daemon.targets.of(target.name)
-    known = state.load.boot_id if state.load is not None else load.boot_id
+    reported = state.load.boot_id if state.load is not None else load.boot_id
+    known = state.boot_id or reported
+    state.boot_id = load.boot_id
     if load.boot_id != known:
         return mark(daemon, target.name, False, now_ms)
     if refused and state.cold is not None:
         state.cold = state.cold._replace(limit=1, finished=0, answered=0)
     elif refused and load.busy_slots == 0:
         return mark(daemon, target.name, False, now_ms)
-    if state.cold is not None and state.cold.suspected:
+    # An answer from before the suspicion proves nothing.
+    cold = state.cold
+    if cold is not None and cold.suspected and sent_ms >= cold.since_ms:
         return _warm(daemon, target.name, now_ms)
     return []
 
@@ -100,9 +116,12 @@
 ) -> Commands:
     """Ramp up a cold target by an answer; notice a warm one that became slow."""
     state = daemon.targets.of(target.name)
-    usual_ms = max(state.latency_ms, median_ms)
+    if state.cold is not None and now_ms - elapsed_ms < state.cold.since_ms:
+        return []
     if state.cold is not None:
+        usual_ms = state.latency_ms or median_ms
         return _ramp(daemon, target, elapsed_ms <= USUAL_FACTOR * usual_ms, now_ms)
+    usual_ms = max(state.latency_ms, median_ms)
     if state.latency_ms == 0.0 or elapsed_ms <= JUMP_FACTOR * usual_ms:
         state.slow_answers = 0
         return []
@@ -113,16 +132,23 @@
     return mark(daemon, target.name, False, now_ms)
 
 
-def note_silence(daemon: daemon_state.Daemon, target: str, now_ms: int) -> Commands:
-    """Suspect a target that did not answer; pause longer after each failed probe."""
+def note_silence(
+    daemon: daemon_state.Daemon, target: str, timed_out: bool, now_ms: int
+) -> Commands:
+    """Suspect a target that did not answer; pause longer after each failed probe.
+
+    An attempt at a cold target that timed out may have been late on its way and run
+    there still, so that nothing is sent until it must be over.
+    """
     state = daemon.targets.of(target)
     if state.cold is None:
         return mark(daemon, target, True, now_ms)
-    if state.cold.suspected:
-        failed = min(state.cold.answered, 10)
-        state.cold = state.cold._replace(answered=state.cold.answered + 1)
-        pause_ms = min(FIRST_PROBE_PAUSE_MS << failed, LONGEST_PROBE_PAUSE_MS)
-        state.probe_at_ms = now_ms + pause_ms
+    failures = min(state.cold.failures, MAXIMUM_DOUBLINGS)
+    state.cold = state.cold._replace(failures=state.cold.failures + 1, lost=True)
+    pause_ms = FIRST_PROBE_PAUSE_MS << failures
+    if timed_out:
+        pause_ms = max(pause_ms, LATE_ATTEMPT_MS)
+    state.probe_at_ms = now_ms + pause_ms
     return []
 
 
@@ -164,8 +190,14 @@
         if fact.value <= state.cold_fact_value:
             continue
         state.cold_fact_value = fact.value
-        if fact.detail == COLD:
+        status, _, boot_id = fact.detail.partition(" ")
+        state.boot_id = boot_id or state.boot_id
+        if status == COLD:
             decided += _enter(daemon, fact.subject, state, False, now_ms)
+        elif state.cold is not None and state.cold.lost:
+            # This daemon has no open connection that would break at another restart.
+            state.cold = targets.ColdStart(now_ms, suspected=True, lost=True)
+            decided += leasing.want(daemon, lease_name(fact.subject), now_ms)
         elif state.cold is not None:
             decided += _clear(daemon, fact.subject, now_ms)
     return decided
@@ -204,7 +236,9 @@
     until_ms = now_ms + FEED_TIMEOUT_MS + FEED_MARGIN_MS
     if daemon.leases.holds(lease_name(target.name), until_ms):
         return True
-    return state.cold.suspected and now_ms >= _alone_at_ms(daemon, target.name, state)
+    if not state.cold.suspected or now_ms < daemon.leases.valid_until_ms:
+        return False
+    return now_ms >= _alone_at_ms(daemon, target.name, state)
 
 
 def _enter(
@@ -215,8 +249,8 @@
     now_ms: int,
 ) -> Commands:
     known = state.cold
-    boot_id = state.load.boot_id if state.load is not None else ""
-    state.cold = targets.ColdStart(now_ms, suspected, boot_id)
+    lost = suspected or (known is not None and known.lost)
+    state.cold = targets.ColdStart(now_ms, suspected, lost)
     state.slots = None
     state.probe_at_ms = now_ms
     if known is not None:
@@ -238,6 +272,8 @@
     state.cold = state.cold._replace(
         finished=state.cold.finished + 1 if usual else 0,
         answered=state.cold.answered + 1,
+        failures=0,
+        lost=False,
     )
     ripe = state.cold.finished >= RAMP_FINISHED or state.cold.answered >= RAMP_ANSWERED
     if not ripe:
@@ -266,11 +302,13 @@
 
 
 def _publish(
-    daemon: daemon_state.Daemon, target: str, detail: str, now_ms: int
+    daemon: daemon_state.Daemon, target: str, status: str, now_ms: int
 ) -> None:
     state = daemon.targets.of(target)
     value = max(daemon.wall_ms(now_ms), state.cold_fact_value + 1)
     state.cold_fact_value = value
+    # With the boot id no daemon takes the same start for another one.
+    detail = f"{status} {state.boot_id}"
     fact = facts.Fact(facts.FactKind.TARGET_COLD, target, value, detail)
     daemon.facts.publish(fact, now_ms + FACT_VALID_MS)
 
--- a/amaranthpulley/coordination/fanout.py
+++ b/amaranthpulley/coordination/fanout.py
@@ -23,6 +23,7 @@
 LAST_REPLICA_FACTOR: Final = 2
 SHORTEST_TIMEOUT_MS: Final = 50
 LATENCY_WEIGHT: Final = 0.2
+LATENCY_CLIP: Final = 3
 SHORTEST_ROOM_CHECK_MS: Final = 5
 
 
@@ -187,20 +188,26 @@
     learnt: Commands = []
     if event.load is not None:
         refused = failure is events.Failure.REFUSED
-        learnt += cold.note_load(daemon, target, event.load, refused, now_ms)
+        learnt += cold.note_load(
+            daemon, target, event.load, refused, attempt.sent_ms, now_ms
+        )
         daemon.targets.report(target.name, event.load)
         state.reported_ms = now_ms
     if failure is None:
         learnt += cold.note_answer(daemon, target, elapsed_ms, median_ms, now_ms)
         limits.note_answer(state, target, now_ms)
-        _observe(daemon, state, service, elapsed_ms, now_ms)
+        daemon.services.of(service).latency.observe(elapsed_ms)
+    if failure is None or failure is events.Failure.CANCELLED:
+        _learn_latency(state, elapsed_ms, now_ms)
     state.in_flight -= 1
     if failure is events.Failure.REFUSED:
         daemon.counters.add("attempts_refused_total", service=service)
         limits.note_refusal(state, median_ms, now_ms, random)
     elif failure in retrying.SILENCES:
-        learnt += cold.note_silence(daemon, target.name, now_ms)
-        _observe(daemon, state, service, elapsed_ms, now_ms)
+        timed_out = failure is events.Failure.TIMED_OUT
+        learnt += cold.note_silence(daemon, target.name, timed_out, now_ms)
+        _learn_latency(state, elapsed_ms, now_ms)
+        daemon.services.of(service).latency.observe(elapsed_ms)
     return learnt
 
 
@@ -230,18 +237,17 @@
     return daemon.services.of(service).latency.quantile_ms(TAIL, default_ms)
 
 
-def _observe(
-    daemon: daemon_state.Daemon,
-    state: targets.TargetState,
-    service: str,
-    elapsed_ms: int,
-    now_ms: int,
-) -> None:
-    daemon.services.of(service).latency.observe(elapsed_ms)
+def _learn_latency(state: targets.TargetState, elapsed_ms: int, now_ms: int) -> None:
+    """Follow a target's latency; a cancelled attempt took at least so long."""
+    state.latency_at_ms = now_ms
+    if state.cold is not None:
+        # What it takes while cold is compared with what it took before.
+        return
     if state.latency_ms == 0.0:
         state.latency_ms = float(max(1, elapsed_ms))
-    state.latency_ms += LATENCY_WEIGHT * (elapsed_ms - state.latency_ms)
-    state.latency_at_ms = now_ms
+    # A straggler says little of the next answer.
+    clipped_ms = min(elapsed_ms, LATENCY_CLIP * state.latency_ms)
+    state.latency_ms += LATENCY_WEIGHT * (clipped_ms - state.latency_ms)
 
 
 def _still_waits(search: searches.Search, waiting: services.WaitingAttempt) -> bool:
--- a/amaranthpulley/coordination/limits.py
+++ b/amaranthpulley/coordination/limits.py
@@ -72,7 +72,7 @@
     if state.cold is not None:
         return cold.room(daemon, target, state, now_ms)
     limit = target.slots if state.slots is None else state.slots
-    if state.load is None:
+    if not state.is_proven:
         limit = 1
     elif state.slots is not None and now_ms >= state.probe_at_ms:
         limit += 1
@@ -96,6 +96,7 @@
 ) -> None:
     """Raise a target's limit to what is in flight with the answered attempt."""
     state.refusals = 0
+    state.is_proven = True
     if state.slots is None:
         return
     state.slots = max(state.slots, state.in_flight)
--- a/amaranthpulley/coordination/routing.py
+++ b/amaranthpulley/coordination/routing.py
@@ -13,6 +13,7 @@
 # A latency older than this says nothing; the target gets a chance to show another.
 LATENCY_VALID_MS: Final = 5_000
 REPORT_VALID_MS: Final = 50
+FEED_INTERVAL_MS: Final = 20
 LATENCY_STEP: Final = 1.5
 
 
@@ -187,6 +188,9 @@
     state = daemon.targets.of(target.name)
     latency_ms = state.latency_ms
     age_ms = now_ms - state.latency_at_ms
+    if state.cold is not None and age_ms >= FEED_INTERVAL_MS:
+        # Only work warms it up, and it would lose every comparison.
+        return 0.0
     if latency_ms == 0.0 or age_ms > LATENCY_VALID_MS:
         latency_ms = float(limits.median_ms(daemon, target.service))
     waiting = state.in_flight
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -34,22 +34,25 @@
     suspected : bool
         True while all that is known is that the target did not answer; an answer
         under the old boot id clears it.
-    boot_id : str
-        The boot id known before; empty when there was none.
+    lost : bool
+        This daemon has lost its connections and had no answer since.
     limit : int
         Attempts at a time that the daemon that feeds it may send.
     finished : int
         Attempts that it has answered at this limit as fast as a warm target does.
     answered : int
         Attempts that it has answered at this limit.
+    failures : int
+        Attempts that it did not answer.
     """
 
     since_ms: int
     suspected: bool
-    boot_id: str
+    lost: bool = False
     limit: int = 1
     finished: int = 0
     answered: int = 0
+    failures: int = 0
 
 
 class TargetState:
@@ -81,6 +84,10 @@
         Answers in a row that took far longer than the average.
     was_out : bool
         Operators had taken it out of service when it was last looked at.
+    is_proven : bool
+        It has answered this daemon.
+    boot_id : str
+        The boot id last heard of, from the target or from a peer; empty for none.
     cold : ColdStart or None
         None while it counts as warm.
     cold_fact_value : int
@@ -100,6 +107,8 @@
         self.probe_at_ms = 0
         self.slow_answers = 0
         self.was_out = False
+        self.boot_id = ""
+        self.is_proven = False
         self.cold: ColdStart | None = None
         self.cold_fact_value = 0
 
--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/virtual_targets.py
@@ -19,6 +19,19 @@
 Reply = Callable[[events.Event], None]
 
 
+class Link:
+    """The open connections between a daemon and a leaf.
+
+    Attributes
+    ----------
+    boot_id : str
+        The leaf's boot id when they were opened; empty until something arrives.
+    """
+
+    def __init__(self) -> None:
+        self.boot_id = ""
+
+
 class VirtualTargets:
     """The stand-in leaves of a `VirtualNetwork`, by address.
 
@@ -44,7 +57,7 @@
         self.duplicates = 0.0
         self.reached: set[str] = set()
         self._network = network
-        self._connected_boots: dict[tuple[str, str, str], str] = {}
+        self._links: dict[tuple[str, str, str], Link] = {}
         self._running: dict[str, Callable[[], None]] = {}
         self._replies: dict[str, Reply] = {}
         self._cancelled_ms: dict[str, int] = {}
@@ -57,6 +70,7 @@
         own = daemon.state.identity.address
         address = command.target.address
         ended = False
+        link = self._links.setdefault(_ends(daemon, address), Link())
 
         def end(event: events.Event) -> None:
             nonlocal ended
@@ -64,7 +78,7 @@
                 ended = True
                 self._cancelled_ms.pop(command.attempt_id, None)
                 network.feed(daemon, event)
-                self._drop_connection(daemon, command, event)
+                self._drop_link(daemon, address, link, event)
 
         def send_back(event: events.Event) -> None:
             back_ms = network.delay(address, own)
@@ -86,14 +100,21 @@
 
         there_ms = network.delay(own, address)
         if there_ms is not None:
-            network.after(there_ms, lambda: self._arrive(daemon, command, send_back))
+            network.after(
+                there_ms, lambda: self._arrive(daemon, command, link, send_back)
+            )
         network.after(command.timeout_ms, time_out)
 
     def connect(self, daemon: virtual_network.VirtualDaemon, address: str) -> None:
         """Open a daemon's connection to a leaf."""
-        identity = daemon.state.identity
-        connection = identity.name, identity.life, address
-        self._connected_boots[connection] = self.leaves[address].boot_id
+        link = self._links.setdefault(_ends(daemon, address), Link())
+        link.boot_id = self.leaves[address].boot_id
+
+    def break_connections(self, address: str) -> None:
+        """Let all connections to a leaf be lost without the leaf's doing."""
+        for ends, link in self._links.items():
+            if ends[2] == address:
+                link.boot_id = "broken"
 
     def cancel(
         self, daemon: virtual_network.VirtualDaemon, command: commands.CancelAttempt
@@ -109,6 +130,7 @@
         self,
         daemon: virtual_network.VirtualDaemon,
         command: commands.SendAttempt,
+        link: Link,
         reply: Reply,
     ) -> None:
         leaf = self.leaves.get(command.target.address)
@@ -116,7 +138,9 @@
         if leaf is None:
             reply(events.AttemptFailed(command.attempt_id, failures.UNREACHABLE))
             return
-        if self._connection_is_stale(daemon, command, leaf):
+        link.boot_id = link.boot_id or leaf.boot_id
+        if link.boot_id != leaf.boot_id:
+            # It was sent over a connection to the leaf before its restart.
             reply(events.AttemptFailed(command.attempt_id, failures.CONNECTION_LOST))
             return
         if leaf.faults.lost:
@@ -130,35 +154,24 @@
         else:
             self._work(leaf, command, reply)
 
-    def _connection_is_stale(
+    def _drop_link(
         self,
         daemon: virtual_network.VirtualDaemon,
-        command: commands.SendAttempt,
-        leaf: standin_leaf.StandInLeaf,
-    ) -> bool:
-        identity = daemon.state.identity
-        connection = identity.name, identity.life, command.target.address
-        before = self._connected_boots.setdefault(connection, leaf.boot_id)
-        if before == leaf.boot_id:
-            return False
-        return before != leaf.boot_id
-
-    def _drop_connection(
-        self,
-        daemon: virtual_network.VirtualDaemon,
-        command: commands.SendAttempt,
+        address: str,
+        link: Link,
         event: events.Event,
     ) -> None:
         failure = getattr(event, "failure", None)
         if failure not in (events.Failure.CONNECTION_LOST, events.Failure.TIMED_OUT):
             return
-        identity = daemon.state.identity
-        connection = identity.name, identity.life, command.target.address
-        # A paused daemon notices the loss, and opens a fresh one, once it goes on.
-        noticed_ms = max(self._network.now_ms, daemon.paused_until_ms)
-        self._network.at(
-            noticed_ms, lambda: self._connected_boots.pop(connection, None)
-        )
+        ends = _ends(daemon, address)
+
+        def drop() -> None:
+            if self._links.get(ends) is link:
+                del self._links[ends]
+
+        # A paused daemon notices the loss, and opens another one, once it goes on.
+        self._network.at(max(self._network.now_ms, daemon.paused_until_ms), drop)
 
     def _work(
         self,
@@ -206,6 +219,11 @@
             stop()
 
 
+def _ends(daemon: virtual_network.VirtualDaemon, address: str) -> tuple[str, str, str]:
+    identity = daemon.state.identity
+    return identity.name, identity.life, address
+
+
 def _text_of(call: commands.SearchCall | commands.OrderCall) -> str:
     return call.payload if isinstance(call, commands.OrderCall) else call.query
 
