--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/virtual_targets.py
@@ -89,12 +89,10 @@
                 network.after(back_ms + 1, lambda: network.feed(daemon, event))
 
         def time_out() -> None:
-            cancelled_ms = self._cancelled_ms.get(command.attempt_id)
-            if cancelled_ms is not None:
-                grace_ms = cancelled_ms + CANCEL_GRACE_MS - network.now_ms
-                if grace_ms > 0:
-                    network.after(grace_ms, time_out)
-                    return
+            grace_ms = self._grace_ms(command.attempt_id)
+            if grace_ms > 0:
+                network.after(grace_ms, time_out)
+                return
             timed_out = events.Failure.TIMED_OUT
             end(events.AttemptFailed(command.attempt_id, timed_out))
 
@@ -105,6 +103,13 @@
             )
         network.after(command.timeout_ms, time_out)
 
+    def _grace_ms(self, attempt_id: str) -> int:
+        """Return the time that a cancelled attempt's target still has to confirm."""
+        cancelled_ms = self._cancelled_ms.get(attempt_id)
+        if cancelled_ms is None:
+            return 0
+        return cancelled_ms + CANCEL_GRACE_MS - self._network.now_ms
+
     def connect(self, daemon: virtual_network.VirtualDaemon, address: str) -> None:
         """Open a daemon's connection to a leaf."""
         link = self._links.setdefault(_ends(daemon, address), Link())
