--- a/amaranthpulley/transport/tests/test_customer_export.py
+++ b/amaranthpulley/transport/tests/test_customer_export.py
@@ -121,6 +121,15 @@
     @hypothesis.settings(
         derandomize=True, deadline=None, database=None, max_examples=150
     )
+    @hypothesis.example(
+        [
+            Step(0, "drain", "vm-1", "forno", "stock", 1),
+            Step(2_051, "search", "vm-1", "forno", "stock", 1),
+        ],
+        0,
+        0,
+        journal.FullPolicy.REFUSE,
+    )
     @hypothesis.given(
         STEPS,
         strategies.integers(0, 5),
