Open a fresh connection after a silent one, and know a cancelled attempt

Cause: an attempt that timed out left its idle neighbours in the pool, so that the next one could go silent too; a target's "cancelled" would have been read as a refusal, which says "not run". Ruled out: blaming the target for the first silence alone.

--- a/amaranthpulley/protocol/leaf_api.py
+++ b/amaranthpulley/protocol/leaf_api.py
@@ -1,6 +1,6 @@
 """The JSON messages between a daemon and the targets."""
 
-from typing import NotRequired, TypedDict
+from typing import Final, NotRequired, TypedDict
 
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import errors, json_codec
@@ -61,13 +61,23 @@
 
 
 class RefusalBody(TypedDict):
-    """Answer of a target that ran nothing: ``"shed"`` or ``"version_gone"``."""
+    """Answer of a target without a result.
+
+    ``"shed"`` and ``"version_gone"`` say that nothing ran; after ``"cancelled"`` a part
+    may have run.
+    """
 
     attempt_id: str
     code: str
     load: LoadBody
 
 
+_FAILURES: Final = {
+    failure.value: failure
+    for failure in (events.Failure.VERSION_GONE, events.Failure.CANCELLED)
+}
+
+
 def encode_call(command: commands.SendAttempt) -> bytes:
     """Return the request body that carries an attempt to its target."""
     call = command.call
@@ -120,8 +130,7 @@
 def decode_refusal(body: bytes) -> tuple[str, events.Failure, LoadBody]:
     """Return the attempt, the failure and the load of a target's refusal."""
     message = json_codec.decode(body, RefusalBody)
-    gone = message["code"] == events.Failure.VERSION_GONE.value
-    failure = events.Failure.VERSION_GONE if gone else events.Failure.REFUSED
+    failure = _FAILURES.get(message["code"], events.Failure.REFUSED)
     return message["attempt_id"], failure, message["load"]
 
 
--- a/amaranthpulley/transport/target_client.py
+++ b/amaranthpulley/transport/target_client.py
@@ -37,6 +37,7 @@
         ):
             return _failed(command, events.Failure.UNREACHABLE)
         except urllib3.exceptions.ReadTimeoutError:
+            self._drop_idle(command.target)
             return _failed(command, events.Failure.TIMED_OUT)
         except (urllib3.exceptions.HTTPError, OSError):
             return _failed(command, events.Failure.CONNECTION_LOST)
@@ -69,6 +70,16 @@
             retries=False,
         )
 
+    def _drop_idle(self, target: topology.Target) -> None:
+        """Close a target's idle connections, so that the next attempt opens one.
+
+        What has lost track of one connection has lost track of its neighbours too, so
+        that a fresh one is tried before the target is blamed.
+        """
+        pool = self._pools.pop(target.address, None)
+        if pool is not None:
+            pool.close()
+
     def _pool(self, target: topology.Target) -> urllib3.HTTPConnectionPool:
         pool = self._pools.get(target.address)
         if pool is None:
