--- a/amaranthpulley/coordination/admission.py
+++ b/amaranthpulley/coordination/admission.py
@@ -63,7 +63,7 @@
         return _refusal(codes.CRASHES_TARGETS, "each target that ran it has crashed")
     if request.deadline_ms is not None and request.deadline_ms <= 0:
         return _refusal(codes.DEADLINE_PASSED, "the deadline had passed on arrival")
-    if daemon.requests_in_progress >= daemon.limits.maximum_requests_in_progress:
+    if _is_overloaded(daemon, now_ms):
         return _refusal(codes.OVERLOADED, "too many requests at once; try again later")
     return _admitted(service, request.deadline_ms, now_ms)
 
@@ -77,6 +77,17 @@
     return Admitted(service, now_ms + soft_ms, now_ms + hard_ms)
 
 
+def _is_overloaded(daemon: daemon_state.Daemon, now_ms: int) -> bool:
+    # Heartbeats and lease renewals run on the same loop: taking on more than it gets
+    # through would let the peers hold this daemon dead.
+    limits = daemon.limits
+    late_ms = daemon.lateness.recent_ms(now_ms)
+    if late_ms > limits.maximum_lateness_ms:
+        daemon.counters.add("requests_refused_late_total")
+        return True
+    return daemon.requests_in_progress >= limits.maximum_requests_in_progress
+
+
 def _refuse_any(daemon: daemon_state.Daemon) -> requests.Refusal:
     codes = requests.RefusalCode
     if daemon.draining:
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -38,6 +38,7 @@
     watching,
 )
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import lateness
 
 Random = Callable[[], float]
 Handler = Callable[
@@ -99,6 +100,10 @@
     list of Command
         What is to be done, in this order.
     """
+    if isinstance(event, events.TimerDue) and event.due_ms is not None:
+        late_ms = now_ms - event.due_ms
+        daemon.lateness.note(late_ms, now_ms)
+        daemon.counters.add("timers_total", late_ms=lateness.bound_of(late_ms))
     decided = refreshing.notice_pause(daemon, now_ms, random)
     if isinstance(event, events.PeerCalled):
         refused = membership.refuse_stranger(daemon, event, now_ms)
--- a/amaranthpulley/coordination/events.py
+++ b/amaranthpulley/coordination/events.py
@@ -70,9 +70,18 @@
 
 
 class TimerDue(NamedTuple):
-    """A timer set with `commands.SetTimer` ran out; the purpose tells which."""
+    """A timer set with `commands.SetTimer` ran out; the purpose tells which.
+
+    Attributes
+    ----------
+    purpose : NamedTuple
+        As given with the command.
+    due_ms : int or None
+        The reading of the clock for which it was set; None when it does not matter.
+    """
 
     purpose: tuple
+    due_ms: int | None = None
 
 
 class StoreReplied(NamedTuple):
--- /dev/null
+++ b/amaranthpulley/coordination/tests/test_admission.py
@@ -0,0 +1,43 @@
+"""Tests of whether a request is taken on."""
+
+import unittest
+
+from amaranthpulley.coordination import admission, engine, events
+from amaranthpulley.state import daemon, requests, topology
+
+_SERVICE = topology.Service("stock", topology.ServiceKind.SEARCH)
+_REQUEST = requests.SearchRequest("r1", "c", "stock", "query")
+
+
+class _Tick(tuple):
+    """Purpose of a timer that nobody handles."""
+
+
+class AdmissionTest(unittest.TestCase):
+    """Requests while the loop is late."""
+
+    def setUp(self) -> None:
+        identity = daemon.Identity("vm-1", "10.0.0.1:1", "Pokhara", "Pokhara", "l1")
+        self.daemon = daemon.Daemon(identity, daemon.Limits())
+        ticket = topology.ChangeTicket(1, services=(_SERVICE,))
+        self.daemon.configuration.apply(ticket)
+
+    def _admit(self, now_ms: int) -> object:
+        return admission.admit(
+            self.daemon, _REQUEST, topology.ServiceKind.SEARCH, now_ms
+        )
+
+    def _handle_timer(self, due_ms: int, now_ms: int) -> None:
+        due = events.TimerDue(_Tick(), due_ms)
+        with self.assertRaises(engine.errors.UnknownEventError):
+            engine.step(self.daemon, due, now_ms, lambda: 0.5)
+
+    def test_late_loop_takes_nothing_on_until_it_has_caught_up(self) -> None:
+        limit_ms = self.daemon.limits.maximum_lateness_ms
+        self._handle_timer(due_ms=0, now_ms=limit_ms)
+        self.assertIsInstance(self._admit(limit_ms), admission.Admitted)
+        self._handle_timer(due_ms=0, now_ms=limit_ms + 1)
+        refusal = self._admit(limit_ms + 1)
+        self.assertIs(refusal.code, requests.RefusalCode.OVERLOADED)
+        self.assertTrue(refusal.not_run)
+        self.assertIsInstance(self._admit(limit_ms + 2_001), admission.Admitted)
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -44,6 +44,7 @@
     """Bounds on what a daemon takes on; each has a default."""
 
     maximum_requests_in_progress: NotRequired[Count]
+    maximum_lateness_ms: NotRequired[Milliseconds]
     maximum_row_count: NotRequired[Count]
     maximum_queued_searches: NotRequired[Count]
     store_timeout_ms: NotRequired[Milliseconds]
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -10,6 +10,7 @@
     crashes,
     facts,
     journal,
+    lateness,
     leases,
     members,
     orders,
@@ -50,6 +51,8 @@
         Requests at a time, and rows of one answer.
     maximum_queued_searches : int
         Searches of each service that wait to begin.
+    maximum_lateness_ms : int
+        Lateness of the loop above which no request is taken on.
     store_timeout_ms : int
         Time to wait for the store's reply.
     journal_flush_ms : int
@@ -73,6 +76,7 @@
     """
 
     maximum_requests_in_progress: int = 1_000
+    maximum_lateness_ms: int = 250
     maximum_row_count: int = 100_000
     maximum_queued_searches: int = 200
     store_timeout_ms: int = 500
@@ -120,6 +124,7 @@
         self.journal = journal.Journal()
         self.leases = leases.LeaseTable()
         self.control = control.ControlState()
+        self.lateness = lateness.Lateness()
         self.wall_offset_ms = 0
         self.leaving = False
         self.draining = False
--- /dev/null
+++ b/amaranthpulley/state/tests/test_lateness.py
@@ -0,0 +1,24 @@
+"""Tests of how the loop's lateness is remembered."""
+
+import unittest
+
+from amaranthpulley.state import lateness
+
+
+class LatenessTest(unittest.TestCase):
+    """The greatest lateness of late."""
+
+    def test_is_remembered_for_one_to_two_windows(self) -> None:
+        cases = {0: 300, 999: 300, 1_000: 300, 1_999: 300, 2_000: 0, 9_000: 0}
+        for now_ms, expected in cases.items():
+            with self.subTest(now_ms=now_ms):
+                late = lateness.Lateness()
+                late.note(20, 0)
+                late.note(300, 0)
+                late.note(10, 0)
+                self.assertEqual(late.recent_ms(now_ms), expected)
+
+    def test_pause_of_the_process_does_not_count(self) -> None:
+        late = lateness.Lateness()
+        late.note(lateness.LONGEST_MS + 1, 0)
+        self.assertEqual(late.recent_ms(0), 0)
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -163,7 +163,7 @@
 
     def _set_timer(self, command: commands.SetTimer) -> None:
         wait_ms = max(0, command.due_ms - self._clock.monotonic_ms())
-        due = events.TimerDue(command.purpose)
+        due = events.TimerDue(command.purpose, command.due_ms)
         eventlet.spawn_after(wait_ms / 1000, self.feed, due)
 
     def _call_store(self, command: commands.CallStore) -> None:
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/virtual_network.py
@@ -199,7 +199,7 @@
             case commands.AnswerCaller():
                 self.answers.append(Answered(self.now_ms, name, command))
             case commands.SetTimer():
-                due = events.TimerDue(command.purpose)
+                due = events.TimerDue(command.purpose, command.due_ms)
                 self.at(command.due_ms, lambda: self.feed(daemon, due))
             case commands.CallStore():
                 self.platform.call_store(daemon, command)
