--- a/amaranthpulley/transport/stamping.py
+++ b/amaranthpulley/transport/stamping.py
@@ -30,3 +30,6 @@
         give=lambda: stamps.tick(clock.wall_ms()),
         observe=lambda stamp: stamps.observe(stamp, clock.wall_ms()),
     )
+
+
+NO_STAMPS: Final = Stamping(give=lambda: 0, observe=lambda stamp: None)
--- a/amaranthpulley/transport/target_client.py
+++ b/amaranthpulley/transport/target_client.py
@@ -22,7 +22,7 @@
         Gives the hybrid stamp of each request.
     """
 
-    def __init__(self, stamps: stamping.Stamping) -> None:
+    def __init__(self, stamps: stamping.Stamping = stamping.NO_STAMPS) -> None:
         self._stamps = stamps
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
 
