Let a daemon that starts learn which targets its peers suspect

Cause, traced by the red tests of a returning failure domain: a daemon that has just started has no report of any target, and sent to cold leaves without their lease. Ruled out: a lease for every first contact (a daemon that starts with the store down would use no target for seconds); publishing suspicions to all (one bad link would close a target for everyone). Now suspicions are spread, only daemons without a report of the target take them over, and a daemon that starts hears one peer, for at most a second, before it routes.

--- a/amaranthpulley/coordination/cold.py
+++ b/amaranthpulley/coordination/cold.py
@@ -8,10 +8,11 @@
 so that the bound counts all daemons together. An attempt at a cold target ends before
 the lease of its sender can, also when the sender is paused.
 
-A lost connection or a timeout makes a target suspected, for this daemon alone: it may
-have restarted. The next attempt goes through the lease too. An answer under the old
-boot id clears the suspicion. While no lease can be had, daemons try a suspected target
-alone, one after another by rendezvous rank.
+A lost connection or a timeout makes a target suspected: it may have restarted. The next
+attempt goes through the lease too. The peers are told, but only a daemon that has no
+report of the target yet, since it has just started, takes the suspicion over. An answer
+under the old boot id clears it. While no lease can be had, daemons try a suspected
+target alone, one after another by rendezvous rank.
 """
 
 from collections.abc import Iterable
@@ -29,6 +30,7 @@
 ALONE_AFTER_MS: Final = 6_000
 ALONE_STEP_MS: Final = 1_000
 FACT_VALID_MS: Final = 60_000
+SUSPICION_VALID_MS: Final = 30_000
 FACTS_READ_MS: Final = 200
 FIRST_PROBE_PAUSE_MS: Final = 50
 MAXIMUM_DOUBLINGS: Final = 7
@@ -142,6 +144,7 @@
     """
     state = daemon.targets.of(target)
     if state.cold is None:
+        _publish_suspicion(daemon, target, now_ms)
         return mark(daemon, target, True, now_ms)
     failures = min(state.cold.failures, MAXIMUM_DOUBLINGS)
     state.cold = state.cold._replace(failures=state.cold.failures + 1, lost=True)
@@ -184,6 +187,8 @@
     daemon.targets.facts_read_ms = now_ms
     decided: Commands = []
     for fact, _ in daemon.facts.current(now_ms):
+        if fact.kind is facts.FactKind.TARGET_SUSPECTED:
+            decided += _take_suspicion(daemon, fact.subject, now_ms)
         if fact.kind is not facts.FactKind.TARGET_COLD:
             continue
         state = daemon.targets.of(fact.subject)
@@ -215,6 +220,8 @@
     decided = learn_facts(daemon, now_ms)
     if state.cold is None:
         return decided
+    if state.cold.suspected:
+        _renew_suspicion(daemon, target, now_ms)
     name = lease_name(target)
     if daemon.leases.holds(name, now_ms):
         if not state.cold.suspected:
@@ -301,6 +308,27 @@
     ]
 
 
+def _take_suspicion(daemon: daemon_state.Daemon, target: str, now_ms: int) -> Commands:
+    state = daemon.targets.of(target)
+    # Who has an answer of the target knows better than a peer with a bad link.
+    if state.load is not None or state.cold is not None:
+        return []
+    return mark(daemon, target, True, now_ms)
+
+
+def _renew_suspicion(daemon: daemon_state.Daemon, target: str, now_ms: int) -> None:
+    in_half_its_time_ms = now_ms + SUSPICION_VALID_MS // 2
+    kind = facts.FactKind.TARGET_SUSPECTED
+    if daemon.facts.get(kind, target, in_half_its_time_ms) is None:
+        _publish_suspicion(daemon, target, now_ms)
+
+
+def _publish_suspicion(daemon: daemon_state.Daemon, target: str, now_ms: int) -> None:
+    kind = facts.FactKind.TARGET_SUSPECTED
+    fact = facts.Fact(kind, target, daemon.wall_ms(now_ms))
+    daemon.facts.publish(fact, now_ms + SUSPICION_VALID_MS)
+
+
 def _publish(
     daemon: daemon_state.Daemon, target: str, status: str, now_ms: int
 ) -> None:
--- a/amaranthpulley/coordination/configuring.py
+++ b/amaranthpulley/coordination/configuring.py
@@ -14,6 +14,7 @@
 Commands = list[commands.Command]
 
 CONFIRMATIONS: Final = 2
+PEER_PATIENCE_MS: Final = 1_000
 _LOGGED_TICKETS: Final = 10
 
 
@@ -76,6 +77,17 @@
     return resume(daemon, "peers", now_ms)
 
 
+def waits_for_facts(daemon: daemon_state.Daemon, now_ms: int) -> bool:
+    """Tell whether a daemon that has just started should hear a peer first.
+
+    Only the peers know which targets are cold or suspected.
+    """
+    state = daemon.control
+    if state.heard_peer or daemon.members.peer_count == 0:
+        return False
+    return now_ms - state.suspended_since_ms < PEER_PATIENCE_MS
+
+
 def resume(daemon: daemon_state.Daemon, source: str, now_ms: int) -> Commands:
     """Let targets take work again."""
     if not daemon.configuration.suspended:
--- a/amaranthpulley/coordination/exchanging.py
+++ b/amaranthpulley/coordination/exchanging.py
@@ -130,6 +130,7 @@
     if isinstance(reply, events.PeerFailure):
         daemon.counters.add("peer_calls_failed_total", failure=reply.value)
         return []
+    daemon.control.heard_peer = True
     decided = _merge_facts(daemon, reply.facts, now_ms)
     lacking = daemon.facts.differing(
         reply.facts_digest, now_ms, MAXIMUM_FACTS, random()
--- a/amaranthpulley/coordination/watching.py
+++ b/amaranthpulley/coordination/watching.py
@@ -183,6 +183,8 @@
     daemon: daemon_state.Daemon, position: control.HeadPosition, now_ms: int
 ) -> Commands:
     daemon.control.position = position
+    if configuring.waits_for_facts(daemon, now_ms):
+        return []
     return configuring.resume(daemon, "store", now_ms)
 
 
--- a/amaranthpulley/state/control.py
+++ b/amaranthpulley/state/control.py
@@ -55,6 +55,8 @@
         This daemon watches the store for its failure domain.
     next_list_ms, last_list_ms : int
         When the VM list is read again, and when it was asked for last.
+    heard_peer : bool
+        A peer has told what it knows since the start.
     asked : bool
         A first confirmation of the configuration has been asked for.
     left : bool
@@ -84,4 +86,5 @@
         self.last_list_ms = 0
         self.left = False
         self.drain_end_ms = 0
+        self.heard_peer = False
         self.asked = False
--- a/amaranthpulley/state/facts.py
+++ b/amaranthpulley/state/facts.py
@@ -19,6 +19,7 @@
     """What a fact is about."""
 
     TARGET_COLD = "target_cold"
+    TARGET_SUSPECTED = "target_suspected"
     TARGET_LEAVING = "target_leaving"
     CRASH_COUNT = "crash_count"
     MEMBER = "member"
