--- a/amaranthpulley/coordination/watching.py
+++ b/amaranthpulley/coordination/watching.py
@@ -183,6 +183,9 @@
     daemon: daemon_state.Daemon, position: control.HeadPosition, now_ms: int
 ) -> Commands:
     daemon.control.position = position
+    if configuring.waits_for_facts(daemon, now_ms):
+        daemon.control.store_reached = True
+        return []
     return configuring.resume(daemon, "store", now_ms)
 
 
