--- a/amaranthpulley/coordination/commands.py
+++ b/amaranthpulley/coordination/commands.py
@@ -128,6 +128,10 @@
     fields: tuple[tuple[str, str | int | float | bool], ...]
 
 
+class StopListening(NamedTuple):
+    """Take no more requests of callers; what comes later is not fed any more."""
+
+
 class Exit(NamedTuple):
     """End the process."""
 
@@ -145,6 +149,7 @@
     | RejectPeer
     | ListVms
     | Log
+    | StopListening
     | Exit
 )
 
--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/draining.py
@@ -81,6 +81,10 @@
     again = commands.SetTimer(DrainCheck(), now_ms + CHECK_INTERVAL_MS)
     if daemon.requests_in_progress > 0 or daemon.orders.unsettled > 0:
         return [again]
+    if not daemon.closed_to_callers:
+        # The journal ends its life only when no further request can come.
+        daemon.closed_to_callers = True
+        return [commands.StopListening(), again]
     handed_over = leasing.release_all(daemon, now_ms)
     if handed_over or daemon.leases.call_in_flight or daemon.facts.has_news:
         return [*handed_over, again]
--- a/amaranthpulley/coordination/journal_writing.py
+++ b/amaranthpulley/coordination/journal_writing.py
@@ -77,7 +77,8 @@
         return _write_batch(daemon, wall_ms)
     if not own.announced:
         return write_life(daemon, own.life)
-    if daemon.draining and daemon.requests_in_progress == 0 and not own.closed:
+    at_rest = daemon.closed_to_callers and daemon.requests_in_progress == 0
+    if at_rest and not own.closed:
         return write_life(daemon, _life_now(daemon, wall_ms, journal.LifeStatus.CLOSED))
     interval_ms = max(CHECKPOINT_MS, flush_interval_ms(daemon))
     if not daemon.draining and wall_ms - own.last_write_ms >= interval_ms:
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -128,6 +128,7 @@
         self.wall_offset_ms = 0
         self.leaving = False
         self.draining = False
+        self.closed_to_callers = False
         self._last_id = 0
 
     @property
--- a/amaranthpulley/transport/callers.py
+++ b/amaranthpulley/transport/callers.py
@@ -7,6 +7,7 @@
 from amaranthpulley.protocol import caller_api
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import requests
 from amaranthpulley.transport import errors, runtime, web
 
 Decode = Callable[[bytes, str], runtime.Request]
@@ -33,6 +34,8 @@
             request = decode(body, request_id)
         except (errors.TransportError, protocol_errors.ProtocolError) as error:
             return _refuse(request_id, error)
+        if driver.daemon.closed_to_callers:
+            return _refuse_late(request_id)
         outcome = driver.ask(received(request))
         response = caller_api.encode_outcome(request_id, outcome)
         return web.Reply(response.status, response.body)
@@ -54,6 +57,14 @@
     return web.Reply(response.status, response.body)
 
 
+def _refuse_late(request_id: str) -> web.Reply:
+    """Refuse a request that became whole only after the daemon stopped listening."""
+    code = requests.RefusalCode.SHUTTING_DOWN
+    refusal = requests.Refusal(code, "send the request to another VM", not_run=True)
+    response = caller_api.encode_outcome(request_id, refusal)
+    return web.Reply(response.status, response.body)
+
+
 def show_ready(daemon: daemon_state.Daemon) -> web.Reply:
     """Tell the balancer whether requests may be sent here."""
     if not daemon.ready:
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -6,6 +6,8 @@
 import socket
 from typing import Final
 
+import eventlet
+
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import peer_codec
 from amaranthpulley.protocol import settings as settings_protocol
@@ -73,6 +75,7 @@
         )
         clients = settings_protocol.admin_clients_of(settings)
         admin_routes = admin.routes(daemon, clock, self._metrics.text, recent, clients)
+        self.runtime.on_stop_listening = self._stop_listening
         self._admin = web.WebServer(sockets[1], web.application(admin_routes))
         write_log(
             commands.log(
@@ -116,6 +119,9 @@
         self._peers.stop(PEER_GRACE_MS)
         self.runtime.close()
 
+    def _stop_listening(self) -> None:
+        eventlet.spawn_n(self._callers.stop, ANSWER_GRACE_MS)
+
     def _take_peer_call(self, sender_ip: str, body: bytes) -> bytes:
         return self.runtime.peers.take(sender_ip, body)
 
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -65,6 +65,7 @@
     ) -> None:
         self.daemon = daemon
         self.exit_code = eventlet.event.Event()
+        self.on_stop_listening: Callable[[], None] = lambda: None
         self._clock = clock
         self._random = random
         self._write_log = write_log
@@ -85,6 +86,7 @@
             commands.ReplyPeer: self.peers.reply,
             commands.RejectPeer: self.peers.reject,
             commands.Log: write_log,
+            commands.StopListening: lambda command: self.on_stop_listening(),
             commands.Exit: self._exit,
         }
 
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/virtual_network.py
@@ -53,6 +53,7 @@
     ) -> None:
         self.state = daemon_state.Daemon(identity, limits)
         self.alive = True
+        self.listening = True
         self.paused_until_ms = 0
         self.exit_code: int | None = None
 
@@ -155,12 +156,16 @@
         self.daemons[name].paused_until_ms = self.now_ms + for_ms
 
     def search(self, name: str, request: requests.SearchRequest) -> None:
-        """Send a search to a daemon."""
-        self.feed(self.daemons[name], events.SearchReceived(request))
+        """Send a search to a daemon; one that does not listen is not reached."""
+        self._feed_request(self.daemons[name], events.SearchReceived(request))
 
     def order(self, name: str, request: requests.OrderRequest) -> None:
-        """Send an order to a daemon."""
-        self.feed(self.daemons[name], events.OrderReceived(request))
+        """Send an order to a daemon; one that does not listen is not reached."""
+        self._feed_request(self.daemons[name], events.OrderReceived(request))
+
+    def _feed_request(self, daemon: VirtualDaemon, event: events.Event) -> None:
+        if daemon.listening:
+            self.feed(daemon, event)
 
     def hand_over(self, ticket: topology.ChangeTicket) -> None:
         """Hand an accepted ticket to some daemons, as the operators' command does."""
@@ -213,6 +218,8 @@
                 self._calls.pop(command.call_id)(events.PeerFailure.REJECTED)
             case commands.Log():
                 self.logs.append((self.now_ms, name, command))
+            case commands.StopListening():
+                daemon.listening = False
             case commands.Exit():
                 daemon.alive = False
                 daemon.exit_code = command.code
