--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -24,6 +24,8 @@
 
 # Above every hard deadline; reached only when a decision has failed.
 ANSWER_LIMIT_SECONDS: Final = 120
+TIMER_RETRY_SECONDS: Final = 1.0
+TIMER_TRIES: Final = 60
 
 
 class Runtime:
@@ -170,7 +172,19 @@
     def _set_timer(self, command: commands.SetTimer) -> None:
         wait_ms = max(0, command.due_ms - self._clock.monotonic_ms())
         due = events.TimerDue(command.purpose, command.due_ms)
-        eventlet.spawn_after(wait_ms / 1000, self.feed, due)
+        eventlet.spawn_after(wait_ms / 1000, self._fire, due, TIMER_TRIES)
+
+    def _fire(self, due: events.TimerDue, tries_left: int) -> None:
+        try:
+            self.feed(due)
+        except Exception:
+            # The error is in the log. A heartbeat whose handler failed once would
+            # otherwise never come again.
+            if tries_left > 1:
+                again = due._replace(due_ms=None)
+                eventlet.spawn_after(
+                    TIMER_RETRY_SECONDS, self._fire, again, tries_left - 1
+                )
 
     def _call_store(self, command: commands.CallStore) -> None:
         def call() -> None:
--- a/amaranthpulley/transport/tests/test_runtime.py
+++ b/amaranthpulley/transport/tests/test_runtime.py
@@ -59,6 +59,32 @@
             outcome = self.runtime.ask(events.SearchReceived(_REQUEST))
         self.assertIs(outcome.code, requests.RefusalCode.INTERNAL_ERROR)
 
+    def test_timer_whose_handler_fails_comes_again(self) -> None:
+        timer = commands.SetTimer(_REQUEST, due_ms=0)
+        with (
+            mock.patch.object(
+                engine, "step", side_effect=[[timer], KeyError(), KeyError(), []]
+            ) as step,
+            mock.patch.object(runtime, "TIMER_RETRY_SECONDS", 0),
+        ):
+            self.runtime.feed(events.SearchReceived(_REQUEST))
+            for _ in range(10):
+                eventlet.sleep(0.001)
+        self.assertEqual(step.call_count, 4)
+        self.assertEqual([line.event.number for line in self.logs], [199, 199])
+
+    def test_timer_whose_handler_always_fails_is_given_up(self) -> None:
+        timer = commands.SetTimer(_REQUEST, due_ms=0)
+        with (
+            mock.patch.object(engine, "step", side_effect=KeyError()),
+            mock.patch.object(runtime, "TIMER_RETRY_SECONDS", 0),
+            mock.patch.object(runtime, "TIMER_TRIES", 3),
+        ):
+            self.runtime._set_timer(timer)
+            for _ in range(10):
+                eventlet.sleep(0.001)
+        self.assertEqual(len(self.logs), 3)
+
     def test_attempt_that_cannot_be_sent_ends(self) -> None:
         call = commands.SearchCall("query", None, None)
         command = commands.SendAttempt("a1", "r1", _TARGET, call, 100)
