Count and log each refused peer message by its own reason

Cause: a message over the size limit was refused without a trace, and one of another version counted as malformed, though docs/EVENTS.md names the reason. The rows that expected 'malformed' for version 99 now expect the more exact code.

--- a/amaranthpulley/protocol/errors.py
+++ b/amaranthpulley/protocol/errors.py
@@ -19,6 +19,12 @@
     code = "malformed_message"
 
 
+class UnknownVersionError(MalformedMessageError):
+    """A peer's message is of another version of the protocol."""
+
+    code = "unknown_version"
+
+
 class MessageTooLargeError(ProtocolError):
     """A message is over its size limit."""
 
--- a/amaranthpulley/protocol/peer_codec.py
+++ b/amaranthpulley/protocol/peer_codec.py
@@ -72,7 +72,7 @@
     except msgspec.MsgspecError as error:
         raise errors.MalformedMessageError(f"no message of a peer: {error}") from error
     if version != VERSION:
-        raise errors.MalformedMessageError(
+        raise errors.UnknownVersionError(
             f"the peer speaks version {version}, this daemon version {VERSION}; "
             "replace the older one"
         )
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -56,7 +56,9 @@
         stamps = hybrid_clock.HybridClock()
         write_log = _open_log(settings, clock, stamps, recent)
         sockets = _listen_all(listen["ip"], listen["caller_port"], listen["admin_port"])
-        self._peers = _serve_peers(settings, sockets, self._take_peer_call)
+        self._peers = _serve_peers(
+            settings, sockets, self._take_peer_call, self._refuse_peer_call
+        )
         identity = _identity(settings, self._peers.address)
         daemon = daemon_state.Daemon(identity, settings_protocol.limits_of(settings))
         self._metrics = metrics.Metrics(daemon)
@@ -122,6 +124,9 @@
     def _stop_listening(self) -> None:
         eventlet.spawn_n(self._callers.stop, ANSWER_GRACE_MS)
 
+    def _refuse_peer_call(self, sender_ip: str, reason: str) -> None:
+        self.runtime.peers.refuse(sender_ip, reason)
+
     def _take_peer_call(self, sender_ip: str, body: bytes) -> bytes:
         return self.runtime.peers.take(sender_ip, body)
 
@@ -158,11 +163,13 @@
     settings: settings_protocol.Settings,
     opened: list[socket.socket],
     handle: peers.Handle,
+    refused: peers.Refused,
 ) -> web.WebServer:
     listen = settings["listen"]
     address = f"{listen['ip']}:{listen['peer_port']}"
     try:
-        return peers.serve_peers(address, handle, peer_codec.MAXIMUM_MESSAGE_BYTES)
+        limit = peer_codec.MAXIMUM_MESSAGE_BYTES
+        return peers.serve_peers(address, handle, limit, refused)
     except errors.AddressInUseError:
         for listener in opened:
             listener.close()
--- a/amaranthpulley/transport/peer_calls.py
+++ b/amaranthpulley/transport/peer_calls.py
@@ -29,7 +29,7 @@
     feed : callable
         Takes the events.
     refused : callable
-        Told of the sender's IP number and the reason when a message is malformed.
+        Told of the sender's IP number and the reason when a message is refused.
     stamps : Stamping
         Gives and takes the hybrid stamps of messages.
     """
@@ -60,8 +60,9 @@
         self._stamps.observe(peer_codec.stamp_of(body))
         try:
             message = peer_codec.decode_call(body)
-        except protocol_errors.MalformedMessageError:
-            self._refused(sender_ip, "malformed")
+        except protocol_errors.MalformedMessageError as error:
+            is_version = isinstance(error, protocol_errors.UnknownVersionError)
+            self.refuse(sender_ip, "version" if is_version else "malformed")
             raise
         call_id = f"call-{next(self._numbers)}"
         done = self._waiting[call_id] = eventlet.event.Event()
@@ -74,6 +75,10 @@
             raise errors.PeerRejectedError(reply.reason)
         return peer_codec.encode(reply, self._stamps.give())
 
+    def refuse(self, sender_ip: str, reason: str) -> None:
+        """Note that a message was refused before it became an event."""
+        self._refused(sender_ip, reason)
+
     def reply(self, command: commands.ReplyPeer) -> None:
         """Give a waiting call its reply."""
         self._end(command.call_id, command.reply)
--- a/amaranthpulley/transport/peers.py
+++ b/amaranthpulley/transport/peers.py
@@ -25,10 +25,14 @@
 _PATH: Final = "/peer"
 
 Handle = Callable[[str, bytes], bytes]
+Refused = Callable[[str, str], None]
 
 
 def serve_peers(
-    address: str, handle: Handle, maximum_message_bytes: int
+    address: str,
+    handle: Handle,
+    maximum_message_bytes: int,
+    refused: Refused = lambda sender_ip, reason: None,
 ) -> web.WebServer:
     """Start a server for the messages of peers.
 
@@ -42,13 +46,15 @@
         `PeerRejectedError` at the caller.
     maximum_message_bytes : int
         Size limit of a message and of a reply.
+    refused : callable
+        Told of the sender's IP number and the reason when a message is too large.
 
     Raises
     ------
     AddressInUseError
         When the address cannot be bound.
     """
-    routes = {("POST", _PATH): _web_handler(handle, maximum_message_bytes)}
+    routes = {("POST", _PATH): _web_handler(handle, maximum_message_bytes, refused)}
     return web.WebServer(web.listen(address), web.application(routes))
 
 
@@ -125,11 +131,12 @@
             self.forget(address)
 
 
-def _web_handler(handle: Handle, maximum_bytes: int) -> web.Handler:
+def _web_handler(handle: Handle, maximum_bytes: int, refused: Refused) -> web.Handler:
     def reply_to(environ: web.Environ) -> web.Reply:
         try:
             message = web.read_body(environ, maximum_bytes)
         except errors.BodyTooLargeError as error:
+            refused(environ["REMOTE_ADDR"], "too_large")
             return _refusal(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, error)
         except errors.BodyTooSlowError as error:
             return _refusal(http.HTTPStatus.REQUEST_TIMEOUT, error)
--- a/amaranthpulley/transport/tests/test_daemons.py
+++ b/amaranthpulley/transport/tests/test_daemons.py
@@ -162,10 +162,10 @@
             with self.assertRaises(errors.TransportError):
                 channels.call(state.identity.address, message, 2_000)
         channels.close()
-        refused = state.counters.total(
-            "peer_messages_refused_total", reason="malformed"
-        )
-        self.assertEqual(refused, 2)
+        for reason in ("malformed", "version", "too_large"):
+            with self.subTest(reason):
+                name = "peer_messages_refused_total"
+                self.assertEqual(state.counters.total(name, reason=reason), 1)
 
     def test_6_leaving_daemon_ends_and_its_peers_know(self) -> None:
         leaving, *others = self.fleet.daemons
--- a/features/control_members.feature
+++ b/features/control_members.feature
@@ -39,7 +39,7 @@
     Examples:
       | fault                   | code              |
       | no MessagePack          | malformed_message |
-      | of version 99           | malformed_message |
+      | of version 99           | unknown_version   |
       | of an unknown name      | malformed_message |
       | short of a field        | malformed_message |
       | a reply in place of one | malformed_message |
