--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -79,17 +79,7 @@
         admin_routes = admin.routes(daemon, clock, self._metrics.text, recent, clients)
         self.runtime.on_stop_listening = self._stop_listening
         self._admin = web.WebServer(sockets[1], web.application(admin_routes))
-        write_log(
-            commands.log(
-                log_events.DAEMON_LISTENING,
-                callers=self._callers.address,
-                admin=self._admin.address,
-                peers=self._peers.address,
-            )
-        )
-        write_log(commands.log(log_events.DAEMON_STARTED, life=identity.life))
-        wall_offset_ms = clock.wall_ms() - clock.monotonic_ms()
-        self.runtime.feed(events.Started(wall_offset_ms))
+        self._start(clock, write_log)
 
     @property
     def caller_address(self) -> str:
@@ -121,6 +111,19 @@
         self._peers.stop(PEER_GRACE_MS)
         self.runtime.close()
 
+    def _start(self, clock: clock_state.Clock, write_log: log_sink.WriteLog) -> None:
+        listening = commands.log(
+            log_events.DAEMON_LISTENING,
+            callers=self._callers.address,
+            admin=self._admin.address,
+            peers=self._peers.address,
+        )
+        write_log(listening)
+        life = self.runtime.daemon.identity.life
+        write_log(commands.log(log_events.DAEMON_STARTED, life=life))
+        wall_offset_ms = clock.wall_ms() - clock.monotonic_ms()
+        self.runtime.feed(events.Started(wall_offset_ms))
+
     def _stop_listening(self) -> None:
         eventlet.spawn_n(self._callers.stop, ANSWER_GRACE_MS)
 
