--- a/amaranthpulley/protocol/peer_codec.py
+++ b/amaranthpulley/protocol/peer_codec.py
@@ -12,6 +12,8 @@
 
 
 class _Envelope(NamedTuple):
+    """What each message has around its content; the stamp is that of the sender."""
+
     version: int
     name: str
     content: msgspec.Raw
