Make one call of the store serve all decisions, and take out what nothing uses

Found by reading the whole change: the same function stood in four modules and its body in four more places; versions_revision was kept for a cache that does not exist; an error class, a fact kind, a property and a method had no user; PeerCalls.refuse only passed on to the runtime.

--- a/amaranthpulley/coordination/claim_commit.py
+++ b/amaranthpulley/coordination/claim_commit.py
@@ -16,6 +16,7 @@
     claim_segments,
     commands,
     events,
+    store_calls,
     stored_values,
 )
 from amaranthpulley.state import claims, log_events, store
@@ -201,9 +202,7 @@
     daemon.counters.add("claim_commits_total")
     key = claim_segments.segment_key(claim_range.index, claim_range.open_number)
     swap = store.Swap(key, claim_range.open_revision, value)
-    write = commands.CallStore(
-        BatchWritten(claim_range.index), swap, daemon.limits.store_timeout_ms
-    )
+    write = store_calls.call(daemon, BatchWritten(claim_range.index), swap)
     return [*refused, write]
 
 
--- a/amaranthpulley/coordination/claim_pruning.py
+++ b/amaranthpulley/coordination/claim_pruning.py
@@ -12,6 +12,7 @@
     claim_segments,
     commands,
     events,
+    store_calls,
     stored_values,
 )
 from amaranthpulley.state import claims, store
@@ -43,7 +44,7 @@
     number = claim_range.oldest_number
     key = claim_segments.segment_key(claim_range.index, number)
     purpose = OldestRead(claim_range.index, number)
-    return [_call(daemon, purpose, store.Get(key))]
+    return [store_calls.call(daemon, purpose, store.Get(key))]
 
 
 def take_oldest(
@@ -70,7 +71,7 @@
         return []
     claim_range.pruning = True
     delete = store.Swap(event.operation.key, result.revision, None)
-    return [_call(daemon, OldestDropped(index, number), delete)]
+    return [store_calls.call(daemon, OldestDropped(index, number), delete)]
 
 
 def take_dropped(
@@ -91,10 +92,4 @@
     return look(daemon, claim_range)
 
 
-def _call(
-    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
-) -> commands.CallStore:
-    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
-
-
 HANDLERS: Final = {OldestRead: take_oldest, OldestDropped: take_dropped}
--- a/amaranthpulley/coordination/claim_segments.py
+++ b/amaranthpulley/coordination/claim_segments.py
@@ -8,7 +8,12 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, events, stored_values
+from amaranthpulley.coordination import (
+    commands,
+    events,
+    store_calls,
+    stored_values,
+)
 from amaranthpulley.state import claims, log_events, store
 from amaranthpulley.state import daemon as daemon_state
 
@@ -164,14 +169,14 @@
 
 def _list(daemon: daemon_state.Daemon, index: int, after: str) -> commands.CallStore:
     operation = store.ListKeys(f"{PREFIX}{index:04d}/", after, LIST_LIMIT)
-    return _call(daemon, RangeListed(index), operation)
+    return store_calls.call(daemon, RangeListed(index), operation)
 
 
 def _read_older(
     daemon: daemon_state.Daemon, index: int, number: int, newest: bool
 ) -> commands.CallStore:
     purpose = SegmentLoaded(index, number, newest)
-    return _call(daemon, purpose, store.Get(segment_key(index, number)))
+    return store_calls.call(daemon, purpose, store.Get(segment_key(index, number)))
 
 
 def _read_again(
@@ -179,13 +184,7 @@
 ) -> commands.CallStore:
     index, number = claim_range.index, claim_range.open_number
     key = segment_key(index, number)
-    return _call(daemon, SegmentRefreshed(index, number), store.Get(key))
-
-
-def _call(
-    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
-) -> commands.CallStore:
-    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
+    return store_calls.call(daemon, SegmentRefreshed(index, number), store.Get(key))
 
 
 def _number_of(key: str) -> int:
--- a/amaranthpulley/coordination/journal_retention.py
+++ b/amaranthpulley/coordination/journal_retention.py
@@ -16,6 +16,7 @@
     events,
     journal_writing,
     journaling,
+    store_calls,
     stored_values,
 )
 from amaranthpulley.state import daemon as daemon_state
@@ -190,8 +191,7 @@
     except StopIteration:
         sweeping.steps = None
         return [commands.log(log_events.JOURNAL_SWEPT, whole=True)]
-    timeout_ms = daemon.limits.store_timeout_ms
-    return [commands.CallStore(SweepReplied(), operation, timeout_ms)]
+    return [store_calls.call(daemon, SweepReplied(), operation)]
 
 
 def _raise_horizon(horizon_ms: int) -> Steps:
--- a/amaranthpulley/coordination/journal_writing.py
+++ b/amaranthpulley/coordination/journal_writing.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, events, stored_values
+from amaranthpulley.coordination import (
+    commands,
+    events,
+    store_calls,
+    stored_values,
+)
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import journal, log_events, store
 
@@ -119,8 +124,7 @@
         return [*_log_batch(daemon, write), *write_next(daemon, wall_ms)]
     if result.succeeded:
         return _confirm_life(daemon, write.life, result.revision, wall_ms)
-    timeout_ms = daemon.limits.store_timeout_ms
-    return [commands.CallStore(LifeRead(), store.Get(write.key), timeout_ms)]
+    return [store_calls.call(daemon, LifeRead(), store.Get(write.key))]
 
 
 def take_read_life(
@@ -189,8 +193,7 @@
 def _call(daemon: daemon_state.Daemon) -> Commands:
     write = daemon.journal.pending_write
     swap = store.Swap(write.key, write.expected_revision, write.value)
-    timeout_ms = daemon.limits.store_timeout_ms
-    return [commands.CallStore(JournalWritten(), swap, timeout_ms)]
+    return [store_calls.call(daemon, JournalWritten(), swap)]
 
 
 def _confirm_life(
--- a/amaranthpulley/coordination/leasing.py
+++ b/amaranthpulley/coordination/leasing.py
@@ -9,7 +9,11 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination import (
+    commands,
+    events,
+    store_calls,
+)
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import leases, log_events, store
 
@@ -87,7 +91,7 @@
     if lease_id is None:
         return []
     table.call_in_flight = True
-    return [_call(daemon, AllReleased(), store.RevokeLease(lease_id))]
+    return [store_calls.call(daemon, AllReleased(), store.RevokeLease(lease_id))]
 
 
 def tick(
@@ -211,7 +215,7 @@
             phase=leases.Phase.RELEASING, uncertain=False
         )
         delete = store.Swap(LEASE_PREFIX + name, claim.revision, None)
-        return [_call(daemon, LeaseReleased(name), delete)]
+        return [store_calls.call(daemon, LeaseReleased(name), delete)]
     if claim.phase is not leases.Phase.IDLE:
         return []
     if not claim.wanted and not claim.uncertain:
@@ -223,10 +227,10 @@
     if not claim.wanted:
         table.claims[name] = claim._replace(phase=leases.Phase.READING)
         read = store.Get(LEASE_PREFIX + name)
-        return [_call(daemon, LeaseRead(name, lease_id), read)]
+        return [store_calls.call(daemon, LeaseRead(name, lease_id), read)]
     table.claims[name] = claim._replace(phase=leases.Phase.CLAIMING)
     swap = store.Swap(LEASE_PREFIX + name, 0, _token(daemon, lease_id), lease_id)
-    return [_call(daemon, LeaseClaimed(name, lease_id), swap)]
+    return [store_calls.call(daemon, LeaseClaimed(name, lease_id), swap)]
 
 
 def _grant(daemon: daemon_state.Daemon, now_ms: int) -> Commands:
@@ -247,7 +251,7 @@
         return []
     daemon.leases.call_in_flight = True
     daemon.leases.next_renewal_ms = now_ms + RENEWAL_MS
-    return [_call(daemon, StoreLeaseExtended(lease_id, now_ms), operation)]
+    return [store_calls.call(daemon, StoreLeaseExtended(lease_id, now_ms), operation)]
 
 
 def _hold(
@@ -281,7 +285,11 @@
     # The key may be an own earlier claim whose reply was lost.
     name, lease_id = event.purpose.name, event.purpose.store_lease_id
     daemon.leases.claims[name] = claim._replace(phase=leases.Phase.READING)
-    return [_call(daemon, LeaseRead(name, lease_id), store.Get(LEASE_PREFIX + name))]
+    return [
+        store_calls.call(
+            daemon, LeaseRead(name, lease_id), store.Get(LEASE_PREFIX + name)
+        )
+    ]
 
 
 def _token(daemon: daemon_state.Daemon, lease_id: str) -> bytes:
@@ -299,12 +307,6 @@
     return commands.log(log_events.STORE_CALL_FAILED, reason=result.reason)
 
 
-def _call(
-    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
-) -> commands.CallStore:
-    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
-
-
 HANDLERS: Final = {
     LeaseTick: tick,
     StoreLeaseExtended: take_extension,
--- a/amaranthpulley/coordination/watching.py
+++ b/amaranthpulley/coordination/watching.py
@@ -13,6 +13,7 @@
     configuring,
     errors,
     events,
+    store_calls,
     stored_values,
 )
 from amaranthpulley.state import control, log_events, rendezvous, store, tickets
@@ -78,7 +79,7 @@
     if daemon.control.reading:
         return []
     daemon.control.reading = True
-    return [_call(daemon, HeadRead(), store.Get(tickets.HEAD_KEY))]
+    return [store_calls.call(daemon, HeadRead(), store.Get(tickets.HEAD_KEY))]
 
 
 def take_head(
@@ -196,7 +197,7 @@
     position: control.HeadPosition,
 ) -> commands.CallStore:
     get = store.Get(tickets.chunk_key(index, chunk_count))
-    return _call(daemon, ChunkRead(index, chunk_count, position), get)
+    return store_calls.call(daemon, ChunkRead(index, chunk_count, position), get)
 
 
 def _failed(daemon: daemon_state.Daemon, result: store.StoreFailed) -> commands.Log:
@@ -204,12 +205,6 @@
     return commands.log(log_events.STORE_CALL_FAILED, reason=result.reason)
 
 
-def _call(
-    daemon: daemon_state.Daemon, purpose: tuple, operation: store.Operation
-) -> commands.CallStore:
-    return commands.CallStore(purpose, operation, daemon.limits.store_timeout_ms)
-
-
 HANDLERS: Final = {
     HeadRead: take_head,
     HeadWatched: take_watched,
--- a/amaranthpulley/protocol/errors.py
+++ b/amaranthpulley/protocol/errors.py
@@ -25,12 +25,6 @@
     code = "unknown_version"
 
 
-class MessageTooLargeError(ProtocolError):
-    """A message is over its size limit."""
-
-    code = "message_too_large"
-
-
 class InvalidSettingsError(ProtocolError):
     """The settings file is wrong; the text names the path of the fault."""
 
--- a/amaranthpulley/state/facts.py
+++ b/amaranthpulley/state/facts.py
@@ -20,7 +20,6 @@
 
     TARGET_COLD = "target_cold"
     TARGET_SUSPECTED = "target_suspected"
-    TARGET_LEAVING = "target_leaving"
     CRASH_COUNT = "crash_count"
     MEMBER = "member"
 
--- a/amaranthpulley/state/services.py
+++ b/amaranthpulley/state/services.py
@@ -75,11 +75,6 @@
         self.room_timer_set = False
         self.view: ServiceView | None = None
 
-    @property
-    def waiting_count(self) -> int:
-        """The number of attempts that wait for room."""
-        return sum(map(len, self.waiting.values()))
-
     def wait(self, attempt: WaitingAttempt) -> None:
         """Enter an attempt that waits for room."""
         queue = self.waiting.get(attempt.shard)
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -1,6 +1,5 @@
 """What a daemon has learnt of each target from the target's own answers."""
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from amaranthpulley.state import keyspace
@@ -123,7 +122,6 @@
 
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
-        self.versions_revision = 0
         self.facts_read_ms = 0
 
     def of(self, name: str) -> TargetState:
@@ -145,15 +143,9 @@
         """Enter a target's report of itself."""
         state = self.of(name)
         if state.versions != load.versions:
-            # Whoever keeps something derived from the versions compares the revision.
-            self.versions_revision = self.versions_revision + 1
             state.ranges = {
                 version: ranges
                 for version, ranges in state.ranges.items()
                 if version in load.versions
             }
         state.load = load
-
-    def newest_versions(self, names: Iterable[str]) -> list[int]:
-        """Return the versions that any of the targets reported, newest first."""
-        return sorted({v for n in names for v in self.of(n).versions}, reverse=True)
--- a/amaranthpulley/transport/daemon_process.py
+++ b/amaranthpulley/transport/daemon_process.py
@@ -128,7 +128,7 @@
         eventlet.spawn_n(self._callers.stop, ANSWER_GRACE_MS)
 
     def _refuse_peer_call(self, sender_ip: str, reason: str) -> None:
-        self.runtime.peers.refuse(sender_ip, reason)
+        self.runtime.note_refused(sender_ip, reason)
 
     def _take_peer_call(self, sender_ip: str, body: bytes) -> bytes:
         return self.runtime.peers.take(sender_ip, body)
--- a/amaranthpulley/transport/peer_calls.py
+++ b/amaranthpulley/transport/peer_calls.py
@@ -62,7 +62,7 @@
             message = peer_codec.decode_call(body)
         except protocol_errors.MalformedMessageError as error:
             is_version = isinstance(error, protocol_errors.UnknownVersionError)
-            self.refuse(sender_ip, "version" if is_version else "malformed")
+            self._refused(sender_ip, "version" if is_version else "malformed")
             raise
         call_id = f"call-{next(self._numbers)}"
         done = self._waiting[call_id] = eventlet.event.Event()
@@ -75,10 +75,6 @@
             raise errors.PeerRejectedError(reply.reason)
         return peer_codec.encode(reply, self._stamps.give())
 
-    def refuse(self, sender_ip: str, reason: str) -> None:
-        """Note that a message was refused before it became an event."""
-        self._refused(sender_ip, reason)
-
     def reply(self, command: commands.ReplyPeer) -> None:
         """Give a waiting call its reply."""
         self._end(command.call_id, command.reply)
--- a/amaranthpulley/transport/runtime.py
+++ b/amaranthpulley/transport/runtime.py
@@ -75,7 +75,7 @@
         self._vm_list = vm_list
         self._observe = observe
         self._targets = target_client.TargetClient(stamps)
-        self.peers = peer_calls.PeerCalls(self.feed, self._note_refused, stamps)
+        self.peers = peer_calls.PeerCalls(self.feed, self.note_refused, stamps)
         self._waiting: dict[str, eventlet.event.Event] = {}
         self._carry_out: Final[dict[type, Callable[[Any], None]]] = {
             commands.SendAttempt: self._send_attempt,
@@ -202,7 +202,8 @@
     def _call_peer(self, command: commands.CallPeer) -> None:
         eventlet.spawn_n(self.peers.call, command)
 
-    def _note_refused(self, sender_ip: str, reason: str) -> None:
+    def note_refused(self, sender_ip: str, reason: str) -> None:
+        """Count and log a peer's message that was refused before it became an event."""
         self.daemon.counters.add("peer_messages_refused_total", reason=reason)
         refused = log_events.PEER_MESSAGE_REFUSED
         self._write_log(commands.log(refused, reason=reason, sender=sender_ip))
