--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -2,6 +2,7 @@
 
 Usage:
   amaranthpulley daemon --settings FILE
+  amaranthpulley forward
   amaranthpulley leaf [--address ADDRESS] [--shard NUMBER] [--shards COUNT]
                       [--count COUNT]
   amaranthpulley store [--address ADDRESS]
@@ -124,6 +125,13 @@
     return process.wait()
 
 
+def _run_forward(arguments: Arguments) -> int:
+    loop.prepare_loop()
+    from amaranthpulley.platform import command
+
+    return command.run()
+
+
 def _run_leaf(arguments: Arguments) -> int:
     loop.prepare_loop()
     from amaranthpulley.transport import standins
@@ -250,6 +258,7 @@
 _COMMANDS: Final[dict[str, Callable[[Arguments], int]]] = {
     "ticket": _run_ticket,
     "daemon": _run_daemon,
+    "forward": _run_forward,
     "leaf": _run_leaf,
     "store": _run_store,
     "demo": _run_demo,
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions about forwarded requests: leaves, second sends, merging, answers."""
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/believing.py
@@ -0,0 +1,237 @@
+"""What the daemon takes from the store: configuration, leaves, daemons, evacuations."""
+
+from typing import Final
+
+from amaranthpulley.coordination import commands as common
+from amaranthpulley.coordination.forwarding import (
+    choosing,
+    commands,
+    events,
+    learning,
+    progressing,
+    tracing,
+)
+from amaranthpulley.state import log_events
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import leaves
+
+# A leaf whose entry has gone may be back within two seconds when entries lapsed while
+# the store was away; it is used as a leaving one until then.
+DELETED_GRACE_MS: Final = 2_200
+
+
+def read_configuration(
+    gateway: gateway_state.Gateway,
+    event: events.ConfigurationRead,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Put a newer version in force; an older one changes nothing."""
+    current = gateway.configuration
+    known = current.version if current is not None else -1
+    if event.configuration.version <= known:
+        return []
+    gateway.configuration = event.configuration
+    return [
+        common.log(
+            log_events.CONFIGURATION_IN_FORCE,
+            version=event.configuration.version,
+            previous=known,
+        )
+    ]
+
+
+def write_leaf(
+    gateway: gateway_state.Gateway,
+    event: events.LeafWritten,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Enter a leaf, or take over what its entry says now."""
+    entry = event.entry
+    leaf = gateway.directory.get(entry.leaf_id)
+    if leaf is None or not _is_same_life(leaf.entry, entry):
+        region = gateway.place.regions.get(entry.failure_domain, "")
+        added = leaves.Leaf(entry, region, now_ms)
+        gateway.directory.add(added)
+        standing = "draining" if entry.draining else "known"
+        return [tracing.leaf_line(added, standing, 0)]
+    leaf.deleted_ms = None
+    was_leaving = leaf.leaving_since_ms is not None
+    leaf.entry = entry
+    leaf.cold_until_ms = now_ms + entry.cold_ms
+    if not entry.draining:
+        leaf.leaving_since_ms = None
+    elif not was_leaving:
+        leaf.leaving_since_ms = now_ms
+    if entry.draining == was_leaving:
+        return []
+    standing = "draining" if entry.draining else "known"
+    return [tracing.leaf_line(leaf, standing, 0)]
+
+
+def delete_leaf(
+    gateway: gateway_state.Gateway,
+    event: events.LeafDeleted,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Treat a leaf without an entry as leaving."""
+    leaf = gateway.directory.get(event.leaf_id)
+    if leaf is None or leaf.deleted_ms is not None:
+        return []
+    leaf.deleted_ms = now_ms
+    if leaf.leaving_since_ms is None:
+        leaf.leaving_since_ms = now_ms
+    return [tracing.leaf_line(leaf, "entry_gone", 0)]
+
+
+def read_listing(
+    gateway: gateway_state.Gateway,
+    event: events.DirectoryListed,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Drop what a complete listing does not name."""
+    decided: list[commands.Command] = []
+    for leaf in gateway.directory.all():
+        if leaf.entry.leaf_id not in event.leaf_ids:
+            gone = events.LeafDeleted(leaf.entry.leaf_id)
+            decided += delete_leaf(gateway, gone, now_ms, random)
+    for domain in set(gateway.evacuated) - event.evacuated:
+        del gateway.evacuated[domain]
+    for name in set(gateway.members) - event.members:
+        del gateway.members[name]
+    if not gateway.listed:
+        gateway.listed = True
+        decided.append(
+            common.log(log_events.DIRECTORY_LISTED, leaves=len(event.leaf_ids))
+        )
+    return decided
+
+
+def change_evacuation(
+    gateway: gateway_state.Gateway,
+    event: events.EvacuationChanged,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Take a failure domain out, or back."""
+    if event.evacuated:
+        gateway.evacuated.setdefault(event.failure_domain, now_ms)
+    else:
+        gateway.evacuated.pop(event.failure_domain, None)
+    return [
+        common.log(
+            log_events.FAILURE_DOMAIN_OUT,
+            failure_domain=event.failure_domain,
+            out=event.evacuated,
+        )
+    ]
+
+
+def change_member(
+    gateway: gateway_state.Gateway,
+    event: events.MemberChanged,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Enter or forget a daemon that shares the budgets."""
+    if event.member is None:
+        gateway.members.pop(event.name, None)
+    else:
+        gateway.members[event.name] = event.member
+    return []
+
+
+def note_store(
+    gateway: gateway_state.Gateway,
+    event: events.StoreReached,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Write down that the store was lost or regained; what is known stays in use."""
+    if event.reachable:
+        return [common.log(log_events.STORE_REGAINED, reason=event.reason)]
+    return [common.log(log_events.STORE_LOST, reason=event.reason)]
+
+
+def end_probe(
+    gateway: gateway_state.Gateway,
+    event: events.ProbeEnded,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Use a suspected leaf again, or wait for the next health check."""
+    leaf = gateway.directory.get(event.leaf_id)
+    if leaf is None:
+        return []
+    learning.note_probe(leaf, event.healthy, now_ms)
+    if not event.healthy:
+        return []
+    return [tracing.leaf_line(leaf, "healthy", 0)]
+
+
+def tick(
+    gateway: gateway_state.Gateway,
+    event: events.TickDue,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Forget leaves that are gone, end old attempts, and check suspected leaves."""
+    decided: list[commands.Command] = []
+    for leaf in gateway.directory.all():
+        if leaf.deleted_ms is not None:
+            if now_ms - leaf.deleted_ms >= DELETED_GRACE_MS:
+                gateway.directory.remove(leaf.entry.leaf_id)
+                decided.append(tracing.leaf_line(leaf, "forgotten", 0))
+        elif leaf.suspected and now_ms >= leaf.probe_due_ms:
+            decided += _probe(gateway, leaf, now_ms)
+    return decided + progressing.sweep_attempts(gateway, now_ms)
+
+
+def request_drain(
+    gateway: gateway_state.Gateway,
+    event: events.DrainRequested,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Begin to leave: the daemon is unready from now on."""
+    if gateway.draining_since_ms is None:
+        gateway.draining_since_ms = now_ms
+    grace_ms = gateway.limits.grace_ms
+    return [common.log(log_events.DRAIN_STARTED, grace_ms=grace_ms)]
+
+
+def is_ready(gateway: gateway_state.Gateway) -> bool:
+    """Tell whether the daemon should get new connections."""
+    return (
+        gateway.configuration is not None
+        and gateway.listed
+        and gateway.draining_since_ms is None
+    )
+
+
+def _is_same_life(known: leaves.LeafEntry, entry: leaves.LeafEntry) -> bool:
+    return (
+        known.address == entry.address
+        and known.service == entry.service
+        and known.born_ms == entry.born_ms
+    )
+
+
+def _probe(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
+) -> list[commands.Command]:
+    configuration = gateway.configuration
+    if configuration is None:
+        return []
+    service = configuration.services.get(leaf.entry.service)
+    if service is None:
+        return []
+    # Until its end is known, the next check waits for the longest pause.
+    leaf.probe_due_ms = now_ms + learning.LONGEST_PROBE_MS
+    gateway.counters.add("forward_probes_total")
+    return [
+        commands.ProbeLeaf(leaf.entry.leaf_id, leaf.entry.address, service.health_path)
+    ]
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/choosing.py
@@ -0,0 +1,192 @@
+"""Which leaf gets a request: the one that is expected to answer first.
+
+The expected time is the way to the leaf, its usual time for the route, and what waits
+there already. A leaf that is silent past the time of its oldest attempt counts as
+paused, so that the next requests go elsewhere without being sent twice.
+"""
+
+import math
+from collections.abc import Callable
+from typing import Final
+
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import leaves, requests, routes
+
+# Way to another region and back before it is measured: a guess between near regions.
+UNMEASURED_WAY_MS: Final = 30.0
+# Deviations past the mean after which an answer is late: some 98% come sooner.
+LATE_DEVIATIONS: Final = 4.0
+# Added to it for the daemon's own wake-ups and the network, in milliseconds.
+LATE_MARGIN_MS: Final = 4.0
+# A leaf that has answered anything within this time is not paused.
+SILENCE_MS: Final = 12
+# Shortest time that a pause is expected to go on, in milliseconds.
+PAUSE_MS: Final = 60.0
+# How fast a leaf that has got no requests counts as usual again, in milliseconds.
+SLOWNESS_MEMORY_MS: Final = 2_000.0
+# A load report older than this says nothing, in milliseconds.
+LOAD_FRESH_MS: Final = 100
+# Work of a cold leaf in relation to a warm one, until it is measured.
+COLD_SLOWNESS: Final = 1.6
+# Part of the allowed time after which a leaving leaf gets nothing more.
+LEAVING_SHARE: Final = 0.6
+# Connections of a leaf that the daemons of its own region share.
+NEAR_CONNECTIONS: Final = 0.6
+# All connections that are used; the rest is left for daemons that come and go.
+USED_CONNECTIONS: Final = 0.9
+# Daemons assumed until the store has told how many there are: the users' largest site.
+UNKNOWN_DAEMONS: Final = 8
+
+Random = Callable[[], float]
+
+
+def slowness_of(leaf: leaves.Leaf, now_ms: int) -> float:
+    """Return how many usual times a leaf takes, forgetting what is old."""
+    passed = now_ms - leaf.slowness_ms
+    slowness = 1.0 + (leaf.slowness - 1.0) * math.exp(-passed / SLOWNESS_MEMORY_MS)
+    if now_ms < leaf.cold_until_ms:
+        return max(slowness, COLD_SLOWNESS)
+    return slowness
+
+
+def way_ms(gateway: gateway_state.Gateway, leaf: leaves.Leaf) -> float:
+    """Return the time to a leaf and back beyond that to the nearest leaves."""
+    near = leaf.region == gateway.place.region
+    default_ms = 0.0 if near else UNMEASURED_WAY_MS
+    return gateway.distances.extra_ms(leaf.entry.failure_domain, default_ms)
+
+
+def late_after_ms(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+) -> float:
+    """Return how long after its sending an attempt is late."""
+    usual = gateway.usual_of(route)
+    work_ms = usual.mean_ms + LATE_DEVIATIONS * usual.deviation_ms
+    return way_ms(gateway, leaf) + work_ms + LATE_MARGIN_MS
+
+
+def is_paused(leaf: leaves.Leaf, now_ms: int) -> bool:
+    """Tell whether the oldest attempt is overdue and nothing else is answered."""
+    overdue_ms = leaf.first_overdue_ms()
+    return (
+        overdue_ms is not None
+        and overdue_ms <= now_ms
+        and now_ms - leaf.heard_ms >= SILENCE_MS
+    )
+
+
+def expected_ms(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+    now_ms: int,
+) -> float:
+    """Return the time after which a leaf is expected to answer a new request."""
+    work_ms = gateway.usual_of(route).mean_ms * slowness_of(leaf, now_ms)
+    slots = max(1, leaf.entry.slots)
+    ahead = leaf.in_flight
+    if leaf.load is not None and now_ms - leaf.load_ms < LOAD_FRESH_MS:
+        ahead = max(ahead, leaf.load.running + leaf.load.waiting)
+    queue_ms = work_ms * max(0, ahead - slots + 1) / slots
+    total_ms = way_ms(gateway, leaf) + work_ms + queue_ms
+    if is_paused(leaf, now_ms):
+        silent_ms = now_ms - leaf.heard_ms
+        total_ms += max(PAUSE_MS, float(silent_ms))
+    return total_ms + leaf.failure_share * route.objective_ms
+
+
+def daemon_count(gateway: gateway_state.Gateway) -> int:
+    """Return how many daemons share what is shared."""
+    return len(gateway.members) or UNKNOWN_DAEMONS
+
+
+def connection_share(gateway: gateway_state.Gateway, leaf: leaves.Leaf) -> int:
+    """Return how many connections to a leaf this daemon may use."""
+    configuration = gateway.configuration
+    if configuration is None:
+        return 1
+    limit = routes.limits_of(configuration, leaf.entry.service).connections
+    regions = gateway.place.regions
+    daemons = daemon_count(gateway)
+    near = sum(
+        1
+        for member in gateway.members.values()
+        if regions.get(member.failure_domain) == leaf.region
+    )
+    if near == 0 or near == daemons:
+        share = USED_CONNECTIONS / daemons
+    elif leaf.region == gateway.place.region:
+        share = USED_CONNECTIONS * NEAR_CONNECTIONS / near
+    else:
+        share = USED_CONNECTIONS * (1 - NEAR_CONNECTIONS) / (daemons - near)
+    return max(1, int(limit * share))
+
+
+def choose(
+    gateway: gateway_state.Gateway,
+    call: requests.ShardCall,
+    route: routes.Route,
+    now_ms: int,
+    random: Random,
+) -> leaves.Leaf | None:
+    """Return the best leaf for a request's next send; None when all are busy or gone."""
+    best: tuple[int, float] | None = None
+    chosen: leaves.Leaf | None = None
+    for leaf in gateway.directory.of_service(call.service):
+        if leaf.entry.leaf_id in call.tried or not may_take(
+            gateway, leaf, route, now_ms
+        ):
+            continue
+        if leaf.full_until_ms > now_ms:
+            continue
+        if leaf.in_flight >= connection_share(gateway, leaf):
+            continue
+        # A draw among equals, so that daemons do not all choose the same leaf.
+        expected = expected_ms(gateway, leaf, route, now_ms) + random()
+        rank = (_standing(leaf), expected)
+        if best is None or rank < best:
+            best, chosen = rank, leaf
+    return chosen
+
+
+def may_take(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+    now_ms: int,
+) -> bool:
+    """Tell whether a leaf may get requests of a route at all."""
+    if route.regions and leaf.region not in route.regions:
+        return False
+    if leaf.entry.failure_domain in gateway.evacuated:
+        return False
+    since_ms = leaf.leaving_since_ms
+    if since_ms is not None:
+        if now_ms - since_ms > gateway.limits.drain_ms * LEAVING_SHARE:
+            return False
+    return now_ms >= leaf.cold_until_ms or _cold_may_take(gateway, leaf, now_ms)
+
+
+def _standing(leaf: leaves.Leaf) -> int:
+    if leaf.suspected:
+        return 2
+    return 0 if leaf.leaving_since_ms is None else 1
+
+
+def _cold_may_take(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
+) -> bool:
+    configuration = gateway.configuration
+    if configuration is None:
+        return False
+    rate = routes.limits_of(configuration, leaf.entry.service).cold_requests_per_second
+    if rate <= 0.0:
+        return True
+    daemons = daemon_count(gateway)
+    passed_s = (now_ms - leaf.cold_tokens_ms) / 1000
+    most = max(1.0, gateway.limits.cold_slack / daemons)
+    leaf.cold_tokens = min(most, leaf.cold_tokens + passed_s * rate / daemons)
+    leaf.cold_tokens_ms = now_ms
+    return leaf.cold_tokens >= 1.0
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -0,0 +1,124 @@
+"""What happens to forwarded requests; each event is fed to the engine once."""
+
+from typing import NamedTuple
+
+from amaranthpulley.state.forwarding import gateway, leaves, requests, routes
+
+
+class RequestArrived(NamedTuple):
+    """A whole request has been read."""
+
+    request: requests.IncomingRequest
+
+
+class ClientLeft(NamedTuple):
+    """The client has closed its connection before the answer."""
+
+    request_key: int
+
+
+class AttemptAnswered(NamedTuple):
+    """A leaf's whole answer to an attempt has been read."""
+
+    attempt: int
+    answer: requests.LeafAnswer
+
+
+class AttemptFailed(NamedTuple):
+    """An attempt has ended without an answer."""
+
+    attempt: int
+    end: requests.AttemptEnd
+
+
+class WakeDue(NamedTuple):
+    """A time has come that a decision about a request asked for."""
+
+    request_key: int
+
+
+class ConfigurationRead(NamedTuple):
+    """A version of the configuration has been read from the store."""
+
+    configuration: routes.Configuration
+
+
+class LeafWritten(NamedTuple):
+    """A leaf's entry in the directory is new or has changed."""
+
+    entry: leaves.LeafEntry
+
+
+class LeafDeleted(NamedTuple):
+    """A leaf's entry is no longer in the directory, or can no longer be read."""
+
+    leaf_id: str
+
+
+class DirectoryListed(NamedTuple):
+    """All entries have been read.
+
+    Attributes
+    ----------
+    leaf_ids, evacuated, members : frozenset of str
+        What the listing held; everything else of these kinds is gone.
+    """
+
+    leaf_ids: frozenset[str]
+    evacuated: frozenset[str]
+    members: frozenset[str]
+
+
+class EvacuationChanged(NamedTuple):
+    """A failure domain is taken out, or is taken back."""
+
+    failure_domain: str
+    evacuated: bool
+
+
+class MemberChanged(NamedTuple):
+    """A daemon has registered, or its registration has lapsed."""
+
+    name: str
+    member: gateway.Member | None
+
+
+class StoreReached(NamedTuple):
+    """The store has become reachable, or is no longer."""
+
+    reachable: bool
+    reason: str
+
+
+class ProbeEnded(NamedTuple):
+    """A health check has ended."""
+
+    leaf_id: str
+    healthy: bool
+
+
+class TickDue(NamedTuple):
+    """Housekeeping is due."""
+
+
+class DrainRequested(NamedTuple):
+    """The process has been asked to end."""
+
+
+Event = (
+    RequestArrived
+    | ClientLeft
+    | AttemptAnswered
+    | AttemptFailed
+    | WakeDue
+    | ConfigurationRead
+    | LeafWritten
+    | LeafDeleted
+    | DirectoryListed
+    | EvacuationChanged
+    | MemberChanged
+    | StoreReached
+    | ProbeEnded
+    | TickDue
+    | DrainRequested
+)
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/learning.py
@@ -0,0 +1,129 @@
+"""What the end of an attempt tells of its leaf."""
+
+from typing import Final
+
+from amaranthpulley.coordination.forwarding import choosing
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import leaves, requests, routes
+
+# Weight of one answer in a leaf's slowness: a pause's few late answers change it little.
+SLOWNESS_WEIGHT: Final = 0.15
+# Largest slowness that one answer can show.
+MOST_SLOWNESS: Final = 6.0
+# Weight of one end in a leaf's share of failures.
+FAILURE_WEIGHT: Final = 0.1
+# Pause before the first health check of a leaf that does not answer, in milliseconds.
+FIRST_PROBE_MS: Final = 400
+# Longest pause between health checks, in milliseconds.
+LONGEST_PROBE_MS: Final = 4_000
+# Factor between two pauses.
+PROBE_GROWTH: Final = 2
+# A full leaf gets nothing for its usual time, and at least this, in milliseconds.
+FULL_MS: Final = 10
+# Different leaves that a request must have lost before it is refused.
+CRASHES: Final = 3
+# Requests that are remembered for having lost leaves.
+REMEMBERED_CRASHES: Final = 500
+
+
+def note_answer(
+    gateway: gateway_state.Gateway,
+    attempt: requests.Attempt,
+    route: routes.Route,
+    answer: requests.LeafAnswer,
+    now_ms: int,
+) -> None:
+    """Learn from a leaf's whole answer."""
+    leaf = gateway.directory.get(attempt.leaf_id)
+    if leaf is None:
+        return
+    _hear(leaf, attempt, now_ms)
+    if answer.load is not None:
+        leaf.load = leaves.Load(*answer.load)
+        leaf.load_ms = now_ms
+    if answer.not_run:
+        usual_ms = gateway.usual_of(route).mean_ms
+        leaf.full_until_ms = now_ms + max(FULL_MS, int(usual_ms))
+        return
+    succeeded = answer.status < 500
+    _count_failure(leaf, not succeeded)
+    if succeeded:
+        _learn_time(gateway, leaf, attempt, route, now_ms)
+
+
+def note_failure(
+    gateway: gateway_state.Gateway,
+    attempt: requests.Attempt,
+    end: requests.AttemptEnd,
+    now_ms: int,
+) -> None:
+    """Learn from an attempt that ended without an answer."""
+    leaf = gateway.directory.get(attempt.leaf_id)
+    if leaf is None:
+        return
+    leaf.overdue_ms.pop(attempt.number, None)
+    if end is requests.AttemptEnd.WRONG_LEAF:
+        # The address belongs to another leaf by now; the directory is behind.
+        gateway.directory.remove(attempt.leaf_id)
+    elif end in (requests.AttemptEnd.UNREACHABLE, requests.AttemptEnd.TIMED_OUT):
+        suspect(leaf, now_ms)
+    else:
+        _count_failure(leaf, True)
+
+
+def suspect(leaf: leaves.Leaf, now_ms: int) -> None:
+    """Give a leaf no work until a health check succeeds or it answers."""
+    if not leaf.suspected:
+        leaf.suspected = True
+        leaf.probe_pause_ms = FIRST_PROBE_MS
+        leaf.probe_due_ms = now_ms + FIRST_PROBE_MS
+
+
+def note_probe(leaf: leaves.Leaf, healthy: bool, now_ms: int) -> None:
+    """Learn from a health check."""
+    if healthy:
+        leaf.suspected = False
+        leaf.heard_ms = now_ms
+        return
+    leaf.probe_pause_ms = min(LONGEST_PROBE_MS, leaf.probe_pause_ms * PROBE_GROWTH)
+    leaf.probe_due_ms = now_ms + leaf.probe_pause_ms
+
+
+def note_crash(gateway: gateway_state.Gateway, fingerprint: int, leaf_id: str) -> None:
+    """Remember that a leaf was lost while it ran a request."""
+    if len(gateway.crashes) >= REMEMBERED_CRASHES:
+        gateway.crashes.pop(next(iter(gateway.crashes)))
+    gateway.crashes.setdefault(fingerprint, set()).add(leaf_id)
+
+
+def crashes_leaves(gateway: gateway_state.Gateway, fingerprint: int) -> bool:
+    """Tell whether a request has lost leaf after leaf and never been answered."""
+    return len(gateway.crashes.get(fingerprint, ())) >= CRASHES
+
+
+def _hear(leaf: leaves.Leaf, attempt: requests.Attempt, now_ms: int) -> None:
+    leaf.overdue_ms.pop(attempt.number, None)
+    leaf.heard_ms = now_ms
+    leaf.suspected = False
+
+
+def _count_failure(leaf: leaves.Leaf, failed: bool) -> None:
+    leaf.failure_share += FAILURE_WEIGHT * (float(failed) - leaf.failure_share)
+
+
+def _learn_time(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    attempt: requests.Attempt,
+    route: routes.Route,
+    now_ms: int,
+) -> None:
+    elapsed_ms = now_ms - attempt.sent_ms
+    gateway.distances.observe(leaf.entry.failure_domain, elapsed_ms)
+    work_ms = max(1.0, elapsed_ms - choosing.way_ms(gateway, leaf))
+    usual = gateway.usual_of(route)
+    seen = min(MOST_SLOWNESS, work_ms / max(1.0, usual.mean_ms))
+    slowness = choosing.slowness_of(leaf, now_ms)
+    leaf.slowness = slowness + SLOWNESS_WEIGHT * (seen - slowness)
+    leaf.slowness_ms = now_ms
+    usual.observe(work_ms)
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/progressing.py
@@ -0,0 +1,207 @@
+"""Requests in progress: the ends of their attempts, and their times."""
+
+from typing import Final
+
+from amaranthpulley.coordination.forwarding import (
+    choosing,
+    commands,
+    events,
+    finishing,
+    learning,
+    sending,
+    tracing,
+)
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import requests
+
+# An attempt that nobody waits for any more is ended after this time: most leaves
+# answer sooner, so that their connections can be used again. In milliseconds.
+LINGER_MS: Final = 350
+# A leaf that is silent so long past the time of its oldest attempt is not just paused:
+# the longest pauses that were seen take 300 ms.
+SUSPECT_AFTER_MS: Final = 450
+FIRST_SERVER_ERROR: Final = 500
+
+
+def take_answer(
+    gateway: gateway_state.Gateway,
+    event: events.AttemptAnswered,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Use a leaf's answer, or send the request again."""
+    attempt = gateway.attempts.pop(event.attempt, None)
+    if attempt is None:
+        return []
+    request = gateway.requests.get(attempt.request_key)
+    if request is None:
+        return []
+    answer = event.answer
+    learning.note_answer(gateway, attempt, request.route, answer, now_ms)
+    call = request.calls[attempt.shard]
+    call.attempts.pop(attempt.number, None)
+    if _is_usable(request, answer):
+        gateway.crashes.pop(request.incoming.fingerprint, None)
+        return _accept(gateway, request, call, answer, now_ms)
+    end = requests.AttemptEnd.REJECTED if answer.not_run else requests.AttemptEnd.FAILED
+    if not answer.not_run:
+        call.failure = answer
+    return _go_on(gateway, request, attempt, end, now_ms, random)
+
+
+def take_failure(
+    gateway: gateway_state.Gateway,
+    event: events.AttemptFailed,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Send a request again after an attempt without an answer, or give its shard up."""
+    attempt = gateway.attempts.pop(event.attempt, None)
+    if attempt is None:
+        return []
+    learning.note_failure(gateway, attempt, event.end, now_ms)
+    request = gateway.requests.get(attempt.request_key)
+    if request is None:
+        return []
+    request.calls[attempt.shard].attempts.pop(attempt.number, None)
+    if event.end is requests.AttemptEnd.LOST:
+        learning.note_crash(gateway, request.incoming.fingerprint, attempt.leaf_id)
+    return _go_on(gateway, request, attempt, event.end, now_ms, random)
+
+
+def wake(
+    gateway: gateway_state.Gateway,
+    event: events.WakeDue,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Do what is due for a request: second sends, repeats, the answer."""
+    request = gateway.requests.get(event.request_key)
+    if request is None or request.answered:
+        return []
+    request.wake_ms = None
+    decided: list[commands.Command] = []
+    if now_ms < request.give_up_ms:
+        for shard, call in enumerate(request.calls):
+            if call.answer is not None or call.closed:
+                continue
+            if call.retry_due_ms is not None and call.retry_due_ms <= now_ms:
+                decided += sending.send_again(gateway, request, shard, now_ms, random)
+            elif call.hedge_due_ms is not None and call.hedge_due_ms <= now_ms:
+                decided += sending.hedge(gateway, request, shard, now_ms, random)
+    return decided + finishing.advance(gateway, request, now_ms)
+
+
+def leave(
+    gateway: gateway_state.Gateway,
+    event: events.ClientLeft,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """End a request whose client has left; its attempts end soon after."""
+    request = gateway.requests.get(event.request_key)
+    if request is None or request.answered:
+        return []
+    return finishing.abandon(gateway, request, now_ms)
+
+
+def sweep_attempts(
+    gateway: gateway_state.Gateway, now_ms: int
+) -> list[commands.Command]:
+    """End attempts that nobody waits for, and suspect leaves that stay silent."""
+    decided: list[commands.Command] = []
+    for leaf in gateway.directory.all():
+        overdue_ms = leaf.first_overdue_ms()
+        if overdue_ms is None or leaf.suspected:
+            continue
+        silent_ms = now_ms - max(overdue_ms, leaf.heard_ms)
+        if silent_ms >= SUSPECT_AFTER_MS:
+            learning.suspect(leaf, now_ms)
+            decided.append(tracing.leaf_line(leaf, "suspected", int(silent_ms)))
+    for request in list(gateway.requests.values()):
+        if request.answered:
+            decided += _end_lingering(gateway, request, now_ms)
+    return decided
+
+
+def _is_usable(request: requests.ForwardedRequest, answer: requests.LeafAnswer) -> bool:
+    if answer.not_run or answer.encoded:
+        return False
+    if request.route.shards:
+        return 200 <= answer.status < 300 and bool(answer.signature)
+    return answer.status < FIRST_SERVER_ERROR and answer.status not in (
+        finishing.PROMISES
+    )
+
+
+def _accept(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    call: requests.ShardCall,
+    answer: requests.LeafAnswer,
+    now_ms: int,
+) -> list[commands.Command]:
+    if call.answer is None and not call.closed:
+        call.answer = answer
+        request.open_calls -= 1
+    if request.answered:
+        return _forget_if_idle(gateway, request)
+    return finishing.advance(gateway, request, now_ms)
+
+
+def _go_on(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    attempt: requests.Attempt,
+    end: requests.AttemptEnd,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    call = request.calls[attempt.shard]
+    tracing.note(request, now_ms, end.value, call.service, attempt.leaf_id)
+    gateway.counters.add("forward_failures_total", end=end.value)
+    if end in requests.NOT_RUN:
+        call.runs -= 1
+        if end is requests.AttemptEnd.UNREACHABLE:
+            call.sends -= 1
+    if request.answered:
+        return _forget_if_idle(gateway, request)
+    if call.answer is not None or call.closed:
+        return []
+    decided: list[commands.Command] = []
+    if now_ms < request.give_up_ms:
+        decided = sending.send_again(gateway, request, attempt.shard, now_ms, random)
+    return decided + finishing.advance(gateway, request, now_ms)
+
+
+def _forget_if_idle(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest
+) -> list[commands.Command]:
+    if not any(call.attempts for call in request.calls):
+        gateway.requests.pop(request.incoming.key, None)
+    return []
+
+
+def _end_lingering(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
+) -> list[commands.Command]:
+    decided: list[commands.Command] = []
+    if not request.route.idempotent and now_ms < request.give_up_ms:
+        return decided
+    if request.ended_ms is None or now_ms - request.ended_ms < LINGER_MS:
+        return decided
+    for call in request.calls:
+        for number, attempt in list(call.attempts.items()):
+            del call.attempts[number]
+            gateway.attempts.pop(number, None)
+            decided.append(commands.CancelAttempt(number))
+            leaf = gateway.directory.get(attempt.leaf_id)
+            if leaf is None:
+                continue
+            leaf.overdue_ms.pop(number, None)
+            if leaf.heard_ms < attempt.sent_ms and not leaf.suspected:
+                learning.suspect(leaf, now_ms)
+                age_ms = now_ms - leaf.heard_ms
+                decided.append(tracing.leaf_line(leaf, "suspected", age_ms))
+    gateway.requests.pop(request.incoming.key, None)
+    return decided
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/receiving.py
@@ -0,0 +1,122 @@
+"""Requests as they arrive: their route, their shards and the first sends."""
+
+from typing import Final
+
+from amaranthpulley.coordination.forwarding import (
+    choosing,
+    commands,
+    events,
+    finishing,
+    learning,
+    sending,
+    tracing,
+)
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import requests, routes
+
+# The answer must be at the client before its deadline, in milliseconds.
+DEADLINE_MARGIN_MS: Final = 20
+# Waits after which a repeat is likely to be served, in milliseconds: a daemon has its
+# configuration within this time of its start, and a lost leaf is back after a second.
+CONFIGURATION_WAIT_MS: Final = 300
+LEAF_WAIT_MS: Final = 100
+
+
+def receive(
+    gateway: gateway_state.Gateway,
+    event: events.RequestArrived,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Take a request on, or refuse it at once."""
+    incoming = event.request
+    configuration = gateway.configuration
+    if configuration is None or not gateway.listed:
+        return _refuse(
+            gateway,
+            incoming,
+            commands.Refusal.NO_CONFIGURATION,
+            CONFIGURATION_WAIT_MS,
+            now_ms,
+        )
+    route = routes.find_route(configuration, incoming.host, incoming.path)
+    if route is None:
+        return _refuse(gateway, incoming, commands.Refusal.NO_ROUTE, 0, now_ms)
+    if learning.crashes_leaves(gateway, incoming.fingerprint):
+        return _refuse(gateway, incoming, commands.Refusal.CRASHES_LEAVES, 0, now_ms)
+    request = _take_on(gateway, incoming, route, now_ms, random)
+    if not _enough_leaves(gateway, request, now_ms):
+        return _refuse(
+            gateway, incoming, commands.Refusal.NO_LEAF, LEAF_WAIT_MS, now_ms
+        )
+    gateway.requests[incoming.key] = request
+    decided: list[commands.Command] = []
+    for shard in range(len(request.calls)):
+        decided += sending.send_first(gateway, request, shard, now_ms, random)
+    return decided + finishing.advance(gateway, request, now_ms)
+
+
+def _take_on(
+    gateway: gateway_state.Gateway,
+    incoming: requests.IncomingRequest,
+    route: routes.Route,
+    now_ms: int,
+    random: choosing.Random,
+) -> requests.ForwardedRequest:
+    wait_ms = route.timeout_ms
+    if incoming.deadline_ms is not None:
+        wait_ms = min(wait_ms, incoming.deadline_ms - DEADLINE_MARGIN_MS)
+    request = requests.ForwardedRequest(
+        incoming, route, now_ms, now_ms + max(1, wait_ms)
+    )
+    services = route.shards or (_next_service(gateway, route, random),)
+    request.calls = [requests.ShardCall(service) for service in services]
+    request.open_calls = len(services)
+    for service in services:
+        gateway.window_of(service).add_request(now_ms)
+    return request
+
+
+def _next_service(
+    gateway: gateway_state.Gateway, route: routes.Route, random: choosing.Random
+) -> str:
+    """Return the service whose turn it is, by smooth weighted round robin."""
+    if len(route.services) == 1:
+        return route.services[0].name
+    total = sum(service.weight for service in route.services)
+    turns = gateway.turns.get(route.name)
+    if turns is None or set(turns) != {service.name for service in route.services}:
+        turns = {s.name: random() * s.weight for s in route.services}
+        gateway.turns[route.name] = turns
+    for service in route.services:
+        turns[service.name] += service.weight
+    name = max(turns, key=lambda candidate: turns[candidate])
+    turns[name] -= total
+    return name
+
+
+def _enough_leaves(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
+) -> bool:
+    route = request.route
+    served = 0
+    for call in request.calls:
+        leaves = gateway.directory.of_service(call.service)
+        served += any(
+            choosing.may_take(gateway, leaf, route, now_ms) for leaf in leaves
+        )
+    return served > 0 and served >= route.minimum_coverage * len(request.calls)
+
+
+def _refuse(
+    gateway: gateway_state.Gateway,
+    incoming: requests.IncomingRequest,
+    reason: commands.Refusal,
+    retry_after_ms: int,
+    now_ms: int,
+) -> list[commands.Command]:
+    gateway.counters.add("forward_requests_total", outcome=reason.value)
+    return [
+        commands.Refuse(incoming.key, reason, True, retry_after_ms),
+        *tracing.refusal_lines(gateway, incoming, reason.value, now_ms),
+    ]
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/repeating.py
@@ -0,0 +1,48 @@
+"""How often a request may be sent again, out of a budget that all daemons share.
+
+In a sliding window a service may get so many sends beyond the first of each request as
+a share of its requests and a slack. Each daemon spends the share of its own requests
+and an equal part of the slack.
+"""
+
+from typing import Final
+
+from amaranthpulley.coordination.forwarding import choosing
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import requests
+
+# Part of the budget that is spent; the rest covers sends that arrive late.
+SPENT_SHARE: Final = 0.85
+# Part of it that second sends may use; the rest is kept for failed attempts.
+HEDGE_SHARE: Final = 0.85
+
+
+def may_repeat(
+    gateway: gateway_state.Gateway,
+    call: requests.ShardCall,
+    now_ms: int,
+    share: float = 1.0,
+) -> bool:
+    """Tell whether the budget allows one more send to a service.
+
+    Parameters
+    ----------
+    share : float
+        Part of the budget that this kind of send may use.
+    """
+    if call.sends == 0:
+        return True
+    limits = gateway.limits
+    window = gateway.window_of(call.service)
+    asked, repeated = window.totals(now_ms)
+    # A daemon that has just started does not know what it spent in its last life.
+    age = min(1.0, (now_ms - gateway.started_ms) / limits.retry_window_ms)
+    slack = limits.retry_slack * age / choosing.daemon_count(gateway)
+    allowed = SPENT_SHARE * share * (limits.retry_ratio * asked + slack)
+    return repeated + 1 <= allowed
+
+
+def may_run_again(request: requests.ForwardedRequest, call: requests.ShardCall) -> bool:
+    """Tell whether one more leaf may run a request."""
+    most = request.route.maximum_leaves if request.route.idempotent else 1
+    return call.runs < most
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/sending.py
@@ -0,0 +1,139 @@
+"""Sends of a request's shards: the first one, a second one, and after a failure."""
+
+from typing import Final
+
+from amaranthpulley.coordination.forwarding import (
+    choosing,
+    commands,
+    repeating,
+    tracing,
+)
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import leaves, requests
+
+# Pause before another look for a leaf when all are busy, in milliseconds.
+BUSY_PAUSE_MS: Final = 8
+# Sends of one shard, rejected ones included: the largest services are tried in part.
+MOST_SENDS: Final = 6
+# Time that a leaf must be given at least, in milliseconds.
+LEAST_BUDGET_MS: Final = 2
+
+
+def send_first(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    shard: int,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Send a shard's request to its best leaf, or decide to wait for one."""
+    call = request.calls[shard]
+    leaf = choosing.choose(gateway, call, request.route, now_ms, random)
+    if leaf is None:
+        _wait_or_close(gateway, request, call, now_ms)
+        return []
+    return [_send(gateway, request, shard, leaf, now_ms)]
+
+
+def send_again(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    shard: int,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Send a shard's request once more after its attempt failed, if that is allowed."""
+    call = request.calls[shard]
+    call.retry_due_ms = None
+    if not repeating.may_run_again(request, call) or call.sends >= MOST_SENDS:
+        _close_if_idle(request, call)
+        return []
+    if not repeating.may_repeat(gateway, call, now_ms):
+        tracing.note(request, now_ms, "budget_spent", call.service, "")
+        _close_if_idle(request, call)
+        return []
+    return send_first(gateway, request, shard, now_ms, random)
+
+
+def hedge(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    shard: int,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Send a late shard's request to a second leaf, if one is likely to be faster."""
+    call = request.calls[shard]
+    call.hedge_due_ms = None
+    if not request.route.idempotent or not repeating.may_run_again(request, call):
+        return []
+    if not repeating.may_repeat(gateway, call, now_ms, repeating.HEDGE_SHARE):
+        call.hedge_due_ms = now_ms + BUSY_PAUSE_MS
+        tracing.note(request, now_ms, "budget_spent", call.service, "")
+        return []
+    leaf = choosing.choose(gateway, call, request.route, now_ms, random)
+    if leaf is None or choosing.is_paused(leaf, now_ms) or leaf.suspected:
+        call.hedge_due_ms = now_ms + BUSY_PAUSE_MS
+        return []
+    gateway.counters.add("forward_hedges_total")
+    return [_send(gateway, request, shard, leaf, now_ms)]
+
+
+def _send(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    shard: int,
+    leaf: leaves.Leaf,
+    now_ms: int,
+) -> commands.SendAttempt:
+    call = request.calls[shard]
+    number = gateway.next_attempt
+    gateway.next_attempt += 1
+    leaf_id = leaf.entry.leaf_id
+    key = request.incoming.key
+    attempt = requests.Attempt(number, key, shard, leaf_id, now_ms)
+    gateway.attempts[number] = attempt
+    call.attempts[number] = attempt
+    call.tried.add(leaf_id)
+    late_ms = choosing.late_after_ms(gateway, leaf, request.route)
+    leaf.overdue_ms[number] = now_ms + late_ms
+    if now_ms < leaf.cold_until_ms:
+        leaf.cold_tokens -= 1.0
+    if call.sends:
+        gateway.window_of(call.service).add_repeat(now_ms)
+    call.sends += 1
+    call.runs += 1
+    if call.hedge_due_ms is None and call.runs < request.route.maximum_leaves:
+        call.hedge_due_ms = now_ms + int(late_ms)
+    tracing.note(request, now_ms, "sent", call.service, leaf_id)
+    budget_ms = max(LEAST_BUDGET_MS, request.give_up_ms - now_ms)
+    fresh = not request.route.idempotent
+    address = leaf.entry.address
+    return commands.SendAttempt(number, key, leaf_id, address, budget_ms, fresh)
+
+
+def _wait_or_close(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    call: requests.ShardCall,
+    now_ms: int,
+) -> None:
+    waits = any(
+        leaf.entry.leaf_id not in call.tried
+        and choosing.may_take(gateway, leaf, request.route, now_ms)
+        for leaf in gateway.directory.of_service(call.service)
+    )
+    if waits:
+        call.retry_due_ms = now_ms + BUSY_PAUSE_MS
+        tracing.note(request, now_ms, "leaves_busy", call.service, "")
+    else:
+        tracing.note(request, now_ms, "no_leaf", call.service, "")
+        _close_if_idle(request, call)
+
+
+def _close_if_idle(
+    request: requests.ForwardedRequest, call: requests.ShardCall
+) -> None:
+    if not call.attempts and call.answer is None and not call.closed:
+        call.closed = True
+        request.open_calls -= 1
--- /dev/null
+++ b/amaranthpulley/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's names, formats and calls, turned into the product's types."""
--- /dev/null
+++ b/amaranthpulley/platform/command.py
@@ -0,0 +1,36 @@
+"""The command that runs a daemon on the platform."""
+
+from amaranthpulley.platform import entries, names, settings, store
+from amaranthpulley.protocol import errors
+from amaranthpulley.transport import system_clock
+from amaranthpulley.transport.forwarding import process
+
+
+def run() -> int:
+    """Serve until the process is told to end; return the exit code.
+
+    Raises
+    ------
+    InvalidSettingsError
+        When the settings are wrong; nothing has been started.
+    """
+    setup, store_address = settings.read()
+    place = setup.place
+    calls = store.Store(
+        store_address,
+        names.DAEMON_PREFIX + place.name,
+        entries.encode_daemon(place.failure_domain, setup.front_address),
+    )
+    served = process.GatewayProcess(
+        setup, system_clock.system_clock(), calls.as_source(), _check_settings
+    )
+    served.start()
+    return served.wait()
+
+
+def _check_settings() -> str:
+    try:
+        settings.read()
+    except errors.InvalidSettingsError as error:
+        return f"kept the old ones: {error}"
+    return "checked"
--- /dev/null
+++ b/amaranthpulley/platform/configuration.py
@@ -0,0 +1,106 @@
+"""The operators' configuration, as it lies in the platform's store."""
+
+from typing import Literal, NotRequired, TypedDict
+
+from amaranthpulley.protocol import json_codec
+from amaranthpulley.state.forwarding import routes
+
+
+class _Weighted(TypedDict):
+    Service: str
+    Weight: float
+
+
+class _Route(TypedDict):
+    Name: str
+    Host: str
+    PathPrefix: str
+    RouteType: Literal["idempotent", "non_idempotent"]
+    TimeoutMs: int
+    TargetLatencyMs: int
+    MaxAttempts: int
+    Priority: NotRequired[int]
+    Service: NotRequired[str | None]
+    WeightedBackends: NotRequired[list[_Weighted] | None]
+    Gather: NotRequired[list[str] | None]
+    TopK: NotRequired[int | None]
+    MinCoverage: NotRequired[float | None]
+    AllowedRegions: NotRequired[list[str] | None]
+
+
+class _Service(TypedDict):
+    Name: str
+    HealthPath: str
+    MaxConns: int
+    WarmupPerS: NotRequired[float]
+
+
+class _Limits(TypedDict):
+    MaxHeaderBytes: int
+    MaxBodyBytes: int
+    HeaderTimeoutMs: int
+    IdleTimeoutMs: int
+
+
+class _Configuration(TypedDict):
+    Version: int
+    Routes: list[_Route]
+    Services: list[_Service]
+    Limits: _Limits
+
+
+def decode(text: bytes) -> routes.Configuration:
+    """Return a version of the configuration.
+
+    Raises
+    ------
+    MalformedMessageError
+        When the text is no configuration; names the path of the fault.
+    """
+    raw = json_codec.decode(text, _Configuration)
+    table: dict[str, dict[str, routes.Route]] = {}
+    for route in raw["Routes"]:
+        table.setdefault(route["Host"].lower(), {})[route["PathPrefix"]] = _route(route)
+    limits = raw["Limits"]
+    return routes.Configuration(
+        raw["Version"],
+        table,
+        {service["Name"]: _service(service) for service in raw["Services"]},
+        routes.ClientLimits(
+            limits["MaxHeaderBytes"],
+            limits["MaxBodyBytes"],
+            limits["HeaderTimeoutMs"],
+            limits["IdleTimeoutMs"],
+        ),
+    )
+
+
+def _route(raw: _Route) -> routes.Route:
+    weighted = raw.get("WeightedBackends") or []
+    services = tuple(
+        routes.WeightedService(w["Service"], w["Weight"]) for w in weighted
+    )
+    single = raw.get("Service")
+    if single and not services:
+        services = (routes.WeightedService(single, 1.0),)
+    return routes.Route(
+        name=raw["Name"],
+        host=raw["Host"],
+        prefix=raw["PathPrefix"],
+        idempotent=raw["RouteType"] == "idempotent",
+        timeout_ms=raw["TimeoutMs"],
+        objective_ms=raw["TargetLatencyMs"],
+        priority=raw.get("Priority") or 0,
+        maximum_leaves=max(1, raw["MaxAttempts"]),
+        services=services,
+        shards=tuple(raw.get("Gather") or ()),
+        top_records=raw.get("TopK") or 0,
+        minimum_coverage=raw.get("MinCoverage") or 0.0,
+        regions=frozenset(raw.get("AllowedRegions") or ()),
+    )
+
+
+def _service(raw: _Service) -> routes.ServiceLimits:
+    return routes.ServiceLimits(
+        raw["HealthPath"], raw["MaxConns"], raw.get("WarmupPerS") or 0.0
+    )
--- /dev/null
+++ b/amaranthpulley/platform/entries.py
@@ -0,0 +1,106 @@
+"""Items of the platform's store, turned into events."""
+
+from typing import Literal, NotRequired, TypedDict
+
+from amaranthpulley.coordination.forwarding import events
+from amaranthpulley.platform import configuration, names
+from amaranthpulley.protocol import errors, json_codec
+from amaranthpulley.state.forwarding import gateway, leaves
+
+
+class _Leaf(TypedDict):
+    Service: str
+    Address: str
+    Zone: str
+    Capacity: int
+    State: Literal["ready", "draining"]
+    # How long the leaf stays slow after its start, not how long it needs to warm up.
+    WarmupLeftMs: NotRequired[int]
+    # Unix time of its start, in milliseconds; names one life of an identity.
+    born: NotRequired[int]
+
+
+class Daemon(TypedDict):
+    """A daemon's registration; written and read by this system alone."""
+
+    failure_domain: str
+    address: str
+
+
+def event_of(key: str, value: bytes | None) -> events.Event | None:
+    """Return what an item says; None when it is of no concern.
+
+    Parameters
+    ----------
+    value : bytes or None
+        None when the item has been deleted.
+
+    Raises
+    ------
+    MalformedMessageError
+        When the value cannot be read.
+    """
+    if key == names.CONFIGURATION_KEY:
+        if value is None:
+            return None
+        return events.ConfigurationRead(configuration.decode(value))
+    if key.startswith(names.LEAF_PREFIX):
+        leaf_id = key.removeprefix(names.LEAF_PREFIX)
+        if value is None:
+            return events.LeafDeleted(leaf_id)
+        return events.LeafWritten(_leaf(leaf_id, value))
+    if key.startswith(names.EVACUATION_PREFIX):
+        domain = key.removeprefix(names.EVACUATION_PREFIX)
+        return events.EvacuationChanged(domain, value is not None)
+    if key.startswith(names.DAEMON_PREFIX):
+        name = key.removeprefix(names.DAEMON_PREFIX)
+        return events.MemberChanged(name, _daemon(value))
+    return None
+
+
+def unreadable(key: str) -> events.Event | None:
+    """Return what follows from an item that cannot be read: it names no leaf to use."""
+    if key.startswith(names.LEAF_PREFIX):
+        return events.LeafDeleted(key.removeprefix(names.LEAF_PREFIX))
+    return None
+
+
+def listed(found: list[events.Event]) -> events.DirectoryListed:
+    """Return the event that ends a listing, from those that it began with."""
+    leaf_ids = {e.entry.leaf_id for e in found if isinstance(e, events.LeafWritten)}
+    evacuated = {
+        e.failure_domain for e in found if isinstance(e, events.EvacuationChanged)
+    }
+    members = {e.name for e in found if isinstance(e, events.MemberChanged)}
+    return events.DirectoryListed(
+        frozenset(leaf_ids), frozenset(evacuated), frozenset(members)
+    )
+
+
+def encode_daemon(failure_domain: str, address: str) -> bytes:
+    """Return the value of a daemon's registration."""
+    return json_codec.encode(Daemon(failure_domain=failure_domain, address=address))
+
+
+def _leaf(leaf_id: str, value: bytes) -> leaves.LeafEntry:
+    raw = json_codec.decode(value, _Leaf)
+    host, colon, port = raw["Address"].rpartition(":")
+    if not colon or not host or not port.isdigit():
+        raise errors.MalformedMessageError(f"Address: {raw['Address']!r}")
+    return leaves.LeafEntry(
+        leaf_id=leaf_id,
+        service=raw["Service"],
+        address=raw["Address"],
+        failure_domain=raw["Zone"],
+        slots=raw["Capacity"],
+        draining=raw["State"] == names.DRAINING,
+        cold_ms=raw.get("WarmupLeftMs", 0),
+        born_ms=raw.get("born", 0),
+    )
+
+
+def _daemon(value: bytes | None) -> gateway.Member | None:
+    if value is None:
+        return None
+    raw = json_codec.decode(value, Daemon)
+    return gateway.Member(raw["failure_domain"], raw["address"])
--- /dev/null
+++ b/amaranthpulley/platform/names.py
@@ -0,0 +1,41 @@
+"""The platform's names on the wire: headers, paths, keys, words."""
+
+from typing import Final
+
+from amaranthpulley.protocol.forwarding import header_names
+
+# The variable that holds the path of the settings file.
+SETTINGS_VARIABLE: Final = "AMARANTHPULLEY_BOOT"
+
+HEADERS: Final = header_names.HeaderNames(
+    request_id=b"x-request-id",
+    deadline_ms=b"x-deadline-ms",
+    signature=b"x-response-stamp",
+    wanted_leaf=b"x-target-instance",
+    load=b"x-server-load",
+    not_run=b"x-not-executed",
+    leaf=b"x-instance-id",
+    part_signatures=b"x-part-stamps",
+    missing_parts=b"x-missing-parts",
+    retry_after=b"retry-after",
+)
+
+READY_PATH: Final = b"/api/ready"
+
+ITEM_PATH: Final = "/api/kv-key"
+RANGE_PATH: Final = "/api/kv-range"
+WATCH_PATH: Final = "/api/kv-watch"
+TRANSACTION_PATH: Final = "/api/kv-txn"
+LEASE_PATH: Final = "/api/kv-lease"
+RENEW_PATH: Final = "/api/kv-keep/"
+END_LEASE_PATH: Final = "/api/kv-lease-end/"
+
+CONFIGURATION_KEY: Final = "op/config"
+EVACUATION_PREFIX: Final = "op/evacuate/"
+LEAF_PREFIX: Final = "servers/"
+# Keys of this system; the others belong to the operator and to the leaves.
+DAEMON_PREFIX: Final = "amaranthpulley/daemons/"
+
+IDEMPOTENT: Final = "idempotent"
+READY: Final = "ready"
+DRAINING: Final = "draining"
--- /dev/null
+++ b/amaranthpulley/platform/settings.py
@@ -0,0 +1,98 @@
+"""The settings file of the platform."""
+
+import os
+from typing import Any, Final, TypedDict
+
+import msgspec
+
+from amaranthpulley.platform import names
+from amaranthpulley.protocol import errors, json_codec
+from amaranthpulley.state.forwarding import gateway
+from amaranthpulley.transport.forwarding import process
+
+# Port of the metrics; deploy/system.toml names the same one.
+METRICS_PORT: Final = 9_464
+
+
+class _Addresses(TypedDict):
+    FrontAddr: str
+    ReadyAddr: str
+
+
+class _Store(TypedDict):
+    Address: str
+
+
+class _Settings(TypedDict):
+    NodeName: str
+    Ip: str
+    Zone: str
+    Region: str
+    Zones: dict[str, str]
+    BindAddrs: _Addresses
+    platform: _Store
+    Bounds: dict[str, Any]
+
+
+def read() -> tuple[process.Setup, str]:
+    """Return what the process is started with, and the store's ``IP:port``.
+
+    Raises
+    ------
+    InvalidSettingsError
+        When the file is not there or lacks something; names the path of the fault.
+    """
+    path = os.environ.get(names.SETTINGS_VARIABLE)
+    if not path:
+        raise errors.InvalidSettingsError(f"{names.SETTINGS_VARIABLE} is not set")
+    try:
+        with open(path, "rb") as file:
+            return decode(file.read())
+    except OSError as error:
+        raise errors.InvalidSettingsError(f"{path}: {error.strerror}") from error
+
+
+def decode(text: bytes) -> tuple[process.Setup, str]:
+    """Return what a settings file's text says; see `read`."""
+    try:
+        settings = json_codec.decode(text, _Settings)
+        limits = _limits(settings["Bounds"])
+    except errors.MalformedMessageError as error:
+        raise errors.InvalidSettingsError(str(error)) from error
+    listen = settings["BindAddrs"]
+    setup = process.Setup(
+        gateway.Place(
+            settings["NodeName"],
+            settings["Zone"],
+            settings["Region"],
+            settings["Zones"],
+        ),
+        limits,
+        listen["FrontAddr"],
+        listen["ReadyAddr"],
+        names.READY_PATH,
+        f"{settings['Ip']}:{METRICS_PORT}",
+        names.HEADERS,
+    )
+    return setup, settings["platform"]["Address"]
+
+
+def _limits(bounds: dict[str, Any]) -> gateway.Limits:
+    usual = gateway.Limits()
+
+    def number(name: str, default: float) -> float:
+        try:
+            return msgspec.convert(bounds.get(name, default), float)
+        except msgspec.ValidationError as error:
+            raise errors.InvalidSettingsError(f"Bounds.{name}: {error}") from error
+
+    return gateway.Limits(
+        retry_ratio=number("RetryBudgetRatio", usual.retry_ratio),
+        retry_slack=int(number("RetrySlack", usual.retry_slack)),
+        retry_window_ms=int(1000 * number("RetryWindowS", 10)),
+        drain_ms=int(number("DrainMs", usual.drain_ms)),
+        evacuate_ms=int(number("EvacuateMs", usual.evacuate_ms)),
+        grace_ms=int(1000 * number("GraceS", 6)),
+        cold_overage=number("WarmupOverage", usual.cold_overage),
+        cold_slack=number("WarmupSlack", usual.cold_slack),
+    )
--- /dev/null
+++ b/amaranthpulley/protocol/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP messages of forwarded requests."""
--- /dev/null
+++ b/amaranthpulley/protocol/forwarding/client_answers.py
@@ -0,0 +1,114 @@
+"""Answers to clients: a leaf's own, a merged one, or the daemon's refusal."""
+
+import http
+from typing import Final
+
+from amaranthpulley.coordination.forwarding import commands
+from amaranthpulley.protocol.forwarding import header_names
+from amaranthpulley.state.forwarding import requests
+
+CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+_PHRASES: Final = {status.value: status.phrase.encode() for status in http.HTTPStatus}
+_BODYLESS_STATUSES: Final = frozenset({204, 304})
+
+# A status that says "not run" stands only where that is certain.
+_STATUSES: Final = {
+    commands.Refusal.NO_CONFIGURATION: 503,
+    commands.Refusal.NO_ROUTE: 404,
+    commands.Refusal.NO_LEAF: 503,
+    commands.Refusal.OVERLOADED: 503,
+    commands.Refusal.CRASHES_LEAVES: 503,
+    commands.Refusal.TIMED_OUT: 504,
+    commands.Refusal.TOO_FEW_SHARDS: 502,
+    commands.Refusal.OUTCOME_UNKNOWN: 502,
+}
+_BAD_GATEWAY: Final = 502
+
+
+def encode_passed(answer: requests.LeafAnswer, closes: bool, is_head: bool) -> bytes:
+    """Return a leaf's answer as it goes to the client."""
+    lines = [_status_line(answer.status)]
+    lines += [b"%b: %b\r\n" % header for header in answer.headers]
+    if answer.status not in _BODYLESS_STATUSES and not is_head:
+        lines.append(b"Content-Length: %d\r\n" % len(answer.body))
+    if closes:
+        lines.append(b"Connection: close\r\n")
+    lines.append(b"\r\n")
+    if not is_head:
+        lines.append(answer.body)
+    return b"".join(lines)
+
+
+def encode_merged(
+    merged: commands.SendMerged,
+    request_id: bytes,
+    names: header_names.HeaderNames,
+    closes: bool,
+) -> bytes:
+    """Return a merged answer."""
+    head = (
+        b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: %b\r\n%b: %d\r\nContent-Length: %d\r\n%b\r\n"
+    )
+    return (
+        head
+        % (
+            names.request_id,
+            request_id,
+            names.part_signatures,
+            b", ".join(merged.signatures),
+            names.missing_parts,
+            merged.missing,
+            len(merged.body),
+            b"Connection: close\r\n" if closes else b"",
+        )
+        + merged.body
+    )
+
+
+def status_of(refused: commands.Refuse) -> int:
+    """Return the status of a refusal.
+
+    Anything that would say "not run" without certainty becomes 502.
+    """
+    status = _STATUSES[refused.reason]
+    if status == 503 and not refused.not_run:
+        return _BAD_GATEWAY
+    if refused.not_run and status == _BAD_GATEWAY:
+        return 503
+    return status
+
+
+def encode_refusal(
+    refused: commands.Refuse, names: header_names.HeaderNames, closes: bool
+) -> bytes:
+    """Return the answer to a refused request."""
+    status = status_of(refused)
+    after = b""
+    if refused.retry_after_ms and status == 503:
+        seconds = refused.retry_after_ms / 1000
+        after = b"%b: %.3f\r\n" % (names.retry_after, seconds)
+    return encode_plain(status, refused.reason.value, closes, after)
+
+
+def encode_plain(status: int, reason: str, closes: bool, extra: bytes = b"") -> bytes:
+    """Return an answer of the daemon's own.
+
+    Parameters
+    ----------
+    reason : str
+        Short name of the reason, for people who read the body.
+    extra : bytes
+        Further header lines.
+    """
+    body = b'{"code":"%b"}\n' % reason.encode()
+    return b"%bContent-Type: application/json\r\nContent-Length: %d\r\n%b%b\r\n%b" % (
+        _status_line(status),
+        len(body),
+        extra,
+        b"Connection: close\r\n" if closes else b"",
+        body,
+    )
+
+
+def _status_line(status: int) -> bytes:
+    return b"HTTP/1.1 %d %b\r\n" % (status, _PHRASES.get(status, b""))
--- /dev/null
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -0,0 +1,162 @@
+"""Clients' requests, read strictly: a request whose end is in doubt is refused."""
+
+import http
+from typing import Final, NamedTuple
+
+import httptools
+
+from amaranthpulley.protocol.forwarding import errors, header_names
+
+MAXIMUM_REQUESTS_AHEAD: Final = 16
+
+
+class ClientRequest(NamedTuple):
+    """A whole request of a client.
+
+    Attributes
+    ----------
+    method : bytes
+        The method.
+    target : bytes
+        Path and query as they were sent, not decoded.
+    headers : list of (bytes, bytes)
+        All headers in their order.
+    body : bytes
+        The whole body, without the framing of chunks.
+    keep_alive : bool
+        Whether the connection may be used again.
+    """
+
+    method: bytes
+    target: bytes
+    headers: header_names.Headers
+    body: bytes
+    keep_alive: bool
+
+    def first(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; the name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class RequestReader:
+    """Turns the bytes of one connection into requests.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+        Largest head and body of a request.
+    """
+
+    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+        self._header_bytes = header_bytes
+        self._body_bytes = body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: list[ClientRequest] = []
+        self._fault: errors.BadRequestError | None = None
+        self._begun = False
+        self._wants_continue = False
+        self._reset()
+
+    @property
+    def in_request(self) -> bool:
+        """Whether a request has begun and has not ended yet."""
+        return self._begun
+
+    def take_continue(self) -> bool:
+        """Tell once whether the client waits for leave to send its body."""
+        wanted, self._wants_continue = self._wants_continue, False
+        return wanted and self._begun
+
+    def feed(self, data: bytes) -> list[ClientRequest]:
+        """Return the requests that are whole with these bytes.
+
+        Raises
+        ------
+        BadRequestError
+            When the bytes are no proper request, or one is too large.
+        """
+        if not self._begun:
+            self._begun = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fault = errors.BadRequestError(http.HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            if self._fault is None:
+                self._fault = errors.BadRequestError(http.HTTPStatus.BAD_REQUEST)
+                self._fault.__cause__ = error
+        done, self._requests = self._requests, []
+        if self._fault is not None and not done:
+            raise self._fault
+        return done
+
+    def on_message_begin(self) -> None:
+        """Parser's callback."""
+        self._reset()
+        self._begun = True
+
+    def on_url(self, part: bytes) -> None:
+        """Parser's callback."""
+        self._target += part
+        self._count_head(len(part))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser's callback."""
+        self._headers.append((name, value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Parser's callback."""
+        hosts = 0
+        for name, value in self._headers:
+            lowered = name.lower()
+            if lowered == header_names.HOST:
+                hosts += 1
+            elif lowered == b"expect" and value.lower() == b"100-continue":
+                self._wants_continue = True
+            elif lowered == header_names.CONTENT_LENGTH:
+                if int(value) > self._body_bytes:
+                    self._fail(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if hosts != 1:
+            self._fail(http.HTTPStatus.BAD_REQUEST)
+
+    def on_body(self, part: bytes) -> None:
+        """Parser's callback."""
+        self._body.append(part)
+        self._body_size += len(part)
+        if self._body_size > self._body_bytes:
+            self._fail(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Parser's callback."""
+        request = ClientRequest(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+        )
+        self._requests.append(request)
+        self._begun = False
+        if len(self._requests) > MAXIMUM_REQUESTS_AHEAD:
+            self._fail(http.HTTPStatus.BAD_REQUEST)
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: header_names.Headers = []
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._head_size = 0
+
+    def _count_head(self, size: int) -> None:
+        self._head_size += size
+        if self._head_size > self._header_bytes:
+            self._fail(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _fail(self, status: http.HTTPStatus) -> None:
+        if self._fault is None:
+            self._fault = errors.BadRequestError(status)
+        raise self._fault
--- /dev/null
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -0,0 +1,202 @@
+"""Requests to leaves, and their answers."""
+
+from typing import Final, NamedTuple
+
+import httptools
+
+from amaranthpulley.protocol.forwarding import client_requests, header_names
+from amaranthpulley.state.forwarding import requests
+
+_FIRST_FINAL_STATUS: Final = 200
+_BODYLESS_STATUSES: Final = frozenset({204, 304})
+
+
+class RawAnswer(NamedTuple):
+    """A leaf's answer as it was read.
+
+    Attributes
+    ----------
+    request_id : bytes
+        The request that the leaf says it answers; empty when it does not say.
+    answer : LeafAnswer
+        The answer.
+    keep_alive : bool
+        Whether the connection may be used again.
+    idle_timeout_s : int or None
+        How long the leaf keeps the connection idle, if it says so.
+    """
+
+    request_id: bytes
+    answer: requests.LeafAnswer
+    keep_alive: bool
+    idle_timeout_s: int | None
+
+
+def request_head(
+    request: client_requests.ClientRequest, names: header_names.HeaderNames
+) -> bytes:
+    """Return the part of a request's head that is the same for all leaves."""
+    own = (names.deadline_ms, names.wanted_leaf)
+    lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
+    for name, value in header_names.end_to_end(request.headers):
+        lowered = name.lower()
+        if lowered not in own and lowered != b"expect":
+            lines.append(b"%b: %b\r\n" % (name, value))
+    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    return b"".join(lines)
+
+
+def whole_request(
+    head: bytes,
+    body: bytes,
+    names: header_names.HeaderNames,
+    leaf_id: str,
+    budget_ms: int,
+) -> bytes:
+    """Return the bytes of a request to one leaf."""
+    return b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
+        head,
+        names.deadline_ms,
+        budget_ms,
+        names.wanted_leaf,
+        leaf_id.encode(),
+        body,
+    )
+
+
+def health_request(address: str, path: str) -> bytes:
+    """Return the bytes of a health check."""
+    return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+
+
+class AnswerReader:
+    """Turns the bytes of one connection to a leaf into answers.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        The headers that mean something here.
+    """
+
+    def __init__(self, names: header_names.HeaderNames) -> None:
+        self._names = names
+        self._parser = httptools.HttpResponseParser(self)
+        self._answers: list[RawAnswer] = []
+        self._begun = False
+        self._head_done = False
+        self._without_body = False
+        self._reset()
+
+    @property
+    def in_answer(self) -> bool:
+        """Whether an answer has begun and has not ended yet."""
+        return self._begun
+
+    def expect(self, without_body: bool) -> None:
+        """Prepare for the answer to the next request."""
+        self._without_body = without_body
+
+    def feed(self, data: bytes) -> tuple[list[RawAnswer], bool]:
+        """Return the answers that are whole with these bytes, and whether all is well.
+
+        After a fault, or bytes beyond an answer that is not of HTTP, the connection
+        cannot be used again.
+        """
+        sound = True
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
+            sound = False
+        done, self._answers = self._answers, []
+        return done, sound
+
+    def finish(self) -> RawAnswer | None:
+        """Return the answer that ends with its connection, if there is one."""
+        if not self._begun or not self._head_done or self._framed:
+            return None
+        self.on_message_complete()
+        return self._answers.pop()._replace(keep_alive=False)
+
+    def on_message_begin(self) -> None:
+        """Parser's callback."""
+        self._reset()
+        self._begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser's callback."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Parser's callback."""
+        self._head_done = True
+        for name, value in self._headers:
+            lowered = name.lower()
+            if lowered == header_names.CONTENT_LENGTH:
+                self._framed = True
+            elif lowered == b"transfer-encoding":
+                self._framed = value.lower().endswith(b"chunked")
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS or status in _BODYLESS_STATUSES:
+            self._framed = True
+        if self._without_body and status >= _FIRST_FINAL_STATUS:
+            self.on_message_complete()
+            self._without_body = False
+
+    def on_body(self, part: bytes) -> None:
+        """Parser's callback."""
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Parser's callback."""
+        if not self._begun:
+            return
+        self._begun = False
+        status = self._parser.get_status_code()
+        if status >= _FIRST_FINAL_STATUS:
+            self._answers.append(self._whole(status))
+
+    def _whole(self, status: int) -> RawAnswer:
+        names = self._names
+        found: dict[bytes, bytes] = {}
+        for name, value in self._headers:
+            found.setdefault(name.lower(), value)
+        answer = requests.LeafAnswer(
+            status,
+            tuple(header_names.end_to_end(self._headers)),
+            b"".join(self._body),
+            found.get(names.signature, b""),
+            names.not_run in found or status == 421,
+            header_names.CONTENT_ENCODING in found,
+            _load(found.get(names.load)),
+        )
+        timeout = _idle_timeout(found.get(b"keep-alive"))
+        keep_alive = self._framed and self._parser.should_keep_alive()
+        request_id = found.get(names.request_id, b"")
+        return RawAnswer(request_id, answer, keep_alive, timeout)
+
+    def _reset(self) -> None:
+        self._headers: header_names.Headers = []
+        self._body: list[bytes] = []
+        self._head_done = False
+        self._framed = False
+
+
+def _load(value: bytes | None) -> tuple[int, int, int] | None:
+    if value is None:
+        return None
+    numbers = value.split(b",")
+    if len(numbers) != 3 or not all(part.strip().isdigit() for part in numbers):
+        return None
+    running, waiting, slots = (int(part) for part in numbers)
+    return running, waiting, slots
+
+
+def _idle_timeout(value: bytes | None) -> int | None:
+    if value is None:
+        return None
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return int(number)
+    return None
--- /dev/null
+++ b/amaranthpulley/state/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The tables of forwarded requests: routes, leaves, requests, budgets."""
--- /dev/null
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -0,0 +1,123 @@
+"""Leaves as the directory names them, with what was learnt of each."""
+
+from typing import Final, NamedTuple
+
+# A leaf that has just been seen takes as long as the others until it is measured.
+INITIAL_SLOWNESS: Final = 1.0
+
+
+class LeafEntry(NamedTuple):
+    """What a leaf says of itself in the directory.
+
+    Attributes
+    ----------
+    leaf_id : str
+        Identity of this start of the leaf.
+    service : str
+        The service that it belongs to.
+    address : str
+        ``IP:port``.
+    failure_domain : str
+        Where it runs.
+    slots : int
+        Requests that it works on at the same time.
+    draining : bool
+        It leaves soon and wants no new work.
+    cold_ms : int
+        How much longer it stays cold.
+    born_ms : int
+        Unix time of its start, in milliseconds.
+    """
+
+    leaf_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool
+    cold_ms: int
+    born_ms: int
+
+
+class Load(NamedTuple):
+    """The load that a leaf reported with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Leaf:
+    """A leaf and what this daemon knows of it.
+
+    Parameters
+    ----------
+    entry : LeafEntry
+        The directory's entry.
+    region : str
+        Region of its failure domain.
+    now_ms : int
+        When it was first seen.
+    """
+
+    def __init__(self, entry: LeafEntry, region: str, now_ms: int) -> None:
+        self.entry = entry
+        self.region = region
+        # When each running attempt is overdue, in the order of the sends.
+        self.overdue_ms: dict[int, float] = {}
+        self.heard_ms = now_ms
+        self.slowness = INITIAL_SLOWNESS
+        self.slowness_ms = now_ms
+        self.load: Load | None = None
+        self.load_ms = 0
+        self.failure_share = 0.0
+        self.suspected = False
+        self.probe_due_ms = 0
+        self.probe_pause_ms = 0
+        self.full_until_ms = 0
+        self.cold_until_ms = now_ms + entry.cold_ms
+        self.cold_tokens = 0.0
+        self.cold_tokens_ms = now_ms
+        self.leaving_since_ms: int | None = now_ms if entry.draining else None
+        self.deleted_ms: int | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Number of running attempts of this daemon."""
+        return len(self.overdue_ms)
+
+    def first_overdue_ms(self) -> float | None:
+        """Return when the longest running attempt is overdue."""
+        return next(iter(self.overdue_ms.values()), None)
+
+
+class LeafDirectory:
+    """All known leaves, by identity and by service."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Leaf] = {}
+        self._by_service: dict[str, list[Leaf]] = {}
+
+    def get(self, leaf_id: str) -> Leaf | None:
+        """Return a leaf by its identity."""
+        return self._by_id.get(leaf_id)
+
+    def of_service(self, service: str) -> list[Leaf]:
+        """Return the leaves of a service."""
+        return self._by_service.get(service, [])
+
+    def all(self) -> list[Leaf]:
+        """Return every leaf."""
+        return list(self._by_id.values())
+
+    def add(self, leaf: Leaf) -> None:
+        """Add a leaf, in place of one of the same identity."""
+        self.remove(leaf.entry.leaf_id)
+        self._by_id[leaf.entry.leaf_id] = leaf
+        self._by_service.setdefault(leaf.entry.service, []).append(leaf)
+
+    def remove(self, leaf_id: str) -> None:
+        """Forget a leaf."""
+        leaf = self._by_id.pop(leaf_id, None)
+        if leaf is not None:
+            self._by_service[leaf.entry.service].remove(leaf)
--- /dev/null
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -0,0 +1,166 @@
+"""Forwarded requests in progress: their shards and attempts."""
+
+import enum
+from typing import NamedTuple
+
+from amaranthpulley.state.forwarding import routes
+
+
+class IncomingRequest(NamedTuple):
+    """A request as the front end read it, as far as decisions need it.
+
+    Attributes
+    ----------
+    key : int
+        The front end's name for the request, unique in this process.
+    request_id : str
+        The client's name for it.
+    host, path : str
+        What selects the route.
+    fingerprint : int
+        The same for requests of the same method, path and body.
+    deadline_ms : int or None
+        How long the client waits, counted from now.
+    """
+
+    key: int
+    request_id: str
+    host: str
+    path: str
+    fingerprint: int
+    deadline_ms: int | None
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt ended without a usable answer."""
+
+    UNREACHABLE = "unreachable"
+    REJECTED = "rejected"
+    WRONG_LEAF = "wrong_leaf"
+    LOST = "lost"
+    MALFORMED = "malformed"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+
+
+# After these ends it is certain that the leaf did not run the request.
+NOT_RUN = frozenset(
+    {AttemptEnd.UNREACHABLE, AttemptEnd.REJECTED, AttemptEnd.WRONG_LEAF}
+)
+
+
+class LeafAnswer(NamedTuple):
+    """A whole answer of a leaf.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (bytes, bytes)
+        The headers to pass on.
+    body : bytes
+        The whole body.
+    signature : bytes
+        The leaf's signature of this answer; empty when there is none.
+    not_run : bool
+        The leaf says that it did not run the request.
+    encoded : bool
+        The body has a content encoding, so that it is not the leaf's own.
+    load : tuple of int or None
+        Running and waiting requests and slots, if the leaf reports them.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    signature: bytes
+    not_run: bool
+    encoded: bool
+    load: tuple[int, int, int] | None
+
+
+class Attempt(NamedTuple):
+    """One send of a request to a leaf.
+
+    Attributes
+    ----------
+    number : int
+        Unique in this process.
+    request_key : int
+        The request.
+    shard : int
+        Index of the shard in the request's calls.
+    leaf_id : str
+        The leaf.
+    sent_ms : int
+        When it was sent, by the monotonic clock.
+    """
+
+    number: int
+    request_key: int
+    shard: int
+    leaf_id: str
+    sent_ms: int
+
+
+class ShardCall:
+    """The part of a request that one service answers.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    """
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.attempts: dict[int, Attempt] = {}
+        self.tried: set[str] = set()
+        # Sends that may have been run by a leaf.
+        self.runs = 0
+        self.sends = 0
+        self.answer: LeafAnswer | None = None
+        # A leaf's own failure, passed on when nothing better comes.
+        self.failure: LeafAnswer | None = None
+        self.closed = False
+        self.hedge_due_ms: int | None = None
+        self.retry_due_ms: int | None = None
+
+
+class ForwardedRequest:
+    """A request between its arrival and its answer.
+
+    Parameters
+    ----------
+    incoming : IncomingRequest
+        The request.
+    route : Route
+        The route that was in force when it arrived.
+    arrived_ms : int
+        When it was read, by the monotonic clock.
+    give_up_ms : int
+        When it gets its final answer at the latest.
+    """
+
+    def __init__(
+        self,
+        incoming: IncomingRequest,
+        route: routes.Route,
+        arrived_ms: int,
+        give_up_ms: int,
+    ) -> None:
+        self.incoming = incoming
+        self.route = route
+        self.arrived_ms = arrived_ms
+        self.give_up_ms = give_up_ms
+        self.calls: list[ShardCall] = []
+        self.open_calls = 0
+        self.answered = False
+        self.ended_ms: int | None = None
+        self.wake_ms: int | None = None
+        self.trace: list[tuple[int, str, str, str]] = []
+
+    @property
+    def objective_due_ms(self) -> int:
+        """When the objective of its route ends."""
+        return self.arrived_ms + self.route.objective_ms
--- /dev/null
+++ b/amaranthpulley/state/forwarding/routes.py
@@ -0,0 +1,135 @@
+"""Routes of forwarded requests, as one version of the operators' configuration."""
+
+from typing import NamedTuple
+
+
+class WeightedService(NamedTuple):
+    """A service that takes a share of a route's requests.
+
+    Attributes
+    ----------
+    name : str
+        Name of the service.
+    weight : float
+        Its share in relation to the route's other services.
+    """
+
+    name: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Where requests of one host and path prefix go, and what binds them.
+
+    Attributes
+    ----------
+    name : str
+        Stable name; what is learnt of a route is kept under it.
+    idempotent : bool
+        Whether a request may run more than once.
+    timeout_ms : int
+        Longest time to keep a request waiting.
+    objective_ms : int
+        Latency within which an answer has its full worth.
+    priority : int
+        Rank under overload; 0 is the most urgent.
+    maximum_leaves : int
+        Number of leaves that may run one request, for each shard.
+    services : tuple of WeightedService
+        Services of which one serves each request; empty when there are shards.
+    shards : tuple of str
+        Services that each hold a part of the answer.
+    top_records : int
+        Number of records in a merged answer.
+    minimum_coverage : float
+        Smallest share of the shards in a successful answer.
+    regions : frozenset of str
+        Regions in which the request may be served; empty for all.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_ms: int
+    objective_ms: int
+    priority: int
+    maximum_leaves: int
+    services: tuple[WeightedService, ...]
+    shards: tuple[str, ...]
+    top_records: int
+    minimum_coverage: float
+    regions: frozenset[str]
+
+
+class ServiceLimits(NamedTuple):
+    """What the leaves of a service bear.
+
+    Attributes
+    ----------
+    health_path : str
+        Path of the health check.
+    connections : int
+        Connections that one leaf accepts from all daemons together.
+    cold_requests_per_second : float
+        Requests that a cold leaf bears from all daemons together; 0 for no limit.
+    """
+
+    health_path: str
+    connections: int
+    cold_requests_per_second: float
+
+
+class ClientLimits(NamedTuple):
+    """What a client may send, and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class Configuration(NamedTuple):
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    version : int
+        Higher versions supersede lower ones.
+    routes : dict
+        Routes by host and path prefix.
+    services : dict
+        Limits by service name.
+    client_limits : ClientLimits
+        Limits of what clients send.
+    """
+
+    version: int
+    routes: dict[str, dict[str, Route]]
+    services: dict[str, ServiceLimits]
+    client_limits: ClientLimits
+
+
+DEFAULT_SERVICE = ServiceLimits("/", 16, 0.0)
+
+
+def find_route(configuration: Configuration, host: str, path: str) -> Route | None:
+    """Return the route of the host with the longest prefix that begins the path.
+
+    Prefixes begin and end with a slash.
+    """
+    prefixes = configuration.routes.get(host)
+    if not prefixes:
+        return None
+    end = path.rfind("/")
+    while end >= 0:
+        route = prefixes.get(path[: end + 1])
+        if route is not None:
+            return route
+        end = path.rfind("/", 0, end)
+    return None
+
+
+def limits_of(configuration: Configuration, service: str) -> ServiceLimits:
+    """Return the limits of a service, or cautious ones for an unknown service."""
+    return configuration.services.get(service, DEFAULT_SERVICE)
--- /dev/null
+++ b/amaranthpulley/state/forwarding/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the forwarding part of the state layer."""
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets of forwarded requests, and the process that serves them."""
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -0,0 +1,210 @@
+"""Connections of clients: requests in, answers out, one at a time."""
+
+import collections
+import socket
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import eventlet.hubs
+
+from amaranthpulley.protocol.forwarding import (
+    client_answers,
+    client_requests,
+    errors,
+)
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state.forwarding import routes
+from amaranthpulley.transport.forwarding import streams
+
+# How often connections are checked for having taken too long, in milliseconds.
+SWEEP_MS: Final = 500
+# An idle connection is kept a little longer than the limit says, since the client's
+# next request may be on its way, in milliseconds.
+IDLE_GRACE_MS: Final = 1_000
+_TIMEOUT_STATUS: Final = 408
+
+
+class Handler(NamedTuple):
+    """What a front does with requests.
+
+    Attributes
+    ----------
+    on_request : callable
+        Called with a connection and a whole request; answers through the connection.
+    on_left : callable
+        Called with a connection whose client left before the answer.
+    """
+
+    on_request: Callable[["ClientConnection", client_requests.ClientRequest], None]
+    on_left: Callable[["ClientConnection"], None]
+
+
+class ClientConnection:
+    """One connection of a client.
+
+    Parameters
+    ----------
+    connection : socket
+        The accepted socket.
+    front : Front
+        Where it was accepted.
+    """
+
+    def __init__(self, connection: socket.socket, front: "Front") -> None:
+        self._front = front
+        limits = front.limits
+        self._reader = client_requests.RequestReader(
+            limits.header_bytes, limits.body_bytes
+        )
+        self._waiting: collections.deque[client_requests.ClientRequest] = (
+            collections.deque()
+        )
+        self.current: client_requests.ClientRequest | None = None
+        self.key = 0
+        self.since_ms = front.now_ms()
+        self._fault: errors.BadRequestError | None = None
+        self._stream = streams.Stream(connection, self._take, self._end)
+        self._stream.start()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of a request is here and no answer is being sent."""
+        return (
+            self.current is None
+            and not self._waiting
+            and not self._reader.in_request
+            and not self._stream.unsent_bytes
+        )
+
+    @property
+    def in_request(self) -> bool:
+        """Whether a part of a request has been read."""
+        return self.current is None and self._reader.in_request
+
+    def answer(self, data: bytes, closes: bool) -> None:
+        """Send the answer to the current request."""
+        self.current = None
+        self.since_ms = self._front.now_ms()
+        self._stream.write(data)
+        if closes:
+            self._close_when_sent()
+        elif self._waiting:
+            self._begin(self._waiting.popleft())
+        elif self._fault is not None:
+            self._refuse(self._fault)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+        self._front.forget(self)
+
+    def time_out(self) -> None:
+        """Tell the client that its request took too long, and close."""
+        data = client_answers.encode_plain(_TIMEOUT_STATUS, "request_timeout", True)
+        self._stream.write(data)
+        self.close()
+
+    def _take(self, data: bytes) -> None:
+        if self._fault is not None:
+            return
+        if self.idle:
+            self.since_ms = self._front.now_ms()
+        try:
+            self._waiting.extend(self._reader.feed(data))
+        except errors.BadRequestError as error:
+            self._fault = error
+            if self.current is None and not self._waiting:
+                self._refuse(error)
+                return
+        if self._reader.take_continue() and self.current is None:
+            self._stream.write(client_answers.CONTINUE)
+        if self.current is None and self._waiting:
+            self._begin(self._waiting.popleft())
+
+    def _begin(self, request: client_requests.ClientRequest) -> None:
+        self.current = request
+        self._front.handler.on_request(self, request)
+
+    def _refuse(self, error: errors.BadRequestError) -> None:
+        status = error.status
+        data = client_answers.encode_plain(status.value, error.code, True)
+        self._stream.write(data)
+        self._close_when_sent()
+
+    def _close_when_sent(self) -> None:
+        if self._stream.closed or not self._stream.unsent_bytes:
+            self.close()
+            return
+        hub = eventlet.hubs.get_hub()
+        hub.schedule_call_global(SWEEP_MS / 10_000, self._close_when_sent)
+
+    def _end(self, was_reset: bool) -> None:
+        self._front.forget(self)
+        if self.current is not None:
+            self._front.handler.on_left(self)
+
+
+class Front:
+    """A listening address for clients.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` to listen on.
+    clock : Clock
+        Source of time.
+    handler : Handler
+        What to do with requests.
+    """
+
+    def __init__(
+        self, address: str, clock: clock_state.Clock, handler: Handler
+    ) -> None:
+        self.handler = handler
+        self.limits = routes.ClientLimits()
+        self.now_ms = clock.monotonic_ms
+        self._connections: set[ClientConnection] = set()
+        self._listener: streams.Listener | None = streams.listen(address, self._accept)
+        self._address = self._listener.address
+        self._sweep()
+
+    @property
+    def address(self) -> str:
+        """The ``IP:port`` that it listens on."""
+        return self._address
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Drop a connection that has been closed."""
+        self._connections.discard(connection)
+
+    def stop_listening(self) -> None:
+        """Take no more connections."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def close_idle(self) -> int:
+        """Close connections without a request; return how many are left."""
+        for connection in [c for c in self._connections if c.idle]:
+            connection.close()
+        return len(self._connections)
+
+    def _accept(self, connection: socket.socket) -> None:
+        self._connections.add(ClientConnection(connection, self))
+
+    def _sweep(self) -> None:
+        now_ms = self.now_ms()
+        for connection in list(self._connections):
+            passed_ms = now_ms - connection.since_ms
+            if connection.in_request:
+                if passed_ms > self.limits.header_timeout_ms:
+                    connection.time_out()
+            elif connection.idle:
+                if passed_ms > self.limits.idle_timeout_ms + IDLE_GRACE_MS:
+                    connection.close()
+        eventlet.hubs.get_hub().schedule_call_global(SWEEP_MS / 1000, self._sweep)
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/gateway_metrics.py
@@ -0,0 +1,83 @@
+"""The metrics of a daemon that forwards requests."""
+
+import http
+from collections.abc import Iterable
+from typing import Final
+
+import prometheus_client
+from prometheus_client import core as prometheus_core
+
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.transport import metrics, web
+from amaranthpulley.transport.forwarding import runtime
+
+PATH: Final = "/metrics"
+METRICS_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+_QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
+
+
+class GatewayMetrics:
+    """The metrics of one daemon.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        The tables; only read.
+    running : Runtime
+        The runtime; only read.
+    """
+
+    def __init__(
+        self, gateway: gateway_state.Gateway, running: runtime.Runtime
+    ) -> None:
+        self._gateway = gateway
+        self._running = running
+        self._registry = prometheus_client.CollectorRegistry()
+        self._registry.register(metrics.CounterCollector(gateway.counters))
+        self._registry.register(self)
+        prometheus_client.ProcessCollector(registry=self._registry)
+
+    def routes(self) -> dict[tuple[str, str], web.Handler]:
+        """Return the handlers of the metrics address."""
+        return {("GET", PATH): lambda _environ: self._show()}
+
+    def collect(self) -> Iterable[prometheus_core.Metric]:
+        """Return the present values; called by the registry."""
+        gateway = self._gateway
+        configuration = gateway.configuration
+        values = {
+            "forward_in_progress": (self._running.busy, "Requests without an answer"),
+            "forward_leaves": (len(gateway.directory.all()), "Known leaves"),
+            "forward_leaves_suspected": (
+                sum(leaf.suspected for leaf in gateway.directory.all()),
+                "Leaves that did not answer and wait for a health check",
+            ),
+            "forward_daemons": (len(gateway.members), "Registered daemons"),
+            "forward_connections_opened": (
+                self._running.leaves.opened,
+                "Connections opened to leaves",
+            ),
+            "configuration_version": (
+                configuration.version if configuration is not None else 0,
+                "Version of the configuration in force",
+            ),
+        }
+        for name, (value, text) in values.items():
+            yield prometheus_core.GaugeMetricFamily(metrics.PREFIX + name, text, value)
+        yield self._latencies()
+
+    def _latencies(self) -> prometheus_core.Metric:
+        family = prometheus_core.GaugeMetricFamily(
+            f"{metrics.PREFIX}forward_latency_ms",
+            "Quantiles of the time from a request's arrival to its end",
+            labels=("kind", "quantile"),
+        )
+        for kind, histogram in self._gateway.latency_by_kind.items():
+            for share in _QUANTILES:
+                value = histogram.quantile_ms(share, 0)
+                family.add_metric((kind, str(share)), value)
+        return family
+
+    def _show(self) -> web.Reply:
+        body = prometheus_client.generate_latest(self._registry)
+        return web.Reply(http.HTTPStatus.OK, body, METRICS_TYPE)
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -0,0 +1,210 @@
+"""Connections to leaves, each kept open and used for one request at a time."""
+
+from collections.abc import Callable
+from typing import Final
+
+import eventlet.hubs
+
+from amaranthpulley.protocol.forwarding import header_names, leaf_messages
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state.forwarding import requests
+from amaranthpulley.transport.forwarding import streams
+
+# Opening takes a way and back and the leaf's own 6 ms; more means that the opening
+# packet was lost, and it is sent again only after a second. In milliseconds.
+CONNECT_TIMEOUT_MS: Final = 300
+# A connection is not used again in the last part of the time that the leaf keeps it.
+IDLE_MARGIN_MS: Final = 500
+# Time that a leaf is taken to keep an idle connection when it does not say.
+UNSTATED_IDLE_MS: Final = 4_000
+# A request that must not run twice goes out only on a connection that has just been
+# used: a leaf may have dropped an older one unseen. In milliseconds.
+FRESH_MS: Final = 400
+
+OnAnswer = Callable[[requests.LeafAnswer], None]
+OnFailure = Callable[[requests.AttemptEnd], None]
+
+
+class LeafConnection:
+    """One connection to a leaf.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the leaf.
+    names : HeaderNames
+        The headers that mean something here.
+    pool : LeafConnections
+        Where it goes when it is idle.
+    """
+
+    def __init__(
+        self, address: str, names: header_names.HeaderNames, pool: "LeafConnections"
+    ) -> None:
+        self.address = address
+        self.idle_since_ms = 0
+        self.idle_limit_ms = UNSTATED_IDLE_MS
+        self._pool = pool
+        self._reader = leaf_messages.AnswerReader(names)
+        self._request_id = b""
+        self._on_answer: OnAnswer | None = None
+        self._on_failure: OnFailure | None = None
+        self._connected = False
+        self._stream = streams.connect(address, self._take, self._end, self._open)
+        self._timer = eventlet.hubs.get_hub().schedule_call_global(
+            CONNECT_TIMEOUT_MS / 1000, self._time_out_opening
+        )
+
+    @property
+    def closed(self) -> bool:
+        """Whether it can no longer be used."""
+        return self._stream.closed
+
+    def exchange(
+        self,
+        data: bytes,
+        request_id: bytes,
+        without_body: bool,
+        on_answer: OnAnswer,
+        on_failure: OnFailure,
+    ) -> None:
+        """Send a request; exactly one of the functions is called, or none after close.
+
+        Parameters
+        ----------
+        data : bytes
+            The whole request.
+        request_id : bytes
+            The answer must name this request, unless it names none.
+        without_body : bool
+            The answer has no body whatever its head says.
+        """
+        self._request_id = request_id
+        self._on_answer, self._on_failure = on_answer, on_failure
+        self._reader.expect(without_body)
+        self._stream.write(data)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._timer.cancel()
+        self._on_answer = self._on_failure = None
+        self._stream.close()
+        self._pool.forget(self)
+
+    def _open(self) -> None:
+        self._connected = True
+        self._timer.cancel()
+
+    def _time_out_opening(self) -> None:
+        if not self._connected:
+            self._fail(requests.AttemptEnd.UNREACHABLE)
+
+    def _take(self, data: bytes) -> None:
+        if self._on_answer is None:
+            # Bytes that no request asked for.
+            self.close()
+            return
+        answers, sound = self._reader.feed(data)
+        for raw in answers:
+            if raw.request_id and raw.request_id != self._request_id:
+                # A late answer to an earlier request; the right one follows.
+                continue
+            self._finish(raw, sound and raw is answers[-1])
+            return
+        if not sound:
+            self._fail(requests.AttemptEnd.MALFORMED)
+
+    def _finish(self, raw: leaf_messages.RawAnswer, sound: bool) -> None:
+        answer, on_answer = raw.answer, self._on_answer
+        self._on_answer = self._on_failure = None
+        if raw.idle_timeout_s is not None:
+            self.idle_limit_ms = raw.idle_timeout_s * 1000
+        if raw.keep_alive and sound and not self._reader.in_answer:
+            self._pool.put_back(self)
+        else:
+            self.close()
+        if on_answer is not None:
+            on_answer(answer)
+
+    def _end(self, was_reset: bool) -> None:
+        self._timer.cancel()
+        self._pool.forget(self)
+        if self._on_failure is None:
+            return
+        if not self._connected:
+            self._fail(requests.AttemptEnd.UNREACHABLE)
+            return
+        raw = None if was_reset else self._reader.finish()
+        if raw is not None and raw.request_id in (b"", self._request_id):
+            self._finish(raw, False)
+        else:
+            self._fail(requests.AttemptEnd.LOST)
+
+    def _fail(self, end: requests.AttemptEnd) -> None:
+        on_failure = self._on_failure
+        self.close()
+        if on_failure is not None:
+            on_failure(end)
+
+
+class LeafConnections:
+    """The open connections to all leaves.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        The headers that mean something here.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, names: header_names.HeaderNames, clock: clock_state.Clock
+    ) -> None:
+        self._names = names
+        self._now_ms = clock.monotonic_ms
+        self._idle: dict[str, list[LeafConnection]] = {}
+        self.opened = 0
+
+    def take(self, address: str, fresh: bool) -> LeafConnection:
+        """Return an idle connection to a leaf, or a new one.
+
+        Parameters
+        ----------
+        fresh : bool
+            An idle connection must have been used a moment ago.
+        """
+        now_ms = self._now_ms()
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.closed:
+                continue
+            most_ms = connection.idle_limit_ms - IDLE_MARGIN_MS
+            if fresh:
+                most_ms = min(FRESH_MS, most_ms)
+            if now_ms - connection.idle_since_ms <= most_ms:
+                return connection
+            connection.close()
+        self.opened += 1
+        return LeafConnection(address, self._names, self)
+
+    def put_back(self, connection: LeafConnection) -> None:
+        """Keep a connection for the next request."""
+        connection.idle_since_ms = self._now_ms()
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: LeafConnection) -> None:
+        """Drop a connection that has been closed."""
+        idle = self._idle.get(connection.address)
+        if idle and connection in idle:
+            idle.remove(connection)
+
+    def close_old(self) -> None:
+        """Close idle connections that their leaves are about to close."""
+        now_ms = self._now_ms()
+        for connections in list(self._idle.values()):
+            for connection in list(connections):
+                idle_ms = now_ms - connection.idle_since_ms
+                if idle_ms > connection.idle_limit_ms - IDLE_MARGIN_MS:
+                    connection.close()
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -0,0 +1,189 @@
+"""The process that forwards requests: its sockets, its view of the store, its end."""
+
+import random
+import signal
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import eventlet
+import eventlet.event
+
+from amaranthpulley.coordination import commands
+from amaranthpulley.coordination.forwarding import believing, events
+from amaranthpulley.protocol.forwarding import (
+    client_answers,
+    client_requests,
+    header_names,
+)
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state import hybrid_clock, log_events
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.transport import log_sink, process_signals, web
+from amaranthpulley.transport.forwarding import (
+    client_connections,
+    feed,
+    gateway_metrics,
+    runtime,
+)
+
+# Shares of the grace after which a leaving daemon closes idle connections, and after
+# which it ends whatever is left. Balancers have taken it out by the first one.
+CLOSE_IDLE_SHARE: Final = 0.6
+END_SHARE: Final = 0.9
+# How often it looks whether it can end, in milliseconds.
+LEAVING_CHECK_MS: Final = 100
+
+
+class Setup(NamedTuple):
+    """What a process is started with.
+
+    Attributes
+    ----------
+    place : Place
+        Who the daemon is.
+    limits : Limits
+        What binds it.
+    front_address : str
+        ``IP:port`` for clients.
+    ready_address : str
+        ``IP:port`` where the balancer asks whether the daemon is ready.
+    ready_path : bytes
+        The path of that question.
+    metrics_address : str
+        ``IP:port`` of the metrics.
+    names : HeaderNames
+        The headers that mean something.
+    """
+
+    place: gateway_state.Place
+    limits: gateway_state.Limits
+    front_address: str
+    ready_address: str
+    ready_path: bytes
+    metrics_address: str
+    names: header_names.HeaderNames
+
+
+class GatewayProcess:
+    """A daemon that forwards requests.
+
+    Parameters
+    ----------
+    setup : Setup
+        What it is started with.
+    clock : Clock
+        Source of time.
+    source : Source
+        Calls to the store.
+    reload : callable
+        Reads the settings again; returns what to say of them.
+    """
+
+    def __init__(
+        self,
+        setup: Setup,
+        clock: clock_state.Clock,
+        source: feed.Source,
+        reload: Callable[[], str],
+    ) -> None:
+        self._clock = clock
+        self._reload = reload
+        self._ready_path = setup.ready_path
+        self._write_log = log_sink.open_log(
+            setup.place.name,
+            clock,
+            None,
+            log_events.Level.INFO,
+            hybrid_clock.HybridClock(),
+            log_sink.RecentEvents(),
+        )
+        self.gateway = gateway_state.Gateway(
+            setup.place, setup.limits, clock.monotonic_ms()
+        )
+        self.runtime = runtime.Runtime(
+            self.gateway, clock, random.Random().random, setup.names, self._write_log
+        )
+        self._front = client_connections.Front(
+            setup.front_address, clock, self.runtime.handler
+        )
+        ready = client_connections.Handler(self._show_ready, lambda _connection: None)
+        self._ready = client_connections.Front(setup.ready_address, clock, ready)
+        metrics = gateway_metrics.GatewayMetrics(self.gateway, self.runtime)
+        self._metrics = web.WebServer(
+            web.listen(setup.metrics_address), web.application(metrics.routes())
+        )
+        self._feed = feed.StoreFeed(source, self._take)
+        self._ended = eventlet.event.Event()
+
+    @property
+    def front_address(self) -> str:
+        """The ``IP:port`` for clients."""
+        return self._front.address
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._log(log_events.DAEMON_STARTED, life=str(self._clock.wall_ms()))
+        self._log(
+            log_events.DAEMON_LISTENING,
+            callers=self._front.address,
+            admin=self._metrics.address,
+            peers=self._ready.address,
+        )
+        self.runtime.start()
+        self._feed.start()
+        process_signals.on_end_signals(self.drain)
+        process_signals.on_signal(signal.SIGHUP, self._read_settings_again)
+
+    def wait(self) -> int:
+        """Serve until the process has drained, and return the exit code."""
+        return self._ended.wait()
+
+    def drain(self) -> None:
+        """Leave without cutting a request."""
+        if self.gateway.draining_since_ms is not None:
+            return
+        self.runtime.feed(events.DrainRequested())
+        eventlet.spawn_n(self._leave)
+
+    def _take(self, event: events.Event) -> None:
+        self.runtime.feed(event)
+        if isinstance(event, events.ConfigurationRead):
+            configuration = self.gateway.configuration
+            if configuration is not None:
+                self._front.limits = configuration.client_limits
+
+    def _leave(self) -> None:
+        grace_ms = self.gateway.limits.grace_ms
+        eventlet.sleep(CLOSE_IDLE_SHARE * grace_ms / 1000)
+        end_ms = self._clock.monotonic_ms() + int(
+            (END_SHARE - CLOSE_IDLE_SHARE) * grace_ms
+        )
+        self._front.stop_listening()
+        self._feed.stop()
+        while self._front.close_idle() and self._clock.monotonic_ms() < end_ms:
+            eventlet.sleep(LEAVING_CHECK_MS / 1000)
+        if self.runtime.busy:
+            self._log(log_events.DRAIN_CUT_SHORT, requests=self.runtime.busy, records=0)
+        self._log(log_events.DAEMON_STOPPED)
+        self._ended.send(0)
+
+    def _show_ready(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        if request.target.partition(b"?")[0] != self._ready_path:
+            status, reason = 404, "no_such_path"
+        elif believing.is_ready(self.gateway):
+            status, reason = 200, "ready"
+        else:
+            status, reason = 503, "not_ready"
+        closes = not request.keep_alive
+        data = client_answers.encode_plain(status, reason, closes)
+        connection.answer(data, closes)
+
+    def _read_settings_again(self) -> None:
+        self._log(log_events.SETTINGS_RELOADED, result=self._reload())
+
+    def _log(self, event: log_events.LogEvent, **fields: str | int) -> None:
+        self._write_log(commands.log(event, **fields))
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -0,0 +1,262 @@
+"""Feeds events to the decisions about forwarded requests and carries out the rest."""
+
+import collections
+from collections.abc import Callable
+from typing import Final
+
+import eventlet.hubs
+
+from amaranthpulley.coordination import commands as common
+from amaranthpulley.coordination.forwarding import commands, engine, events
+from amaranthpulley.protocol.forwarding import (
+    client_answers,
+    client_requests,
+    header_names,
+    leaf_messages,
+)
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state import log_events
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import requests
+from amaranthpulley.transport import log_sink
+from amaranthpulley.transport.forwarding import client_connections, leaf_connections
+
+# A health check that takes longer has failed, in milliseconds.
+PROBE_TIMEOUT_MS: Final = 400
+TICK_MS: Final = 100
+_HEAD: Final = b"HEAD"
+
+
+class Runtime:
+    """One daemon's decisions on the real loop.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        The tables.
+    clock : Clock
+        Source of time.
+    random : callable
+        Source of chance.
+    names : HeaderNames
+        The headers that mean something here.
+    write_log : callable
+        Writes log events.
+    """
+
+    def __init__(
+        self,
+        gateway: gateway_state.Gateway,
+        clock: clock_state.Clock,
+        random: Callable[[], float],
+        names: header_names.HeaderNames,
+        write_log: log_sink.WriteLog,
+    ) -> None:
+        self.gateway = gateway
+        self.names = names
+        self.leaves = leaf_connections.LeafConnections(names, clock)
+        self.handler = client_connections.Handler(self._receive, self._client_left)
+        self._now_ms = clock.monotonic_ms
+        self._random = random
+        self._write_log = write_log
+        self._hub = eventlet.hubs.get_hub()
+        self._events: collections.deque[events.Event] = collections.deque()
+        self._stepping = False
+        self._next_key = 1
+        self._clients: dict[int, client_connections.ClientConnection] = {}
+        self._sent: dict[int, tuple[client_requests.ClientRequest, bytes, bytes]] = {}
+        self._attempts: dict[int, leaf_connections.LeafConnection] = {}
+        self._wakes: dict[int, object] = {}
+        self._actions: dict[type, Callable] = {
+            commands.SendAttempt: self._send,
+            commands.CancelAttempt: self._cancel,
+            commands.PassAnswer: self._pass,
+            commands.SendMerged: self._send_merged,
+            commands.Refuse: self._refuse,
+            commands.WakeAt: self._wake_at,
+            commands.ProbeLeaf: self._probe,
+            common.Log: self._write_log,
+        }
+
+    def start(self) -> None:
+        """Begin the regular work."""
+        self._tick()
+
+    def feed(self, event: events.Event) -> None:
+        """Decide about an event and carry out what was decided.
+
+        Events that come up meanwhile wait until it is done.
+        """
+        self._events.append(event)
+        if self._stepping:
+            return
+        self._stepping = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._stepping = False
+
+    @property
+    def busy(self) -> int:
+        """Number of requests that wait for their answers."""
+        return len(self._clients)
+
+    def _step(self, event: events.Event) -> None:
+        try:
+            decided = engine.step(self.gateway, event, self._now_ms(), self._random)
+            for command in decided:
+                self._actions[type(command)](command)
+        except Exception as error:
+            # One event is lost; the daemon goes on with the others.
+            self._write_log(
+                common.log(
+                    log_events.INTERNAL_ERROR,
+                    error=repr(error),
+                    cause=type(event).__name__,
+                )
+            )
+
+    def _tick(self) -> None:
+        self._hub.schedule_call_global(TICK_MS / 1000, self._tick)
+        self.feed(events.TickDue())
+        self.leaves.close_old()
+
+    def _receive(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        key = self._next_key
+        self._next_key += 1
+        connection.key = key
+        self._clients[key] = connection
+        head = leaf_messages.request_head(request, self.names)
+        request_id = request.first(self.names.request_id) or b""
+        self._sent[key] = (request, head, request_id)
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        host = (request.first(header_names.HOST) or b"").decode("latin-1").lower()
+        deadline = request.first(self.names.deadline_ms)
+        incoming = requests.IncomingRequest(
+            key,
+            request_id.decode("latin-1"),
+            host.partition(":")[0],
+            path,
+            hash((request.method, request.target, request.body)),
+            int(deadline) if deadline is not None and deadline.isdigit() else None,
+        )
+        self.feed(events.RequestArrived(incoming))
+
+    def _client_left(self, connection: client_connections.ClientConnection) -> None:
+        self._clients.pop(connection.key, None)
+        self._end_request(connection.key)
+        self.feed(events.ClientLeft(connection.key))
+
+    def _send(self, command: commands.SendAttempt) -> None:
+        request, head, request_id = self._sent[command.request_key]
+        data = leaf_messages.whole_request(
+            head, request.body, self.names, command.leaf_id, command.budget_ms
+        )
+        number = command.attempt
+        connection = self.leaves.take(command.address, command.fresh)
+        self._attempts[number] = connection
+
+        def take_answer(answer: requests.LeafAnswer) -> None:
+            self._attempts.pop(number, None)
+            self.feed(events.AttemptAnswered(number, answer))
+
+        def take_failure(end: requests.AttemptEnd) -> None:
+            self._attempts.pop(number, None)
+            self.feed(events.AttemptFailed(number, end))
+
+        is_head = request.method == _HEAD
+        connection.exchange(data, request_id, is_head, take_answer, take_failure)
+
+    def _cancel(self, command: commands.CancelAttempt) -> None:
+        connection = self._attempts.pop(command.attempt, None)
+        if connection is not None:
+            connection.close()
+
+    def _pass(self, command: commands.PassAnswer) -> None:
+        def encode(request: client_requests.ClientRequest, closes: bool) -> bytes:
+            is_head = request.method == _HEAD
+            return client_answers.encode_passed(command.answer, closes, is_head)
+
+        self._answer(command.request_key, encode)
+
+    def _send_merged(self, command: commands.SendMerged) -> None:
+        request_id = self._sent[command.request_key][2]
+        self._answer(
+            command.request_key,
+            lambda _, closes: client_answers.encode_merged(
+                command, request_id, self.names, closes
+            ),
+        )
+
+    def _refuse(self, command: commands.Refuse) -> None:
+        self._answer(
+            command.request_key,
+            lambda _, closes: client_answers.encode_refusal(
+                command, self.names, closes
+            ),
+        )
+
+    def _answer(
+        self,
+        key: int,
+        encode: Callable[[client_requests.ClientRequest, bool], bytes],
+    ) -> None:
+        connection = self._clients.pop(key, None)
+        request = self._sent[key][0] if key in self._sent else None
+        self._end_request(key)
+        if connection is None or request is None:
+            return
+        draining = self.gateway.draining_since_ms is not None
+        closes = draining or not request.keep_alive
+        connection.answer(encode(request, closes), closes)
+
+    def _end_request(self, key: int) -> None:
+        self._sent.pop(key, None)
+        timer = self._wakes.pop(key, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _wake_at(self, command: commands.WakeAt) -> None:
+        key = command.request_key
+        timer = self._wakes.pop(key, None)
+        if timer is not None:
+            timer.cancel()
+        delay_ms = max(0, command.due_ms - self._now_ms())
+        self._wakes[key] = self._hub.schedule_call_global(
+            delay_ms / 1000, self._wake, key
+        )
+
+    def _wake(self, key: int) -> None:
+        self._wakes.pop(key, None)
+        self.feed(events.WakeDue(key))
+
+    def _probe(self, command: commands.ProbeLeaf) -> None:
+        connection = self.leaves.take(command.address, True)
+        timer = None
+
+        def end(healthy: bool) -> None:
+            timer.cancel()
+            self.feed(events.ProbeEnded(command.leaf_id, healthy))
+
+        def give_up() -> None:
+            connection.close()
+            end(False)
+
+        timer = self._hub.schedule_call_global(PROBE_TIMEOUT_MS / 1000, give_up)
+        connection.exchange(
+            leaf_messages.health_request(command.address, command.path),
+            b"",
+            False,
+            lambda answer: end(self._is_healthy(answer, command.leaf_id)),
+            lambda _end: end(False),
+        )
+
+    def _is_healthy(self, answer: requests.LeafAnswer, leaf_id: str) -> bool:
+        named = dict((name.lower(), value) for name, value in answer.headers)
+        leaf = named.get(self.names.leaf, b"").decode("latin-1")
+        return answer.status == 200 and leaf in ("", leaf_id)
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/streams.py
@@ -0,0 +1,261 @@
+"""Connected sockets as callbacks on the one loop.
+
+A green thread for each connection would cost two switches for each message; a listener
+of the hub calls a function instead.
+"""
+
+import errno
+import logging
+import socket
+from collections.abc import Callable
+from typing import Final
+
+import eventlet.hubs
+import eventlet.patcher
+
+_plain_socket: Final = eventlet.patcher.original("socket")
+_READ_BYTES: Final = 65_536
+# More unsent bytes than this mean that the peer does not read.
+MAXIMUM_UNSENT_BYTES: Final = 4_194_304
+_AGAIN: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
+_LOGGER: Final = logging.getLogger("amaranthpulley.streams")
+
+OnData = Callable[[bytes], None]
+OnEnd = Callable[[bool], None]
+OnConnected = Callable[[], None]
+
+
+def _never(*_: object) -> None:
+    """Stand in for the hub's calls into a green thread, of which there is none."""
+
+
+class Stream:
+    """A connected or connecting socket.
+
+    Parameters
+    ----------
+    connection : socket
+        A plain socket that does not block.
+    on_data : callable
+        Called with bytes as they arrive.
+    on_end : callable
+        Called once when the other side has ended the connection, with True when it
+        was reset or could not be opened.
+    """
+
+    def __init__(
+        self, connection: socket.socket, on_data: OnData, on_end: OnEnd
+    ) -> None:
+        self._socket = connection
+        self._on_data = on_data
+        self._on_end = on_end
+        self._unsent = bytearray()
+        self._hub = eventlet.hubs.get_hub()
+        self._reader: object | None = None
+        self._writer: object | None = None
+        self._on_connected: OnConnected | None = None
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended on either side."""
+        return self._closed
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the system has not taken yet."""
+        return len(self._unsent)
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._reader = self._listen(self._hub.READ, self._read)
+
+    def await_connected(self, on_connected: OnConnected) -> None:
+        """Call a function once the connection is open."""
+        self._on_connected = on_connected
+        self._writer = self._listen(self._hub.WRITE, self._finish_connecting)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, now or as soon as the system takes them."""
+        if self._closed:
+            return
+        if self._unsent or self._on_connected is not None:
+            self._unsent += data
+            return
+        sent = self._send(data)
+        if sent < len(data) and not self._closed:
+            self._unsent += memoryview(data)[sent:]
+            self._writer = self._listen(self._hub.WRITE, self._flush)
+
+    def close(self) -> None:
+        """Close the connection; `on_end` is not called."""
+        if self._closed:
+            return
+        self._closed = True
+        for listener in (self._reader, self._writer):
+            if listener is not None:
+                self._hub.remove(listener)
+        self._reader = self._writer = None
+        self._socket.close()
+
+    def _listen(self, kind: str, react: Callable[[int], None]) -> object:
+        return self._hub.add(kind, self._socket.fileno(), react, _never, _never)
+
+    def _read(self, _fileno: int) -> None:
+        if self._closed:
+            return
+        try:
+            data = self._socket.recv(_READ_BYTES)
+        except OSError as error:
+            if error.errno not in _AGAIN:
+                self._end(True)
+            return
+        if not data:
+            self._end(False)
+            return
+        try:
+            self._on_data(data)
+        except Exception:
+            # A fault in one connection's handling must not end the loop.
+            _LOGGER.exception("a connection's data could not be handled")
+            self._end(True)
+
+    def _finish_connecting(self, _fileno: int) -> None:
+        if self._closed or self._on_connected is None:
+            return
+        kind, option = _plain_socket.SOL_SOCKET, _plain_socket.SO_ERROR
+        if self._socket.getsockopt(kind, option):
+            self._end(True)
+            return
+        self._stop_writer()
+        connected, self._on_connected = self._on_connected, None
+        self.start()
+        connected()
+        if self._unsent and not self._closed:
+            waiting, self._unsent = bytes(self._unsent), bytearray()
+            self.write(waiting)
+
+    def _flush(self, _fileno: int) -> None:
+        if self._closed:
+            return
+        sent = self._send(self._unsent)
+        if self._closed:
+            return
+        del self._unsent[:sent]
+        if not self._unsent:
+            self._stop_writer()
+
+    def _send(self, data: bytes | bytearray) -> int:
+        try:
+            return self._socket.send(data)
+        except OSError as error:
+            if error.errno not in _AGAIN:
+                self._end(True)
+            return 0
+
+    def _stop_writer(self) -> None:
+        if self._writer is not None:
+            self._hub.remove(self._writer)
+            self._writer = None
+
+    def _end(self, was_reset: bool) -> None:
+        if self._closed:
+            return
+        self.close()
+        # Later, since the end may be found in the middle of a decision's commands.
+        self._hub.schedule_call_global(0, self._on_end, was_reset)
+
+
+def connect(
+    address: str, on_data: OnData, on_end: OnEnd, on_connected: OnConnected
+) -> Stream:
+    """Open a connection.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    """
+    connection = _plain_socket.socket()
+    connection.setblocking(False)
+    _send_at_once(connection)
+    stream = Stream(connection, on_data, on_end)
+    host, port = address.rsplit(":", 1)
+    connection.connect_ex((host, int(port)))
+    stream.await_connected(on_connected)
+    return stream
+
+
+def listen(address: str, on_accepted: Callable[[socket.socket], None]) -> "Listener":
+    """Accept connections.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``; port 0 takes a free one.
+
+    Raises
+    ------
+    OSError
+        When the address cannot be bound.
+    """
+    host, port = address.rsplit(":", 1)
+    listener = _plain_socket.socket()
+    listener.setsockopt(_plain_socket.SOL_SOCKET, _plain_socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+    except OSError:
+        listener.close()
+        raise
+    listener.listen(1024)
+    listener.setblocking(False)
+    return Listener(listener, on_accepted)
+
+
+class Listener:
+    """A listening socket.
+
+    Parameters
+    ----------
+    listener : socket
+        A plain listening socket that does not block.
+    on_accepted : callable
+        Called with each new connection.
+    """
+
+    def __init__(
+        self, listener: socket.socket, on_accepted: Callable[[socket.socket], None]
+    ) -> None:
+        self._socket = listener
+        self._on_accepted = on_accepted
+        self._hub = eventlet.hubs.get_hub()
+        self._reader = self._hub.add(
+            self._hub.READ, listener.fileno(), self._accept, _never, _never
+        )
+
+    @property
+    def address(self) -> str:
+        """The ``IP:port`` that it listens on."""
+        host, port = self._socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self._hub.remove(self._reader)
+        self._socket.close()
+
+    def _accept(self, _fileno: int) -> None:
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError as error:
+                if error.errno not in _AGAIN:
+                    _LOGGER.warning("a connection could not be accepted: %s", error)
+                return
+            connection.setblocking(False)
+            _send_at_once(connection)
+            self._on_accepted(connection)
+
+
+def _send_at_once(connection: socket.socket) -> None:
+    connection.setsockopt(_plain_socket.IPPROTO_TCP, _plain_socket.TCP_NODELAY, 1)
--- a/amaranthpulley/transport/metrics.py
+++ b/amaranthpulley/transport/metrics.py
@@ -32,7 +32,7 @@
     def __init__(self, daemon: daemon_state.Daemon) -> None:
         self._daemon = daemon
         self._registry = prometheus_client.CollectorRegistry()
-        self._registry.register(_CounterCollector(daemon.counters))
+        self._registry.register(CounterCollector(daemon.counters))
         self._registry.register(_StateCollector(daemon))
         prometheus_client.ProcessCollector(registry=self._registry)
         self._latency = prometheus_client.Histogram(
@@ -63,7 +63,7 @@
         return prometheus_client.generate_latest(self._registry)
 
 
-class _CounterCollector:
+class CounterCollector:
     """Exposes the decisions' totals."""
 
     def __init__(self, totals: counters.Counters) -> None:
--- a/amaranthpulley/transport/process_signals.py
+++ b/amaranthpulley/transport/process_signals.py
@@ -9,22 +9,40 @@
 
 END_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
+React = Callable[[], None]
 
-def on_end_signals(react: Callable[[], None]) -> None:
-    """Call a function on the loop for each SIGTERM and SIGINT.
+_reactions: Final[dict[int, React]] = {}
+
+
+def on_end_signals(react: React) -> None:
+    """Call a function on the loop for each SIGTERM and SIGINT."""
+    for number in END_SIGNALS:
+        on_signal(number, react)
+
+
+def on_signal(number: int, react: React) -> None:
+    """Call a function on the loop for each signal of a number.
 
     A handler that ran at once would cut into a decision, or not wake a loop that
     waits; so the signal's number is written to a socket that the loop reads.
     """
+    if not _reactions:
+        _watch()
+    _reactions[number] = react
+    signal.signal(number, lambda number, frame: None)
+
+
+def _watch() -> None:
     reader, writer = socket.socketpair()
     writer.setblocking(False)
     signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-    for number in END_SIGNALS:
-        signal.signal(number, lambda number, frame: None)
 
     def read() -> None:
         # The closure holds the writer, which would be closed with its last reference.
-        while writer.fileno() >= 0 and reader.recv(1):
-            react()
+        while writer.fileno() >= 0:
+            for number in reader.recv(16):
+                react = _reactions.get(number)
+                if react is not None:
+                    react()
 
     eventlet.spawn_n(read)
