--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/tests/test_merged_answers.py
@@ -0,0 +1,146 @@
+"""Tests of answers that several shards make up."""
+
+import unittest
+
+from amaranthpulley.coordination.forwarding import commands, events, merging
+from amaranthpulley.coordination.forwarding.tests import gateway_site
+from amaranthpulley.state.forwarding import requests
+
+RECORDS = [bytes([value]) * merging.RECORD_BYTES for value in range(10)]
+
+
+def _site() -> gateway_site.GatewaySite:
+    site = gateway_site.GatewaySite()
+    entries = [
+        gateway_site.entry(f"{shard}-{number}", shard)
+        for shard in gateway_site.SHARDS
+        for number in range(3)
+    ]
+    site.begin(gateway_site.configuration(gateway_site.route()), *entries)
+    return site
+
+
+class GreatestRecordsTest(unittest.TestCase):
+    """The merge itself."""
+
+    def test_records_come_greatest_first_and_equal_ones_all_count(self) -> None:
+        cases = [
+            ([RECORDS[1] + RECORDS[7], RECORDS[3]], 2, RECORDS[7] + RECORDS[3]),
+            ([RECORDS[5], RECORDS[5]], 3, RECORDS[5] * 2),
+            ([RECORDS[2] + b"rest"], 3, RECORDS[2]),
+            ([b"", b"short"], 3, b""),
+            ([RECORDS[4] + RECORDS[6]], 1, RECORDS[6]),
+        ]
+        for parts, count, expected in cases:
+            with self.subTest(parts=parts, count=count):
+                self.assertEqual(merging.greatest_records(parts, count), expected)
+
+
+class MergedAnswerTest(unittest.TestCase):
+    """When a merged answer goes out, and what it says."""
+
+    def test_all_parts_make_a_whole_answer_at_once(self) -> None:
+        site = _site()
+        key = site.request()
+        for number, sent in enumerate(site.sends_of(key)):
+            given = gateway_site.answer(
+                body=RECORDS[number], signature=b"s%d" % number
+            )
+            site.reply(sent, given)
+        merged = site.answers[key]
+        self.assertIsInstance(merged, commands.SendMerged)
+        self.assertEqual(merged.missing, 0)
+        self.assertEqual(set(merged.signatures), {b"s0", b"s1", b"s2"})
+        self.assertEqual(merged.body, RECORDS[2] + RECORDS[1] + RECORDS[0])
+
+    def test_one_shard_is_asked_once_in_the_usual_case(self) -> None:
+        site = _site()
+        key = site.request()
+        self.assertEqual(len(site.sends_of(key)), len(gateway_site.SHARDS))
+
+    def test_a_late_shard_is_left_out_when_the_objective_ends(self) -> None:
+        site = _site()
+        key = site.request()
+        for sent in site.sends_of(key)[:2]:
+            site.reply(sent, gateway_site.answer(body=RECORDS[1]))
+        site.advance(110)
+        self.assertNotIn(key, site.answers)
+        site.advance(15)
+        self.assertEqual(site.answers[key].missing, 1)
+
+    def test_too_few_parts_are_no_answer(self) -> None:
+        site = _site()
+        key = site.request()
+        site.reply(site.sends_of(key)[0], gateway_site.answer(body=RECORDS[1]))
+        site.advance(700)
+        self.assertNotIn(key, site.answers)
+        site.advance(100)
+        refused = site.answers[key]
+        self.assertIs(refused.reason, commands.Refusal.TIMED_OUT)
+        self.assertFalse(refused.not_run)
+
+    def test_what_is_no_part_is_asked_elsewhere(self) -> None:
+        cases = {
+            "failure with a signature": gateway_site.answer(500),
+            "no signature": gateway_site.answer(signature=b""),
+            "encoded": gateway_site.answer(encoded=True),
+            "full": gateway_site.REJECTED,
+        }
+        for name, given in cases.items():
+            with self.subTest(name):
+                site = _site()
+                key = site.request()
+                first = site.sends_of(key)[0]
+                site.reply(first, given)
+                again = site.sends_of(key)[-1].command
+                self.assertEqual(len(site.sends_of(key)), 4)
+                self.assertNotEqual(again.leaf_id, first.command.leaf_id)
+
+    def test_parts_of_the_slower_attempt_are_not_counted_twice(self) -> None:
+        site = _site()
+        key = site.request()
+        first = site.sends_of(key)[0]
+        site.advance(60)
+        second = next(
+            s
+            for s in site.sends_of(key)[3:]
+            if s.command.leaf_id.startswith(first.command.leaf_id[:7])
+        )
+        site.reply(second, gateway_site.answer(body=RECORDS[3], signature=b"second"))
+        site.reply(first, gateway_site.answer(body=RECORDS[4], signature=b"first"))
+        for sent in site.sends_of(key)[1:3]:
+            site.reply(sent, gateway_site.answer(body=RECORDS[1]))
+        merged = site.answers[key]
+        self.assertNotIn(b"first", merged.signatures)
+        self.assertNotIn(RECORDS[4], merged.body)
+
+    def test_a_new_version_does_not_change_a_running_request(self) -> None:
+        site = _site()
+        key = site.request()
+        changed = gateway_site.route(shards=("others",))
+        newer = gateway_site.configuration(changed, version=2)
+        site.feed(events.ConfigurationRead(newer))
+        for sent in site.sends_of(key):
+            site.reply(sent, gateway_site.answer(body=RECORDS[1]))
+        self.assertEqual(site.answers[key].missing, 0)
+
+    def test_without_enough_leaves_it_is_refused_before_any_send(self) -> None:
+        site = gateway_site.GatewaySite()
+        only = gateway_site.entry("l", "shard-0")
+        site.begin(gateway_site.configuration(gateway_site.route()), only)
+        key = site.request()
+        self.assertEqual(site.sent, [])
+        self.assertTrue(site.answers[key].not_run)
+        self.assertGreater(site.answers[key].retry_after_ms, 0)
+
+    def test_lost_parts_end_in_an_answer_that_does_not_say_not_run(self) -> None:
+        site = _site()
+        key = site.request()
+        while key not in site.answers:
+            running = [
+                sent
+                for sent in site.sends_of(key)
+                if sent.command.attempt in site.gateway.attempts
+            ]
+            site.fail(running[0], requests.AttemptEnd.LOST)
+        self.assertFalse(site.answers[key].not_run)
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/tests/test_single_answers.py
@@ -0,0 +1,129 @@
+"""Tests of requests that one leaf answers."""
+
+import unittest
+
+from amaranthpulley.coordination.forwarding import commands, events
+from amaranthpulley.coordination.forwarding.tests import gateway_site
+from amaranthpulley.state.forwarding import requests
+
+
+def _site(**route: object) -> gateway_site.GatewaySite:
+    site = gateway_site.GatewaySite()
+    entries = [gateway_site.entry(f"l{n}", "visits") for n in range(3)]
+    site.begin(gateway_site.configuration(gateway_site.single(**route)), *entries)
+    return site
+
+
+class IdempotentRequestTest(unittest.TestCase):
+    """Requests that may run more than once."""
+
+    def test_a_failed_attempt_is_sent_elsewhere(self) -> None:
+        for end in requests.AttemptEnd:
+            with self.subTest(end):
+                site = _site()
+                key = site.request("/visit/1")
+                site.fail(site.sends_of(key)[0], end)
+                self.assertEqual(len(site.sends_of(key)), 2)
+
+    def test_no_more_leaves_run_it_than_the_route_allows(self) -> None:
+        site = _site()
+        key = site.request("/visit/1")
+        site.fail(site.sends_of(key)[0], requests.AttemptEnd.LOST)
+        site.fail(site.sends_of(key)[1], requests.AttemptEnd.LOST)
+        self.assertEqual(len(site.sends_of(key)), 2)
+        self.assertIs(site.answers[key].reason, commands.Refusal.OUTCOME_UNKNOWN)
+
+    def test_a_late_leaf_is_hedged_once(self) -> None:
+        site = _site()
+        key = site.request("/visit/1")
+        site.advance(400)
+        self.assertEqual(len(site.sends_of(key)), 2)
+
+    def test_a_failure_of_the_last_leaf_is_passed_on(self) -> None:
+        site = _site()
+        key = site.request("/visit/1")
+        site.reply(site.sends_of(key)[0], gateway_site.answer(500))
+        site.reply(site.sends_of(key)[1], gateway_site.answer(500, signature=b"t"))
+        passed = site.answers[key]
+        self.assertIsInstance(passed, commands.PassAnswer)
+        self.assertEqual(passed.answer.signature, b"t")
+
+
+class RunOnceRequestTest(unittest.TestCase):
+    """Requests that must not run twice."""
+
+    def test_it_is_sent_again_only_when_it_certainly_did_not_run(self) -> None:
+        for end in requests.AttemptEnd:
+            with self.subTest(end):
+                site = _site(idempotent=False)
+                key = site.request("/visit/1")
+                site.fail(site.sends_of(key)[0], end)
+                again = end in requests.NOT_RUN
+                self.assertEqual(len(site.sends_of(key)), 2 if again else 1)
+                if not again:
+                    self.assertFalse(site.answers[key].not_run)
+
+    def test_it_is_never_hedged(self) -> None:
+        site = _site(idempotent=False)
+        key = site.request("/visit/1")
+        site.advance(780)
+        self.assertEqual(len(site.sends_of(key)), 1)
+        self.assertFalse(site.answers[key].not_run)
+
+    def test_refused_by_all_it_is_truly_not_run(self) -> None:
+        site = _site(idempotent=False)
+        key = site.request("/visit/1")
+        for _ in range(3):
+            site.reply(site.sends_of(key)[-1], gateway_site.REJECTED)
+        site.advance(800)
+        self.assertTrue(site.answers[key].not_run)
+
+    def test_a_promise_without_proof_is_not_passed_on(self) -> None:
+        for status in (408, 421, 429, 503):
+            with self.subTest(status):
+                site = _site(idempotent=False)
+                key = site.request("/visit/1")
+                site.reply(site.sends_of(key)[0], gateway_site.answer(status))
+                site.advance(800)
+                refused = site.answers[key]
+                self.assertIsInstance(refused, commands.Refuse)
+                self.assertFalse(refused.not_run)
+
+    def test_attempts_go_on_after_the_client_has_left(self) -> None:
+        site = _site(idempotent=False)
+        key = site.request("/visit/1")
+        site.feed(events.ClientLeft(key))
+        site.advance(600)
+        self.assertEqual(site.others, [c for c in site.others if not _cancels(c)])
+
+
+class GivenUpRequestTest(unittest.TestCase):
+    """Requests whose time is over or whose client is gone."""
+
+    def test_the_answer_comes_at_the_routes_timeout(self) -> None:
+        site = _site(timeout_ms=300)
+        key = site.request("/visit/1", deadline_ms=2_000)
+        site.advance(299)
+        self.assertNotIn(key, site.answers)
+        site.advance(1)
+        self.assertIs(site.answers[key].reason, commands.Refusal.TIMED_OUT)
+
+    def test_leaves_are_given_no_more_time_than_is_left(self) -> None:
+        site = _site()
+        key = site.request("/visit/1", deadline_ms=500)
+        site.advance(200)
+        for sent in site.sends_of(key):
+            left_ms = 500 - (sent.at_ms - 1_000_000)
+            self.assertLessEqual(sent.command.budget_ms, left_ms)
+
+    def test_attempts_end_soon_after_the_client_has_left(self) -> None:
+        site = _site()
+        key = site.request("/visit/1", deadline_ms=5_000)
+        site.feed(events.ClientLeft(key))
+        site.advance(500)
+        self.assertTrue(any(_cancels(command) for command in site.others))
+        self.assertEqual(site.gateway.requests, {})
+
+
+def _cancels(command: commands.Command) -> bool:
+    return isinstance(command, commands.CancelAttempt)
