Let few daemons watch the store, and open connections ahead

Now three daemons of a region watch and the others follow two of them; the nearest leaf and one other of each shard keep a connection; a second send goes out in time for the objective; the time of an attempt that opened its connection is not learnt from. Start: eventlet's resolver and the metrics are no longer loaded.

--- a/amaranthpulley/coordination/forwarding/believing.py
+++ b/amaranthpulley/coordination/forwarding/believing.py
@@ -10,6 +10,7 @@
     learning,
     progressing,
     tracing,
+    warming,
 )
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -92,22 +93,12 @@
     now_ms: int,
     random: choosing.Random,
 ) -> list[commands.Command]:
-    """Drop what a complete listing does not name."""
-    decided: list[commands.Command] = []
-    for leaf in gateway.directory.all():
-        if leaf.entry.leaf_id not in event.leaf_ids:
-            gone = events.LeafDeleted(leaf.entry.leaf_id)
-            decided += delete_leaf(gateway, gone, now_ms, random)
-    for domain in set(gateway.evacuated) - event.evacuated:
-        del gateway.evacuated[domain]
-    for name in set(gateway.members) - event.members:
-        del gateway.members[name]
-    if not gateway.listed:
-        gateway.listed = True
-        decided.append(
-            common.log(log_events.DIRECTORY_LISTED, leaves=len(event.leaf_ids))
-        )
-    return decided
+    """Begin to take requests once everything has been read."""
+    if gateway.listed:
+        return []
+    gateway.listed = True
+    known = len(gateway.directory.all())
+    return [common.log(log_events.DIRECTORY_LISTED, leaves=known)]
 
 
 def change_evacuation(
@@ -187,7 +178,8 @@
                 decided.append(tracing.leaf_line(leaf, "forgotten", 0))
         elif leaf.suspected and now_ms >= leaf.probe_due_ms:
             decided += _probe(gateway, leaf, now_ms)
-    return decided + progressing.sweep_attempts(gateway, now_ms)
+    decided += progressing.sweep_attempts(gateway, now_ms)
+    return decided + warming.warm(gateway, now_ms)
 
 
 def request_drain(
--- a/amaranthpulley/coordination/forwarding/choosing.py
+++ b/amaranthpulley/coordination/forwarding/choosing.py
@@ -16,12 +16,22 @@
 UNMEASURED_WAY_MS: Final = 30.0
 # Deviations past the mean after which an answer is late: some 98% come sooner.
 LATE_DEVIATIONS: Final = 4.0
+# Part of the objective for the way to the client and the daemon's own wake-ups, in
+# milliseconds.
+CLIENT_WAY_MS: Final = 15.0
 # Added to it for the daemon's own wake-ups and the network, in milliseconds.
 LATE_MARGIN_MS: Final = 4.0
 # A leaf that has answered anything within this time is not paused.
 SILENCE_MS: Final = 12
 # Shortest time that a pause is expected to go on, in milliseconds.
 PAUSE_MS: Final = 60.0
+# A connection that was used within this time is still open: leaves keep them for four
+# seconds at least. In milliseconds.
+WARM_MS: Final = 3_000
+# Time for all services to be looked at again, in milliseconds.
+WARM_GRACE_MS: Final = 1_500
+# What a leaf takes to accept a connection, in milliseconds: the users' 6 ms.
+OPENING_MS: Final = 6.0
 # How fast a leaf that has got no requests counts as usual again, in milliseconds.
 SLOWNESS_MEMORY_MS: Final = 2_000.0
 # A load report older than this says nothing, in milliseconds.
@@ -61,10 +71,17 @@
     leaf: leaves.Leaf,
     route: routes.Route,
 ) -> float:
-    """Return how long after its sending an attempt is late."""
+    """Return how long after its sending an attempt is late.
+
+    That is when it takes unusually long, or when a second leaf in another region could
+    only just answer within the objective.
+    """
     usual = gateway.usual_of(route)
     work_ms = usual.mean_ms + LATE_DEVIATIONS * usual.deviation_ms
-    return way_ms(gateway, leaf) + work_ms + LATE_MARGIN_MS
+    unusual_ms = way_ms(gateway, leaf) + work_ms + LATE_MARGIN_MS
+    second_ms = gateway.distances.farthest_ms(UNMEASURED_WAY_MS) + work_ms
+    useful_ms = route.objective_ms - CLIENT_WAY_MS - second_ms
+    return min(unusual_ms, max(useful_ms, 1.5 * usual.mean_ms))
 
 
 def is_paused(leaf: leaves.Leaf, now_ms: int) -> bool:
@@ -91,6 +108,8 @@
         ahead = max(ahead, leaf.load.running + leaf.load.waiting)
     queue_ms = work_ms * max(0, ahead - slots + 1) / slots
     total_ms = way_ms(gateway, leaf) + work_ms + queue_ms
+    if now_ms - leaf.used_ms > WARM_MS + WARM_GRACE_MS:
+        total_ms += way_ms(gateway, leaf) + OPENING_MS
     if is_paused(leaf, now_ms):
         silent_ms = now_ms - leaf.heard_ms
         total_ms += max(PAUSE_MS, float(silent_ms))
@@ -131,7 +150,7 @@
     now_ms: int,
     random: Random,
 ) -> leaves.Leaf | None:
-    """Return the best leaf for a request's next send; None when all are busy or gone."""
+    """Return the best leaf for the next send; None when all are busy or gone."""
     best: tuple[int, float] | None = None
     chosen: leaves.Leaf | None = None
     for leaf in gateway.directory.of_service(call.service):
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -103,6 +103,12 @@
     due_ms: int
 
 
+class OpenConnection(NamedTuple):
+    """Have a connection to a leaf ready, unless there is one."""
+
+    address: str
+
+
 class ProbeLeaf(NamedTuple):
     """Ask a leaf for its health."""
 
@@ -118,6 +124,7 @@
     | SendMerged
     | Refuse
     | WakeAt
+    | OpenConnection
     | ProbeLeaf
     | commands.Log
 )
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -18,10 +18,17 @@
 
 
 class AttemptAnswered(NamedTuple):
-    """A leaf's whole answer to an attempt has been read."""
+    """A leaf's whole answer to an attempt has been read.
+
+    Attributes
+    ----------
+    opened : bool
+        A new connection was opened for the attempt.
+    """
 
     attempt: int
     answer: requests.LeafAnswer
+    opened: bool = False
 
 
 class AttemptFailed(NamedTuple):
@@ -56,17 +63,7 @@
 
 
 class DirectoryListed(NamedTuple):
-    """All entries have been read.
-
-    Attributes
-    ----------
-    leaf_ids, evacuated, members : frozenset of str
-        What the listing held; everything else of these kinds is gone.
-    """
-
-    leaf_ids: frozenset[str]
-    evacuated: frozenset[str]
-    members: frozenset[str]
+    """All entries have been read, and each has been fed."""
 
 
 class EvacuationChanged(NamedTuple):
--- a/amaranthpulley/coordination/forwarding/learning.py
+++ b/amaranthpulley/coordination/forwarding/learning.py
@@ -6,7 +6,8 @@
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, routes
 
-# Weight of one answer in a leaf's slowness: a pause's few late answers change it little.
+# Weight of one answer in a leaf's slowness: the few late answers of a pause change it
+# little.
 SLOWNESS_WEIGHT: Final = 0.15
 # Largest slowness that one answer can show.
 MOST_SLOWNESS: Final = 6.0
@@ -31,9 +32,16 @@
     attempt: requests.Attempt,
     route: routes.Route,
     answer: requests.LeafAnswer,
+    opened: bool,
     now_ms: int,
 ) -> None:
-    """Learn from a leaf's whole answer."""
+    """Learn from a leaf's whole answer.
+
+    Parameters
+    ----------
+    opened : bool
+        The attempt had to wait for a new connection, so that its time says nothing.
+    """
     leaf = gateway.directory.get(attempt.leaf_id)
     if leaf is None:
         return
@@ -47,7 +55,7 @@
         return
     succeeded = answer.status < 500
     _count_failure(leaf, not succeeded)
-    if succeeded:
+    if succeeded and not opened:
         _learn_time(gateway, leaf, attempt, route, now_ms)
 
 
--- a/amaranthpulley/coordination/forwarding/progressing.py
+++ b/amaranthpulley/coordination/forwarding/progressing.py
@@ -37,7 +37,7 @@
     if request is None:
         return []
     answer = event.answer
-    learning.note_answer(gateway, attempt, request.route, answer, now_ms)
+    learning.note_answer(gateway, attempt, request.route, answer, event.opened, now_ms)
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
     if _is_usable(request, answer):
--- a/amaranthpulley/coordination/forwarding/sending.py
+++ b/amaranthpulley/coordination/forwarding/sending.py
@@ -97,6 +97,7 @@
     call.tried.add(leaf_id)
     late_ms = choosing.late_after_ms(gateway, leaf, request.route)
     leaf.overdue_ms[number] = now_ms + late_ms
+    leaf.used_ms = now_ms
     if now_ms < leaf.cold_until_ms:
         leaf.cold_tokens -= 1.0
     if call.sends:
--- a/amaranthpulley/platform/command.py
+++ b/amaranthpulley/platform/command.py
@@ -19,7 +19,7 @@
     calls = store.Store(
         store_address,
         names.DAEMON_PREFIX + place.name,
-        entries.encode_daemon(place.failure_domain, setup.front_address),
+        entries.encode_daemon(place.failure_domain, setup.peer_address),
     )
     served = process.GatewayProcess(
         setup, system_clock.system_clock(), calls.as_source(), _check_settings
--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -1,12 +1,16 @@
 """Items of the platform's store, turned into events."""
 
-from typing import Literal, NotRequired, TypedDict
+import logging
+from typing import Final, Literal, NotRequired, TypedDict
 
 from amaranthpulley.coordination.forwarding import events
 from amaranthpulley.platform import configuration, names
 from amaranthpulley.protocol import errors, json_codec
+from amaranthpulley.state import store
 from amaranthpulley.state.forwarding import gateway, leaves
 
+_LOGGER: Final = logging.getLogger("amaranthpulley.platform")
+
 
 class _Leaf(TypedDict):
     Service: str
@@ -27,19 +31,22 @@
     address: str
 
 
-def event_of(key: str, value: bytes | None) -> events.Event | None:
-    """Return what an item says; None when it is of no concern.
-
-    Parameters
-    ----------
-    value : bytes or None
-        None when the item has been deleted.
+def decode(change: store.Change) -> events.Event | None:
+    """Return what a change says; None when it is of no concern.
 
-    Raises
-    ------
-    MalformedMessageError
-        When the value cannot be read.
+    Other writers may leave anything: an entry that cannot be read names no leaf to use,
+    and everything else holds.
     """
+    try:
+        return _event_of(change.key, change.value)
+    except errors.MalformedMessageError as error:
+        _LOGGER.warning("item %s cannot be read: %s", change.key, error)
+    if change.key.startswith(names.LEAF_PREFIX):
+        return events.LeafDeleted(change.key.removeprefix(names.LEAF_PREFIX))
+    return None
+
+
+def _event_of(key: str, value: bytes | None) -> events.Event | None:
     if key == names.CONFIGURATION_KEY:
         if value is None:
             return None
@@ -58,25 +65,6 @@
     return None
 
 
-def unreadable(key: str) -> events.Event | None:
-    """Return what follows from an item that cannot be read: it names no leaf to use."""
-    if key.startswith(names.LEAF_PREFIX):
-        return events.LeafDeleted(key.removeprefix(names.LEAF_PREFIX))
-    return None
-
-
-def listed(found: list[events.Event]) -> events.DirectoryListed:
-    """Return the event that ends a listing, from those that it began with."""
-    leaf_ids = {e.entry.leaf_id for e in found if isinstance(e, events.LeafWritten)}
-    evacuated = {
-        e.failure_domain for e in found if isinstance(e, events.EvacuationChanged)
-    }
-    members = {e.name for e in found if isinstance(e, events.MemberChanged)}
-    return events.DirectoryListed(
-        frozenset(leaf_ids), frozenset(evacuated), frozenset(members)
-    )
-
-
 def encode_daemon(failure_domain: str, address: str) -> bytes:
     """Return the value of a daemon's registration."""
     return json_codec.encode(Daemon(failure_domain=failure_domain, address=address))
--- a/amaranthpulley/platform/settings.py
+++ b/amaranthpulley/platform/settings.py
@@ -30,6 +30,7 @@
     Region: str
     Zones: dict[str, str]
     BindAddrs: _Addresses
+    InternalPorts: list[int]
     platform: _Store
     Bounds: dict[str, Any]
 
@@ -72,6 +73,7 @@
         listen["ReadyAddr"],
         names.READY_PATH,
         f"{settings['Ip']}:{METRICS_PORT}",
+        f"{settings['Ip']}:{settings['InternalPorts'][0]}",
         names.HEADERS,
     )
     return setup, settings["platform"]["Address"]
--- a/amaranthpulley/platform/store.py
+++ b/amaranthpulley/platform/store.py
@@ -2,17 +2,17 @@
 
 import base64
 import logging
-from typing import Any, Final, NotRequired, TypedDict
+from typing import Any, Final, NotRequired, TypedDict, TypeVar
 from urllib import parse
 
 import urllib3
 
-from amaranthpulley.coordination.forwarding import events
 from amaranthpulley.platform import entries, names
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import json_codec
+from amaranthpulley.state import store
 from amaranthpulley.transport import errors, http_connections
-from amaranthpulley.transport.forwarding import feed
+from amaranthpulley.transport.forwarding import feed, view
 
 # A call takes 4 ms, and 240 ms where the store is 60 times slower. In milliseconds.
 CALL_TIMEOUT_MS: Final = 1_000
@@ -20,11 +20,13 @@
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
+_Wire = TypeVar("_Wire")
 _LOGGER: Final = logging.getLogger("amaranthpulley.platform")
 
 
 class _Item(TypedDict):
     Key: str
+    Revision: int
     Value: NotRequired[str]
     Deleted: NotRequired[bool]
 
@@ -68,26 +70,30 @@
     def as_source(self) -> feed.Source:
         """Return the calls as the product makes them."""
         return feed.Source(
-            self.read_all, self.watch, self.register, self.renew, self.unregister
+            self.read_all,
+            self.watch,
+            self.register,
+            self.renew,
+            self.unregister,
+            entries.decode,
         )
 
-    def read_all(self) -> feed.Listing:
+    def read_all(self) -> view.Listing:
         """Read every item, page by page."""
-        found: list[events.Event] = []
+        found: list[store.Change] = []
         after, revision = "", None
         while True:
             query = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
-            body = self._call("GET", names.RANGE_PATH, query)
-            page = json_codec.decode(body, _Range)
+            page = _decode(self._call("GET", names.RANGE_PATH, query), _Range)
             if revision is None:
+                # Later pages may hold newer items; the watch begins at the first one.
                 revision = page["CurrentRev"]
-            found += _events_of(page["items"])
+            found += [_change_of(item) for item in page["items"]]
             if not page["MorePages"] or not page["items"]:
-                break
+                return view.Listing(tuple(found), revision)
             after = page["items"][-1]["Key"]
-        return feed.Listing((*found, entries.listed(found)), revision)
 
-    def watch(self, revision: int, wait_ms: int) -> feed.Changes | None:
+    def watch(self, revision: int, wait_ms: int) -> store.Changes | None:
         """Wait for changes after a revision."""
         query = {"PathPrefix": "", "after": revision, "WaitMs": wait_ms}
         timeout_ms = wait_ms + feed.WATCH_MARGIN_MS
@@ -96,13 +102,14 @@
             return None
         if status != _OK:
             raise errors.PlatformUnreachableError(f"watch: status {status}")
-        changes = json_codec.decode(body, _Changes)
-        return feed.Changes(tuple(_events_of(changes["events"])), changes["CurrentRev"])
+        page = _decode(body, _Changes)
+        changes = tuple(_change_of(item) for item in page["events"])
+        return store.Changes(changes, page["CurrentRev"])
 
     def register(self, life_ms: int) -> None:
         """Enter this daemon under a new lease."""
         body = self._call("POST", names.LEASE_PATH, {}, {"TtlMs": life_ms})
-        self._lease = json_codec.decode(body, _Lease)["Lease"]
+        self._lease = _decode(body, _Lease)["Lease"]
         put = {"Key": self._key, "Value": self._value, "Lease": self._lease}
         change = {"Expect": [], "Puts": [put], "Deletes": []}
         self._call("POST", names.TRANSACTION_PATH, {}, change)
@@ -157,17 +164,21 @@
         return response.status, response.data
 
 
-def _events_of(items: list[_Item]) -> list[events.Event]:
-    found = [_event_of(item) for item in items]
-    return [event for event in found if event is not None]
+def _decode(body: bytes, kind: type[_Wire]) -> _Wire:
+    try:
+        return json_codec.decode(body, kind)
+    except protocol_errors.MalformedMessageError as error:
+        raise errors.PlatformUnreachableError(f"unreadable answer: {error}") from error
+
+
+def _change_of(item: _Item) -> store.Change:
+    value = None if item.get("Deleted") else _bytes_of(item)
+    return store.Change(item["Key"], item["Revision"], value)
 
 
-def _event_of(item: _Item) -> events.Event | None:
-    key = item["Key"]
+def _bytes_of(item: _Item) -> bytes:
     try:
-        value = None if item.get("Deleted") else base64.b64decode(item["Value"])
-        return entries.event_of(key, value)
-    except (protocol_errors.ProtocolError, ValueError, KeyError) as error:
-        # Other writers may leave anything there; the rest of the items holds.
-        _LOGGER.warning("item %s of the store cannot be read: %s", key, error)
-        return entries.unreadable(key)
+        return base64.b64decode(item.get("Value", ""), validate=True)
+    except ValueError:
+        _LOGGER.warning("item %s of the store is not base64", item["Key"])
+        return b""
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -97,6 +97,9 @@
         self.crashes: dict[int, set[str]] = {}
         self.counters = counters_state.Counters()
         self.latency_by_kind: Kinds = {}
+        self.warm_shards: list[str] = []
+        self.warm_version: int | None = None
+        self.warm_next = 0
         self.draining_since_ms: int | None = None
         self.log_tokens = LOG_BURST
         self.log_refilled_ms = started_ms
--- a/amaranthpulley/state/forwarding/latencies.py
+++ b/amaranthpulley/state/forwarding/latencies.py
@@ -12,6 +12,8 @@
 OUTLIER_TIMES: Final = 3.0
 # Share of a route's objective that its work is expected to take before it is measured.
 UNMEASURED_SHARE: Final = 0.1
+# Deviation in relation to the mean before it is measured.
+FIRST_DEVIATION: Final = 0.3
 
 
 class UsualTime:
@@ -25,7 +27,7 @@
 
     def __init__(self, first_guess_ms: float) -> None:
         self.mean_ms = first_guess_ms
-        self.deviation_ms = first_guess_ms / 2
+        self.deviation_ms = first_guess_ms * FIRST_DEVIATION
         self._observed = 0
 
     def observe(self, elapsed_ms: float) -> None:
@@ -56,6 +58,12 @@
         self._floors[failure_domain] = floor
         self._nearest = min(self._floors.values())
 
+    def farthest_ms(self, default_ms: float) -> float:
+        """Return how much longer the way to the farthest failure domain is."""
+        if len(self._floors) < 2:
+            return default_ms
+        return max(self._floors.values()) - self._nearest
+
     def extra_ms(self, failure_domain: str, default_ms: float) -> float:
         """Return how much longer the way is than to the nearest failure domain."""
         floor = self._floors.get(failure_domain)
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -68,6 +68,8 @@
         self.heard_ms = now_ms
         self.slowness = INITIAL_SLOWNESS
         self.slowness_ms = now_ms
+        # When a connection was last used or opened; long ago at first.
+        self.used_ms = 0
         self.load: Load | None = None
         self.load_ms = 0
         self.failure_share = 0.0
--- a/amaranthpulley/transport/forwarding/feed.py
+++ b/amaranthpulley/transport/forwarding/feed.py
@@ -10,55 +10,29 @@
 import eventlet
 
 from amaranthpulley.coordination.forwarding import events
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state import store
 from amaranthpulley.transport import errors
-
-# Longest wait of one watch: the store allows 30 s, and a connection that has gone
-# silent is noticed within this time and the margin. In milliseconds.
-WATCH_MS: Final = 10_000
-WATCH_MARGIN_MS: Final = 1_500
-# Pause between two watches, so that a burst of changes comes in one answer; a small
-# part of the 3 s within which a change must be in force. In milliseconds.
-GATHER_MS: Final = 150
+from amaranthpulley.transport.forwarding import view as view_module
+
+# Longest wait of one watch; a connection that has gone silent is noticed within this
+# time and the margin. In milliseconds.
+WATCH_MS: Final = 5_000
+WATCH_MARGIN_MS: Final = 1_000
+# Pause between two watches, so that a burst of changes comes in one answer; a fifth of
+# the 3 s within which a change must be in force. In milliseconds.
+GATHER_MS: Final = 600
 # Pauses after a failed call, in milliseconds.
 FIRST_RETRY_MS: Final = 100
 LONGEST_RETRY_MS: Final = 800
+# How often a daemon that need not follow the store looks whether it must, in
+# milliseconds.
+IDLE_CHECK_MS: Final = 250
 # Failures in a row after which the store counts as lost.
 FAILURES_TO_LOSS: Final = 2
 # Life of the registration, and how often it is renewed, in milliseconds.
-REGISTRATION_MS: Final = 9_000
-RENEW_MS: Final = 3_000
-
-Feed = Callable[[events.Event], None]
-
-
-class Listing(NamedTuple):
-    """All that the store holds for this system.
-
-    Attributes
-    ----------
-    events : tuple of Event
-        What the items say, with `DirectoryListed` last.
-    revision : int
-        Where a watch goes on.
-    """
-
-    events: tuple[events.Event, ...]
-    revision: int
-
-
-class Changes(NamedTuple):
-    """What has changed since a revision.
-
-    Attributes
-    ----------
-    events : tuple of Event
-        The changes, oldest first.
-    revision : int
-        Where the next watch goes on.
-    """
-
-    events: tuple[events.Event, ...]
-    revision: int
+REGISTRATION_MS: Final = 15_000
+RENEW_MS: Final = 5_000
 
 
 class Source(NamedTuple):
@@ -79,13 +53,16 @@
         Extends the registration; returns False when it has lapsed.
     unregister : callable
         Takes the registration back.
+    decode : callable
+        Turns a change into an event; None when it is of no concern.
     """
 
-    read_all: Callable[[], Listing]
-    watch: Callable[[int, int], Changes | None]
+    read_all: Callable[[], view_module.Listing]
+    watch: Callable[[int, int], store.Changes | None]
     register: Callable[[int], None]
     renew: Callable[[], bool]
     unregister: Callable[[], None]
+    decode: view_module.Decode
 
 
 class StoreFeed:
@@ -95,16 +72,32 @@
     ----------
     source : Source
         Calls to the store.
+    view : View
+        What is kept up to date.
     feed : callable
-        Takes the events.
+        Takes events about the store itself.
+    clock : Clock
+        Source of time.
+    is_needed : callable
+        Tells whether this daemon must follow the store itself.
     """
 
-    def __init__(self, source: Source, feed: Feed) -> None:
+    def __init__(
+        self,
+        source: Source,
+        view: view_module.View,
+        feed: view_module.Feed,
+        clock: clock_state.Clock,
+        is_needed: Callable[[], bool],
+    ) -> None:
         self._source = source
+        self._view = view
         self._feed = feed
+        self._now_ms = clock.monotonic_ms
+        self._is_needed = is_needed
         self._failures = 0
         self._lost = False
-        self._revision: int | None = None
+        self._list_again = True
 
     def start(self) -> None:
         """Begin to follow the store."""
@@ -121,6 +114,9 @@
 
     def _follow(self) -> None:
         while True:
+            if self._view.listed and not self._is_needed():
+                eventlet.sleep(IDLE_CHECK_MS / 1000)
+                continue
             try:
                 self._follow_once()
             except errors.PlatformUnreachableError as error:
@@ -131,17 +127,16 @@
                 eventlet.sleep(GATHER_MS / 1000)
 
     def _follow_once(self) -> None:
-        if self._revision is None:
+        if self._list_again:
             listing = self._source.read_all()
-            found, self._revision = listing.events, listing.revision
+            self._list_again = False
+            self._view.take_listing(listing)
+            return
+        changes = self._source.watch(self._view.revision, WATCH_MS)
+        if changes is None:
+            self._list_again = True
         else:
-            changes = self._source.watch(self._revision, WATCH_MS)
-            if changes is None:
-                self._revision = None
-                return
-            found, self._revision = changes.events, changes.revision
-        for event in found:
-            self._feed(event)
+            self._view.take(changes.changes, changes.revision)
 
     def _keep_registered(self) -> None:
         registered = False
@@ -167,6 +162,7 @@
             self._feed(events.StoreReached(False, reason))
 
     def _note_success(self) -> None:
+        self._view.confirmed_ms = self._now_ms()
         self._failures = 0
         if self._lost:
             self._lost = False
--- a/amaranthpulley/transport/forwarding/gateway_metrics.py
+++ b/amaranthpulley/transport/forwarding/gateway_metrics.py
@@ -1,6 +1,5 @@
 """The metrics of a daemon that forwards requests."""
 
-import http
 from collections.abc import Iterable
 from typing import Final
 
@@ -8,11 +7,9 @@
 from prometheus_client import core as prometheus_core
 
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.transport import metrics, web
+from amaranthpulley.transport import counter_collector
 from amaranthpulley.transport.forwarding import runtime
 
-PATH: Final = "/metrics"
-METRICS_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 _QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
 
 
@@ -33,13 +30,13 @@
         self._gateway = gateway
         self._running = running
         self._registry = prometheus_client.CollectorRegistry()
-        self._registry.register(metrics.CounterCollector(gateway.counters))
+        self._registry.register(counter_collector.CounterCollector(gateway.counters))
         self._registry.register(self)
         prometheus_client.ProcessCollector(registry=self._registry)
 
-    def routes(self) -> dict[tuple[str, str], web.Handler]:
-        """Return the handlers of the metrics address."""
-        return {("GET", PATH): lambda _environ: self._show()}
+    def text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return prometheus_client.generate_latest(self._registry)
 
     def collect(self) -> Iterable[prometheus_core.Metric]:
         """Return the present values; called by the registry."""
@@ -63,12 +60,13 @@
             ),
         }
         for name, (value, text) in values.items():
-            yield prometheus_core.GaugeMetricFamily(metrics.PREFIX + name, text, value)
+            full_name = counter_collector.PREFIX + name
+            yield prometheus_core.GaugeMetricFamily(full_name, text, value)
         yield self._latencies()
 
     def _latencies(self) -> prometheus_core.Metric:
         family = prometheus_core.GaugeMetricFamily(
-            f"{metrics.PREFIX}forward_latency_ms",
+            f"{counter_collector.PREFIX}forward_latency_ms",
             "Quantiles of the time from a request's arrival to its end",
             labels=("kind", "quantile"),
         )
@@ -77,7 +75,3 @@
                 value = histogram.quantile_ms(share, 0)
                 family.add_metric((kind, str(share)), value)
         return family
-
-    def _show(self) -> web.Reply:
-        body = prometheus_client.generate_latest(self._registry)
-        return web.Reply(http.HTTPStatus.OK, body, METRICS_TYPE)
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -42,8 +42,9 @@
         self, address: str, names: header_names.HeaderNames, pool: "LeafConnections"
     ) -> None:
         self.address = address
+        self.used = False
         self.idle_since_ms = 0
-        self.idle_limit_ms = UNSTATED_IDLE_MS
+        self.idle_limit_ms = pool.idle_limits_ms.get(address, UNSTATED_IDLE_MS)
         self._pool = pool
         self._reader = leaf_messages.AnswerReader(names)
         self._request_id = b""
@@ -79,6 +80,7 @@
         without_body : bool
             The answer has no body whatever its head says.
         """
+        self.used = True
         self._request_id = request_id
         self._on_answer, self._on_failure = on_answer, on_failure
         self._reader.expect(without_body)
@@ -119,6 +121,7 @@
         self._on_answer = self._on_failure = None
         if raw.idle_timeout_s is not None:
             self.idle_limit_ms = raw.idle_timeout_s * 1000
+            self._pool.idle_limits_ms[self.address] = self.idle_limit_ms
         if raw.keep_alive and sound and not self._reader.in_answer:
             self._pool.put_back(self)
         else:
@@ -164,6 +167,8 @@
         self._names = names
         self._now_ms = clock.monotonic_ms
         self._idle: dict[str, list[LeafConnection]] = {}
+        # How long each leaf keeps an idle connection, as it said last.
+        self.idle_limits_ms: dict[str, int] = {}
         self.opened = 0
 
     def take(self, address: str, fresh: bool) -> LeafConnection:
@@ -189,6 +194,12 @@
         self.opened += 1
         return LeafConnection(address, self._names, self)
 
+    def open_ahead(self, address: str) -> None:
+        """Open a connection to a leaf unless an idle one is there."""
+        if not self._idle.get(address):
+            self.opened += 1
+            self.put_back(LeafConnection(address, self._names, self))
+
     def put_back(self, connection: LeafConnection) -> None:
         """Keep a connection for the next request."""
         connection.idle_since_ms = self._now_ms()
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/peer_feed.py
@@ -0,0 +1,117 @@
+"""Follows the store's changes as other daemons tell them."""
+
+from collections.abc import Callable
+from typing import Final
+
+import eventlet
+import urllib3
+
+from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.protocol.forwarding import relay_codec
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.transport import errors, http_connections
+from amaranthpulley.transport.forwarding import view as view_module
+
+# Longest wait for a change, and what is added for the answer, in milliseconds.
+WAIT_MS: Final = 4_000
+ANSWER_MS: Final = 1_000
+RETRY_MS: Final = 500
+# A daemon whose view the store has confirmed within this time is followed: its watch
+# may wait 5 s and the answer takes a second. In milliseconds.
+FRESH_MS: Final = 7_500
+# How often it is looked whether other daemons are to be followed, in milliseconds.
+CHECK_MS: Final = 500
+
+
+class PeerFeed:
+    """Keeps the daemon's view up to date from several other daemons at once.
+
+    Parameters
+    ----------
+    view : View
+        What is kept up to date.
+    clock : Clock
+        Source of time.
+    followed : callable
+        Returns the addresses of the daemons to follow.
+    """
+
+    def __init__(
+        self,
+        view: view_module.View,
+        clock: clock_state.Clock,
+        followed: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._view = view
+        self._now_ms = clock.monotonic_ms
+        self._followed = followed
+        self._running: dict[str, object] = {}
+        # When the store last confirmed what each followed daemon told.
+        self._confirmed_ms: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Begin to follow other daemons, when there are any to follow."""
+        eventlet.spawn_n(self._keep_following)
+
+    def is_fresh(self) -> bool:
+        """Tell whether some followed daemon's view is as good as the store's."""
+        now_ms = self._now_ms()
+        return any(
+            now_ms - confirmed_ms <= FRESH_MS
+            for confirmed_ms in self._confirmed_ms.values()
+        )
+
+    def _keep_following(self) -> None:
+        while True:
+            wanted = set(self._followed()) if self._view.listed else set()
+            for address in set(self._running) - wanted:
+                del self._running[address]
+                self._confirmed_ms.pop(address, None)
+            for address in wanted - set(self._running):
+                self._running[address] = marker = object()
+                eventlet.spawn_n(self._follow, address, marker)
+            eventlet.sleep(CHECK_MS / 1000)
+
+    def _follow(self, address: str, marker: object) -> None:
+        pool = http_connections.connection_pool(address, 1)
+        while self._running.get(address) is marker:
+            try:
+                page = _ask(pool, self._view.revision)
+            except errors.PeerUnreachableError:
+                # The daemon counts as stale from now on; see `is_fresh`.
+                self._confirmed_ms.pop(address, None)
+                eventlet.sleep(RETRY_MS / 1000)
+                continue
+            if self._running.get(address) is marker:
+                self._take(address, page)
+        pool.close()
+
+    def _take(self, address: str, page: relay_codec.Page) -> None:
+        if page.age_ms is None:
+            self._confirmed_ms.pop(address, None)
+        else:
+            self._confirmed_ms[address] = self._now_ms() - page.age_ms
+        changes = tuple(page.changes)
+        if page.complete:
+            self._view.take_listing(view_module.Listing(changes, page.revision))
+        else:
+            self._view.take(changes, page.revision)
+
+
+def _ask(pool: urllib3.HTTPConnectionPool, revision: int) -> relay_codec.Page:
+    try:
+        response = pool.urlopen(
+            "GET",
+            relay_codec.target_of(revision, WAIT_MS),
+            timeout=urllib3.Timeout(total=(WAIT_MS + ANSWER_MS) / 1000),
+            retries=False,
+        )
+        if response.status != 200:
+            raise errors.PeerUnreachableError(f"status {response.status}")
+        return relay_codec.decode(response.data)
+    except (
+        urllib3.exceptions.HTTPError,
+        OSError,
+        protocol_errors.MalformedMessageError,
+    ) as error:
+        raise errors.PeerUnreachableError(type(error).__name__) from error
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -9,7 +9,7 @@
 import eventlet.event
 
 from amaranthpulley.coordination import commands
-from amaranthpulley.coordination.forwarding import believing, events
+from amaranthpulley.coordination.forwarding import believing, events, relaying
 from amaranthpulley.protocol.forwarding import (
     client_answers,
     client_requests,
@@ -18,12 +18,15 @@
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import hybrid_clock, log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.transport import log_sink, process_signals, web
+from amaranthpulley.state.forwarding import requests
+from amaranthpulley.transport import log_sink, process_signals
 from amaranthpulley.transport.forwarding import (
     client_connections,
     feed,
-    gateway_metrics,
+    peer_feed,
+    relay,
     runtime,
+    view,
 )
 
 # Shares of the grace after which a leaving daemon closes idle connections, and after
@@ -32,6 +35,9 @@
 END_SHARE: Final = 0.9
 # How often it looks whether it can end, in milliseconds.
 LEAVING_CHECK_MS: Final = 100
+METRICS_HEADERS: Final = (
+    (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),
+)
 
 
 class Setup(NamedTuple):
@@ -51,6 +57,8 @@
         The path of that question.
     metrics_address : str
         ``IP:port`` of the metrics.
+    peer_address : str
+        ``IP:port`` for other daemons.
     names : HeaderNames
         The headers that mean something.
     """
@@ -61,6 +69,7 @@
     ready_address: str
     ready_path: bytes
     metrics_address: str
+    peer_address: str
     names: header_names.HeaderNames
 
 
@@ -108,11 +117,19 @@
         )
         ready = client_connections.Handler(self._show_ready, lambda _connection: None)
         self._ready = client_connections.Front(setup.ready_address, clock, ready)
-        metrics = gateway_metrics.GatewayMetrics(self.gateway, self.runtime)
-        self._metrics = web.WebServer(
-            web.listen(setup.metrics_address), web.application(metrics.routes())
+        metrics = client_connections.Handler(
+            self._show_metrics, lambda _connection: None
+        )
+        self._metrics = client_connections.Front(setup.metrics_address, clock, metrics)
+        self._metrics_text: Callable[[], bytes] | None = None
+        self._view = view.View(source.decode, self._take)
+        self._relay = relay.Relay(setup.peer_address, self._view, clock)
+        self._peers = peer_feed.PeerFeed(
+            self._view, clock, lambda: relaying.followed(self.gateway)
+        )
+        self._feed = feed.StoreFeed(
+            source, self._view, self._take, clock, self._must_follow_store
         )
-        self._feed = feed.StoreFeed(source, self._take)
         self._ended = eventlet.event.Event()
 
     @property
@@ -127,10 +144,11 @@
             log_events.DAEMON_LISTENING,
             callers=self._front.address,
             admin=self._metrics.address,
-            peers=self._ready.address,
+            peers=self._relay.address,
         )
         self.runtime.start()
         self._feed.start()
+        self._peers.start()
         process_signals.on_end_signals(self.drain)
         process_signals.on_signal(signal.SIGHUP, self._read_settings_again)
 
@@ -152,6 +170,9 @@
             if configuration is not None:
                 self._front.limits = configuration.client_limits
 
+    def _must_follow_store(self) -> bool:
+        return relaying.is_watcher(self.gateway) or not self._peers.is_fresh()
+
     def _leave(self) -> None:
         grace_ms = self.gateway.limits.grace_ms
         eventlet.sleep(CLOSE_IDLE_SHARE * grace_ms / 1000)
@@ -182,6 +203,24 @@
         data = client_answers.encode_plain(status, reason, closes)
         connection.answer(data, closes)
 
+    def _show_metrics(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        if self._metrics_text is None:
+            # Loaded when it is first wanted: it would be a fifth of the start.
+            from amaranthpulley.transport.forwarding import gateway_metrics
+
+            shown = gateway_metrics.GatewayMetrics(self.gateway, self.runtime)
+            self._metrics_text = shown.text
+        closes = not request.keep_alive
+        answer = requests.LeafAnswer(
+            200, METRICS_HEADERS, self._metrics_text(), b"", False, False, None
+        )
+        data = client_answers.encode_passed(answer, closes, False)
+        connection.answer(data, closes)
+
     def _read_settings_again(self) -> None:
         self._log(log_events.SETTINGS_RELOADED, result=self._reload())
 
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/relay.py
@@ -0,0 +1,96 @@
+"""Serves the changes of the store to the daemons that do not watch it themselves."""
+
+from typing import Final
+
+import eventlet.hubs
+
+from amaranthpulley.protocol.forwarding import (
+    client_answers,
+    client_requests,
+    relay_codec,
+)
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state.forwarding import requests
+from amaranthpulley.transport.forwarding import client_connections
+from amaranthpulley.transport.forwarding import view as view_module
+
+MOST_WAIT_MS: Final = 10_000
+_HEADERS: Final = ((b"Content-Type", b"application/octet-stream"),)
+
+
+class Relay:
+    """A listening address for other daemons.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` to listen on.
+    view : View
+        What is told.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, address: str, view: view_module.View, clock: clock_state.Clock
+    ) -> None:
+        self._view = view
+        self._now_ms = clock.monotonic_ms
+        self._waiting: dict[client_connections.ClientConnection, int] = {}
+        handler = client_connections.Handler(self._receive, self._forget)
+        self._front = client_connections.Front(address, clock, handler)
+        view.on_change(self._answer_all)
+
+    @property
+    def address(self) -> str:
+        """The ``IP:port`` that it listens on."""
+        return self._front.address
+
+    def _receive(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        wanted = relay_codec.parse_target(request.target)
+        if wanted is None:
+            data = client_answers.encode_plain(404, "no_such_path", True)
+            connection.answer(data, True)
+            return
+        after, wait_ms = wanted
+        if after < self._view.revision or wait_ms == 0:
+            self._answer(connection, after)
+            return
+        self._waiting[connection] = after
+        eventlet.hubs.get_hub().schedule_call_global(
+            min(wait_ms, MOST_WAIT_MS) / 1000, self._time_out, connection, request
+        )
+
+    def _forget(self, connection: client_connections.ClientConnection) -> None:
+        self._waiting.pop(connection, None)
+
+    def _time_out(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        if connection.current is request and connection in self._waiting:
+            self._answer(connection, self._waiting[connection])
+
+    def _answer_all(self) -> None:
+        for connection, after in list(self._waiting.items()):
+            self._answer(connection, after)
+
+    def _answer(
+        self, connection: client_connections.ClientConnection, after: int
+    ) -> None:
+        self._waiting.pop(connection, None)
+        excerpt = self._view.after(after)
+        confirmed_ms = self._view.confirmed_ms
+        age_ms = None if confirmed_ms is None else self._now_ms() - confirmed_ms
+        page = relay_codec.Page(
+            list(excerpt.changes), excerpt.revision, excerpt.complete, age_ms
+        )
+        body = relay_codec.encode(page)
+        answer = requests.LeafAnswer(200, _HEADERS, body, b"", False, False, None)
+        data = client_answers.encode_passed(answer, False, False)
+        connection.answer(data, False)
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -75,6 +75,7 @@
             commands.Refuse: self._refuse,
             commands.WakeAt: self._wake_at,
             commands.ProbeLeaf: self._probe,
+            commands.OpenConnection: self._open_connection,
             common.Log: self._write_log,
         }
 
@@ -160,10 +161,11 @@
         number = command.attempt
         connection = self.leaves.take(command.address, command.fresh)
         self._attempts[number] = connection
+        opened = not connection.used
 
         def take_answer(answer: requests.LeafAnswer) -> None:
             self._attempts.pop(number, None)
-            self.feed(events.AttemptAnswered(number, answer))
+            self.feed(events.AttemptAnswered(number, answer, opened))
 
         def take_failure(end: requests.AttemptEnd) -> None:
             self._attempts.pop(number, None)
@@ -235,6 +237,9 @@
         self._wakes.pop(key, None)
         self.feed(events.WakeDue(key))
 
+    def _open_connection(self, command: commands.OpenConnection) -> None:
+        self.leaves.open_ahead(command.address)
+
     def _probe(self, command: commands.ProbeLeaf) -> None:
         connection = self.leaves.take(command.address, True)
         timer = None
--- a/amaranthpulley/transport/loop.py
+++ b/amaranthpulley/transport/loop.py
@@ -2,6 +2,7 @@
 
 import http.client
 import logging
+import os
 import warnings
 from typing import Final
 
@@ -17,6 +18,8 @@
     elsewhere. The hub is fixed here so that the environment cannot change it.
     """
     warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
+    # Addresses are numbers: eventlet's own resolver would be a quarter of the start.
+    os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
     import eventlet
     import eventlet.hubs
 
--- a/amaranthpulley/transport/metrics.py
+++ b/amaranthpulley/transport/metrics.py
@@ -9,10 +9,10 @@
 
 from amaranthpulley.coordination import answering, commands
 from amaranthpulley.protocol import status_api
-from amaranthpulley.state import counters, requests
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import requests
+from amaranthpulley.transport import counter_collector
 
-PREFIX: Final = "amaranthpulley_"
 LATENCY_BUCKETS_SECONDS: Final = (
     *(0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.22),
     *(0.3, 0.5, 1.0, 2.0, 5.0),
@@ -32,18 +32,18 @@
     def __init__(self, daemon: daemon_state.Daemon) -> None:
         self._daemon = daemon
         self._registry = prometheus_client.CollectorRegistry()
-        self._registry.register(CounterCollector(daemon.counters))
+        self._registry.register(counter_collector.CounterCollector(daemon.counters))
         self._registry.register(_StateCollector(daemon))
         prometheus_client.ProcessCollector(registry=self._registry)
         self._latency = prometheus_client.Histogram(
-            f"{PREFIX}request_seconds",
+            f"{counter_collector.PREFIX}request_seconds",
             "Time from a request's arrival to its answer",
             ("service", "outcome"),
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
         self._coverage = prometheus_client.Histogram(
-            f"{PREFIX}search_coverage_ratio",
+            f"{counter_collector.PREFIX}search_coverage_ratio",
             "Covered share of the asked part of the key space",
             ("service",),
             buckets=COVERAGE_BUCKETS,
@@ -63,26 +63,6 @@
         return prometheus_client.generate_latest(self._registry)
 
 
-class CounterCollector:
-    """Exposes the decisions' totals."""
-
-    def __init__(self, totals: counters.Counters) -> None:
-        self._totals = totals
-
-    def collect(self) -> Iterable[prometheus_core.Metric]:
-        families: dict[str, prometheus_core.CounterMetricFamily] = {}
-        for counter, total in self._totals.items():
-            names = [name for name, _ in counter.labels]
-            family = families.setdefault(
-                counter.name,
-                prometheus_core.CounterMetricFamily(
-                    PREFIX + counter.name, counter.name.replace("_", " "), labels=names
-                ),
-            )
-            family.add_metric([value for _, value in counter.labels], total)
-        return families.values()
-
-
 class _StateCollector:
     """Exposes what the daemon believes at the moment of the reading."""
 
@@ -103,13 +83,15 @@
         }
         for name, value in gauges.items():
             yield prometheus_core.GaugeMetricFamily(
-                PREFIX + name, name.replace("_", " "), value=float(value)
+                counter_collector.PREFIX + name,
+                name.replace("_", " "),
+                value=float(value),
             )
 
 
 def _targets(daemon: daemon_state.Daemon) -> prometheus_core.Metric:
     family = prometheus_core.GaugeMetricFamily(
-        f"{PREFIX}targets",
+        f"{counter_collector.PREFIX}targets",
         "Configured targets by failure domain, and why they get no work",
         labels=("failure_domain", "state"),
     )
@@ -120,7 +102,9 @@
 
 def _members(daemon: daemon_state.Daemon) -> prometheus_core.Metric:
     family = prometheus_core.GaugeMetricFamily(
-        f"{PREFIX}members", "Known daemons by standing", labels=("standing",)
+        f"{counter_collector.PREFIX}members",
+        "Known daemons by standing",
+        labels=("standing",),
     )
     standings = collections.Counter(m.standing for m in daemon.members.all())
     for standing, count in sorted(standings.items()):
