--- a/amaranthpulley/coordination/forwarding/believing.py
+++ b/amaranthpulley/coordination/forwarding/believing.py
@@ -33,6 +33,7 @@
     if event.configuration.version <= known:
         return []
     gateway.configuration = event.configuration
+    gateway.connection_shares.clear()
     return [
         common.log(
             log_events.CONFIGURATION_IN_FORCE,
@@ -128,6 +129,7 @@
     random: choosing.Random,
 ) -> list[commands.Command]:
     """Enter or forget a daemon that shares the budgets."""
+    gateway.connection_shares.clear()
     if event.member is None:
         gateway.members.pop(event.name, None)
     else:
--- a/amaranthpulley/coordination/forwarding/choosing.py
+++ b/amaranthpulley/coordination/forwarding/choosing.py
@@ -52,8 +52,10 @@
 
 def slowness_of(leaf: leaves.Leaf, now_ms: int) -> float:
     """Return how many usual times a leaf takes, forgetting what is old."""
-    passed = now_ms - leaf.slowness_ms
-    slowness = 1.0 + (leaf.slowness - 1.0) * math.exp(-passed / SLOWNESS_MEMORY_MS)
+    slowness = leaf.slowness
+    if slowness != 1.0:
+        passed_ms = now_ms - leaf.slowness_ms
+        slowness = 1.0 + (slowness - 1.0) * math.exp(-passed_ms / SLOWNESS_MEMORY_MS)
     if now_ms < leaf.cold_until_ms:
         return max(slowness, COLD_SLOWNESS)
     return slowness
@@ -106,13 +108,14 @@
     ahead = leaf.in_flight
     if leaf.load is not None and now_ms - leaf.load_ms < LOAD_FRESH_MS:
         ahead = max(ahead, leaf.load.running + leaf.load.waiting)
-    queue_ms = work_ms * max(0, ahead - slots + 1) / slots
-    total_ms = way_ms(gateway, leaf) + work_ms + queue_ms
+    distance_ms = way_ms(gateway, leaf)
+    total_ms = distance_ms + work_ms
+    if ahead >= slots:
+        total_ms += work_ms * (ahead - slots + 1) / slots
     if now_ms - leaf.used_ms > WARM_MS + WARM_GRACE_MS:
-        total_ms += way_ms(gateway, leaf) + OPENING_MS
+        total_ms += distance_ms + OPENING_MS
     if is_paused(leaf, now_ms):
-        silent_ms = now_ms - leaf.heard_ms
-        total_ms += max(PAUSE_MS, float(silent_ms))
+        total_ms += max(PAUSE_MS, float(now_ms - leaf.heard_ms))
     return total_ms + leaf.failure_share * route.objective_ms
 
 
@@ -123,6 +126,14 @@
 
 def connection_share(gateway: gateway_state.Gateway, leaf: leaves.Leaf) -> int:
     """Return how many connections to a leaf this daemon may use."""
+    key = leaf.entry.service, leaf.region
+    share = gateway.connection_shares.get(key)
+    if share is None:
+        share = gateway.connection_shares[key] = _connection_share(gateway, leaf)
+    return share
+
+
+def _connection_share(gateway: gateway_state.Gateway, leaf: leaves.Leaf) -> int:
     configuration = gateway.configuration
     if configuration is None:
         return 1
@@ -154,14 +165,13 @@
     best: tuple[int, float] | None = None
     chosen: leaves.Leaf | None = None
     for leaf in gateway.directory.of_service(call.service):
-        if leaf.entry.leaf_id in call.tried or not may_take(
-            gateway, leaf, route, now_ms
+        if (
+            leaf.entry.leaf_id in call.tried
+            or leaf.full_until_ms > now_ms
+            or not may_take(gateway, leaf, route, now_ms)
+            or leaf.in_flight >= connection_share(gateway, leaf)
         ):
             continue
-        if leaf.full_until_ms > now_ms:
-            continue
-        if leaf.in_flight >= connection_share(gateway, leaf):
-            continue
         # A draw among equals, so that daemons do not all choose the same leaf.
         expected = expected_ms(gateway, leaf, route, now_ms) + random()
         rank = (_standing(leaf), expected)
--- a/amaranthpulley/coordination/forwarding/finishing.py
+++ b/amaranthpulley/coordination/forwarding/finishing.py
@@ -7,9 +7,10 @@
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests
 
-# A merged answer leaves so long before the objective ends: the way to the client and
-# the daemon's own wake-up, in milliseconds.
-OBJECTIVE_MARGIN_MS: Final = 10
+# A merged answer leaves so long before the objective ends: the ways from and to the
+# client, and the daemon's own wake-ups, which take longer where more is merged.
+OBJECTIVE_MARGIN_MS: Final = 7
+OBJECTIVE_MARGIN_SHARE: Final = 0.08
 # Statuses that promise that a request has not run; only the daemon itself may say so.
 PROMISES: Final = frozenset({408, 421, 429, 503})
 # When a request that no leaf has run is likely to be served, in milliseconds.
@@ -37,6 +38,13 @@
     return [commands.WakeAt(request.incoming.key, due_ms)]
 
 
+def answer_by_ms(request: requests.ForwardedRequest) -> int:
+    """Return when an answer must leave to be with the client within the objective."""
+    objective_ms = request.route.objective_ms
+    margin_ms = OBJECTIVE_MARGIN_MS + OBJECTIVE_MARGIN_SHARE * objective_ms
+    return request.arrived_ms + objective_ms - int(margin_ms)
+
+
 def abandon(
     gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
 ) -> list[commands.Command]:
@@ -54,7 +62,7 @@
     enough = bool(parts) and len(parts) >= request.route.minimum_coverage * len(
         request.calls
     )
-    objective_over = now_ms >= request.objective_due_ms - OBJECTIVE_MARGIN_MS
+    objective_over = now_ms >= answer_by_ms(request)
     if request.open_calls and not (enough and objective_over):
         if now_ms < request.give_up_ms:
             return []
@@ -132,7 +140,7 @@
 
 def _next_due_ms(request: requests.ForwardedRequest, now_ms: int) -> int:
     due_ms = request.give_up_ms
-    objective_ms = request.objective_due_ms - OBJECTIVE_MARGIN_MS
+    objective_ms = answer_by_ms(request)
     if request.route.shards and now_ms < objective_ms:
         due_ms = min(due_ms, objective_ms)
     for call in request.calls:
--- a/amaranthpulley/coordination/forwarding/progressing.py
+++ b/amaranthpulley/coordination/forwarding/progressing.py
@@ -146,6 +146,9 @@
         request.open_calls -= 1
     if request.answered:
         return _forget_if_idle(gateway, request)
+    if request.open_calls and now_ms < finishing.answer_by_ms(request):
+        # Other parts are waited for, and nothing else has become due.
+        return []
     return finishing.advance(gateway, request, now_ms)
 
 
--- a/amaranthpulley/coordination/forwarding/repeating.py
+++ b/amaranthpulley/coordination/forwarding/repeating.py
@@ -5,16 +5,18 @@
 and an equal part of the slack.
 """
 
+import functools
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import choosing
+from amaranthpulley.state import rendezvous
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests
 
 # Part of the budget that is spent; the rest covers sends that arrive late.
-SPENT_SHARE: Final = 0.85
+SPENT_SHARE: Final = 0.9
 # Part of it that second sends may use; the rest is kept for failed attempts.
-HEDGE_SHARE: Final = 0.85
+HEDGE_SHARE: Final = 0.92
 
 
 def may_repeat(
@@ -39,7 +41,17 @@
     age = min(1.0, (now_ms - gateway.started_ms) / limits.retry_window_ms)
     slack = limits.retry_slack * age / choosing.daemon_count(gateway)
     allowed = SPENT_SHARE * share * (limits.retry_ratio * asked + slack)
-    return repeated + 1 <= allowed
+    return repeated + _rounding(gateway.place.name, call.service) <= allowed
+
+
+@functools.lru_cache(maxsize=4_096)
+def _rounding(daemon: str, service: str) -> float:
+    """Return what an allowance must exceed the sends so far by, from 0 to 1.
+
+    Small allowances are not whole numbers. Each daemon rounds in its own way, so that
+    all of them together neither lose nor gain.
+    """
+    return (rendezvous.weight_of(daemon, service) % 1_000 + 1) / 1_000
 
 
 def may_run_again(request: requests.ForwardedRequest, call: requests.ShardCall) -> bool:
--- a/amaranthpulley/protocol/forwarding/client_answers.py
+++ b/amaranthpulley/protocol/forwarding/client_answers.py
@@ -28,7 +28,8 @@
 def encode_passed(answer: requests.LeafAnswer, closes: bool, is_head: bool) -> bytes:
     """Return a leaf's answer as it goes to the client."""
     lines = [_status_line(answer.status)]
-    lines += [b"%b: %b\r\n" % header for header in answer.headers]
+    passed = header_names.end_to_end(answer.headers)
+    lines += [b"%b: %b\r\n" % header for header in passed]
     if answer.status not in _BODYLESS_STATUSES and not is_head:
         lines.append(b"Content-Length: %d\r\n" % len(answer.body))
     if closes:
--- a/amaranthpulley/protocol/forwarding/header_names.py
+++ b/amaranthpulley/protocol/forwarding/header_names.py
@@ -1,5 +1,6 @@
 """Names of the headers that carry more than HTTP itself; an adapter supplies them."""
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 # Headers that concern one connection only and are never passed on.
@@ -62,7 +63,7 @@
     retry_after: bytes
 
 
-def end_to_end(headers: Headers) -> Headers:
+def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers that are passed on, in their order.
 
     Left out are those of one connection, also those that `Connection` names, and the
--- a/amaranthpulley/protocol/forwarding/leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -163,7 +163,7 @@
             found.setdefault(name.lower(), value)
         answer = requests.LeafAnswer(
             status,
-            tuple(header_names.end_to_end(self._headers)),
+            tuple(self._headers),
             b"".join(self._body),
             found.get(names.signature, b""),
             names.not_run in found or status == 421,
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -87,6 +87,7 @@
         self.listed = False
         self.evacuated: dict[str, int] = {}
         self.members: dict[str, Member] = {}
+        self.connection_shares: dict[tuple[str, str], int] = {}
         self.requests: dict[int, requests.ForwardedRequest] = {}
         self.attempts: dict[int, requests.Attempt] = {}
         self.next_attempt = 1
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -57,7 +57,7 @@
     status : int
         HTTP status.
     headers : tuple of (bytes, bytes)
-        The headers to pass on.
+        All headers, in their order.
     body : bytes
         The whole body.
     signature : bytes
@@ -159,8 +159,3 @@
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
         self.trace: list[tuple[int, str, str, str]] = []
-
-    @property
-    def objective_due_ms(self) -> int:
-        """When the objective of its route ends."""
-        return self.arrived_ms + self.route.objective_ms
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -15,8 +15,9 @@
 CONNECT_TIMEOUT_MS: Final = 300
 # A connection is not used again in the last part of the time that the leaf keeps it.
 IDLE_MARGIN_MS: Final = 500
-# Time that a leaf is taken to keep an idle connection when it does not say.
-UNSTATED_IDLE_MS: Final = 4_000
+# Longest use of an idle connection when the leaf does not say how long it keeps it; its
+# end is seen when it comes. In milliseconds.
+UNSTATED_IDLE_MS: Final = 30_000
 # A request that must not run twice goes out only on a connection that has just been
 # used: a leaf may have dropped an older one unseen. In milliseconds.
 FRESH_MS: Final = 400
