Freeze the store only once no target is suspected, in the test of a frozen store

Cause: on a busy machine an answer of the only leaf of a shard was late while the site started; its daemon suspected it and would try it through a lease of the store, which was then frozen, so that its search was refused with no_target (seen: vm-3, 0 ms, true not_run). Ruled out: lateness of the loop (no overloaded refusal), a pause (no pause_noticed). That a suspected target is tried alone only after 6 s without the store is the stated rule for cold targets. The test now waits until no target is suspected; its checks are the same.

--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -151,6 +151,21 @@
                 f"{name} serves",
             )
 
+    def wait_until_warm(self) -> None:
+        """Wait until no daemon suspects a target of having restarted.
+
+        A busy machine delays answers, and a target that was late is tried through a
+        lease of the store at first, which a store that is frozen cannot give.
+        """
+        for name, daemon in self.daemons.items():
+            wait_until(
+                lambda daemon=daemon: (
+                    len(daemon.events("target_cold"))
+                    == len(daemon.events("target_warm"))
+                ),
+                f"{name} suspects no target",
+            )
+
     def post(self, name: str, kind: str, body: dict[str, Any]) -> dict[str, Any]:
         """Send a request to a daemon and return its answer."""
         address = self.daemons[name].listening["callers"]
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -75,6 +75,7 @@
     """A store that gives no answer."""
 
     def test_orders_are_refused_and_searches_go_on(self) -> None:
+        self.site.wait_until_warm()
         self.site.store.send(signal.SIGSTOP)
         refused = [self.site.order(vm, f"key-{vm}") for vm in VMS]
         searched = [self.site.search(vm) for vm in VMS]
