Test messages, change log and the whole path with stand-ins; log to standard output

Cause: log lines went to standard error and a reader that stalled could hold up the loop. Lines now go to standard output in batches, without waiting, and what is dropped is counted and said. The shape check leaves out the folder of the build.

--- /dev/null
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -0,0 +1,151 @@
+"""A stand-in for a leaf: answers as told, and remembers what it ran."""
+
+import collections
+import hashlib
+import json
+from typing import Any, Final
+
+import eventlet.hubs
+
+from amaranthpulley.platform import names
+from amaranthpulley.protocol.forwarding import client_requests
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.transport.forwarding import client_connections
+
+RECORDS: Final = 4
+RECORD_BYTES: Final = 16
+HEALTH_PATH: Final = b"/health"
+
+
+def signature_of(leaf_id: str, request_id: str) -> str:
+    """Return the signature that a leaf gives its answer to a request."""
+    return hashlib.sha256(f"{leaf_id} {request_id}".encode()).hexdigest()[:24]
+
+
+def records_of(leaf_id: str, request_id: str) -> list[bytes]:
+    """Return the records of a leaf's answer to a request, in no order."""
+    text = f"{leaf_id} {request_id}"
+    return [
+        hashlib.md5(f"{text} {number}".encode()).digest() for number in range(RECORDS)
+    ]
+
+
+class StandInLeaf:
+    """A leaf on one address.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    leaf_id, service, failure_domain : str
+        Who it is.
+    address : str
+        ``IP:port``; port 0 takes a free one.
+    """
+
+    def __init__(
+        self,
+        clock: clock_state.Clock,
+        leaf_id: str,
+        service: str,
+        failure_domain: str,
+        address: str = "127.0.0.1:0",
+    ) -> None:
+        self.leaf_id = leaf_id
+        self.service = service
+        self.failure_domain = failure_domain
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.work_ms = 5
+        # What happens to each request: "answer", "silent", "reset", "reject", "fail",
+        # "cut", "extra", "garble", "unframed" or "late".
+        self.mode = "answer"
+        handler = client_connections.Handler(self._receive, lambda _connection: None)
+        self._front = client_connections.Front(address, clock, handler)
+        self._last_answer = b""
+
+    @property
+    def address(self) -> str:
+        """The ``IP:port`` that it listens on."""
+        return self._front.address
+
+    def entry(self, **changes: object) -> dict[str, Any]:
+        """Return what it writes into the store; arguments replace its fields."""
+        return {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.failure_domain,
+            "Version": "v1",
+            "Capacity": 4,
+            "State": "ready",
+            "WarmupLeftMs": 0,
+            "Sequence": 1,
+            "born": 1_000,
+            **changes,
+        }
+
+    def _receive(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        if request.target == HEALTH_PATH:
+            if self.mode != "silent":
+                self._send(connection, 200, "", b"", {names.HEADERS.leaf: self.leaf_id})
+            return
+        request_id = (request.first(names.HEADERS.request_id) or b"").decode()
+        wanted = (request.first(names.HEADERS.wanted_leaf) or b"").decode()
+        if wanted and wanted != self.leaf_id:
+            self._send(connection, 421, request_id, b"", {})
+        elif self.mode == "reject":
+            rejected = {names.HEADERS.not_run: "1"}
+            self._send(connection, 503, request_id, b"", rejected)
+        elif self.mode != "silent":
+            self.runs[request_id] += 1
+            eventlet.hubs.get_hub().schedule_call_global(
+                self.work_ms / 1000, self._finish, connection, request, request_id
+            )
+
+    def _finish(self, connection: Any, request: Any, request_id: str) -> None:
+        if connection.current is not request:
+            return
+        if self.mode == "reset":
+            connection.close()
+            return
+        if request.target.startswith(b"/visit"):
+            told = {"leaf": self.leaf_id, "body": request.body.decode("latin-1")}
+            body = json.dumps(told).encode()
+        else:
+            body = b"".join(records_of(self.leaf_id, request_id))
+        signature = signature_of(self.leaf_id, request_id)
+        signed = {names.HEADERS.signature: signature}
+        status = 500 if self.mode == "fail" else 200
+        self._send(connection, status, request_id, body, signed)
+
+    def _send(
+        self,
+        connection: Any,
+        status: int,
+        request_id: str,
+        body: bytes,
+        headers: dict[bytes, str],
+    ) -> None:
+        lines = [b"HTTP/1.1 %d Status\r\n" % status]
+        if request_id:
+            lines.append(b"X-Request-Id: %b\r\n" % request_id.encode())
+        lines += [b"%b: %b\r\n" % (k, v.encode()) for k, v in headers.items()]
+        unframed = self.mode == "unframed"
+        if not unframed:
+            lines.append(b"Content-Length: %d\r\n" % len(body))
+        whole = b"".join(lines) + b"\r\n" + body
+        if self.mode == "cut":
+            connection.answer(whole[:-3], True)
+        elif self.mode == "garble":
+            connection.answer(b"\x00\x01 no answer\r\n\r\n", True)
+        elif self.mode == "extra":
+            connection.answer(whole + whole, False)
+        elif self.mode == "late":
+            # The answer to an earlier request comes first.
+            connection.answer(self._last_answer + whole, False)
+        else:
+            connection.answer(whole, unframed)
+        self._last_answer = whole
--- /dev/null
+++ b/amaranthpulley/platform/tests/standin_store.py
@@ -0,0 +1,188 @@
+"""A stand-in for the platform's store, as far as this system uses it."""
+
+import base64
+import collections
+import json
+from typing import Any, Final
+from urllib import parse
+
+import eventlet.hubs
+
+from amaranthpulley.platform import names
+from amaranthpulley.protocol.forwarding import client_answers, client_requests
+from amaranthpulley.state import clock as clock_state
+from amaranthpulley.state.forwarding import requests
+from amaranthpulley.transport.forwarding import client_connections
+
+PAGE: Final = 50
+_JSON: Final = ((b"Content-Type", b"application/json"),)
+
+Reply = tuple[int, dict[str, Any]]
+
+
+class StandInStore:
+    """A store on one address.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    address : str
+        ``IP:port``; port 0 takes a free one.
+    """
+
+    def __init__(self, clock: clock_state.Clock, address: str = "127.0.0.1:0") -> None:
+        self._now_ms = clock.monotonic_ms
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._dropped = 0
+        self._revision = 1
+        self._leases: dict[int, tuple[int, int]] = {}
+        self._next_lease = 100
+        self._watches: list[tuple[Any, Any, int]] = []
+        self.calls: collections.Counter[str] = collections.Counter()
+        # Status of every answer while it is set, or 0 for none at all.
+        self.failing: int | None = None
+        handler = client_connections.Handler(self._receive, self._forget)
+        self._front = client_connections.Front(address, clock, handler)
+        self._sweep()
+
+    @property
+    def address(self) -> str:
+        """The ``IP:port`` that it listens on."""
+        return self._front.address
+
+    def put(self, key: str, value: dict[str, Any] | bytes, lease: int = 0) -> None:
+        """Write an item, as the operator and the leaves do."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._revision += 1
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(raw).decode(),
+            "Revision": self._revision,
+            "Created": self._revision,
+            "Lease": lease,
+        }
+        self._items[key] = item
+        self._note(item)
+
+    def delete(self, key: str) -> None:
+        """Delete an item."""
+        if self._items.pop(key, None) is not None:
+            self._revision += 1
+            self._note({"Key": key, "Revision": self._revision, "Deleted": True})
+
+    def drop_history(self) -> None:
+        """Forget the changes so far."""
+        self._history.clear()
+        self._dropped = self._revision
+
+    def keys(self) -> list[str]:
+        """Return the keys in order."""
+        return sorted(self._items)
+
+    def _note(self, change: dict[str, Any]) -> None:
+        self._history.append(change)
+        waiting, self._watches = self._watches, []
+        for connection, _, after in waiting:
+            self._answer(connection, self._changes(after))
+
+    def _receive(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        path, _, query = request.target.decode().partition("?")
+        fields = dict(parse.parse_qsl(query, keep_blank_values=True))
+        self.calls[path] += 1
+        if self.failing == 0:
+            return
+        if self.failing is not None:
+            self._answer(connection, (self.failing, {}))
+        elif path == names.WATCH_PATH:
+            self._watch(connection, request, fields)
+        else:
+            body = json.loads(request.body) if request.body else {}
+            self._answer(connection, self._handle(path, fields, body))
+
+    def _handle(self, path: str, fields: dict[str, str], body: Any) -> Reply:
+        if path == names.RANGE_PATH:
+            return self._range(fields)
+        if path == names.TRANSACTION_PATH:
+            for put in body["Puts"]:
+                raw = base64.b64decode(put["Value"])
+                self.put(put["Key"], raw, put.get("Lease", 0))
+            return 200, {"Revision": self._revision}
+        if path == names.LEASE_PATH:
+            self._next_lease += 1
+            ends_ms = self._now_ms() + body["TtlMs"]
+            self._leases[self._next_lease] = (ends_ms, body["TtlMs"])
+            return 200, {"Lease": self._next_lease, "TtlMs": body["TtlMs"]}
+        lease = int(path.rpartition("/")[2] or 0)
+        if lease not in self._leases:
+            return 404, {}
+        if path.startswith(names.END_LEASE_PATH):
+            self._end_lease(lease)
+            return 200, {}
+        life_ms = self._leases[lease][1]
+        self._leases[lease] = (self._now_ms() + life_ms, life_ms)
+        return 200, {"TtlMs": life_ms}
+
+    def _range(self, fields: dict[str, str]) -> Reply:
+        prefix, after = fields.get("PathPrefix", ""), fields.get("after", "")
+        found = [
+            self._items[key]
+            for key in self.keys()
+            if key.startswith(prefix) and key > after
+        ]
+        more = len(found) > PAGE
+        page = {"items": found[:PAGE], "MorePages": more, "CurrentRev": self._revision}
+        return 200, page
+
+    def _watch(
+        self,
+        connection: Any,
+        request: Any,
+        fields: dict[str, str],
+    ) -> None:
+        after = int(fields["after"])
+        if after < self._dropped:
+            self._answer(connection, (410, {}))
+        elif after < self._revision:
+            self._answer(connection, self._changes(after))
+        else:
+            waiting = (connection, request, after)
+            self._watches.append(waiting)
+            eventlet.hubs.get_hub().schedule_call_global(
+                int(fields["WaitMs"]) / 1000, self._time_out, waiting
+            )
+
+    def _time_out(self, waiting: tuple[Any, Any, int]) -> None:
+        if waiting in self._watches:
+            self._watches.remove(waiting)
+            self._answer(waiting[0], self._changes(waiting[2]))
+
+    def _forget(self, connection: client_connections.ClientConnection) -> None:
+        self._watches = [w for w in self._watches if w[0] is not connection]
+
+    def _changes(self, after: int) -> Reply:
+        found = [change for change in self._history if change["Revision"] > after]
+        return 200, {"events": found, "CurrentRev": self._revision}
+
+    def _answer(self, connection: Any, reply: Reply) -> None:
+        status, body = reply
+        raw = json.dumps(body).encode()
+        answer = requests.LeafAnswer(status, _JSON, raw, b"", False, False, None)
+        connection.answer(client_answers.encode_passed(answer, False, False), False)
+
+    def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key in [k for k, item in self._items.items() if item["Lease"] == lease]:
+            self.delete(key)
+
+    def _sweep(self) -> None:
+        now_ms = self._now_ms()
+        for lease, (ends_ms, _) in list(self._leases.items()):
+            if ends_ms < now_ms:
+                self._end_lease(lease)
+        eventlet.hubs.get_hub().schedule_call_global(0.2, self._sweep)
--- /dev/null
+++ b/amaranthpulley/platform/tests/test_whole_path.py
@@ -0,0 +1,181 @@
+"""Tests of the whole path: clients, a daemon, and stand-ins of store and leaves."""
+
+from amaranthpulley.transport import loop
+
+loop.prepare_loop()
+
+import json  # noqa: E402
+import unittest  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from amaranthpulley.platform import names  # noqa: E402
+from amaranthpulley.platform.tests import platform_site, standin_leaf  # noqa: E402
+
+
+class MergedPathTest(unittest.TestCase):
+    """Searches over all shards."""
+
+    def setUp(self) -> None:
+        self.site = platform_site.PlatformSite()
+
+    def _check(self, answer: object) -> int:
+        """Check a merged answer against the leaves' records; return what is missing."""
+        self.assertEqual(answer.status, 200)
+        request_id = f"r{self.site._requests}"
+        signatures = answer.headers["X-Part-Stamps"].split(", ")
+        by_signature = {
+            standin_leaf.signature_of(leaf.leaf_id, request_id): leaf
+            for leaf in self.site.leaves
+        }
+        leaves = [by_signature[signature] for signature in signatures]
+        services = [leaf.service for leaf in leaves]
+        self.assertEqual(len(set(services)), len(services))
+        records = [
+            record
+            for leaf in leaves
+            for record in standin_leaf.records_of(leaf.leaf_id, request_id)
+        ]
+        expected = b"".join(sorted(records, reverse=True)[:5])
+        self.assertEqual(answer.data, expected)
+        missing = int(answer.headers["X-Missing-Parts"])
+        self.assertEqual(len(services) + missing, len(platform_site.SHARDS))
+        return missing
+
+    def test_an_answer_is_whole(self) -> None:
+        for _ in range(5):
+            self.assertEqual(self._check(self.site.request()), 0)
+
+    def test_faults_of_one_leaf_leave_a_true_answer(self) -> None:
+        modes = ("silent", "reset", "reject", "fail", "cut", "garble")
+        for mode in (*modes, "extra", "late", "unframed"):
+            with self.subTest(mode):
+                leaf = self.site.leaf("shard-1-0")
+                leaf.mode = mode
+                for _ in range(4):
+                    self.assertEqual(self._check(self.site.request()), 0)
+                leaf.mode = "answer"
+
+    def test_a_shard_without_a_leaf_is_counted_as_missing(self) -> None:
+        for number in (0, 1):
+            self.site.leaf(f"shard-2-{number}").mode = "silent"
+        self.assertEqual(self._check(self.site.request()), 1)
+
+
+class SinglePathTest(unittest.TestCase):
+    """Requests to one leaf."""
+
+    def test_the_body_goes_both_ways_unchanged(self) -> None:
+        site = platform_site.PlatformSite()
+        answer = site.request("/visit/1?x=%20y", "POST", b"oven")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(json.loads(answer.data)["body"], "oven")
+        self.assertIn("X-Response-Stamp", answer.headers)
+
+    def test_a_run_once_request_runs_once_whatever_happens(self) -> None:
+        visit = platform_site.visit(RouteType="non_idempotent")
+        site = platform_site.PlatformSite(visit)
+        for mode in ("silent", "reset", "reject", "fail", "cut", "garble", "extra"):
+            with self.subTest(mode):
+                for leaf in site.leaves:
+                    leaf.mode = mode
+                answer = site.request("/visit/1", "POST", b"oven")
+                request_id = f"r{site._requests}"
+                runs = sum(leaf.runs[request_id] for leaf in site.leaves)
+                self.assertLessEqual(runs, 1)
+                if answer.status in (408, 421, 429, 503):
+                    self.assertEqual(runs, 0)
+        self.assertIsNotNone(answer)
+
+    def test_unknown_routes_and_bad_requests_are_refused(self) -> None:
+        site = platform_site.PlatformSite()
+        self.assertEqual(site.request("/none/1").status, 404)
+        too_long = site.request("/visit/1", "POST", b"x" * 20_000)
+        self.assertEqual(too_long.status, 413)
+
+
+class ConfigurationPathTest(unittest.TestCase):
+    """Changes in the store while the daemon serves."""
+
+    def setUp(self) -> None:
+        self.site = platform_site.PlatformSite()
+
+    def test_a_new_version_is_in_force_and_an_old_one_is_not(self) -> None:
+        moved = platform_site.visit(PathPrefix="/moved/")
+        newer = platform_site.configuration(5, moved)
+        self.site.store.put(names.CONFIGURATION_KEY, newer)
+        self.site.wait_for(
+            lambda: self.site.request("/moved/1").status == 200, "version 5 is in force"
+        )
+        older = platform_site.configuration(4, platform_site.visit())
+        self.site.store.put(names.CONFIGURATION_KEY, older)
+        eventlet.sleep(1.0)
+        self.assertEqual(self.site.request("/visit/1").status, 404)
+
+    def test_dropped_history_and_outages_are_survived(self) -> None:
+        for failing in (503, 429, 0):
+            with self.subTest(failing):
+                self.site.store.failing = failing
+                eventlet.sleep(1.5)
+                self.assertEqual(self.site.request().status, 200)
+                self.site.store.drop_history()
+                self.site.store.failing = None
+                version = 10 + failing
+                route = platform_site.route(PathPrefix=f"/wide-{failing}/")
+                newer = platform_site.configuration(1_000 - version, route)
+                if failing:
+                    newer["Version"] = 2_000 - failing
+                else:
+                    newer["Version"] = 3_000
+                self.site.store.put(names.CONFIGURATION_KEY, newer)
+                self.site.wait_for(
+                    lambda failing=failing: (
+                        self.site.request(f"/wide-{failing}/1").status == 200
+                    ),
+                    "the change after the outage is in force",
+                )
+                self.site.store.put(
+                    names.CONFIGURATION_KEY,
+                    {
+                        **newer,
+                        "Version": newer["Version"] + 1,
+                        "Routes": [platform_site.route()],
+                    },
+                )
+                self.site.wait_for(
+                    lambda: self.site.request().status == 200, "the route is back"
+                )
+
+    def test_unreadable_entries_name_no_leaf_and_harm_no_other(self) -> None:
+        leaf = self.site.leaf("visits-0")
+        bad = (
+            b"\xff\x00",
+            b"[]",
+            b'{"Service": 4}',
+            json.dumps(leaf.entry(State="odd")).encode(),
+            json.dumps(leaf.entry(Address="nowhere")).encode(),
+        )
+        for number, value in enumerate(bad):
+            self.site.store.put(f"{names.LEAF_PREFIX}bad-{number}", value)
+        self.site.store.put(f"{names.LEAF_PREFIX}visits-0", b"{")
+        self.site.wait_for(
+            lambda: (
+                json.loads(self.site.request("/visit/1").data)["leaf"] == "visits-1"
+            ),
+            "the leaf with the unreadable entry is passed over",
+        )
+
+
+class DrainingPathTest(unittest.TestCase):
+    """The end of a daemon."""
+
+    def test_requests_are_answered_until_the_end(self) -> None:
+        site = platform_site.PlatformSite()
+        site.daemon.drain()
+        self.assertFalse(site.daemon.ready)
+        answer = site.request()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["Connection"], "close")
+        with eventlet.Timeout(platform_site.WAIT_S):
+            self.assertEqual(site.daemon.wait(), 0)
+        self.assertNotIn(names.DAEMON_PREFIX + "vm-1", site.store.keys())
--- /dev/null
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -0,0 +1,76 @@
+"""Tests of the reading of clients' requests."""
+
+import unittest
+
+from amaranthpulley.protocol.forwarding import client_requests, errors
+
+HEAD = b"POST /a/1?x=%20 HTTP/1.1\r\nHost: h\r\n"
+
+
+def _reader() -> client_requests.RequestReader:
+    return client_requests.RequestReader(1_000, 100)
+
+
+class RequestReaderTest(unittest.TestCase):
+    """Framing: what is one request, and what is refused."""
+
+    def test_requests_are_read_whatever_way_the_bytes_come(self) -> None:
+        whole = HEAD + b"Content-Length: 4\r\n\r\nbody"
+        for size in (1, 3, 7, len(whole)):
+            with self.subTest(size):
+                reader = _reader()
+                found = []
+                for start in range(0, len(whole), size):
+                    found += reader.feed(whole[start : start + size])
+                (request,) = found
+                self.assertEqual(request.method, b"POST")
+                self.assertEqual(request.target, b"/a/1?x=%20")
+                self.assertEqual(request.body, b"body")
+                self.assertTrue(request.keep_alive)
+                self.assertFalse(reader.in_request)
+
+    def test_chunks_are_put_together(self) -> None:
+        data = (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n"
+        )
+        (request,) = _reader().feed(data)
+        self.assertEqual(request.body, b"abcd")
+
+    def test_pipelined_requests_are_told_apart(self) -> None:
+        data = (HEAD + b"Content-Length: 1\r\n\r\nx") * 3
+        self.assertEqual([r.body for r in _reader().feed(data)], [b"x"] * 3)
+
+    def test_ambiguous_and_oversized_requests_are_refused(self) -> None:
+        cases = {
+            "two lengths": (b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nx", 400),
+            "length and chunks": (
+                b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                400,
+            ),
+            "bad length": (b"Content-Length: -1\r\n\r\n", 400),
+            "bad chunk": (b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+            "second host": (b"Host: other\r\n\r\n", 400),
+            "space before the colon": (b"Content-Length : 1\r\n\r\nx", 400),
+            "long body": (b"Content-Length: 101\r\n\r\n", 413),
+            "long chunks": (
+                b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"x" * 101,
+                413,
+            ),
+            "long head": (b"X: " + b"y" * 1_000 + b"\r\n\r\n", 431),
+        }
+        for name, (rest, status) in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(errors.BadRequestError) as caught:
+                    _reader().feed(HEAD + rest)
+                self.assertEqual(caught.exception.status, status)
+
+    def test_a_request_without_a_host_is_refused(self) -> None:
+        with self.assertRaises(errors.BadRequestError):
+            _reader().feed(b"GET / HTTP/1.1\r\n\r\n")
+
+    def test_a_whole_request_before_a_bad_one_still_counts(self) -> None:
+        reader = _reader()
+        good = b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.assertEqual(len(reader.feed(good + b"\x00\x01")), 1)
+        with self.assertRaises(errors.BadRequestError):
+            reader.feed(b"GET / HTTP/1.1\r\n")
--- /dev/null
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -0,0 +1,131 @@
+"""Tests of requests to leaves and of the reading of their answers."""
+
+import unittest
+
+from amaranthpulley.protocol.forwarding import (
+    client_requests,
+    header_names,
+    leaf_messages,
+)
+
+NAMES = header_names.HeaderNames(
+    request_id=b"x-id",
+    deadline_ms=b"x-left",
+    signature=b"x-signed",
+    wanted_leaf=b"x-wanted",
+    load=b"x-load",
+    not_run=b"x-not-run",
+    leaf=b"x-leaf",
+    part_signatures=b"x-parts",
+    missing_parts=b"x-missing",
+    retry_after=b"retry-after",
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s1\r\n"
+
+
+def _reader() -> leaf_messages.AnswerReader:
+    return leaf_messages.AnswerReader(NAMES)
+
+
+class WholeRequestTest(unittest.TestCase):
+    """What a leaf gets."""
+
+    def test_only_end_to_end_headers_are_passed_on(self) -> None:
+        request = client_requests.ClientRequest(
+            b"POST",
+            b"/a/%20?q=1",
+            [
+                (b"Host", b"h.example"),
+                (b"Connection", b"keep-alive, X-Hop"),
+                (b"X-Hop", b"1"),
+                (b"X-Kept", b"2"),
+                (b"Transfer-Encoding", b"chunked"),
+                (b"X-Left", b"900"),
+                (b"X-Wanted", b"forged"),
+            ],
+            b"body",
+            True,
+        )
+        head = leaf_messages.request_head(request, NAMES)
+        whole = leaf_messages.whole_request(head, request.body, NAMES, "leaf-1", 250)
+        expected = (
+            b"POST /a/%20?q=1 HTTP/1.1\r\nHost: h.example\r\nX-Kept: 2\r\n"
+            b"Content-Length: 4\r\nx-left: 250\r\n"
+            b"x-wanted: leaf-1\r\n\r\nbody"
+        )
+        self.assertEqual(whole, expected)
+
+
+class AnswerReaderTest(unittest.TestCase):
+    """Whole answers, and what is none."""
+
+    def test_framed_answers(self) -> None:
+        cases = {
+            "length": HEAD + b"Content-Length: 4\r\n\r\nbody",
+            "chunks": HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "after an interim one": (
+                b"HTTP/1.1 103 Early Hints\r\n\r\n"
+                + HEAD
+                + b"Content-Length: 4\r\n\r\nbody"
+            ),
+        }
+        for name, data in cases.items():
+            for size in (1, len(data)):
+                with self.subTest(name, size=size):
+                    reader = _reader()
+                    found = []
+                    for start in range(0, len(data), size):
+                        answers, sound = reader.feed(data[start : start + size])
+                        self.assertTrue(sound)
+                        found += answers
+                    (raw,) = found
+                    self.assertEqual(raw.request_id, b"r1")
+                    self.assertEqual(raw.answer.body, b"body")
+                    self.assertEqual(raw.answer.signature, b"s1")
+                    self.assertTrue(raw.keep_alive)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self) -> None:
+        reader = _reader()
+        self.assertEqual(reader.feed(HEAD + b"\r\nbo"), ([], True))
+        reader.feed(b"dy")
+        raw = reader.finish()
+        self.assertEqual(raw.answer.body, b"body")
+        self.assertFalse(raw.keep_alive)
+
+    def test_cut_answers_are_none(self) -> None:
+        cases = {
+            "in the head": HEAD,
+            "in the body": HEAD + b"Content-Length: 4\r\n\r\nbod",
+            "in the chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                reader = _reader()
+                self.assertEqual(reader.feed(data)[0], [])
+                self.assertIsNone(reader.finish())
+
+    def test_bytes_that_are_no_answer_are_a_fault(self) -> None:
+        for data in (b"\x00\x01\r\n\r\n", b"HELLO\r\n\r\n", HEAD + b"bad line\r\n\r\n"):
+            with self.subTest(data):
+                self.assertFalse(_reader().feed(data)[1])
+
+    def test_an_answer_without_a_body_whatever_its_head_says(self) -> None:
+        reader = _reader()
+        reader.expect(True)
+        answers, _ = reader.feed(HEAD + b"Content-Length: 4\r\n\r\n")
+        self.assertEqual(answers[0].answer.body, b"")
+
+    def test_what_the_headers_say(self) -> None:
+        cases = {
+            b"X-Not-Run: 1\r\n": ("not_run", True),
+            b"X-Load: 3,1,8\r\n": ("load", (3, 1, 8)),
+            b"X-Load: 3,x\r\n": ("load", None),
+            b"Content-Encoding: gzip\r\n": ("encoded", True),
+        }
+        for line, (field, value) in cases.items():
+            with self.subTest(line):
+                data = HEAD + line + b"Content-Length: 0\r\n\r\n"
+                (raw,), _ = _reader().feed(data)
+                self.assertEqual(getattr(raw.answer, field), value)
--- /dev/null
+++ b/amaranthpulley/state/forwarding/tests/test_change_log.py
@@ -0,0 +1,84 @@
+"""Tests of the log of changes."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from amaranthpulley.state import store
+from amaranthpulley.state.forwarding import change_log
+
+KEYS = ("a", "b", "c")
+
+
+def _change(key: str, revision: int, value: bytes | None = b"v") -> store.Change:
+    return store.Change(key, revision, value)
+
+
+class ChangeLogTest(unittest.TestCase):
+    """What is newer, and what is told of it."""
+
+    def test_only_newer_changes_are_taken(self) -> None:
+        log = change_log.ChangeLog()
+        cases = [(5, True), (5, False), (4, False), (6, True)]
+        for revision, taken in cases:
+            with self.subTest(revision):
+                self.assertIs(log.take(_change("a", revision)), taken)
+
+    def test_an_excerpt_holds_the_latest_of_each_key_and_deletions(self) -> None:
+        log = change_log.ChangeLog()
+        for change in (_change("a", 1), _change("b", 2), _change("a", 3, None)):
+            log.take(change)
+        excerpt = log.after(1)
+        found = [(change.key, change.value) for change in excerpt.changes]
+        self.assertEqual(found, [("b", b"v"), ("a", None)])
+        self.assertFalse(excerpt.complete)
+        everything = log.after(0)
+        self.assertTrue(everything.complete)
+        self.assertEqual([change.key for change in everything.changes], ["b"])
+
+    def test_a_listing_deletes_what_it_does_not_hold(self) -> None:
+        log = change_log.ChangeLog()
+        for change in (_change("a", 1), _change("b", 2), _change("c", 9)):
+            log.take(change)
+        missing = log.missing_from(["b"], 5)
+        # "c" was written after the listing.
+        self.assertEqual([(c.key, c.value) for c in missing], [("a", None)])
+
+    def test_who_is_behind_forgotten_deletions_gets_everything(self) -> None:
+        log = change_log.ChangeLog()
+        for number in range(change_log.MOST_DELETIONS + 2):
+            log.take(_change(f"k{number}", 2 * number + 1))
+            log.take(_change(f"k{number}", 2 * number + 2, None))
+        log.take(_change("kept", 100_000))
+        excerpt = log.after(10)
+        self.assertTrue(excerpt.complete)
+        self.assertEqual([change.key for change in excerpt.changes], ["kept"])
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.sampled_from(KEYS), strategies.booleans()),
+            max_size=30,
+        ),
+        strategies.randoms(use_true_random=False),
+        strategies.integers(0, 30),
+    )
+    def test_two_logs_agree_whatever_the_order_of_arrival(
+        self, written: list[tuple[str, bool]], chance: object, behind: int
+    ) -> None:
+        changes = [
+            _change(key, revision, b"%d" % revision if lives else None)
+            for revision, (key, lives) in enumerate(written, start=1)
+        ]
+        first, second = change_log.ChangeLog(), change_log.ChangeLog()
+        for change in changes:
+            first.take(change)
+        for change in changes[:behind]:
+            second.take(change)
+        told = list(first.after(second.revision).changes)
+        chance.shuffle(told)
+        for change in told:
+            second.take(change)
+        alive = {c.key: c.value for c in first.after(0).changes}
+        self.assertEqual({c.key: c.value for c in second.after(0).changes}, alive)
--- a/amaranthpulley/state/log_events.py
+++ b/amaranthpulley/state/log_events.py
@@ -33,6 +33,7 @@
 
 DAEMON_STARTED: Final = LogEvent(100, "daemon_started", Level.INFO)
 DAEMON_LISTENING: Final = LogEvent(101, "daemon_listening", Level.INFO)
+LOG_LINES_DROPPED: Final = LogEvent(103, "log_lines_dropped", Level.WARNING)
 DAEMON_STOPPED: Final = LogEvent(102, "daemon_stopped", Level.INFO)
 INTERNAL_ERROR: Final = LogEvent(199, "internal_error", Level.ERROR)
 REQUEST_RECEIVED: Final = LogEvent(200, "request_received", Level.DEBUG)
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import sys
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -19,7 +20,7 @@
 from amaranthpulley.state import hybrid_clock, log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests
-from amaranthpulley.transport import log_sink, process_signals
+from amaranthpulley.transport import line_writer, log_sink, process_signals
 from amaranthpulley.transport.forwarding import (
     client_connections,
     feed,
@@ -35,6 +36,8 @@
 END_SHARE: Final = 0.9
 # How often it looks whether it can end, in milliseconds.
 LEAVING_CHECK_MS: Final = 100
+# How often log lines are written, in milliseconds.
+FLUSH_MS: Final = 200
 METRICS_HEADERS: Final = (
     (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),
 )
@@ -98,13 +101,9 @@
         self._clock = clock
         self._reload = reload
         self._ready_path = setup.ready_path
-        self._write_log = log_sink.open_log(
-            setup.place.name,
-            clock,
-            None,
-            log_events.Level.INFO,
-            hybrid_clock.HybridClock(),
-            log_sink.RecentEvents(),
+        self._lines = line_writer.LineWriter(sys.stdout.fileno())
+        self._write_log = log_sink.open_lines(
+            setup.place.name, clock, hybrid_clock.HybridClock(), self._lines
         )
         self.gateway = gateway_state.Gateway(
             setup.place, setup.limits, clock.monotonic_ms()
@@ -137,6 +136,11 @@
         """The ``IP:port`` for clients."""
         return self._front.address
 
+    @property
+    def ready(self) -> bool:
+        """Whether it should get new connections."""
+        return believing.is_ready(self.gateway)
+
     def start(self) -> None:
         """Begin to serve."""
         self._log(log_events.DAEMON_STARTED, life=str(self._clock.wall_ms()))
@@ -147,6 +151,7 @@
             peers=self._relay.address,
         )
         self.runtime.start()
+        eventlet.spawn_n(self._write_lines)
         self._feed.start()
         self._peers.start()
         process_signals.on_end_signals(self.drain)
@@ -170,6 +175,16 @@
             if configuration is not None:
                 self._front.limits = configuration.client_limits
 
+    def _write_lines(self) -> None:
+        told = 0
+        while True:
+            dropped = self._lines.dropped + self.gateway.logs_dropped
+            if dropped > told:
+                self._log(log_events.LOG_LINES_DROPPED, lines=dropped - told)
+                told = dropped
+            self._lines.flush()
+            eventlet.sleep(FLUSH_MS / 1000)
+
     def _must_follow_store(self) -> bool:
         return relaying.is_watcher(self.gateway) or not self._peers.is_fresh()
 
@@ -186,6 +201,7 @@
         if self.runtime.busy:
             self._log(log_events.DRAIN_CUT_SHORT, requests=self.runtime.busy, records=0)
         self._log(log_events.DAEMON_STOPPED)
+        self._lines.flush()
         self._ended.send(0)
 
     def _show_ready(
--- a/amaranthpulley/transport/log_sink.py
+++ b/amaranthpulley/transport/log_sink.py
@@ -11,7 +11,7 @@
 from amaranthpulley.coordination import commands
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import hybrid_clock, log_events
-from amaranthpulley.transport import errors
+from amaranthpulley.transport import errors, line_writer
 
 LOGGER_NAME: Final = "amaranthpulley"
 RECENT_EVENTS: Final = 10_000
@@ -75,6 +75,30 @@
     return write
 
 
+def open_lines(
+    process: str,
+    clock: clock_state.Clock,
+    stamps: hybrid_clock.HybridClock,
+    writer: line_writer.LineWriter,
+) -> WriteLog:
+    """Return a function that writes log events as lines that never block.
+
+    Parameters
+    ----------
+    process, clock, stamps
+        As for `open_log`.
+    writer : LineWriter
+        Takes the lines.
+    """
+
+    def write(command: commands.Log) -> None:
+        if command.event.level >= log_events.Level.INFO:
+            wall_ms = clock.wall_ms()
+            writer.write(_encode(command, process, wall_ms, stamps.tick(wall_ms)))
+
+    return write
+
+
 def _encode(command: commands.Log, process: str, wall_ms: int, stamp: int) -> bytes:
     line = {
         "time_ms": wall_ms,
--- a/tests/shape_rules.py
+++ b/tests/shape_rules.py
@@ -14,6 +14,7 @@
     {"concurrent", "multiprocessing", "subprocess", "threading"}
 )
 _PURE_LAYERS: Final = frozenset({"coordination", "state"})
+_BUILT_FOLDERS: Final = frozenset({"build", "dist", "target"})
 _TEST_FOLDERS: Final = frozenset({"features", "tests"})
 _BEHAVIOUR_BASES: Final = frozenset({"ABC", "ABCMeta", "Protocol"})
 _RECORD_BASES: Final = frozenset({"BaseModel", "Struct"})
@@ -187,6 +188,8 @@
     for path in sorted(root.rglob("*.py")):
         relative = pathlib.PurePosixPath(path.relative_to(root).as_posix())
         folders = relative.parts[:-1]
-        if not any(f.startswith(".") or f in ("build", "dist") for f in folders):
+        if not any(
+            f.startswith(".") or f in ("build", "dist", "target") for f in folders
+        ):
             found += check_text(root, relative, path.read_text())
     return found
