Pass over leaves that reject, and wait for the budget in place of giving a shard up

Ruled out: too few leaves (each shard had one that did not shed), the limit of sends. Now rejections count as failures do, are forgotten in 5 s, and a shard waits for its budget until the request's time is over.

--- a/amaranthpulley/coordination/forwarding/choosing.py
+++ b/amaranthpulley/coordination/forwarding/choosing.py
@@ -34,6 +34,10 @@
 OPENING_MS: Final = 6.0
 # How fast a leaf that has got no requests counts as usual again, in milliseconds.
 SLOWNESS_MEMORY_MS: Final = 2_000.0
+# How fast a leaf's failures are forgotten while it gets no requests, in milliseconds.
+FAILURE_MEMORY_MS: Final = 5_000.0
+# A smaller share of failures than this makes no difference.
+LEAST_FAILURE_SHARE: Final = 0.02
 # A load report older than this says nothing, in milliseconds.
 LOAD_FRESH_MS: Final = 100
 # Work of a cold leaf in relation to a warm one, until it is measured.
@@ -61,6 +65,15 @@
     return slowness
 
 
+def failure_share_of(leaf: leaves.Leaf, now_ms: int) -> float:
+    """Return which share of its requests a leaf fails or rejects, as of late."""
+    share = leaf.failure_share
+    if share < LEAST_FAILURE_SHARE:
+        return 0.0
+    passed_ms = now_ms - leaf.failure_share_ms
+    return share * math.exp(-passed_ms / FAILURE_MEMORY_MS)
+
+
 def way_ms(gateway: gateway_state.Gateway, leaf: leaves.Leaf) -> float:
     """Return the time to a leaf and back beyond that to the nearest leaves."""
     near = leaf.region == gateway.place.region
@@ -116,7 +129,7 @@
         total_ms += distance_ms + OPENING_MS
     if is_paused(leaf, now_ms):
         total_ms += max(PAUSE_MS, float(now_ms - leaf.heard_ms))
-    return total_ms + leaf.failure_share * route.objective_ms
+    return total_ms + failure_share_of(leaf, now_ms) * route.objective_ms
 
 
 def daemon_count(gateway: gateway_state.Gateway) -> int:
--- a/amaranthpulley/coordination/forwarding/learning.py
+++ b/amaranthpulley/coordination/forwarding/learning.py
@@ -11,8 +11,8 @@
 SLOWNESS_WEIGHT: Final = 0.15
 # Largest slowness that one answer can show.
 MOST_SLOWNESS: Final = 6.0
-# Weight of one end in a leaf's share of failures.
-FAILURE_WEIGHT: Final = 0.1
+# Weight of one end in a leaf's share of failures and rejections.
+FAILURE_WEIGHT: Final = 0.15
 # Pause before the first health check of a leaf that does not answer, in milliseconds.
 FIRST_PROBE_MS: Final = 400
 # Longest pause between health checks, in milliseconds.
@@ -49,12 +49,12 @@
     if answer.load is not None:
         leaf.load = leaves.Load(*answer.load)
         leaf.load_ms = now_ms
+    succeeded = not answer.not_run and answer.status < 500
+    _count_failure(leaf, not succeeded, now_ms)
     if answer.not_run:
         usual_ms = gateway.usual_of(route).mean_ms
         leaf.full_until_ms = now_ms + max(FULL_MS, int(usual_ms))
         return
-    succeeded = answer.status < 500
-    _count_failure(leaf, not succeeded)
     if succeeded and not opened:
         _learn_time(gateway, leaf, attempt, route, now_ms)
 
@@ -76,7 +76,7 @@
     elif end in (requests.AttemptEnd.UNREACHABLE, requests.AttemptEnd.TIMED_OUT):
         suspect(leaf, now_ms)
     else:
-        _count_failure(leaf, True)
+        _count_failure(leaf, True, now_ms)
 
 
 def suspect(leaf: leaves.Leaf, now_ms: int) -> None:
@@ -115,8 +115,10 @@
     leaf.suspected = False
 
 
-def _count_failure(leaf: leaves.Leaf, failed: bool) -> None:
-    leaf.failure_share += FAILURE_WEIGHT * (float(failed) - leaf.failure_share)
+def _count_failure(leaf: leaves.Leaf, failed: bool, now_ms: int) -> None:
+    share = choosing.failure_share_of(leaf, now_ms)
+    leaf.failure_share = share + FAILURE_WEIGHT * (float(failed) - share)
+    leaf.failure_share_ms = now_ms
 
 
 def _learn_time(
--- a/amaranthpulley/coordination/forwarding/repeating.py
+++ b/amaranthpulley/coordination/forwarding/repeating.py
@@ -16,7 +16,7 @@
 # Part of the budget that is spent; the rest covers sends that arrive late.
 SPENT_SHARE: Final = 0.9
 # Part of it that second sends may use; the rest is kept for failed attempts.
-HEDGE_SHARE: Final = 0.92
+HEDGE_SHARE: Final = 0.85
 
 
 def may_repeat(
--- a/amaranthpulley/coordination/forwarding/sending.py
+++ b/amaranthpulley/coordination/forwarding/sending.py
@@ -13,6 +13,8 @@
 
 # Pause before another look for a leaf when all are busy, in milliseconds.
 BUSY_PAUSE_MS: Final = 8
+# Pause before another look at a budget that is spent, in milliseconds.
+BUDGET_PAUSE_MS: Final = 20
 # Sends of one shard, rejected ones included: the largest services are tried in part.
 MOST_SENDS: Final = 6
 # Time that a leaf must be given at least, in milliseconds.
@@ -49,8 +51,9 @@
         _close_if_idle(request, call)
         return []
     if not repeating.may_repeat(gateway, call, now_ms):
+        # Each new request and each passing second earns some of it back.
+        call.retry_due_ms = now_ms + BUDGET_PAUSE_MS
         tracing.note(request, now_ms, "budget_spent", call.service, "")
-        _close_if_idle(request, call)
         return []
     return send_first(gateway, request, shard, now_ms, random)
 
@@ -68,7 +71,7 @@
     if not request.route.idempotent or not repeating.may_run_again(request, call):
         return []
     if not repeating.may_repeat(gateway, call, now_ms, repeating.HEDGE_SHARE):
-        call.hedge_due_ms = now_ms + BUSY_PAUSE_MS
+        call.hedge_due_ms = now_ms + BUDGET_PAUSE_MS
         tracing.note(request, now_ms, "budget_spent", call.service, "")
         return []
     leaf = choosing.choose(gateway, call, request.route, now_ms, random)
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -73,6 +73,7 @@
         self.load: Load | None = None
         self.load_ms = 0
         self.failure_share = 0.0
+        self.failure_share_ms = now_ms
         self.suspected = False
         self.probe_due_ms = 0
         self.probe_pause_ms = 0
