Tell a connection that a leaf turns away from a request that was lost

Cause: after all machines of the grown site lost power, leaves still counted the old connections and reset 6,319 new ones over their cap. Each reset counted as a run that was lost, so that shards had no sends left: 86 searches ended with 504. Ruled out: too many daemons assumed too few (their registrations outlived them).

--- a/amaranthpulley/coordination/forwarding/learning.py
+++ b/amaranthpulley/coordination/forwarding/learning.py
@@ -21,6 +21,8 @@
 PROBE_GROWTH: Final = 2
 # A full leaf gets nothing for its usual time, and at least this, in milliseconds.
 FULL_MS: Final = 10
+# A leaf that has too many connections gets no new one for so long, in milliseconds.
+TURNED_AWAY_MS: Final = 40
 # Different leaves that a request must have lost before it is refused.
 CRASHES: Final = 3
 # Requests that are remembered for having lost leaves.
@@ -73,6 +75,8 @@
     if end is requests.AttemptEnd.WRONG_LEAF:
         # The address belongs to another leaf by now; the directory is behind.
         gateway.directory.remove(attempt.leaf_id)
+    elif end is requests.AttemptEnd.TURNED_AWAY:
+        leaf.full_until_ms = now_ms + TURNED_AWAY_MS
     elif end in (requests.AttemptEnd.UNREACHABLE, requests.AttemptEnd.TIMED_OUT):
         suspect(leaf, now_ms)
     else:
--- a/amaranthpulley/coordination/forwarding/progressing.py
+++ b/amaranthpulley/coordination/forwarding/progressing.py
@@ -165,8 +165,10 @@
     gateway.counters.add("forward_failures_total", end=end.value)
     if end in requests.NOT_RUN:
         call.runs -= 1
-        if end is requests.AttemptEnd.UNREACHABLE:
+        if end in requests.NOT_ARRIVED:
             call.sends -= 1
+        if end in requests.BUSY:
+            call.tried.discard(attempt.leaf_id)
     if request.answered:
         return _forget_if_idle(gateway, request)
     if call.answer is not None or call.closed:
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -32,9 +32,14 @@
 
 
 class AttemptEnd(enum.Enum):
-    """How an attempt ended without a usable answer."""
+    """How an attempt ended without a usable answer.
+
+    `TURNED_AWAY`: the leaf closed the new connection before anything was sent on it,
+    as it does when it has too many.
+    """
 
     UNREACHABLE = "unreachable"
+    TURNED_AWAY = "turned_away"
     REJECTED = "rejected"
     WRONG_LEAF = "wrong_leaf"
     LOST = "lost"
@@ -45,8 +50,17 @@
 
 # After these ends it is certain that the leaf did not run the request.
 NOT_RUN = frozenset(
-    {AttemptEnd.UNREACHABLE, AttemptEnd.REJECTED, AttemptEnd.WRONG_LEAF}
+    {
+        AttemptEnd.UNREACHABLE,
+        AttemptEnd.TURNED_AWAY,
+        AttemptEnd.REJECTED,
+        AttemptEnd.WRONG_LEAF,
+    }
 )
+# After these ends the request has not even arrived.
+NOT_ARRIVED = frozenset({AttemptEnd.UNREACHABLE, AttemptEnd.TURNED_AWAY})
+# After these ends the leaf may take the request a little later.
+BUSY = frozenset({AttemptEnd.TURNED_AWAY, AttemptEnd.REJECTED})
 
 
 class LeafAnswer(NamedTuple):
