--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -34,6 +34,12 @@
     )
 
 
+def _own_ip(number: int) -> str:
+    """Return a loopback address that no other running site uses."""
+    own = os.getpid()
+    return f"127.{1 + own // 250 % 250}.{1 + own % 250}.{number}"
+
+
 def _free_port(ip: str) -> int:
     with socket.socket() as probe:
         probe.bind((ip, 0))
@@ -82,6 +88,13 @@
         self._http = urllib3.PoolManager(num_pools=200, retries=False)
         self._started: list[subprocess.Popen] = []
         self.proxies = proxy.ProxyLoop()
+        try:
+            self._start_all(daemons, copies)
+        except BaseException:
+            self.close()
+            raise
+
+    def _start_all(self, daemons: int, copies: int) -> None:
         store = self._spawn(["amaranthpulley.platform.tests.standins", "store"])
         self.store_process = store
         self.store_address = store.stdout.readline().strip()
@@ -95,7 +108,7 @@
         self.version = 0
         self.configure()
         self.daemons = [
-            Daemon(f"vm-{n}", f"127.0.0.{n + 1}", ZONES[n % len(ZONES)])
+            Daemon(f"vm-{n}", _own_ip(n), ZONES[n % len(ZONES)])
             for n in range(1, daemons + 1)
         ]
         for daemon in self.daemons:
