--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -23,6 +23,9 @@
   amaranthpulley version
   amaranthpulley --help
 
+`forward` finds the settings file that the users' platform gives it; see the page on
+operations.
+
 Options:
   --settings FILE    The daemon's settings in JSON.
   --address ADDRESS  IP:port to listen on; port 0 takes a free one
