Read leaves' entries strictly and log items that cannot be read; keep no idle connections just after a start where they do not fit

Cause 1: an entry without its fields named a leaf, and unreadable items were written as plain text outside the events.

--- a/amaranthpulley/coordination/forwarding/believing.py
+++ b/amaranthpulley/coordination/forwarding/believing.py
@@ -88,6 +88,22 @@
     return [tracing.leaf_line(leaf, "entry_gone", 0)]
 
 
+def note_unreadable(
+    gateway: gateway_state.Gateway,
+    event: events.ItemUnreadable,
+    now_ms: int,
+    random: choosing.Random,
+) -> list[commands.Command]:
+    """Write an unreadable item down; a leaf that it would name is gone."""
+    line = common.log(
+        log_events.STORE_ITEM_UNREADABLE, key=event.key, reason=event.reason
+    )
+    if event.leaf_id is None:
+        return [line]
+    gone = events.LeafDeleted(event.leaf_id)
+    return [line, *delete_leaf(gateway, gone, now_ms, random)]
+
+
 def read_listing(
     gateway: gateway_state.Gateway,
     event: events.DirectoryListed,
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -22,6 +22,8 @@
         Time that the leaf may take.
     fresh : bool
         Only a connection that cannot have gone stale will do.
+    keep : bool
+        The connection may be kept after the answer.
     """
 
     attempt: int
@@ -30,6 +32,7 @@
     address: str
     budget_ms: int
     fresh: bool
+    keep: bool
 
 
 class CancelAttempt(NamedTuple):
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -28,6 +28,7 @@
     events.ConfigurationRead: believing.read_configuration,
     events.LeafWritten: believing.write_leaf,
     events.LeafDeleted: believing.delete_leaf,
+    events.ItemUnreadable: believing.note_unreadable,
     events.DirectoryListed: believing.read_listing,
     events.EvacuationChanged: believing.change_evacuation,
     events.MemberChanged: believing.change_member,
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -62,6 +62,22 @@
     leaf_id: str
 
 
+class ItemUnreadable(NamedTuple):
+    """An item of the store cannot be read; another writer may have left it.
+
+    Attributes
+    ----------
+    key, reason : str
+        Which item, and why.
+    leaf_id : str or None
+        The leaf that it would name; it names no leaf to use.
+    """
+
+    key: str
+    reason: str
+    leaf_id: str | None
+
+
 class DirectoryListed(NamedTuple):
     """All entries have been read, and each has been fed."""
 
@@ -111,6 +127,7 @@
     | ConfigurationRead
     | LeafWritten
     | LeafDeleted
+    | ItemUnreadable
     | DirectoryListed
     | EvacuationChanged
     | MemberChanged
--- a/amaranthpulley/coordination/forwarding/sending.py
+++ b/amaranthpulley/coordination/forwarding/sending.py
@@ -7,6 +7,7 @@
     commands,
     repeating,
     tracing,
+    warming,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests
@@ -113,7 +114,8 @@
     budget_ms = max(LEAST_BUDGET_MS, request.give_up_ms - now_ms)
     fresh = not request.route.idempotent
     address = leaf.entry.address
-    return commands.SendAttempt(number, key, leaf_id, address, budget_ms, fresh)
+    keep = warming.keeps_connections(gateway, call.service, now_ms)
+    return commands.SendAttempt(number, key, leaf_id, address, budget_ms, fresh, keep)
 
 
 def _wait_or_close(
--- a/amaranthpulley/platform/configuration.py
+++ b/amaranthpulley/platform/configuration.py
@@ -7,17 +7,21 @@
 
 
 class _Weighted(TypedDict):
+    """A service with its share of a route."""
+
     Service: str
     Weight: float
 
 
 class _Route(TypedDict):
+    """A route; one of `Service`, `WeightedBackends` and `Gather` says where it goes."""
+
     Name: str
     Host: str
     PathPrefix: str
     RouteType: Literal["idempotent", "non_idempotent"]
-    TimeoutMs: int
-    TargetLatencyMs: int
+    TimeoutMs: float
+    TargetLatencyMs: float
     MaxAttempts: int
     Priority: NotRequired[int]
     Service: NotRequired[str | None]
@@ -29,6 +33,8 @@
 
 
 class _Service(TypedDict):
+    """What the leaves of a service bear."""
+
     Name: str
     HealthPath: str
     MaxConns: int
@@ -36,6 +42,8 @@
 
 
 class _Limits(TypedDict):
+    """What clients may send."""
+
     MaxHeaderBytes: int
     MaxBodyBytes: int
     HeaderTimeoutMs: int
@@ -43,6 +51,8 @@
 
 
 class _Configuration(TypedDict):
+    """The whole of one version."""
+
     Version: int
     Routes: list[_Route]
     Services: list[_Service]
@@ -88,8 +98,8 @@
         host=raw["Host"],
         prefix=raw["PathPrefix"],
         idempotent=raw["RouteType"] == "idempotent",
-        timeout_ms=raw["TimeoutMs"],
-        objective_ms=raw["TargetLatencyMs"],
+        timeout_ms=int(raw["TimeoutMs"]),
+        objective_ms=int(raw["TargetLatencyMs"]),
         priority=raw.get("Priority") or 0,
         maximum_leaves=max(1, raw["MaxAttempts"]),
         services=services,
--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -1,7 +1,6 @@
 """Items of the platform's store, turned into events."""
 
-import logging
-from typing import Final, Literal, NotRequired, TypedDict
+from typing import Literal, NotRequired, TypedDict
 
 from amaranthpulley.coordination.forwarding import events
 from amaranthpulley.platform import configuration, names
@@ -9,17 +8,19 @@
 from amaranthpulley.state import store
 from amaranthpulley.state.forwarding import gateway, leaves
 
-_LOGGER: Final = logging.getLogger("amaranthpulley.platform")
-
 
 class _Leaf(TypedDict):
+    """What a leaf says of itself."""
+
     Service: str
     Address: str
     Zone: str
+    Version: str
     Capacity: int
     State: Literal["ready", "draining"]
-    # How long the leaf stays slow after its start, not how long it needs to warm up.
-    WarmupLeftMs: NotRequired[int]
+    # How much longer the leaf stays slow after its start.
+    WarmupLeftMs: int
+    Sequence: int
     # Unix time of its start, in milliseconds; names one life of an identity.
     born: NotRequired[int]
 
@@ -40,10 +41,10 @@
     try:
         return _event_of(change.key, change.value)
     except errors.MalformedMessageError as error:
-        _LOGGER.warning("item %s cannot be read: %s", change.key, error)
-    if change.key.startswith(names.LEAF_PREFIX):
-        return events.LeafDeleted(change.key.removeprefix(names.LEAF_PREFIX))
-    return None
+        leaf_id = None
+        if change.key.startswith(names.LEAF_PREFIX):
+            leaf_id = change.key.removeprefix(names.LEAF_PREFIX)
+        return events.ItemUnreadable(change.key, str(error), leaf_id)
 
 
 def _event_of(key: str, value: bytes | None) -> events.Event | None:
@@ -75,6 +76,8 @@
     host, colon, port = raw["Address"].rpartition(":")
     if not colon or not host or not port.isdigit():
         raise errors.MalformedMessageError(f"Address: {raw['Address']!r}")
+    if raw["Capacity"] < 1:
+        raise errors.MalformedMessageError(f"Capacity: {raw['Capacity']}")
     return leaves.LeafEntry(
         leaf_id=leaf_id,
         service=raw["Service"],
@@ -82,7 +85,7 @@
         failure_domain=raw["Zone"],
         slots=raw["Capacity"],
         draining=raw["State"] == names.DRAINING,
-        cold_ms=raw.get("WarmupLeftMs", 0),
+        cold_ms=raw["WarmupLeftMs"],
         born_ms=raw.get("born", 0),
     )
 
--- a/amaranthpulley/platform/settings.py
+++ b/amaranthpulley/platform/settings.py
@@ -15,15 +15,21 @@
 
 
 class _Addresses(TypedDict):
+    """Where the process listens."""
+
     FrontAddr: str
     ReadyAddr: str
 
 
 class _Store(TypedDict):
+    """Where the store is."""
+
     Address: str
 
 
 class _Settings(TypedDict):
+    """The fields of the settings file that are used."""
+
     NodeName: str
     Ip: str
     Zone: str
--- a/amaranthpulley/platform/store.py
+++ b/amaranthpulley/platform/store.py
@@ -1,7 +1,6 @@
 """Calls to the platform's store."""
 
 import base64
-import logging
 from typing import Any, Final, NotRequired, TypedDict, TypeVar
 from urllib import parse
 
@@ -21,10 +20,11 @@
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
 _Wire = TypeVar("_Wire")
-_LOGGER: Final = logging.getLogger("amaranthpulley.platform")
 
 
 class _Item(TypedDict):
+    """An item as it was written, or a deletion."""
+
     Key: str
     Revision: int
     Value: NotRequired[str]
@@ -32,17 +32,23 @@
 
 
 class _Range(TypedDict):
+    """A page of a listing."""
+
     items: list[_Item]
     MorePages: bool
     CurrentRev: int
 
 
 class _Changes(TypedDict):
+    """The answer to a watch."""
+
     events: list[_Item]
     CurrentRev: int
 
 
 class _Lease(TypedDict):
+    """A new lease."""
+
     Lease: int
 
 
@@ -180,5 +186,5 @@
     try:
         return base64.b64decode(item.get("Value", ""), validate=True)
     except ValueError:
-        _LOGGER.warning("item %s of the store is not base64", item["Key"])
+        # No value is empty: the item is unreadable, and will be reported as that.
         return b""
--- /dev/null
+++ b/amaranthpulley/platform/tests/test_entries.py
@@ -0,0 +1,111 @@
+"""Tests of the reading of the store's items."""
+
+import json
+import unittest
+from typing import Any
+
+from amaranthpulley.coordination.forwarding import events
+from amaranthpulley.platform import entries, names
+from amaranthpulley.platform.tests import wire_samples
+from amaranthpulley.state import store
+
+LEAF: dict[str, Any] = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "a1",
+    "Version": "v1",
+    "Capacity": 2,
+    "State": "ready",
+    "WarmupLeftMs": 0,
+    "Sequence": 4,
+    "born": 1_000,
+}
+KEY = names.LEAF_PREFIX + "i-1"
+
+
+def _decoded(key: str, value: object) -> events.Event | None:
+    if value is not None and not isinstance(value, bytes):
+        value = json.dumps(value).encode()
+    return entries.decode(store.Change(key, 1, value))
+
+
+class LeafEntryTest(unittest.TestCase):
+    """Entries of leaves, and what other writers leave in their place."""
+
+    def test_an_entry_names_a_leaf(self) -> None:
+        event = _decoded(KEY, {**LEAF, "State": "draining", "Unknown": [1]})
+        self.assertEqual(event.entry.leaf_id, "i-1")
+        self.assertTrue(event.entry.draining)
+        self.assertEqual(event.entry.born_ms, 1_000)
+
+    def test_an_entry_that_cannot_be_read_names_no_leaf(self) -> None:
+        changes: list[dict[str, Any]] = [
+            {"Service": None},
+            {"Service": 4},
+            {"Address": "nowhere"},
+            {"Address": ":80"},
+            {"Address": "10.0.0.1:x"},
+            {"Zone": []},
+            {"Capacity": "2"},
+            {"Capacity": 0},
+            {"Capacity": True},
+            {"State": "odd"},
+            {"WarmupLeftMs": "soon"},
+            {"born": "1000"},
+            {"born": 1.5},
+        ]
+        cases: list[object] = [{**LEAF, **change} for change in changes]
+        for name in ("Service", "Address", "Zone", "Capacity", "State", "Sequence"):
+            cases.append({key: LEAF[key] for key in LEAF if key != name})
+        cases += [b"", b"{", b"\xff\xfe", [], "text", 7]
+        for value in cases:
+            with self.subTest(value):
+                event = _decoded(KEY, value)
+                self.assertIsInstance(event, events.ItemUnreadable)
+                self.assertEqual((event.key, event.leaf_id), (KEY, "i-1"))
+
+    def test_a_deletion_names_the_leaf_that_is_gone(self) -> None:
+        self.assertEqual(_decoded(KEY, None), events.LeafDeleted("i-1"))
+
+
+class OtherItemsTest(unittest.TestCase):
+    """Configuration, evacuations, daemons, and keys of no concern."""
+
+    def test_a_configuration_keeps_its_routes(self) -> None:
+        weighted = [{"Service": "x", "Weight": 3}, {"Service": "y", "Weight": 1}]
+        told = wire_samples.configuration(
+            7,
+            wire_samples.route(),
+            wire_samples.visit(
+                Service=None, WeightedBackends=weighted, RouteType="non_idempotent"
+            ),
+        )
+        read = _decoded(names.CONFIGURATION_KEY, told).configuration
+        table = read.routes[wire_samples.HOST]
+        self.assertEqual(read.version, 7)
+        self.assertEqual(table["/wide/"].shards, wire_samples.SHARDS)
+        self.assertTrue(table["/wide/"].idempotent)
+        self.assertFalse(table["/visit/"].idempotent)
+        self.assertEqual([s.weight for s in table["/visit/"].services], [3.0, 1.0])
+
+    def test_a_configuration_that_cannot_be_read_changes_nothing(self) -> None:
+        for value in (b"{", {"Version": 1}, {"Version": "x", "Routes": []}):
+            with self.subTest(value):
+                event = _decoded(names.CONFIGURATION_KEY, value)
+                self.assertIsInstance(event, events.ItemUnreadable)
+                self.assertIsNone(event.leaf_id)
+
+    def test_other_keys(self) -> None:
+        cases = {
+            (names.EVACUATION_PREFIX + "a1", b"{}"): events.EvacuationChanged(
+                "a1", True
+            ),
+            (names.EVACUATION_PREFIX + "a1", None): events.EvacuationChanged(
+                "a1", False
+            ),
+            (names.DAEMON_PREFIX + "vm", None): events.MemberChanged("vm", None),
+            ("op/other", b"x"): None,
+        }
+        for (key, value), expected in cases.items():
+            with self.subTest(key, value=value):
+                self.assertEqual(_decoded(key, value), expected)
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -48,6 +48,8 @@
     ) -> None:
         self.address = address
         self.used = False
+        # Whether it may wait for another request once this one is answered.
+        self.keep = True
         self.idle_since_ms = 0
         self.idle_limit_ms = pool.idle_limits_ms.get(address, UNSTATED_IDLE_MS)
         self._pool = pool
@@ -140,7 +142,8 @@
         if raw.idle_timeout_s is not None:
             self.idle_limit_ms = raw.idle_timeout_s * 1000
             self._pool.idle_limits_ms[self.address] = self.idle_limit_ms
-        if raw.keep_alive and sound and not self._reader.in_answer:
+        usable = raw.keep_alive and sound and not self._reader.in_answer
+        if usable and self.keep:
             self._pool.put_back(self)
         else:
             self.close()
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -162,6 +162,7 @@
         connection = self.leaves.take(command.address, command.fresh)
         self._attempts[number] = connection
         opened = not connection.used
+        connection.keep = command.keep
 
         def take_answer(answer: requests.LeafAnswer) -> None:
             self._attempts.pop(number, None)
