Let followers of the store know at once when their watchers lose it

Watchers now say at once that the store fails them, a silent loss is noticed within 4 s, and a silent watcher within 2.2 s. Found on the way: an item on a later page of a listing moved the revision past changes that were never read. Ruled out: a lost event (the version came by the fallback).

--- a/amaranthpulley/coordination/forwarding/relaying.py
+++ b/amaranthpulley/coordination/forwarding/relaying.py
@@ -15,6 +15,22 @@
 FOLLOWED: Final = 2
 
 
+# Longest wait of one watch, in milliseconds: a store that has gone silent is noticed
+# after it. Shorter where others follow, which must hear of a change within 5 s.
+WATCH_MS: Final = 5_000
+FOLLOWED_WATCH_MS: Final = 2_500
+
+
+def watch_wait_ms(gateway: gateway_state.Gateway) -> int:
+    """Return how long one watch of this daemon waits at the most."""
+    regions = gateway.place.regions
+    near = sum(
+        regions.get(member.failure_domain) == gateway.place.region
+        for member in gateway.members.values()
+    )
+    return FOLLOWED_WATCH_MS if near > WATCHERS else WATCH_MS
+
+
 def watchers(gateway: gateway_state.Gateway) -> list[str]:
     """Return the daemons of the own region that watch the store, best first."""
     regions = gateway.place.regions
--- a/amaranthpulley/state/forwarding/change_log.py
+++ b/amaranthpulley/state/forwarding/change_log.py
@@ -47,14 +47,16 @@
         self._revision = max(self._revision, revision)
 
     def take(self, change: store.Change) -> bool:
-        """Enter a change; return False when it is not newer than what is known."""
+        """Enter a change; return False when it is not newer than what is known.
+
+        It says nothing of other keys, so that `revision` stays; see `advance`.
+        """
         known = self._changes.get(change.key)
         if known is not None and known.revision >= change.revision:
             return False
         # At the end, so that the order stays that of the arrival.
         self._changes.pop(change.key, None)
         self._changes[change.key] = change
-        self._revision = max(self._revision, change.revision)
         if change.value is None:
             self._deletions += 1
             self._forget_deletions()
@@ -96,7 +98,7 @@
     def _forget_deletions(self) -> None:
         if self._deletions <= MOST_DELETIONS:
             return
-        self._horizon = self._revision
+        self._horizon = max(change.revision for change in self._changes.values())
         self._changes = {
             key: change
             for key, change in self._changes.items()
--- a/amaranthpulley/state/forwarding/tests/test_change_log.py
+++ b/amaranthpulley/state/forwarding/tests/test_change_log.py
@@ -29,6 +29,7 @@
         log = change_log.ChangeLog()
         for change in (_change("a", 1), _change("b", 2), _change("a", 3, None)):
             log.take(change)
+        log.advance(3)
         excerpt = log.after(1)
         found = [(change.key, change.value) for change in excerpt.changes]
         self.assertEqual(found, [("b", b"v"), ("a", None)])
@@ -37,6 +38,13 @@
         self.assertTrue(everything.complete)
         self.assertEqual([change.key for change in everything.changes], ["b"])
 
+    def test_a_newer_item_of_a_later_page_does_not_hide_what_is_between(self) -> None:
+        log = change_log.ChangeLog()
+        # The listing began at revision 5; a later page held an item of revision 9.
+        log.take(_change("z", 9))
+        log.advance(5)
+        self.assertEqual(log.revision, 5)
+
     def test_a_listing_deletes_what_it_does_not_hold(self) -> None:
         log = change_log.ChangeLog()
         for change in (_change("a", 1), _change("b", 2), _change("c", 9)):
@@ -51,6 +59,7 @@
             log.take(_change(f"k{number}", 2 * number + 1))
             log.take(_change(f"k{number}", 2 * number + 2, None))
         log.take(_change("kept", 100_000))
+        log.advance(100_000)
         excerpt = log.after(10)
         self.assertTrue(excerpt.complete)
         self.assertEqual([change.key for change in excerpt.changes], ["kept"])
@@ -76,6 +85,7 @@
             first.take(change)
         for change in changes[:behind]:
             second.take(change)
+            second.advance(change.revision)
         told = list(first.after(second.revision).changes)
         chance.shuffle(told)
         for change in told:
--- a/amaranthpulley/transport/forwarding/feed.py
+++ b/amaranthpulley/transport/forwarding/feed.py
@@ -15,9 +15,7 @@
 from amaranthpulley.transport import errors
 from amaranthpulley.transport.forwarding import view as view_module
 
-# Longest wait of one watch; a connection that has gone silent is noticed within this
-# time and the margin. In milliseconds.
-WATCH_MS: Final = 5_000
+# Added to the wait of a watch before it has failed, in milliseconds.
 WATCH_MARGIN_MS: Final = 1_000
 # Pause between two watches, so that a burst of changes comes in one answer; a fifth of
 # the 3 s within which a change must be in force. In milliseconds.
@@ -80,6 +78,8 @@
         Source of time.
     is_needed : callable
         Tells whether this daemon must follow the store itself.
+    watch_wait_ms : callable
+        Returns the longest wait of one watch, in milliseconds.
     """
 
     def __init__(
@@ -89,12 +89,14 @@
         feed: view_module.Feed,
         clock: clock_state.Clock,
         is_needed: Callable[[], bool],
+        watch_wait_ms: Callable[[], int],
     ) -> None:
         self._source = source
         self._view = view
         self._feed = feed
         self._now_ms = clock.monotonic_ms
         self._is_needed = is_needed
+        self._watch_wait_ms = watch_wait_ms
         self._failures = 0
         self._lost = False
         self._list_again = True
@@ -120,6 +122,7 @@
             try:
                 self._follow_once()
             except errors.PlatformUnreachableError as error:
+                self._view.note_lost()
                 self._note_failure(str(error))
                 eventlet.sleep(self._pause_ms() / 1000)
             else:
@@ -132,7 +135,7 @@
             self._list_again = False
             self._view.take_listing(listing)
             return
-        changes = self._source.watch(self._view.revision, WATCH_MS)
+        changes = self._source.watch(self._view.revision, self._watch_wait_ms())
         if changes is None:
             self._list_again = True
         else:
@@ -162,7 +165,7 @@
             self._feed(events.StoreReached(False, reason))
 
     def _note_success(self) -> None:
-        self._view.confirmed_ms = self._now_ms()
+        self._view.note_confirmed(self._now_ms())
         self._failures = 0
         if self._lost:
             self._lost = False
--- a/amaranthpulley/transport/forwarding/peer_feed.py
+++ b/amaranthpulley/transport/forwarding/peer_feed.py
@@ -13,12 +13,12 @@
 from amaranthpulley.transport.forwarding import view as view_module
 
 # Longest wait for a change, and what is added for the answer, in milliseconds.
-WAIT_MS: Final = 4_000
-ANSWER_MS: Final = 1_000
+WAIT_MS: Final = 1_500
+ANSWER_MS: Final = 700
 RETRY_MS: Final = 500
 # A daemon whose view the store has confirmed within this time is followed: its watch
-# may wait 5 s and the answer takes a second. In milliseconds.
-FRESH_MS: Final = 7_500
+# waits 2.5 s, and the next one begins 0.6 s later. In milliseconds.
+FRESH_MS: Final = 4_000
 # How often it is looked whether other daemons are to be followed, in milliseconds.
 CHECK_MS: Final = 500
 
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -127,7 +127,12 @@
             self._view, clock, lambda: relaying.followed(self.gateway)
         )
         self._feed = feed.StoreFeed(
-            source, self._view, self._take, clock, self._must_follow_store
+            source,
+            self._view,
+            self._take,
+            clock,
+            self._must_follow_store,
+            lambda: relaying.watch_wait_ms(self.gateway),
         )
         self._ended = eventlet.event.Event()
 
--- a/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
@@ -60,6 +60,17 @@
         self.assertEqual([event.failure_domain for event in told], ["a", "b"])
         self.assertTrue(self.feed.is_fresh())
 
+    def test_watchers_that_the_store_fails_say_so_at_once(self) -> None:
+        self.feed.start()
+        for number, watcher in enumerate(self.watchers):
+            self._tell(watcher, f"k{number}", number + 1)
+        self._wait(self.feed.is_fresh)
+        for watcher in self.watchers:
+            watcher.note_lost()
+        with eventlet.Timeout(0.5):
+            while self.feed.is_fresh():
+                eventlet.sleep(0.02)
+
     def test_watchers_that_lost_the_store_are_not_fresh(self) -> None:
         old_ms = self.clock.monotonic_ms() - peer_feed.FRESH_MS - 1
         for number, watcher in enumerate(self.watchers):
--- a/amaranthpulley/transport/forwarding/view.py
+++ b/amaranthpulley/transport/forwarding/view.py
@@ -68,8 +68,21 @@
             if event is not None:
                 self._feed(event)
         if news:
-            for react in self._listeners:
-                react()
+            self._tell()
+
+    def note_confirmed(self, now_ms: int) -> None:
+        """Note that the store has answered this daemon."""
+        self.confirmed_ms = now_ms
+
+    def note_lost(self) -> None:
+        """Note that the store fails this daemon, and let its followers know at once."""
+        if self.confirmed_ms is not None:
+            self.confirmed_ms = None
+            self._tell()
+
+    def _tell(self) -> None:
+        for react in self._listeners:
+            react()
 
     def take_listing(self, listing: Listing) -> None:
         """Enter all keys; those that are not among them have been deleted."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,8 +7,8 @@
 
 SECONDS: Final = 6.0
 # Seeds that once failed are kept here, each with the cause.
-# 38, 42: a configuration was checked at once after the store had been silent; a watch sent
-# to it just before is given up after 6 s, which the bound allows for.
+# 38, 42: a configuration was checked at once after the store had been silent. A watch
+# that was sent to it just before is given up after 6 s, which the bound allows for.
 SEEDS: Final = (1, 38, 42)
 
 
