--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -58,6 +58,17 @@
         self.assertEqual(len(verdict.errors), 1)
         self.assertIn("take it out", verdict.errors[0])
 
+    def test_a_flaky_known_red_may_pass_and_is_still_no_failure(self) -> None:
+        flaky = _KNOWN._replace(seen="flaky: 1 != 2 on a busy machine")
+        self.assertEqual(
+            outcomes.judge([_PASSED], [flaky], True),
+            outcomes.Verdict(("a.b",), (), (), ()),
+        )
+        self.assertEqual(
+            outcomes.judge([_FAILED], [flaky], True),
+            outcomes.Verdict((), (), ("a.b",), ()),
+        )
+
     def test_known_red_without_a_test_is_an_error_of_a_whole_run(self) -> None:
         self.assertEqual(len(outcomes.judge([], [_KNOWN], True).errors), 1)
         self.assertEqual(outcomes.judge([], [_KNOWN], False).errors, ())
