--- a/amaranthpulley/transport/forwarding/streams.py
+++ b/amaranthpulley/transport/forwarding/streams.py
@@ -13,6 +13,8 @@
 import eventlet.hubs
 import eventlet.patcher
 
+from amaranthpulley.transport import errors
+
 _plain_socket: Final = eventlet.patcher.original("socket")
 _READ_BYTES: Final = 65_536
 # More unsent bytes than this mean that the peer does not read.
@@ -196,7 +198,7 @@
 
     Raises
     ------
-    OSError
+    AddressInUseError
         When the address cannot be bound.
     """
     host, port = address.rsplit(":", 1)
@@ -204,9 +206,11 @@
     listener.setsockopt(_plain_socket.SOL_SOCKET, _plain_socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, int(port)))
-    except OSError:
+    except OSError as error:
         listener.close()
-        raise
+        raise errors.AddressInUseError(
+            f"cannot listen on {address}: {error}; free the port or change the settings"
+        ) from error
     listener.listen(1024)
     listener.setblocking(False)
     return Listener(listener, on_accepted)
