--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -24,6 +24,9 @@
 _TIMEOUT_STATUS: Final = 408
 
 
+OnRequest = Callable[["ClientConnection", client_requests.ClientRequest], None]
+
+
 class Handler(NamedTuple):
     """What a front does with requests.
 
@@ -35,7 +38,7 @@
         Called with a connection whose client left before the answer.
     """
 
-    on_request: Callable[["ClientConnection", client_requests.ClientRequest], None]
+    on_request: OnRequest
     on_left: Callable[["ClientConnection"], None]
 
 
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -114,12 +114,8 @@
         self._front = client_connections.Front(
             setup.front_address, clock, self.runtime.handler
         )
-        ready = client_connections.Handler(self._show_ready, lambda _connection: None)
-        self._ready = client_connections.Front(setup.ready_address, clock, ready)
-        metrics = client_connections.Handler(
-            self._show_metrics, lambda _connection: None
-        )
-        self._metrics = client_connections.Front(setup.metrics_address, clock, metrics)
+        self._ready = self._serve(setup.ready_address, self._show_ready)
+        self._metrics = self._serve(setup.metrics_address, self._show_metrics)
         self._metrics_text: Callable[[], bytes] | None = None
         self._view = view.View(source.decode, self._take)
         self._relay = relay.Relay(setup.peer_address, self._view, clock)
@@ -136,6 +132,12 @@
         )
         self._ended = eventlet.event.Event()
 
+    def _serve(
+        self, address: str, answer: client_connections.OnRequest
+    ) -> client_connections.Front:
+        handler = client_connections.Handler(answer, lambda _connection: None)
+        return client_connections.Front(address, self._clock, handler)
+
     @property
     def front_address(self) -> str:
         """The ``IP:port`` for clients."""
