--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -105,18 +105,16 @@
     Returns
     -------
     Verdict
-        A known red is neither passed nor failed. One that passes and is not marked
-        as flaky, or that names no test of a whole run, is an error, and counts as
-        failed.
+        A known red is neither passed nor failed. One that passes, unless it is
+        flaky, or that names no test of a whole run is an error, and so failed.
     """
     passes = _passes(outcomes)
-    entries = list(known_reds)
-    known = {entry.test for entry in entries}
-    steady = {entry.test for entry in entries if not entry.seen.startswith(FLAKY)}
+    flaky = {entry.test: entry.seen.startswith(FLAKY) for entry in known_reds}
+    known = flaky.keys()
     errors = [
         f"KNOWN-RED.txt: {test} passes: take it out"
-        for test in sorted(steady)
-        if passes.get(test, False)
+        for test in sorted(known)
+        if passes.get(test, False) and not flaky[test]
     ]
     if whole_run:
         errors += [
