--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -137,7 +137,7 @@
 
 def _run_leaf(arguments: Arguments) -> int:
     loop.prepare_loop()
-    from amaranthpulley.transport import standins
+    from amaranthpulley.transport.emulation import standins
 
     return standins.run_leaf(
         arguments["--address"],
@@ -150,7 +150,7 @@
 
 def _run_store(arguments: Arguments) -> int:
     loop.prepare_loop()
-    from amaranthpulley.transport import standins
+    from amaranthpulley.transport.emulation import standins
 
     return standins.run_store(arguments["--address"], _show)
 
--- /dev/null
+++ b/amaranthpulley/coordination/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Accounts: the journal of requests, its writing, retention and gaps."""
--- a/amaranthpulley/coordination/journal_gaps.py
+++ b/amaranthpulley/coordination/accounts/journal_gaps.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from amaranthpulley.coordination import journal_writing, journaling
-from amaranthpulley.state import journal
+from amaranthpulley.coordination.accounts import journal_writing, journaling
+from amaranthpulley.state.accounts import journal
 
 
 class Window(NamedTuple):
--- a/amaranthpulley/coordination/journal_retention.py
+++ b/amaranthpulley/coordination/accounts/journal_retention.py
@@ -9,18 +9,13 @@
 from collections.abc import Callable, Generator
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    claim_erasure,
-    claim_segments,
-    commands,
-    events,
-    journal_writing,
-    journaling,
-    store_calls,
-    stored_values,
-)
+from amaranthpulley.coordination import commands, events, store_calls, stored_values
+from amaranthpulley.coordination.accounts import journal_writing, journaling
+from amaranthpulley.coordination.orders import claim_erasure, claim_segments
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import journal, log_events, store, topology
+from amaranthpulley.state import log_events, store
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.control import topology
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/journal_writing.py
+++ b/amaranthpulley/coordination/accounts/journal_writing.py
@@ -14,7 +14,8 @@
     stored_values,
 )
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import journal, log_events, store
+from amaranthpulley.state import log_events, store
+from amaranthpulley.state.accounts import journal
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/journaling.py
+++ b/amaranthpulley/coordination/accounts/journaling.py
@@ -8,14 +8,11 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    commands,
-    events,
-    journal_writing,
-    stored_values,
-)
+from amaranthpulley.coordination import commands, events, stored_values
+from amaranthpulley.coordination.accounts import journal_writing
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import journal, log_events, requests
+from amaranthpulley.state import log_events, requests
+from amaranthpulley.state.accounts import journal
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/tests/test_journaling.py
+++ b/amaranthpulley/coordination/accounts/tests/test_journaling.py
@@ -3,15 +3,10 @@
 import unittest
 from typing import NamedTuple
 
-from amaranthpulley.coordination import (
-    commands,
-    engine,
-    events,
-    journal_writing,
-    journaling,
-    stored_values,
-)
-from amaranthpulley.state import daemon, journal, requests, standin_store, store
+from amaranthpulley.coordination import commands, engine, events, stored_values
+from amaranthpulley.coordination.accounts import journal_writing, journaling
+from amaranthpulley.state import daemon, requests, standin_store, store
+from amaranthpulley.state.accounts import journal
 
 WALL_MS = 1_000_000_000_000
 START_MS = 10
--- a/amaranthpulley/coordination/admission.py
+++ b/amaranthpulley/coordination/admission.py
@@ -2,9 +2,11 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.coordination import crash_blame, journaling
+from amaranthpulley.coordination.accounts import journaling
+from amaranthpulley.coordination.searches import crash_blame
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import requests, topology
+from amaranthpulley.state import requests
+from amaranthpulley.state.control import topology
 
 
 class Admitted(NamedTuple):
--- a/amaranthpulley/coordination/answering.py
+++ b/amaranthpulley/coordination/answering.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from amaranthpulley.coordination import commands, journaling
+from amaranthpulley.coordination import commands
+from amaranthpulley.coordination.accounts import journaling
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events, requests
 
--- a/amaranthpulley/coordination/commands.py
+++ b/amaranthpulley/coordination/commands.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.state import log_events, requests, store, topology
+from amaranthpulley.state import log_events, requests, store
+from amaranthpulley.state.control import topology
 
 
 class SearchCall(NamedTuple):
--- /dev/null
+++ b/amaranthpulley/coordination/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control: change tickets, membership, leases and the exchange between peers."""
--- a/amaranthpulley/coordination/configuring.py
+++ b/amaranthpulley/coordination/control/configuring.py
@@ -9,7 +9,8 @@
 
 from amaranthpulley.coordination import commands
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import log_events, topology
+from amaranthpulley.state import log_events
+from amaranthpulley.state.control import topology
 
 Commands = list[commands.Command]
 
--- a/amaranthpulley/coordination/draining.py
+++ b/amaranthpulley/coordination/control/draining.py
@@ -8,13 +8,9 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    commands,
-    events,
-    journaling,
-    leasing,
-    membership,
-)
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.accounts import journaling
+from amaranthpulley.coordination.control import leasing, membership
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events
 
--- a/amaranthpulley/coordination/exchanging.py
+++ b/amaranthpulley/coordination/control/exchanging.py
@@ -8,15 +8,10 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    commands,
-    configuring,
-    events,
-    membership,
-    peer_messages,
-)
-from amaranthpulley.state import configuration, facts, topology
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.control import configuring, membership, peer_messages
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state.control import configuration, facts, topology
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/leasing.py
+++ b/amaranthpulley/coordination/control/leasing.py
@@ -15,7 +15,8 @@
     store_calls,
 )
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import leases, log_events, store
+from amaranthpulley.state import log_events, store
+from amaranthpulley.state.control import leases
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/membership.py
+++ b/amaranthpulley/coordination/control/membership.py
@@ -10,7 +10,8 @@
 
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import facts, log_events, members
+from amaranthpulley.state import log_events
+from amaranthpulley.state.control import facts, members
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/peer_messages.py
+++ b/amaranthpulley/coordination/control/peer_messages.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.state import claims, facts, topology
+from amaranthpulley.state.control import facts, topology
+from amaranthpulley.state.orders import claims
 
 
 class Exchange(NamedTuple):
--- a/amaranthpulley/coordination/probing.py
+++ b/amaranthpulley/coordination/control/probing.py
@@ -7,16 +7,15 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    commands,
-    events,
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.control import (
     exchanging,
     membership,
     peer_messages,
     watching,
 )
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import members
+from amaranthpulley.state.control import members
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/refreshing.py
+++ b/amaranthpulley/coordination/control/refreshing.py
@@ -8,13 +8,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    commands,
-    configuring,
-    events,
-    exchanging,
-    watching,
-)
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.control import configuring, exchanging, watching
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import log_events
 
--- a/amaranthpulley/coordination/ticket_rules.py
+++ b/amaranthpulley/coordination/control/ticket_rules.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from amaranthpulley.state import configuration, topology
+from amaranthpulley.state.control import configuration, topology
 
 MAXIMUM_NUMBER: Final = 2**53
 MAXIMUM_RETENTION_DAYS: Final = 3_650
--- a/amaranthpulley/coordination/ticketing.py
+++ b/amaranthpulley/coordination/control/ticketing.py
@@ -14,8 +14,10 @@
 from collections.abc import Callable, Generator
 from typing import Any, Final, NamedTuple
 
-from amaranthpulley.coordination import errors, stored_values, ticket_rules
-from amaranthpulley.state import configuration, store, tickets, topology
+from amaranthpulley.coordination import errors, stored_values
+from amaranthpulley.coordination.control import ticket_rules
+from amaranthpulley.state import store
+from amaranthpulley.state.control import configuration, tickets, topology
 
 MAXIMUM_TICKET_BYTES: Final = 256 * 1024
 MAXIMUM_TAIL_BYTES: Final = 384 * 1024
--- a/amaranthpulley/coordination/watching.py
+++ b/amaranthpulley/coordination/control/watching.py
@@ -10,14 +10,15 @@
 
 from amaranthpulley.coordination import (
     commands,
-    configuring,
     errors,
     events,
     store_calls,
     stored_values,
 )
-from amaranthpulley.state import control, log_events, rendezvous, store, tickets
+from amaranthpulley.coordination.control import configuring
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events, rendezvous, store
+from amaranthpulley.state.control import control, tickets
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/engine.py
+++ b/amaranthpulley/coordination/engine.py
@@ -13,30 +13,29 @@
 from collections.abc import Callable
 from typing import Final
 
-from amaranthpulley.coordination import (
-    claim_commit,
-    claim_pruning,
-    claim_segments,
-    claiming,
-    cold,
-    commands,
-    crash_blame,
-    draining,
-    errors,
-    events,
-    exchanging,
+from amaranthpulley.coordination import commands, errors, events, tracing
+from amaranthpulley.coordination.accounts import (
     journal_retention,
     journal_writing,
     journaling,
+)
+from amaranthpulley.coordination.control import (
+    draining,
+    exchanging,
     leasing,
     membership,
-    ordering,
     probing,
     refreshing,
-    searching,
-    tracing,
     watching,
 )
+from amaranthpulley.coordination.orders import (
+    claim_commit,
+    claim_pruning,
+    claim_segments,
+    claiming,
+    ordering,
+)
+from amaranthpulley.coordination.searches import cold, crash_blame, searching
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import lateness
 
--- a/amaranthpulley/coordination/events.py
+++ b/amaranthpulley/coordination/events.py
@@ -3,7 +3,9 @@
 import enum
 from typing import NamedTuple
 
-from amaranthpulley.state import members, requests, searches, store, targets
+from amaranthpulley.state import requests, store, targets
+from amaranthpulley.state.control import members
+from amaranthpulley.state.searches import searches
 
 
 class Started(NamedTuple):
--- a/amaranthpulley/coordination/explaining.py
+++ b/amaranthpulley/coordination/explaining.py
@@ -3,7 +3,7 @@
 import enum
 
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 
 
 class NoWork(enum.StrEnum):
--- a/amaranthpulley/coordination/claim_commit.py
+++ b/amaranthpulley/coordination/orders/claim_commit.py
@@ -10,17 +10,15 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
+from amaranthpulley.coordination import commands, events, store_calls, stored_values
+from amaranthpulley.coordination.orders import (
     claim_pruning,
     claim_rules,
     claim_segments,
-    commands,
-    events,
-    store_calls,
-    stored_values,
 )
-from amaranthpulley.state import claims, log_events, store
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events, store
+from amaranthpulley.state.orders import claims
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/claim_erasure.py
+++ b/amaranthpulley/coordination/orders/claim_erasure.py
@@ -9,7 +9,9 @@
 from typing import Final
 
 from amaranthpulley.coordination import stored_values
-from amaranthpulley.state import claims, journal, store
+from amaranthpulley.state import store
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.orders import claims
 
 CutoffOf = Callable[[str], int]
 Steps = Generator[store.Operation, store.Result, None]
--- a/amaranthpulley/coordination/claim_pruning.py
+++ b/amaranthpulley/coordination/orders/claim_pruning.py
@@ -8,15 +8,11 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    claim_segments,
-    commands,
-    events,
-    store_calls,
-    stored_values,
-)
-from amaranthpulley.state import claims, store
+from amaranthpulley.coordination import commands, events, store_calls, stored_values
+from amaranthpulley.coordination.orders import claim_segments
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import store
+from amaranthpulley.state.orders import claims
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/claim_rules.py
+++ b/amaranthpulley/coordination/orders/claim_rules.py
@@ -7,7 +7,7 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import claims
+from amaranthpulley.state.orders import claims
 
 RELEASED_KEPT: Final = 16
 
--- a/amaranthpulley/coordination/claim_segments.py
+++ b/amaranthpulley/coordination/orders/claim_segments.py
@@ -14,8 +14,9 @@
     store_calls,
     stored_values,
 )
-from amaranthpulley.state import claims, log_events, store
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events, store
+from amaranthpulley.state.orders import claims
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/claiming.py
+++ b/amaranthpulley/coordination/orders/claiming.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import claim_commit, commands, events
-from amaranthpulley.state import claims, log_events
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.orders import claim_commit
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events
+from amaranthpulley.state.orders import claims
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/ordering.py
+++ b/amaranthpulley/coordination/orders/ordering.py
@@ -15,19 +15,18 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    admission,
-    answering,
+from amaranthpulley.coordination import admission, answering, commands, events
+from amaranthpulley.coordination.accounts import journaling
+from amaranthpulley.coordination.orders import (
     claim_commit,
     claiming,
-    commands,
-    events,
-    journaling,
     order_outcomes,
     sending,
 )
-from amaranthpulley.state import claims, log_events, orders, requests, topology
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state import log_events, requests
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.orders import claims, orders
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/sending.py
+++ b/amaranthpulley/coordination/orders/sending.py
@@ -3,9 +3,12 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, routing
+from amaranthpulley.coordination import commands
+from amaranthpulley.coordination.searches import routing
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import orders, targets, topology
+from amaranthpulley.state import targets
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.orders import orders
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/tests/test_claim_commit.py
+++ b/amaranthpulley/coordination/orders/tests/test_claim_commit.py
@@ -3,13 +3,11 @@
 import unittest
 from typing import Final
 
-from amaranthpulley.coordination import (
-    claim_commit,
-    claim_segments,
-    commands,
-    events,
-)
-from amaranthpulley.state import claims, daemon, journal, store
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.orders import claim_commit, claim_segments
+from amaranthpulley.state import daemon, store
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.orders import claims
 
 RECORD: Final = journal.JournalRecord("r", "c", "booking", "order", 0, "p", "k", "vm-1")
 STATUS: Final = claims.ClaimStatus
--- a/amaranthpulley/coordination/tests/test_claim_rules.py
+++ b/amaranthpulley/coordination/orders/tests/test_claim_rules.py
@@ -3,8 +3,10 @@
 import unittest
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import claim_erasure, claim_rules, stored_values
-from amaranthpulley.state import claims, journal
+from amaranthpulley.coordination import stored_values
+from amaranthpulley.coordination.orders import claim_erasure, claim_rules
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.orders import claims
 
 WALL_MS: Final = 1_700_000_000_000
 RECORD: Final = journal.JournalRecord(
--- /dev/null
+++ b/amaranthpulley/coordination/searches/__init__.py
@@ -0,0 +1,1 @@
+"""Searches: routing, fan-out, hedging, snapshots, and the care for targets."""
--- a/amaranthpulley/coordination/cold.py
+++ b/amaranthpulley/coordination/searches/cold.py
@@ -18,9 +18,11 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, leasing
+from amaranthpulley.coordination import commands
+from amaranthpulley.coordination.control import leasing
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import facts, log_events, rendezvous, targets, topology
+from amaranthpulley.state import log_events, rendezvous, targets
+from amaranthpulley.state.control import facts, topology
 
 Commands = list[commands.Command]
 
--- a/amaranthpulley/coordination/crash_blame.py
+++ b/amaranthpulley/coordination/searches/crash_blame.py
@@ -16,8 +16,9 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination import commands, events
-from amaranthpulley.state import crashes, facts, log_events, requests
+from amaranthpulley.state import crashes, log_events, requests
 from amaranthpulley.state import daemon as daemon_state
+from amaranthpulley.state.control import facts
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/fanout.py
+++ b/amaranthpulley/coordination/searches/fanout.py
@@ -3,17 +3,18 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.searches import (
     cold,
-    commands,
-    events,
     limits,
     retrying,
     routing,
     snapshots,
 )
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import searches, services, targets, topology
+from amaranthpulley.state import services, targets
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import searches
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/hedging.py
+++ b/amaranthpulley/coordination/searches/hedging.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, fanout, limits, routing
+from amaranthpulley.coordination import commands
+from amaranthpulley.coordination.searches import fanout, limits, routing
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import searches
+from amaranthpulley.state.searches import searches
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/limits.py
+++ b/amaranthpulley/coordination/searches/limits.py
@@ -17,9 +17,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from amaranthpulley.coordination import cold, commands
+from amaranthpulley.coordination import commands
+from amaranthpulley.coordination.searches import cold
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import rendezvous, services, targets, topology
+from amaranthpulley.state import rendezvous, services, targets
+from amaranthpulley.state.control import topology
 
 Commands = list[commands.Command]
 
--- a/amaranthpulley/coordination/queueing.py
+++ b/amaranthpulley/coordination/searches/queueing.py
@@ -7,9 +7,10 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import commands, limits
+from amaranthpulley.coordination import commands
+from amaranthpulley.coordination.searches import limits
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import searches
+from amaranthpulley.state.searches import searches
 
 Commands = list[commands.Command]
 
--- a/amaranthpulley/coordination/retrying.py
+++ b/amaranthpulley/coordination/searches/retrying.py
@@ -12,7 +12,8 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination import commands, events
-from amaranthpulley.state import searches, topology
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import searches
 
 Commands = list[commands.Command]
 
--- a/amaranthpulley/coordination/routing.py
+++ b/amaranthpulley/coordination/searches/routing.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Collection, Iterator
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import limits, snapshots
+from amaranthpulley.coordination.searches import limits, snapshots
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 
 # Replicas that are compared; of many more, these are drawn by chance.
 MAXIMUM_COMPARED: Final = 8
--- a/amaranthpulley/coordination/searching.py
+++ b/amaranthpulley/coordination/searches/searching.py
@@ -3,12 +3,9 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import (
-    admission,
-    answering,
+from amaranthpulley.coordination import admission, answering, commands, events
+from amaranthpulley.coordination.searches import (
     cold,
-    commands,
-    events,
     fanout,
     hedging,
     limits,
@@ -17,7 +14,9 @@
     snapshots,
 )
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import log_events, requests, searches, topology
+from amaranthpulley.state import log_events, requests
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import searches
 
 Random = Callable[[], float]
 Commands = list[commands.Command]
--- a/amaranthpulley/coordination/snapshots.py
+++ b/amaranthpulley/coordination/searches/snapshots.py
@@ -9,7 +9,9 @@
 from typing import Final
 
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import keyspace, searches, targets, topology
+from amaranthpulley.state import targets
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace, searches
 
 MAXIMUM_RESTARTS: Final = 3
 # Leaves that are seldom asked move on unseen.
--- a/amaranthpulley/coordination/tests/test_crash_blame.py
+++ b/amaranthpulley/coordination/searches/tests/test_crash_blame.py
@@ -3,15 +3,11 @@
 import unittest
 from typing import Final
 
-from amaranthpulley.coordination import commands, crash_blame, events
-from amaranthpulley.state import (
-    crashes,
-    daemon,
-    facts,
-    searches,
-    targets,
-    topology,
-)
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.searches import crash_blame
+from amaranthpulley.state import crashes, daemon, targets
+from amaranthpulley.state.control import facts, topology
+from amaranthpulley.state.searches import searches
 
 TARGET: Final = topology.Target("leaf", "stock", 0, "s0", "Pokhara", "10.0.0.9:1")
 PART: Final = searches.SearchPart(1, (), ())
--- a/amaranthpulley/coordination/stored_values.py
+++ b/amaranthpulley/coordination/stored_values.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from amaranthpulley.coordination import errors
-from amaranthpulley.state import claims, journal, tickets, topology
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.control import tickets, topology
+from amaranthpulley.state.orders import claims
 
 COMPRESSION_LEVEL: Final = 6
 
--- a/amaranthpulley/coordination/tests/test_admission.py
+++ b/amaranthpulley/coordination/tests/test_admission.py
@@ -3,7 +3,8 @@
 import unittest
 
 from amaranthpulley.coordination import admission, engine, events
-from amaranthpulley.state import daemon, requests, topology
+from amaranthpulley.state import daemon, requests
+from amaranthpulley.state.control import topology
 
 _SERVICE = topology.Service("stock", topology.ServiceKind.SEARCH)
 _REQUEST = requests.SearchRequest("r1", "c", "stock", "query")
--- a/amaranthpulley/protocol/leaf_api.py
+++ b/amaranthpulley/protocol/leaf_api.py
@@ -4,7 +4,8 @@
 
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import errors, json_codec
-from amaranthpulley.state import keyspace, requests, searches, targets
+from amaranthpulley.state import requests, targets
+from amaranthpulley.state.searches import keyspace, searches
 
 
 class SearchBody(TypedDict):
--- a/amaranthpulley/protocol/peer_codec.py
+++ b/amaranthpulley/protocol/peer_codec.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from amaranthpulley.coordination import peer_messages
+from amaranthpulley.coordination.control import peer_messages
 from amaranthpulley.protocol import errors
 
 VERSION: Final = 1
--- a/amaranthpulley/protocol/settings.py
+++ b/amaranthpulley/protocol/settings.py
@@ -7,7 +7,8 @@
 
 from amaranthpulley.protocol import errors
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import journal, log_events
+from amaranthpulley.state import log_events
+from amaranthpulley.state.accounts import journal
 
 LOOPBACK_IP: Final = "127.0.0.1"
 
--- a/amaranthpulley/protocol/status_api.py
+++ b/amaranthpulley/protocol/status_api.py
@@ -3,9 +3,10 @@
 import collections
 from typing import Final, TypedDict
 
-from amaranthpulley.coordination import explaining, journal_retention, journaling
+from amaranthpulley.coordination import explaining
+from amaranthpulley.coordination.accounts import journal_retention, journaling
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 
 MAXIMUM_LISTED_TARGETS: Final = 1_000
 MAXIMUM_LISTED_PEERS: Final = 1_000
--- a/amaranthpulley/protocol/tests/test_leaf_api.py
+++ b/amaranthpulley/protocol/tests/test_leaf_api.py
@@ -6,7 +6,9 @@
 
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import errors, leaf_api
-from amaranthpulley.state import keyspace, requests, topology
+from amaranthpulley.state import requests
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace
 
 _TARGET = topology.Target("leaf-1", "stock", 0, "s0", "Pokhara", "10.1.0.1:80")
 _LOAD = {"boot_id": "b", "busy_slots": 1, "versions": [2, 1]}
--- a/amaranthpulley/protocol/tests/test_peer_codec.py
+++ b/amaranthpulley/protocol/tests/test_peer_codec.py
@@ -6,9 +6,9 @@
 import hypothesis.strategies as st
 import msgspec
 
-from amaranthpulley.coordination import peer_messages
+from amaranthpulley.coordination.control import peer_messages
 from amaranthpulley.protocol import errors, peer_codec
-from amaranthpulley.state import facts, topology
+from amaranthpulley.state.control import facts, topology
 
 _SETTINGS = hypothesis.settings(derandomize=True, deadline=None, database=None)
 _PROBE = peer_messages.ProbeAsked("10.0.0.1:1", "10.0.0.2:1")
--- a/amaranthpulley/protocol/ticket_file.py
+++ b/amaranthpulley/protocol/ticket_file.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from amaranthpulley.protocol import errors
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 
 MAXIMUM_FILE_BYTES: Final = 4 * 1024 * 1024
 _HOST_PORT: Final = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
--- a/amaranthpulley/protocol/vm_list_api.py
+++ b/amaranthpulley/protocol/vm_list_api.py
@@ -3,7 +3,7 @@
 from typing import Final, TypedDict
 
 from amaranthpulley.protocol import json_codec
-from amaranthpulley.state import members
+from amaranthpulley.state.control import members
 
 PATH: Final = "/vms"
 
--- /dev/null
+++ b/amaranthpulley/state/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the configuration, the members and the leases."""
--- a/amaranthpulley/state/configuration.py
+++ b/amaranthpulley/state/control/configuration.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 
 Entry = topology.Service | topology.FailureDomain | topology.Target | topology.Customer
 
--- a/amaranthpulley/state/tickets.py
+++ b/amaranthpulley/state/control/tickets.py
@@ -7,7 +7,7 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 
 HEAD_KEY: Final = "config/head"
 _CHUNK_PREFIX: Final = "config/chunks/"
--- a/amaranthpulley/state/daemon.py
+++ b/amaranthpulley/state/daemon.py
@@ -2,22 +2,11 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.state import (
-    claims,
-    configuration,
-    control,
-    counters,
-    crashes,
-    facts,
-    journal,
-    lateness,
-    leases,
-    members,
-    orders,
-    searches,
-    services,
-    targets,
-)
+from amaranthpulley.state import counters, crashes, lateness, services, targets
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.control import configuration, control, facts, leases, members
+from amaranthpulley.state.orders import claims, orders
+from amaranthpulley.state.searches import searches
 
 
 class Identity(NamedTuple):
--- /dev/null
+++ b/amaranthpulley/state/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of orders and their claims."""
--- a/amaranthpulley/state/claims.py
+++ b/amaranthpulley/state/orders/claims.py
@@ -9,7 +9,7 @@
 import hashlib
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import journal
+from amaranthpulley.state.accounts import journal
 
 RANGE_COUNT: Final = 32
 FORGET_INTERVAL_MS: Final = 60_000
--- a/amaranthpulley/state/orders.py
+++ b/amaranthpulley/state/orders/orders.py
@@ -3,7 +3,9 @@
 import enum
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import claims, requests, topology
+from amaranthpulley.state import requests
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.orders import claims
 
 MAXIMUM_UNRECORDED: Final = 10_000
 
--- /dev/null
+++ b/amaranthpulley/state/searches/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of searches."""
--- a/amaranthpulley/state/searches.py
+++ b/amaranthpulley/state/searches/searches.py
@@ -3,7 +3,9 @@
 import enum
 from typing import NamedTuple
 
-from amaranthpulley.state import keyspace, requests, topology
+from amaranthpulley.state import requests
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace
 
 
 class SearchPart(NamedTuple):
--- a/amaranthpulley/state/tests/test_keyspace.py
+++ b/amaranthpulley/state/searches/tests/test_keyspace.py
@@ -5,7 +5,8 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from amaranthpulley.state import errors, keyspace
+from amaranthpulley.state import errors
+from amaranthpulley.state.searches import keyspace
 
 _POSITIONS = st.integers(0, keyspace.KEY_SPACE_SIZE)
 _RANGES = st.tuples(_POSITIONS, _POSITIONS).filter(lambda pair: pair[0] < pair[1])
--- a/amaranthpulley/state/standin_leaf.py
+++ b/amaranthpulley/state/standin_leaf.py
@@ -3,7 +3,8 @@
 import enum
 from typing import NamedTuple
 
-from amaranthpulley.state import keyspace, requests, searches, targets
+from amaranthpulley.state import requests, targets
+from amaranthpulley.state.searches import keyspace, searches
 
 
 class LeafFaults(NamedTuple):
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.state import keyspace
+from amaranthpulley.state.searches import keyspace
 
 
 class TargetLoad(NamedTuple):
--- a/amaranthpulley/transport/bench/capacity_control.py
+++ b/amaranthpulley/transport/bench/capacity_control.py
@@ -8,8 +8,8 @@
 
 from amaranthpulley.coordination import events
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.transport import standin_tickets, virtual_network
 from amaranthpulley.transport.bench import capacity_tables, slopes
+from amaranthpulley.transport.emulation import standin_tickets, virtual_network
 
 DAEMONS: Final = (8, 32, 64, 128, 256, 512)
 # Smaller fleets have fewer daemons than there are watchers in all failure domains.
--- a/amaranthpulley/transport/bench/capacity_journal.py
+++ b/amaranthpulley/transport/bench/capacity_journal.py
@@ -3,8 +3,9 @@
 import random
 from typing import Final
 
-from amaranthpulley.coordination import journaling, stored_values
-from amaranthpulley.state import journal
+from amaranthpulley.coordination import stored_values
+from amaranthpulley.coordination.accounts import journaling
+from amaranthpulley.state.accounts import journal
 from amaranthpulley.transport.bench import slopes
 
 RECORDS: Final = (256, 2_560, 25_600, 102_400)
--- a/amaranthpulley/transport/bench/capacity_searches.py
+++ b/amaranthpulley/transport/bench/capacity_searches.py
@@ -4,7 +4,9 @@
 
 from amaranthpulley.coordination import commands, engine, events
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import keyspace, requests, searches, targets, topology
+from amaranthpulley.state import requests, targets
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace, searches
 from amaranthpulley.transport.bench import capacity_tables, slopes
 
 ASKED: Final = (3, 30, 81, 243)
--- a/amaranthpulley/transport/bench/capacity_tables.py
+++ b/amaranthpulley/transport/bench/capacity_tables.py
@@ -3,12 +3,8 @@
 from typing import Final
 
 from amaranthpulley.coordination import stored_values
-from amaranthpulley.state import (
-    configuration,
-    members,
-    targets,
-    topology,
-)
+from amaranthpulley.state import targets
+from amaranthpulley.state.control import configuration, members, topology
 from amaranthpulley.transport.bench import slopes
 
 LEAVES: Final = (1_000, 5_000, 25_000, 75_000)
--- a/amaranthpulley/transport/bench/control.py
+++ b/amaranthpulley/transport/bench/control.py
@@ -7,11 +7,13 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import events, leasing, ticketing
+from amaranthpulley.coordination import events
+from amaranthpulley.coordination.control import leasing, ticketing
 from amaranthpulley.protocol import peer_codec, store_api
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import store, topology
-from amaranthpulley.transport import virtual_network, virtual_platform
+from amaranthpulley.state import store
+from amaranthpulley.state.control import topology
+from amaranthpulley.transport.emulation import virtual_network, virtual_platform
 
 DAEMONS: Final = (8, 64, 512)
 QUICK_DAEMONS: Final = (8, 16)
--- a/amaranthpulley/transport/bench/domain_loss.py
+++ b/amaranthpulley/transport/bench/domain_loss.py
@@ -2,7 +2,8 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import members, standin_leaf
+from amaranthpulley.state import standin_leaf
+from amaranthpulley.state.control import members
 from amaranthpulley.transport.bench import measuring, sites, trial, workload
 
 LOAD: Final = 0.4
--- a/amaranthpulley/transport/bench/links.py
+++ b/amaranthpulley/transport/bench/links.py
@@ -6,8 +6,8 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from amaranthpulley.transport import virtual_network
     from amaranthpulley.transport.bench import sites
+    from amaranthpulley.transport.emulation import virtual_network
 
 # A message without a reply holds its connection no longer than this.
 FORGET_MS = 2_000
--- a/amaranthpulley/transport/bench/measuring.py
+++ b/amaranthpulley/transport/bench/measuring.py
@@ -4,9 +4,10 @@
 from collections.abc import Iterable
 from typing import Final
 
-from amaranthpulley.state import keyspace, requests
-from amaranthpulley.transport import virtual_network
+from amaranthpulley.state import requests
+from amaranthpulley.state.searches import keyspace
 from amaranthpulley.transport.bench import histogram, sites
+from amaranthpulley.transport.emulation import virtual_network
 
 COVERAGE_TOLERANCE: Final = 1e-6
 SECOND_MS: Final = 1_000
--- a/amaranthpulley/transport/bench/order_site.py
+++ b/amaranthpulley/transport/bench/order_site.py
@@ -4,16 +4,10 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import claim_segments
-from amaranthpulley.state import (
-    daemon,
-    members,
-    requests,
-    standin_leaf,
-    store,
-    topology,
-)
-from amaranthpulley.transport import (
+from amaranthpulley.coordination.orders import claim_segments
+from amaranthpulley.state import daemon, requests, standin_leaf, store
+from amaranthpulley.state.control import members, topology
+from amaranthpulley.transport.emulation import (
     standin_tickets,
     virtual_network,
     virtual_platform,
--- a/amaranthpulley/transport/bench/search_cost.py
+++ b/amaranthpulley/transport/bench/search_cost.py
@@ -14,15 +14,11 @@
 
 from amaranthpulley.coordination import events
 from amaranthpulley.protocol import settings as settings_protocol
-from amaranthpulley.state import requests, topology
-from amaranthpulley.transport import (
-    daemon_process,
-    errors,
-    standin_server,
-    standin_tickets,
-    system_clock,
-)
+from amaranthpulley.state import requests
+from amaranthpulley.state.control import topology
+from amaranthpulley.transport import daemon_process, errors, system_clock
 from amaranthpulley.transport.bench import histogram, linear_fit, sampling
+from amaranthpulley.transport.emulation import standin_server, standin_tickets
 
 LEAVES_FILE: Final = "leaves-{}.txt"
 SIZES: Final = (3, 30, 81, 243)
--- a/amaranthpulley/transport/bench/sites.py
+++ b/amaranthpulley/transport/bench/sites.py
@@ -4,15 +4,11 @@
 import itertools
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import (
-    daemon,
-    keyspace,
-    members,
-    standin_leaf,
-    topology,
-)
-from amaranthpulley.transport import standin_tickets, virtual_network
+from amaranthpulley.state import daemon, standin_leaf
+from amaranthpulley.state.control import members, topology
+from amaranthpulley.state.searches import keyspace
 from amaranthpulley.transport.bench import links
+from amaranthpulley.transport.emulation import standin_tickets, virtual_network
 
 DAEMONS: Final = 6
 FIRST_VERSION: Final = 1
--- a/amaranthpulley/transport/bench/tests/test_trial.py
+++ b/amaranthpulley/transport/bench/tests/test_trial.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from amaranthpulley.state import keyspace, requests
+from amaranthpulley.state import requests
+from amaranthpulley.state.searches import keyspace
 from amaranthpulley.transport.bench import measuring, sites, trial, workload
 
 SHAPE = sites.DISPATCH._replace(instances=3)
--- a/amaranthpulley/transport/bench/workload.py
+++ b/amaranthpulley/transport/bench/workload.py
@@ -7,8 +7,8 @@
 
 from amaranthpulley.coordination import commands
 from amaranthpulley.state import requests, standin_leaf
-from amaranthpulley.transport import virtual_targets
 from amaranthpulley.transport.bench import measuring, sites
+from amaranthpulley.transport.emulation import virtual_targets
 
 MEAN_SERVICE_MS: Final = 20.0
 SERVICE_SIGMA: Final = 0.5
--- a/amaranthpulley/transport/customer_export.py
+++ b/amaranthpulley/transport/customer_export.py
@@ -13,14 +13,15 @@
 import eventlet
 import msgspec
 
-from amaranthpulley.coordination import (
-    claim_segments,
+from amaranthpulley.coordination import stored_values
+from amaranthpulley.coordination.accounts import (
     journal_gaps,
     journal_retention,
     journal_writing,
-    stored_values,
 )
-from amaranthpulley.state import journal, requests, store
+from amaranthpulley.coordination.orders import claim_segments
+from amaranthpulley.state import requests, store
+from amaranthpulley.state.accounts import journal
 from amaranthpulley.transport import errors, iso_times, store_client
 
 Call = Callable[[store.Operation], store.Result]
--- a/amaranthpulley/transport/demo.py
+++ b/amaranthpulley/transport/demo.py
@@ -9,13 +9,11 @@
 import urllib3
 
 from amaranthpulley.protocol import settings as settings_protocol
-from amaranthpulley.state import keyspace, standin_leaf, topology
-from amaranthpulley.transport import (
-    daemon_process,
-    standin_server,
-    standin_tickets,
-    system_clock,
-)
+from amaranthpulley.state import standin_leaf
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace
+from amaranthpulley.transport import daemon_process, system_clock
+from amaranthpulley.transport.emulation import standin_server, standin_tickets
 
 DOMAINS: Final = ("Recife", "Fortaleza", "Salvador")
 INSTANCES: Final = 10
--- /dev/null
+++ b/amaranthpulley/transport/emulation/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the outside world: over HTTP, and under virtual time."""
--- a/amaranthpulley/transport/standin_server.py
+++ b/amaranthpulley/transport/emulation/standin_server.py
@@ -9,7 +9,8 @@
 from amaranthpulley.coordination import events
 from amaranthpulley.protocol import json_codec, leaf_api, store_api, vm_list_api
 from amaranthpulley.state import clock as clock_state
-from amaranthpulley.state import members, standin_leaf, standin_store, store, targets
+from amaranthpulley.state import standin_leaf, standin_store, store, targets
+from amaranthpulley.state.control import members
 from amaranthpulley.transport import web
 
 MAXIMUM_STORE_BODY_BYTES: Final = 2 * 1024 * 1024
--- a/amaranthpulley/transport/standin_tickets.py
+++ b/amaranthpulley/transport/emulation/standin_tickets.py
@@ -1,7 +1,8 @@
 """Puts change tickets into a stand-in store at once, without the rules for tickets."""
 
 from amaranthpulley.coordination import stored_values
-from amaranthpulley.state import standin_store, store, tickets, topology
+from amaranthpulley.state import standin_store, store
+from amaranthpulley.state.control import tickets, topology
 
 
 def put(
--- a/amaranthpulley/transport/standins.py
+++ b/amaranthpulley/transport/emulation/standins.py
@@ -6,8 +6,10 @@
 
 import eventlet.event
 
-from amaranthpulley.state import keyspace, standin_leaf
-from amaranthpulley.transport import standin_server, system_clock
+from amaranthpulley.state import standin_leaf
+from amaranthpulley.state.searches import keyspace
+from amaranthpulley.transport import system_clock
+from amaranthpulley.transport.emulation import standin_server
 
 SAMPLE_KEYS: Final = [f"item-{number:04d}" for number in range(1_000)]
 SLOTS: Final = 2
--- a/amaranthpulley/transport/virtual_network.py
+++ b/amaranthpulley/transport/emulation/virtual_network.py
@@ -18,17 +18,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from amaranthpulley.coordination import commands, engine, events, peer_messages
+from amaranthpulley.coordination import commands, engine, events
+from amaranthpulley.coordination.control import peer_messages
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import (
-    members,
-    requests,
-    standin_leaf,
-    standin_store,
-    topology,
-)
-from amaranthpulley.transport import virtual_platform, virtual_targets
+from amaranthpulley.state import requests, standin_leaf, standin_store
+from amaranthpulley.state.control import members, topology
+from amaranthpulley.transport.emulation import virtual_platform, virtual_targets
 
 DEFAULT_DELAY_MS = 1
 HAND_OVERS = 3
--- a/amaranthpulley/transport/virtual_platform.py
+++ b/amaranthpulley/transport/emulation/virtual_platform.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from amaranthpulley.coordination import commands, events, ticketing
-from amaranthpulley.state import standin_store, store, topology
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.control import ticketing
+from amaranthpulley.state import standin_store, store
+from amaranthpulley.state.control import topology
 
 if typing.TYPE_CHECKING:
-    from amaranthpulley.transport import virtual_network
+    from amaranthpulley.transport.emulation import virtual_network
 
 STORE_ADDRESS = "store"
 OPERATOR_ADDRESS = "operator"
--- a/amaranthpulley/transport/virtual_targets.py
+++ b/amaranthpulley/transport/emulation/virtual_targets.py
@@ -7,10 +7,11 @@
 from typing import Final
 
 from amaranthpulley.coordination import commands, events
-from amaranthpulley.state import searches, standin_leaf
+from amaranthpulley.state import standin_leaf
+from amaranthpulley.state.searches import searches
 
 if typing.TYPE_CHECKING:
-    from amaranthpulley.transport import virtual_network
+    from amaranthpulley.transport.emulation import virtual_network
 
 # Time for a target to confirm a cancellation.
 CANCEL_GRACE_MS: Final = 200
--- a/amaranthpulley/transport/iso_times.py
+++ b/amaranthpulley/transport/iso_times.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from amaranthpulley.coordination import journal_gaps
+from amaranthpulley.coordination.accounts import journal_gaps
 from amaranthpulley.transport import errors, system_clock
 
 
--- a/amaranthpulley/transport/target_client.py
+++ b/amaranthpulley/transport/target_client.py
@@ -5,7 +5,7 @@
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import leaf_api
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 from amaranthpulley.transport import http_connections, stamping
 
 AttemptEnd = events.AttemptAnswered | events.AttemptFailed
--- a/amaranthpulley/transport/tests/control_site.py
+++ b/amaranthpulley/transport/tests/control_site.py
@@ -2,17 +2,12 @@
 
 from collections.abc import Iterable
 
-from amaranthpulley.coordination import commands, events, ticketing
-from amaranthpulley.state import (
-    daemon,
-    keyspace,
-    members,
-    requests,
-    standin_leaf,
-    store,
-    topology,
-)
-from amaranthpulley.transport import virtual_network
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.control import ticketing
+from amaranthpulley.state import daemon, requests, standin_leaf, store
+from amaranthpulley.state.control import members, topology
+from amaranthpulley.state.searches import keyspace
+from amaranthpulley.transport.emulation import virtual_network
 
 DOMAINS = ("Kathmandu", "Pokhara", "Biratnagar")
 KEYS = [f"item-{number}" for number in range(50)]
--- a/amaranthpulley/transport/tests/journal_site.py
+++ b/amaranthpulley/transport/tests/journal_site.py
@@ -2,18 +2,13 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import journal_gaps
-from amaranthpulley.state import (
-    clock,
-    daemon,
-    journal,
-    keyspace,
-    requests,
-    standin_leaf,
-    store,
-    topology,
-)
-from amaranthpulley.transport import customer_export, virtual_network
+from amaranthpulley.coordination.accounts import journal_gaps
+from amaranthpulley.state import clock, daemon, requests, standin_leaf, store
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace
+from amaranthpulley.transport import customer_export
+from amaranthpulley.transport.emulation import virtual_network
 
 VMS: Final = ("vm-1", "vm-2", "vm-3")
 CUSTOMERS: Final = ("forno", "timer")
--- a/amaranthpulley/transport/tests/order_site.py
+++ b/amaranthpulley/transport/tests/order_site.py
@@ -3,17 +3,12 @@
 import collections
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination import claim_segments, stored_values
-from amaranthpulley.state import (
-    claims,
-    daemon,
-    members,
-    requests,
-    standin_leaf,
-    store,
-    topology,
-)
-from amaranthpulley.transport import standin_tickets, virtual_network
+from amaranthpulley.coordination import stored_values
+from amaranthpulley.coordination.orders import claim_segments
+from amaranthpulley.state import daemon, requests, standin_leaf, store
+from amaranthpulley.state.control import members, topology
+from amaranthpulley.state.orders import claims
+from amaranthpulley.transport.emulation import standin_tickets, virtual_network
 
 SERVICE: Final = "booking"
 CUSTOMER: Final = "forno-limpo"
--- a/amaranthpulley/transport/tests/search_site.py
+++ b/amaranthpulley/transport/tests/search_site.py
@@ -4,15 +4,10 @@
 import itertools
 from typing import Final, NamedTuple
 
-from amaranthpulley.state import (
-    daemon,
-    keyspace,
-    members,
-    requests,
-    standin_leaf,
-    topology,
-)
-from amaranthpulley.transport import standin_tickets, virtual_network
+from amaranthpulley.state import daemon, requests, standin_leaf
+from amaranthpulley.state.control import members, topology
+from amaranthpulley.state.searches import keyspace
+from amaranthpulley.transport.emulation import standin_tickets, virtual_network
 
 SERVICE: Final = "stock"
 CELLS: Final = keyspace.split_evenly(12)
--- a/amaranthpulley/transport/tests/test_crash_blame.py
+++ b/amaranthpulley/transport/tests/test_crash_blame.py
@@ -7,8 +7,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from amaranthpulley.coordination import crash_blame
-from amaranthpulley.state import crashes, facts, requests, topology
+from amaranthpulley.coordination.searches import crash_blame
+from amaranthpulley.state import crashes, requests
+from amaranthpulley.state.control import facts, topology
 from amaranthpulley.transport.tests import search_site
 
 PROFILE: Final = hypothesis.settings(
--- a/amaranthpulley/transport/tests/test_customer_export.py
+++ b/amaranthpulley/transport/tests/test_customer_export.py
@@ -9,22 +9,13 @@
 import hypothesis
 from hypothesis import strategies
 
-from amaranthpulley.coordination import (
-    events,
-    journal_gaps,
-    journal_writing,
-    stored_values,
-)
-from amaranthpulley.state import (
-    claims,
-    journal,
-    store,
-)
-from amaranthpulley.transport import (
-    customer_export,
-    errors,
-    virtual_platform,
-)
+from amaranthpulley.coordination import events, stored_values
+from amaranthpulley.coordination.accounts import journal_gaps, journal_writing
+from amaranthpulley.state import store
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.orders import claims
+from amaranthpulley.transport import customer_export, errors
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import journal_site
 
 
--- a/amaranthpulley/transport/tests/test_daemons.py
+++ b/amaranthpulley/transport/tests/test_daemons.py
@@ -15,15 +15,15 @@
 
 from amaranthpulley.coordination import events  # noqa: E402
 from amaranthpulley.protocol import peer_codec, ticket_file  # noqa: E402
-from amaranthpulley.state import members  # noqa: E402
+from amaranthpulley.state.control import members  # noqa: E402
 from amaranthpulley.transport import (  # noqa: E402
     daemon_process,
     errors,
     peers,
-    standin_server,
     system_clock,
     ticket_commands,
 )
+from amaranthpulley.transport.emulation import standin_server  # noqa: E402
 from amaranthpulley.transport.tests import control_site  # noqa: E402
 
 DOMAINS = control_site.DOMAINS
--- a/amaranthpulley/transport/tests/test_dissemination.py
+++ b/amaranthpulley/transport/tests/test_dissemination.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from amaranthpulley.state import facts
-from amaranthpulley.transport import virtual_platform
+from amaranthpulley.state.control import facts
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import control_site
 
 DOMAINS = control_site.DOMAINS
--- a/amaranthpulley/transport/tests/test_journal_retention.py
+++ b/amaranthpulley/transport/tests/test_journal_retention.py
@@ -3,15 +3,17 @@
 import unittest
 from typing import Final
 
-from amaranthpulley.coordination import (
-    events,
+from amaranthpulley.coordination import events, stored_values
+from amaranthpulley.coordination.accounts import (
     journal_gaps,
     journal_retention,
     journal_writing,
-    stored_values,
 )
-from amaranthpulley.state import journal, log_events, members, topology
-from amaranthpulley.transport import customer_export, virtual_platform
+from amaranthpulley.state import log_events
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.state.control import members, topology
+from amaranthpulley.transport import customer_export
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import journal_site
 
 DAY_MS: Final = journal_retention.DAY_MS
--- a/amaranthpulley/transport/tests/test_leasing.py
+++ b/amaranthpulley/transport/tests/test_leasing.py
@@ -5,9 +5,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from amaranthpulley.coordination import leasing
+from amaranthpulley.coordination.control import leasing
 from amaranthpulley.state import daemon
-from amaranthpulley.transport import virtual_network, virtual_platform
+from amaranthpulley.transport.emulation import virtual_network, virtual_platform
 
 NAME = "feed/leaf-1"
 SETTINGS = {"derandomize": True, "deadline": None, "database": None}
--- a/amaranthpulley/transport/tests/test_leaving.py
+++ b/amaranthpulley/transport/tests/test_leaving.py
@@ -5,9 +5,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from amaranthpulley.coordination import leasing
-from amaranthpulley.state import requests, topology
-from amaranthpulley.transport import virtual_platform
+from amaranthpulley.coordination.control import leasing
+from amaranthpulley.state import requests
+from amaranthpulley.state.control import topology
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import control_site
 
 DOMAINS = control_site.DOMAINS
--- a/amaranthpulley/transport/tests/test_membership.py
+++ b/amaranthpulley/transport/tests/test_membership.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from amaranthpulley.coordination import membership
-from amaranthpulley.state import members
+from amaranthpulley.coordination.control import membership
+from amaranthpulley.state.control import members
 from amaranthpulley.transport.tests import control_site
 
 DEATH_MS = 10_000
--- a/amaranthpulley/transport/tests/test_order_faults.py
+++ b/amaranthpulley/transport/tests/test_order_faults.py
@@ -2,9 +2,11 @@
 
 import unittest
 
-from amaranthpulley.coordination import claim_commit, claiming, events, ordering
-from amaranthpulley.state import claims, daemon, requests, standin_leaf
-from amaranthpulley.transport import virtual_platform
+from amaranthpulley.coordination import events
+from amaranthpulley.coordination.orders import claim_commit, claiming, ordering
+from amaranthpulley.state import daemon, requests, standin_leaf
+from amaranthpulley.state.orders import claims
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import order_site
 
 Refusal = requests.Refusal
--- a/amaranthpulley/transport/tests/test_order_properties.py
+++ b/amaranthpulley/transport/tests/test_order_properties.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from amaranthpulley.state import requests, standin_leaf
-from amaranthpulley.transport import virtual_platform
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import order_site
 
 EXAMPLES: Final = 40
--- a/amaranthpulley/transport/tests/test_runtime.py
+++ b/amaranthpulley/transport/tests/test_runtime.py
@@ -10,13 +10,8 @@
 import eventlet  # noqa: E402
 
 from amaranthpulley.coordination import commands, engine, events  # noqa: E402
-from amaranthpulley.state import (  # noqa: E402
-    daemon,
-    hybrid_clock,
-    log_events,
-    requests,
-    topology,
-)
+from amaranthpulley.state import daemon, hybrid_clock, log_events, requests  # noqa: E402
+from amaranthpulley.state.control import topology  # noqa: E402
 from amaranthpulley.transport import runtime, stamping, system_clock  # noqa: E402
 
 _TARGET = topology.Target("leaf-1", "stock", 0, "s0", "Pokhara", "no address")
--- a/amaranthpulley/transport/tests/test_searching_cold.py
+++ b/amaranthpulley/transport/tests/test_searching_cold.py
@@ -6,9 +6,10 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from amaranthpulley.coordination import cold
-from amaranthpulley.state import daemon, facts, standin_leaf, topology
-from amaranthpulley.transport import virtual_platform
+from amaranthpulley.coordination.searches import cold
+from amaranthpulley.state import daemon, standin_leaf
+from amaranthpulley.state.control import facts, topology
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import search_site, test_searching_properties
 
 INTERLEAVINGS: Final = 60
--- a/amaranthpulley/transport/tests/test_searching_limits.py
+++ b/amaranthpulley/transport/tests/test_searching_limits.py
@@ -6,8 +6,9 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from amaranthpulley.coordination import limits
-from amaranthpulley.state import daemon, members, requests, standin_leaf, topology
+from amaranthpulley.coordination.searches import limits
+from amaranthpulley.state import daemon, requests, standin_leaf
+from amaranthpulley.state.control import members, topology
 from amaranthpulley.transport.tests import search_site
 
 _SETTINGS = hypothesis.settings(
--- a/amaranthpulley/transport/tests/test_searching_mutations.py
+++ b/amaranthpulley/transport/tests/test_searching_mutations.py
@@ -7,8 +7,10 @@
 from typing import Final
 from unittest import mock
 
-from amaranthpulley.coordination import engine, events, searching
-from amaranthpulley.state import keyspace, requests, searches
+from amaranthpulley.coordination import engine, events
+from amaranthpulley.coordination.searches import searching
+from amaranthpulley.state import requests
+from amaranthpulley.state.searches import keyspace, searches
 from amaranthpulley.transport.tests import search_site, test_searching_properties
 
 TRIES: Final = 40
--- a/amaranthpulley/transport/tests/test_searching_snapshot.py
+++ b/amaranthpulley/transport/tests/test_searching_snapshot.py
@@ -2,8 +2,9 @@
 
 import unittest
 
-from amaranthpulley.coordination import snapshots
-from amaranthpulley.state import requests, standin_leaf, topology
+from amaranthpulley.coordination.searches import snapshots
+from amaranthpulley.state import requests, standin_leaf
+from amaranthpulley.state.control import topology
 from amaranthpulley.transport.tests import search_site
 
 _GIVES_COVERAGE = topology.Service(
--- a/amaranthpulley/transport/tests/test_searching_stragglers.py
+++ b/amaranthpulley/transport/tests/test_searching_stragglers.py
@@ -2,15 +2,11 @@
 
 import unittest
 
-from amaranthpulley.coordination import commands, events, retrying
-from amaranthpulley.state import (
-    budgets,
-    keyspace,
-    latency,
-    requests,
-    standin_leaf,
-    topology,
-)
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.searches import retrying
+from amaranthpulley.state import budgets, latency, requests, standin_leaf
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace
 from amaranthpulley.transport.tests import search_site
 
 _SERVICE = topology.Service(search_site.SERVICE, topology.ServiceKind.SEARCH)
--- a/amaranthpulley/transport/tests/test_sight.py
+++ b/amaranthpulley/transport/tests/test_sight.py
@@ -5,7 +5,8 @@
 
 from amaranthpulley.coordination import commands, events, explaining
 from amaranthpulley.protocol import settings, status_api
-from amaranthpulley.state import hybrid_clock, log_events, requests, targets, topology
+from amaranthpulley.state import hybrid_clock, log_events, requests, targets
+from amaranthpulley.state.control import topology
 from amaranthpulley.transport import admin, callers, log_sink, metrics, web
 from amaranthpulley.transport.tests import journal_site
 
--- a/amaranthpulley/transport/tests/test_stamping.py
+++ b/amaranthpulley/transport/tests/test_stamping.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from amaranthpulley.coordination import commands, events, peer_messages
+from amaranthpulley.coordination import commands, events
+from amaranthpulley.coordination.control import peer_messages
 from amaranthpulley.protocol import errors, peer_codec
 from amaranthpulley.state import clock, hybrid_clock
 from amaranthpulley.transport import peer_calls, stamping
--- a/amaranthpulley/transport/tests/test_target_client.py
+++ b/amaranthpulley/transport/tests/test_target_client.py
@@ -7,7 +7,7 @@
 
 from amaranthpulley.coordination import commands, events
 from amaranthpulley.protocol import leaf_api
-from amaranthpulley.state import topology
+from amaranthpulley.state.control import topology
 from amaranthpulley.transport import target_client
 
 _TARGET = topology.Target("t", "stock", 0, "s", "Pokhara", "127.0.0.1:9")
--- a/amaranthpulley/transport/tests/test_ticketing.py
+++ b/amaranthpulley/transport/tests/test_ticketing.py
@@ -5,9 +5,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from amaranthpulley.coordination import stored_values, ticketing
-from amaranthpulley.state import standin_store, store, tickets, topology
-from amaranthpulley.transport import virtual_network, virtual_platform
+from amaranthpulley.coordination import stored_values
+from amaranthpulley.coordination.control import ticketing
+from amaranthpulley.state import standin_store, store
+from amaranthpulley.state.control import tickets, topology
+from amaranthpulley.transport.emulation import virtual_network, virtual_platform
 from amaranthpulley.transport.tests import control_site
 
 DOMAINS = control_site.DOMAINS
--- a/amaranthpulley/transport/tests/test_virtual_network.py
+++ b/amaranthpulley/transport/tests/test_virtual_network.py
@@ -2,14 +2,10 @@
 
 import unittest
 
-from amaranthpulley.state import (
-    daemon,
-    keyspace,
-    requests,
-    standin_leaf,
-    topology,
-)
-from amaranthpulley.transport import standin_tickets, virtual_network
+from amaranthpulley.state import daemon, requests, standin_leaf
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace
+from amaranthpulley.transport.emulation import standin_tickets, virtual_network
 
 SHARDS = 3
 KEYS = [f"item-{number}" for number in range(50)]
--- a/amaranthpulley/transport/ticket_commands.py
+++ b/amaranthpulley/transport/ticket_commands.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from amaranthpulley.coordination import peer_messages, ticketing
+from amaranthpulley.coordination.control import peer_messages, ticketing
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import peer_codec, ticket_file, ticket_status_api
-from amaranthpulley.state import configuration, store, topology
+from amaranthpulley.state import store
+from amaranthpulley.state.control import configuration, topology
 from amaranthpulley.transport import (
     errors,
     iso_times,
--- a/amaranthpulley/transport/vm_list_client.py
+++ b/amaranthpulley/transport/vm_list_client.py
@@ -4,7 +4,7 @@
 
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import vm_list_api
-from amaranthpulley.state import members
+from amaranthpulley.state.control import members
 from amaranthpulley.transport import http_connections
 
 
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -4,11 +4,12 @@
 import msgspec
 from behave import runner
 
-from amaranthpulley.coordination import leasing, peer_messages
+from amaranthpulley.coordination.control import leasing, peer_messages
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import peer_codec
-from amaranthpulley.state import members, store
-from amaranthpulley.transport import virtual_platform
+from amaranthpulley.state import store
+from amaranthpulley.state.control import members
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import control_site
 
 DOMAINS = control_site.DOMAINS
--- a/features/steps/operator_export.py
+++ b/features/steps/operator_export.py
@@ -7,9 +7,12 @@
 from behave import runner
 
 from amaranthpulley import cli
-from amaranthpulley.coordination import events, journal_gaps, journal_writing
-from amaranthpulley.state import journal, store
-from amaranthpulley.transport import customer_export, virtual_platform
+from amaranthpulley.coordination import events
+from amaranthpulley.coordination.accounts import journal_gaps, journal_writing
+from amaranthpulley.state import store
+from amaranthpulley.state.accounts import journal
+from amaranthpulley.transport import customer_export
+from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import journal_site
 
 CUSTOMER = "forno"
--- a/features/steps/operator_ticket_steps.py
+++ b/features/steps/operator_ticket_steps.py
@@ -8,10 +8,11 @@
 import behave
 from behave import runner
 
-from amaranthpulley.coordination import ticketing
+from amaranthpulley.coordination.control import ticketing
 from amaranthpulley.protocol import errors, ticket_file
-from amaranthpulley.state import standin_store, topology
-from amaranthpulley.transport import virtual_network
+from amaranthpulley.state import standin_store
+from amaranthpulley.state.control import topology
+from amaranthpulley.transport.emulation import virtual_network
 from amaranthpulley.transport.tests import control_site
 
 
--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -12,7 +12,8 @@
 from behave import runner
 
 from amaranthpulley.coordination import commands, events
-from amaranthpulley.state import keyspace, topology
+from amaranthpulley.state.control import topology
+from amaranthpulley.state.searches import keyspace
 from amaranthpulley.transport import target_client
 
 TIMEOUT_MS: Final = 300
--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -15,7 +15,8 @@
 
 from amaranthpulley.coordination import stored_values
 from amaranthpulley.protocol import store_api, vm_list_api
-from amaranthpulley.state import members, store, tickets, topology
+from amaranthpulley.state import store
+from amaranthpulley.state.control import members, tickets, topology
 
 SHARDS: Final = 3
 START_TIMEOUT_S: Final = 30
