Let followers of the store know of each answer it gave, so that they stay fresh

Cause: a follower asked its watcher every 1.5 s and counted it stale after 4 s, while the watcher heard of a quiet store every 3.1 s.

Ruled out: the listing (one page for each daemon) and the registration.

Change: a watcher answers its followers whenever the store has answered it.

WatchersOfAQuietStore fails before (PeerFeedTest).

--- a/amaranthpulley/transport/forwarding/feed.py
+++ b/amaranthpulley/transport/forwarding/feed.py
@@ -134,12 +134,13 @@
             listing = self._source.read_all()
             self._list_again = False
             self._view.take_listing(listing)
+            self._view.take_confirmed((), listing.revision, self._now_ms())
             return
         changes = self._source.watch(self._view.revision, self._watch_wait_ms())
         if changes is None:
             self._list_again = True
-        else:
-            self._view.take(changes.changes, changes.revision)
+            return
+        self._view.take_confirmed(changes.changes, changes.revision, self._now_ms())
 
     def _keep_registered(self) -> None:
         registered = False
@@ -165,7 +166,6 @@
             self._feed(events.StoreReached(False, reason))
 
     def _note_success(self) -> None:
-        self._view.note_confirmed(self._now_ms())
         self._failures = 0
         if self._lost:
             self._lost = False
--- a/amaranthpulley/transport/forwarding/peer_feed.py
+++ b/amaranthpulley/transport/forwarding/peer_feed.py
@@ -12,8 +12,9 @@
 from amaranthpulley.transport import errors, http_connections
 from amaranthpulley.transport.forwarding import view as view_module
 
-# Longest wait for a change, and what is added for the answer, in milliseconds.
-WAIT_MS: Final = 1_500
+# Longest wait for an answer, and what is added for its way, in milliseconds. A watcher
+# answers as soon as the store has answered it: every 3.1 s when nothing changes.
+WAIT_MS: Final = 3_400
 ANSWER_MS: Final = 700
 RETRY_MS: Final = 500
 # A daemon whose view the store has confirmed within this time is followed: its watch
--- a/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
@@ -8,12 +8,17 @@
 
 import eventlet  # noqa: E402
 
-from amaranthpulley.coordination.forwarding import events  # noqa: E402
+from amaranthpulley.coordination.forwarding import events, relaying  # noqa: E402
 from amaranthpulley.protocol import errors  # noqa: E402
 from amaranthpulley.protocol.forwarding import relay_codec  # noqa: E402
 from amaranthpulley.state import store  # noqa: E402
 from amaranthpulley.transport import system_clock  # noqa: E402
-from amaranthpulley.transport.forwarding import peer_feed, relay, view  # noqa: E402
+from amaranthpulley.transport.forwarding import (  # noqa: E402
+    feed,
+    peer_feed,
+    relay,
+    view,
+)
 
 WAIT_S = 5.0
 
@@ -46,8 +51,16 @@
                 eventlet.sleep(0.02)
 
     def _tell(self, watcher: view.View, key: str, revision: int) -> None:
-        watcher.confirmed_ms = self.clock.monotonic_ms()
-        watcher.take([store.Change(key, revision, b"v")], revision)
+        change = store.Change(key, revision, b"v")
+        watcher.take_confirmed([change], revision, self.clock.monotonic_ms())
+
+    def _confirm_for(self, cycles: int) -> None:
+        """Let the store answer every watch of the watchers with no changes."""
+        for _ in range(cycles):
+            for watcher in self.watchers:
+                now_ms = self.clock.monotonic_ms()
+                watcher.take_confirmed([], watcher.revision, now_ms)
+            eventlet.sleep((relaying.FOLLOWED_WATCH_MS + feed.GATHER_MS) / 1000)
 
     def test_news_of_either_watcher_come_once(self) -> None:
         self.feed.start()
@@ -60,6 +73,14 @@
         self.assertEqual([event.failure_domain for event in told], ["a", "b"])
         self.assertTrue(self.feed.is_fresh())
 
+    def test_watchers_of_a_quiet_store_stay_fresh(self) -> None:
+        self.feed.start()
+        confirming = eventlet.spawn(self._confirm_for, 2)
+        self._wait(self.feed.is_fresh)
+        while not confirming.dead:
+            self.assertTrue(self.feed.is_fresh())
+            eventlet.sleep(0.02)
+
     def test_watchers_that_the_store_fails_say_so_at_once(self) -> None:
         self.feed.start()
         for number, watcher in enumerate(self.watchers):
--- a/amaranthpulley/transport/forwarding/view.py
+++ b/amaranthpulley/transport/forwarding/view.py
@@ -59,8 +59,8 @@
         """Return what has changed after a revision."""
         return self._log.after(revision)
 
-    def take(self, changes: Iterable[store.Change], revision: int) -> None:
-        """Enter changes up to a revision; what is not new does nothing."""
+    def take(self, changes: Iterable[store.Change], revision: int) -> bool:
+        """Enter changes up to a revision; return whether any of them was new."""
         news = [change for change in changes if self._log.take(change)]
         self._log.advance(revision)
         for change in news:
@@ -69,10 +69,18 @@
                 self._feed(event)
         if news:
             self._tell()
+        return bool(news)
 
-    def note_confirmed(self, now_ms: int) -> None:
-        """Note that the store has answered this daemon."""
+    def take_confirmed(
+        self, changes: Iterable[store.Change], revision: int, now_ms: int
+    ) -> None:
+        """Enter what the store has just told this daemon itself.
+
+        Followers are told in any case, so that they know how fresh their view is.
+        """
         self.confirmed_ms = now_ms
+        if not self.take(changes, revision):
+            self._tell()
 
     def note_lost(self) -> None:
         """Note that the store fails this daemon, and let its followers know at once."""
