Refuse a service that a starting daemon does not know yet as not ready

Cause: a daemon that had not read the tickets answered 404 unknown_service, which a caller takes as final.

Ruled out: lost orders (the refusals said not run, and were true); an overloaded loop.

Change: 503 not_ready while the configuration is not confirmed (UnknownServiceTest fails before).

--- a/amaranthpulley/coordination/admission.py
+++ b/amaranthpulley/coordination/admission.py
@@ -51,6 +51,9 @@
     service = daemon.configuration.service(request.service)
     if daemon.draining or journaling.refuses_requests(daemon):
         return _refuse_any(daemon)
+    if service is None and daemon.configuration.suspended:
+        # It may be in a ticket that this daemon has not read yet.
+        return _refusal(codes.NOT_READY, "send the request to another VM")
     if service is None:
         return _refusal(
             codes.UNKNOWN_SERVICE,
--- a/amaranthpulley/coordination/tests/test_admission.py
+++ b/amaranthpulley/coordination/tests/test_admission.py
@@ -14,6 +14,24 @@
     """Purpose of a timer that nobody handles."""
 
 
+class UnknownServiceTest(unittest.TestCase):
+    """Requests for a service that no ticket has named yet."""
+
+    def test_a_daemon_that_may_be_behind_sends_them_elsewhere(self) -> None:
+        identity = daemon.Identity("vm-1", "10.0.0.1:1", "Pokhara", "Pokhara", "l1")
+        tables = daemon.Daemon(identity, daemon.Limits())
+        codes = requests.RefusalCode
+        cases = ((True, codes.NOT_READY), (False, codes.UNKNOWN_SERVICE))
+        for suspended, code in cases:
+            with self.subTest(suspended=suspended):
+                tables.configuration.suspended = suspended
+                refusal = admission.admit(
+                    tables, _REQUEST, topology.ServiceKind.SEARCH, 0
+                )
+                self.assertIs(refusal.code, code)
+                self.assertTrue(refusal.not_run)
+
+
 class AdmissionTest(unittest.TestCase):
     """Requests while the loop is late."""
 
--- a/amaranthpulley/state/requests.py
+++ b/amaranthpulley/state/requests.py
@@ -103,6 +103,7 @@
 class RefusalCode(enum.StrEnum):
     """Why a request was refused."""
 
+    NOT_READY = "not_ready"
     UNKNOWN_SERVICE = "unknown_service"
     WRONG_KIND = "wrong_kind"
     DEADLINE_PASSED = "deadline_passed"
