--- /dev/null
+++ b/features/steps/forwarding_steps.py
@@ -0,0 +1,189 @@
+"""Steps about forwarded requests, the leaves and the platform's store."""
+
+import atexit
+import itertools
+import json
+import time
+from typing import Final
+
+import behave
+import urllib3
+from behave import runner
+
+from amaranthpulley.platform.tests import wire_samples
+from tests.soak import site as soak_site
+
+DEADLINE_MS: Final = 1_000
+CLIENT_TIMEOUT_S: Final = 5
+DAEMONS: Final = 2
+POLL_S: Final = 0.05
+MODES: Final = {
+    "works as usual": "answer",
+    "stays silent": "silent",
+    "resets the connection": "reset",
+    "rejects the request": "reject",
+    "fails": "fail",
+    "breaks its answer off": "cut",
+    "sends bytes that are no answer": "garble",
+    "answers twice": "extra",
+    "repeats an earlier answer first": "late",
+    "gives its answer no length": "unframed",
+}
+# What the store answers to every call; None: as usual, 0: nothing.
+STORE_FAULTS: Final = {
+    "works as usual": None,
+    "refuses every call": 503,
+    "is too busy for any call": 429,
+    "stays silent": 0,
+}
+RUNS: Final = {"never": 0, "once": 1}
+
+_numbers = itertools.count(1)
+_shared: list[soak_site.SoakSite] = []
+
+
+class ForwardingSubject:
+    """A site, and what a client of it got."""
+
+    def __init__(self, site: soak_site.SoakSite) -> None:
+        self.site = site
+        self.names: list[str] = []
+        self.answers: list[urllib3.BaseHTTPResponse] = []
+        self.prefix = ""
+        self._http = urllib3.PoolManager(retries=False, timeout=CLIENT_TIMEOUT_S)
+
+    def send(self, method: str, path: str, daemon: int = 0) -> None:
+        """Send a request to a daemon and keep the answer."""
+        name = f"contract-{next(_numbers)}"
+        headers = {
+            "Host": wire_samples.HOST,
+            "X-Request-Id": name,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+        }
+        front = self.site.daemons[daemon].front
+        answer = self._http.request(method, f"http://{front}{path}", headers=headers)
+        self.names.append(name)
+        self.answers.append(answer)
+
+    def leaf(self, leaf_id: str) -> soak_site.Leaf:
+        """Return a leaf by its identity."""
+        return next(leaf for leaf in self.site.leaves if leaf.leaf_id == leaf_id)
+
+    def runs(self) -> int:
+        """Return how often the last request ran on all leaves of its service."""
+        leaves = [leaf for leaf in self.site.leaves if leaf.service == "visits"]
+        told = [self.site.tell_leaf(leaf) for leaf in leaves]
+        return sum(runs.get(self.names[-1], 0) for runs in told)
+
+    def heal(self) -> None:
+        """Let the store and every leaf work as usual, with usual entries."""
+        self.site.tell_store(failing=None)
+        for leaf in self.site.leaves:
+            self.site.tell_leaf(leaf, mode="answer")
+            self.site.register(leaf)
+        self.site.tell_store(delete="servers/stranger")
+
+
+def _shared_site() -> soak_site.SoakSite:
+    if not _shared:
+        _shared.append(soak_site.SoakSite(DAEMONS, copies=2))
+        atexit.register(_shared[0].close)
+    return _shared[0]
+
+
+@behave.given("a forwarding site")
+def _start(context: runner.Context) -> None:
+    context.subject = ForwardingSubject(_shared_site())
+    context.add_cleanup(context.subject.heal)
+
+
+@behave.when('the leaf "{leaf_id}" {fault}')
+def _let_leaf_fail(context: runner.Context, leaf_id: str, fault: str) -> None:
+    subject = context.subject
+    subject.site.tell_leaf(subject.leaf(leaf_id), mode=MODES[fault])
+
+
+@behave.when("the store forgets its history")
+def _drop_history(context: runner.Context) -> None:
+    context.subject.site.tell_store(drop_history=True)
+
+
+@behave.when("the store {fault}")
+def _let_store_fail(context: runner.Context, fault: str) -> None:
+    context.subject.site.tell_store(failing=STORE_FAULTS[fault])
+
+
+@behave.when('another writer puts {value} at "{key}"')
+def _write_strange_item(context: runner.Context, value: str, key: str) -> None:
+    context.subject.site.tell_store(put=key, value=json.loads(value))
+
+
+@behave.when("a client searches {count:d} times")
+def _search(context: runner.Context, count: int) -> None:
+    for _ in range(count):
+        context.subject.send("GET", "/wide/1")
+
+
+@behave.when("a client sends a visit")
+def _visit(context: runner.Context) -> None:
+    context.subject.send("POST", "/visit/1")
+
+
+@behave.when("a new version of the configuration is written")
+def _configure(context: runner.Context) -> None:
+    context.subject.prefix = context.subject.site.configure()
+
+
+@behave.then("it is in force on every daemon within {seconds:d} seconds")
+def _check_in_force(context: runner.Context, seconds: int) -> None:
+    subject = context.subject
+    end = time.monotonic() + seconds
+    for number in range(DAEMONS):
+        while True:
+            subject.send("GET", f"{subject.prefix}1", number)
+            if subject.answers[-1].status == 200:
+                break
+            assert time.monotonic() < end, subject.answers[-1].data
+            time.sleep(POLL_S)
+
+
+@behave.then("every answer holds the greatest records of the parts that it names")
+def _check_records(context: runner.Context) -> None:
+    subject = context.subject
+    leaf_ids = [leaf.leaf_id for leaf in subject.site.leaves]
+    for name, answer in zip(subject.names, subject.answers, strict=True):
+        signed = {wire_samples.signature_of(leaf, name): leaf for leaf in leaf_ids}
+        parts = [signed[s] for s in answer.headers["X-Part-Stamps"].split(", ")]
+        services = {leaf_id.rpartition("-")[0] for leaf_id in parts}
+        assert len(services) == len(parts), parts
+        records = [r for part in parts for r in wire_samples.records_of(part, name)]
+        greatest = sorted(records, reverse=True)[: wire_samples.route()["TopK"]]
+        assert answer.data == b"".join(greatest), name
+
+
+@behave.then("no answer misses a shard")
+def _check_whole(context: runner.Context) -> None:
+    _check_missing(context, 0)
+
+
+@behave.then("every answer misses {count:d} shard")
+def _check_missing(context: runner.Context, count: int) -> None:
+    for answer in context.subject.answers:
+        assert answer.status == 200, (answer.status, answer.data)
+        assert answer.headers["X-Missing-Parts"] == str(count), answer.headers
+
+
+@behave.then("the status is {status:d}")
+def _check_status(context: runner.Context, status: int) -> None:
+    answer = context.subject.answers[-1]
+    assert answer.status == status, (answer.status, answer.data)
+
+
+@behave.then("the visit ran {times}")
+def _check_runs(context: runner.Context, times: str) -> None:
+    assert context.subject.runs() == RUNS[times]
+
+
+@behave.when("{seconds:d} seconds pass")
+def _wait(context: runner.Context, seconds: int) -> None:
+    time.sleep(seconds)
