--- /dev/null
+++ b/tests/test_trace_failures.py
@@ -0,0 +1,98 @@
+"""Tests of the tool that says why requests went wrong."""
+
+import json
+import unittest
+from typing import Any
+
+from amaranthpulley.state import log_events
+from tools import trace_failures
+
+_DECIDED = log_events.FORWARD_DECIDED
+_ENDED = log_events.FORWARD_ENDED
+_REFUSED = log_events.FORWARD_REFUSED
+
+
+def _line(event: log_events.LogEvent, at_ms: int, **fields: Any) -> bytes:
+    head = {
+        "time_ms": at_ms,
+        "stamp": at_ms,
+        "process": fields.pop("process", "vm-1"),
+        "event": event.number,
+        "name": event.name,
+        "request_id": fields.pop("request_id", "r1"),
+    }
+    return json.dumps({**head, **fields}).encode()
+
+
+def _decided(after_ms: int, decision: str, service: str = "s") -> bytes:
+    fields = {"decision": decision, "service": service, "detail": "leaf"}
+    return _line(_DECIDED, after_ms, after_ms=after_ms, **fields)
+
+
+def _ended(outcome: str) -> bytes:
+    return _line(_ENDED, 1_000, outcome=outcome, elapsed_ms=900)
+
+
+def _only(lines: list[bytes]) -> trace_failures.Trace:
+    (trace,) = trace_failures.read_traces(lines)
+    return trace
+
+
+class CauseTest(unittest.TestCase):
+    """Causes as they follow from a request's lines."""
+
+    def test_causes(self) -> None:
+        cases = (
+            (("sent", "unanswered"), "timed_out: leaf silent"),
+            (("sent", "lost", "sent", "lost", "unanswered"), "timed_out: lost"),
+            (
+                ("sent", "budget_spent", "budget_spent", "unanswered"),
+                "timed_out: leaf silent, budget of repeats spent",
+            ),
+            (("leaves_busy", "unanswered"), "timed_out: leaves_busy"),
+            (("sent", "rejected", "sent", "unanswered"), "timed_out: rejected"),
+        )
+        for decisions, cause in cases:
+            with self.subTest(decisions):
+                lines = [_decided(n, what) for n, what in enumerate(decisions)]
+                trace = _only([*lines, _ended("timed_out")])
+                self.assertTrue(trace_failures.went_wrong(trace))
+                self.assertEqual(trace_failures.cause_of(trace), cause)
+
+    def test_a_refusal_names_its_reason(self) -> None:
+        trace = _only([_line(_REFUSED, 5, reason="no_leaf", host="h", version=3)])
+        self.assertEqual(trace_failures.cause_of(trace), "refused: no_leaf")
+
+    def test_lines_that_do_not_say_why_give_no_cause(self) -> None:
+        trace = _only([_decided(0, "sent"), _ended("too_few_shards")])
+        self.assertIsNone(trace_failures.cause_of(trace))
+
+    def test_shards_that_answered_are_no_cause(self) -> None:
+        lines = [
+            _decided(0, "sent", "a"),
+            _decided(1, "lost", "a"),
+            _decided(2, "answered", "a"),
+            _decided(3, "sent", "b"),
+            _decided(4, "unanswered", "b"),
+            _ended("partial"),
+        ]
+        cause = trace_failures.cause_of(_only(lines))
+        self.assertEqual(cause, "partial: leaf silent")
+
+
+class ReadTracesTest(unittest.TestCase):
+    """Lines as logs hold them."""
+
+    def test_other_text_cut_lines_and_other_events_are_passed_over(self) -> None:
+        whole = [_decided(0, "sent"), _decided(9, "unanswered"), _ended("timed_out")]
+        lines = [b"  34.1 vm-1 " + line for line in whole]
+        lines += [b"", b"no event", whole[0][:40], b"\xff{\xfe"]
+        trace = _only([*lines, _line(log_events.STORE_LOST, 7, reason="x")])
+        self.assertEqual(len(trace.decisions), 2)
+
+    def test_attempts_on_two_daemons_are_apart(self) -> None:
+        first = _line(_ENDED, 1, outcome="timed_out", elapsed_ms=5)
+        second = _line(_ENDED, 2, outcome="served", elapsed_ms=5, process="vm-2")
+        traces = trace_failures.read_traces([second, first])
+        wrong = [t.process for t in traces if trace_failures.went_wrong(t)]
+        self.assertEqual(wrong, ["vm-1"])
--- /dev/null
+++ b/tools/trace_failures.py
@@ -0,0 +1,161 @@
+"""Say of every request that went wrong why it did, from the daemons' logs alone.
+
+Usage: trace_failures [--request ID] [--sample N] FILE...
+
+FILE holds what daemons wrote; other text before a line's JSON is passed over. Without
+options the causes are counted, most frequent first.
+
+Options:
+  --request ID  Show the lines of one request and its cause.
+  --sample N    Show N requests with their causes, evenly spread [default: 0].
+  -h --help     Show this text.
+"""
+
+import collections
+import sys
+from collections.abc import Iterable, Iterator
+from typing import Final, NamedTuple
+
+import docopt
+
+from amaranthpulley.state import log_events
+from amaranthpulley.transport import timeline
+
+# Decisions that are steps of a request and no reason for its failure.
+_STEPS: Final = frozenset({"sent", "answered", "unanswered", "budget_spent"})
+_REQUEST_EVENTS: Final = frozenset(
+    {
+        log_events.FORWARD_ENDED.number,
+        log_events.FORWARD_REFUSED.number,
+        log_events.FORWARD_DECIDED.number,
+    }
+)
+
+
+class Decision(NamedTuple):
+    """One decision about a request."""
+
+    after_ms: int
+    decision: str
+    service: str
+    leaf: str
+
+
+class Trace(NamedTuple):
+    """What the logs say of one attempt of a client.
+
+    Attributes
+    ----------
+    request_id, process : str
+        The request and the daemon that served it.
+    outcome : str
+        How it ended.
+    elapsed_ms : int
+        Time from its arrival to its end.
+    decisions : tuple of Decision
+        What was decided, in order.
+    """
+
+    request_id: str
+    process: str
+    outcome: str
+    elapsed_ms: int
+    decisions: tuple[Decision, ...]
+
+
+def read_traces(lines: Iterable[bytes]) -> list[Trace]:
+    """Return the traces of all requests that the lines tell of."""
+    merged = timeline.merge(line[max(0, line.find(b"{")) :] for line in lines)
+    by_request: dict[tuple[str, str], list[timeline.Event]] = {}
+    for event in merged.events:
+        if event.number in _REQUEST_EVENTS:
+            request_id = dict(event.fields).get("request_id", "")
+            by_request.setdefault((request_id, event.process), []).append(event)
+    return [_trace(*key, events) for key, events in by_request.items()]
+
+
+def went_wrong(trace: Trace) -> bool:
+    """Tell whether a trace is of a request that failed, was refused or had gaps."""
+    return trace.outcome not in ("served", "client_left")
+
+
+def cause_of(trace: Trace) -> str | None:
+    """Return why a request went wrong; None when its lines do not say."""
+    if trace.outcome.startswith("refused: "):
+        return trace.outcome
+    left: dict[str, list[Decision]] = {}
+    for decision in trace.decisions:
+        left.setdefault(decision.service, []).append(decision)
+    reasons = [
+        _reason(decisions)
+        for decisions in left.values()
+        if decisions[-1].decision == "unanswered"
+    ]
+    if not reasons:
+        return None
+    reason, count = collections.Counter(reasons).most_common(1)[0]
+    return f"{trace.outcome}: {reason}" if count else None
+
+
+def _trace(request_id: str, process: str, events: list[timeline.Event]) -> Trace:
+    outcome, elapsed_ms = "no end", 0
+    decisions = []
+    for event in events:
+        fields = dict(event.fields)
+        if event.number == log_events.FORWARD_DECIDED.number:
+            after_ms = int(fields["after_ms"])
+            what = (fields["decision"], fields["service"], fields["detail"])
+            decisions.append(Decision(after_ms, *what))
+        elif event.number == log_events.FORWARD_REFUSED.number:
+            outcome = f"refused: {fields['reason']}"
+        else:
+            outcome, elapsed_ms = fields["outcome"], int(fields["elapsed_ms"])
+    return Trace(request_id, process, outcome, elapsed_ms, tuple(decisions))
+
+
+def _reason(decisions: list[Decision]) -> str:
+    """Return why a service gave no answer: its last trouble, or silence."""
+    for decision in reversed(decisions):
+        if decision.decision not in _STEPS:
+            return decision.decision
+    if any(decision.decision == "budget_spent" for decision in decisions):
+        return "leaf silent, budget of repeats spent"
+    return "leaf silent"
+
+
+def _sample(traces: list[Trace], count: int) -> Iterator[Trace]:
+    step = max(1, len(traces) // count)
+    yield from traces[::step][:count]
+
+
+def _show(trace: Trace) -> None:
+    for d in trace.decisions:
+        print(f"  {d.after_ms:>6} ms  {d.decision} {d.service} {d.leaf}".rstrip())
+    print(f"  {trace.elapsed_ms:>6} ms  ended {trace.outcome} on {trace.process}")
+
+
+def main(words: list[str]) -> int:
+    """Show what the options ask for; return 1 when a request is not traced."""
+    options = docopt.docopt(__doc__, words)
+    traces = read_traces(timeline.read_logs(options["FILE"]))
+    if options["--request"]:
+        found = [t for t in traces if t.request_id == options["--request"]]
+        for trace in found:
+            _show(trace)
+            print(f"cause: {cause_of(trace)}")
+        return 0 if found else 1
+    wrong = [trace for trace in traces if went_wrong(trace)]
+    count = int(options["--sample"])
+    if count:
+        for trace in _sample(wrong, count):
+            print(f"{trace.request_id} {trace.process}: {cause_of(trace)}")
+    causes = collections.Counter(cause_of(trace) for trace in wrong)
+    for cause, number in causes.most_common():
+        print(f"{number:>6}  {cause or 'not traced'}")
+    traced = len(wrong) - causes[None]
+    print(f"{traced} of {len(wrong)} requests that went wrong have a cause")
+    return 0 if traced == len(wrong) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
