Tell the daemons of a region of slow leaves; ask a leaf that lost its answer again

Cause 1: 76 daemons get one request a second each. When 18 leaves turned slow, each daemon had to learn that by itself, and forgot it (2 s) before its next request: a quarter of the requests of 8 s were late. Late answers are now told to eight daemons of the region by datagrams, an answer's weight grows with the time since the last one, and slowness is forgotten in 4 s. Cause 2: with answers lost on 100 leaves, shards were given up after two sends, one to each of the two leaves that the route allows. A leaf that lost its answer gets the request once more; the number of leaves stays the route's, and the budget holds. Cause 3: while the store failed, all daemons called it several times a second. Followers now wait 1 s and call it every 1 to 3 s; registrations are tried every 2.5 s.

Also: the trace of a request that went wrong names shards without an answer.

The property of leaves a shard runs on counted sends; it counts leaves and runs of each leaf now, as the route's limit does.

--- a/amaranthpulley/coordination/forwarding/choosing.py
+++ b/amaranthpulley/coordination/forwarding/choosing.py
@@ -33,7 +33,7 @@
 # What a leaf takes to accept a connection, in milliseconds: the users' 6 ms.
 OPENING_MS: Final = 6.0
 # How fast a leaf that has got no requests counts as usual again, in milliseconds.
-SLOWNESS_MEMORY_MS: Final = 2_000.0
+SLOWNESS_MEMORY_MS: Final = 4_000.0
 # How fast a leaf's failures are forgotten while it gets no requests, in milliseconds.
 FAILURE_MEMORY_MS: Final = 5_000.0
 # A smaller share of failures than this makes no difference.
@@ -51,6 +51,9 @@
 # Daemons assumed until the store has told how many there are: the users' largest site.
 UNKNOWN_DAEMONS: Final = 8
 
+# How often one leaf may run the same request: a lost answer is asked for once more.
+RUNS_OF_ONE_LEAF: Final = 2
+
 Random = Callable[[], float]
 
 
@@ -179,7 +182,7 @@
     chosen: leaves.Leaf | None = None
     for leaf in gateway.directory.of_service(call.service):
         if (
-            leaf.entry.leaf_id in call.tried
+            not is_open_to(call, route, leaf.entry.leaf_id)
             or leaf.full_until_ms > now_ms
             or not may_take(gateway, leaf, route, now_ms)
             or leaf.in_flight >= connection_share(gateway, leaf)
@@ -193,6 +196,24 @@
     return chosen
 
 
+def is_open_to(call: requests.ShardCall, route: routes.Route, leaf_id: str) -> bool:
+    """Tell whether a leaf may get a shard's request as far as earlier sends go.
+
+    Once as many leaves as the route allows may have run the request, only these are
+    left for a repeat.
+    """
+    if len(call.runs) < route.maximum_leaves:
+        return leaf_id not in call.tried
+    return may_run_it_again(call, leaf_id)
+
+
+def may_run_it_again(call: requests.ShardCall, leaf_id: str) -> bool:
+    """Tell whether a leaf that may have run a request may get it once more."""
+    if not 0 < call.runs.get(leaf_id, 0) < RUNS_OF_ONE_LEAF:
+        return False
+    return all(attempt.leaf_id != leaf_id for attempt in call.attempts.values())
+
+
 def may_take(
     gateway: gateway_state.Gateway,
     leaf: leaves.Leaf,
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -120,6 +120,14 @@
     path: str
 
 
+class TellSlowness(NamedTuple):
+    """Tell other daemons that a leaf took so many usual times."""
+
+    leaf_id: str
+    slowness: float
+    addresses: tuple[str, ...]
+
+
 Command = (
     SendAttempt
     | CancelAttempt
@@ -129,5 +137,6 @@
     | WakeAt
     | OpenConnection
     | ProbeLeaf
+    | TellSlowness
     | commands.Log
 )
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -11,6 +11,7 @@
     events,
     progressing,
     receiving,
+    telling,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
 
@@ -34,6 +35,7 @@
     events.MemberChanged: believing.change_member,
     events.StoreReached: believing.note_store,
     events.ProbeEnded: believing.end_probe,
+    events.SlownessTold: telling.hear,
     events.TickDue: believing.tick,
     events.DrainRequested: believing.request_drain,
 }
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -110,6 +110,19 @@
     healthy: bool
 
 
+class SlownessTold(NamedTuple):
+    """Another daemon of the region has had a late answer of a leaf.
+
+    Attributes
+    ----------
+    slowness : float
+        How many usual times the answer took.
+    """
+
+    leaf_id: str
+    slowness: float
+
+
 class TickDue(NamedTuple):
     """Housekeeping is due."""
 
@@ -133,6 +146,7 @@
     | MemberChanged
     | StoreReached
     | ProbeEnded
+    | SlownessTold
     | TickDue
     | DrainRequested
 )
--- a/amaranthpulley/coordination/forwarding/finishing.py
+++ b/amaranthpulley/coordination/forwarding/finishing.py
@@ -113,7 +113,7 @@
 ) -> list[commands.Command]:
     request.answered = True
     # A leaf that may have run the request, or may still, makes "not run" untrue.
-    not_run = all(call.runs == 0 for call in request.calls)
+    not_run = not any(call.runs for call in request.calls)
     if not_run and reason is commands.Refusal.TIMED_OUT:
         reason = commands.Refusal.OVERLOADED
     refused = commands.Refuse(request.incoming.key, reason, not_run, RETRY_AFTER_MS)
@@ -129,6 +129,9 @@
     now_ms: int,
 ) -> list[commands.Command]:
     request.ended_ms = now_ms
+    for call in request.calls:
+        if call.answer is None:
+            tracing.note(request, now_ms, "unanswered", call.service, "")
     gateway.counters.add("forward_requests_total", outcome=outcome)
     kind = "merged" if request.route.shards else "single"
     histogram = gateway.latency_by_kind.setdefault(kind, latency.LatencyHistogram())
--- a/amaranthpulley/coordination/forwarding/learning.py
+++ b/amaranthpulley/coordination/forwarding/learning.py
@@ -1,5 +1,6 @@
 """What the end of an attempt tells of its leaf."""
 
+import math
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import choosing
@@ -7,8 +8,10 @@
 from amaranthpulley.state.forwarding import leaves, requests, routes
 
 # Weight of one answer in a leaf's slowness: the few late answers of a pause change it
-# little.
+# little. It grows with the time since the last one, up to the larger weight, so that a
+# leaf that gets few requests is known after two or three.
 SLOWNESS_WEIGHT: Final = 0.15
+MOST_SLOWNESS_WEIGHT: Final = 0.35
 # Largest slowness that one answer can show.
 MOST_SLOWNESS: Final = 6.0
 # Weight of one end in a leaf's share of failures and rejections.
@@ -36,8 +39,8 @@
     answer: requests.LeafAnswer,
     opened: bool,
     now_ms: int,
-) -> None:
-    """Learn from a leaf's whole answer.
+) -> float:
+    """Learn from a leaf's whole answer; return how many usual times it took.
 
     Parameters
     ----------
@@ -46,7 +49,7 @@
     """
     leaf = gateway.directory.get(attempt.leaf_id)
     if leaf is None:
-        return
+        return leaves.INITIAL_SLOWNESS
     _hear(leaf, attempt, now_ms)
     if answer.load is not None:
         leaf.load = leaves.Load(*answer.load)
@@ -56,9 +59,9 @@
     if answer.not_run:
         usual_ms = gateway.usual_of(route).mean_ms
         leaf.full_until_ms = now_ms + max(FULL_MS, int(usual_ms))
-        return
-    if succeeded and not opened:
-        _learn_time(gateway, leaf, attempt, route, now_ms)
+    elif succeeded and not opened:
+        return _learn_time(gateway, leaf, attempt, route, now_ms)
+    return leaves.INITIAL_SLOWNESS
 
 
 def note_failure(
@@ -83,6 +86,16 @@
         _count_failure(leaf, True, now_ms)
 
 
+def note_slowness(leaf: leaves.Leaf, seen: float, now_ms: int) -> None:
+    """Learn that an answer of a leaf took so many usual times."""
+    slowness = choosing.slowness_of(leaf, now_ms)
+    passed_ms = now_ms - leaf.slowness_ms
+    weight = 1.0 - math.exp(-passed_ms / choosing.SLOWNESS_MEMORY_MS)
+    weight = min(MOST_SLOWNESS_WEIGHT, max(SLOWNESS_WEIGHT, weight))
+    leaf.slowness = slowness + weight * (min(MOST_SLOWNESS, seen) - slowness)
+    leaf.slowness_ms = now_ms
+
+
 def suspect(leaf: leaves.Leaf, now_ms: int) -> None:
     """Give a leaf no work until a health check succeeds or it answers."""
     if not leaf.suspected:
@@ -131,13 +144,12 @@
     attempt: requests.Attempt,
     route: routes.Route,
     now_ms: int,
-) -> None:
+) -> float:
     elapsed_ms = now_ms - attempt.sent_ms
     gateway.distances.observe(leaf.entry.failure_domain, elapsed_ms)
     work_ms = max(1.0, elapsed_ms - choosing.way_ms(gateway, leaf))
     usual = gateway.usual_of(route)
-    seen = min(MOST_SLOWNESS, work_ms / max(1.0, usual.mean_ms))
-    slowness = choosing.slowness_of(leaf, now_ms)
-    leaf.slowness = slowness + SLOWNESS_WEIGHT * (seen - slowness)
-    leaf.slowness_ms = now_ms
+    seen = work_ms / max(1.0, usual.mean_ms)
+    note_slowness(leaf, seen, now_ms)
     usual.observe(work_ms)
+    return seen
--- a/amaranthpulley/coordination/forwarding/progressing.py
+++ b/amaranthpulley/coordination/forwarding/progressing.py
@@ -9,6 +9,7 @@
     finishing,
     learning,
     sending,
+    telling,
     tracing,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -21,6 +22,8 @@
 # the longest pauses that were seen take 300 ms.
 SUSPECT_AFTER_MS: Final = 450
 FIRST_SERVER_ERROR: Final = 500
+# An answer that takes more than this part of the objective is kept in the trace.
+LATE_SHARE: Final = 0.5
 
 
 def take_answer(
@@ -37,16 +40,20 @@
     if request is None:
         return []
     answer = event.answer
-    learning.note_answer(gateway, attempt, request.route, answer, event.opened, now_ms)
+    slowness = learning.note_answer(
+        gateway, attempt, request.route, answer, event.opened, now_ms
+    )
+    told = telling.tell(gateway, attempt.leaf_id, slowness, now_ms, random)
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
     if _is_usable(request, answer):
         gateway.crashes.pop(request.incoming.fingerprint, None)
-        return _accept(gateway, request, call, answer, now_ms)
+        _note_late_answer(request, call, attempt, now_ms)
+        return told + _accept(gateway, request, call, answer, now_ms)
     end = requests.AttemptEnd.REJECTED if answer.not_run else requests.AttemptEnd.FAILED
     if not answer.not_run:
         call.failure = answer
-    return _go_on(gateway, request, attempt, end, now_ms, random)
+    return told + _go_on(gateway, request, attempt, end, now_ms, random)
 
 
 def take_failure(
@@ -134,6 +141,18 @@
     )
 
 
+def _note_late_answer(
+    request: requests.ForwardedRequest,
+    call: requests.ShardCall,
+    attempt: requests.Attempt,
+    now_ms: int,
+) -> None:
+    """Keep an answer in the trace where it says why the request took long."""
+    passed_ms = now_ms - request.arrived_ms
+    if call.sends > 1 or passed_ms > LATE_SHARE * request.route.objective_ms:
+        tracing.note(request, now_ms, "answered", call.service, attempt.leaf_id)
+
+
 def _accept(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
@@ -164,7 +183,7 @@
     tracing.note(request, now_ms, end.value, call.service, attempt.leaf_id)
     gateway.counters.add("forward_failures_total", end=end.value)
     if end in requests.NOT_RUN:
-        call.runs -= 1
+        call.take_run_back(attempt.leaf_id)
         if end in requests.NOT_ARRIVED:
             call.sends -= 1
         if end in requests.BUSY:
--- a/amaranthpulley/coordination/forwarding/relaying.py
+++ b/amaranthpulley/coordination/forwarding/relaying.py
@@ -4,7 +4,7 @@
 chosen by rendezvous over the registered ones, and the others follow two of them.
 """
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from amaranthpulley.state import rendezvous
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -21,14 +21,51 @@
 FOLLOWED_WATCH_MS: Final = 2_500
 
 
-def watch_wait_ms(gateway: gateway_state.Gateway) -> int:
-    """Return how long one watch of this daemon waits at the most."""
+# Pauses of a watcher after failed calls, in milliseconds.
+WATCHER_RETRY_MS: Final = 100
+WATCHER_LONGEST_RETRY_MS: Final = 800
+# A follower whose watchers are not fresh turns to the store after this time: a silent
+# store is noticed after 3.5 s, and the change must be in force after 5 s. In
+# milliseconds.
+FOLLOWER_PATIENCE_MS: Final = 1_000
+# Its pauses after failed calls. Calls that fail are priced, too, and a store that is
+# away for all is tried by the watchers. In milliseconds.
+FOLLOWER_RETRY_MS: Final = 1_000
+FOLLOWER_LONGEST_RETRY_MS: Final = 3_000
+
+
+class Pace(NamedTuple):
+    """How a daemon follows the store, in milliseconds.
+
+    Attributes
+    ----------
+    wait_ms : int
+        Longest wait of one watch.
+    patience_ms : int
+        How long the daemon has had to follow the store before it begins to.
+    retry_ms, longest_retry_ms : int
+        First and longest pause after failed calls.
+    """
+
+    wait_ms: int
+    patience_ms: int
+    retry_ms: int
+    longest_retry_ms: int
+
+
+def pace(gateway: gateway_state.Gateway) -> Pace:
+    """Return how this daemon follows the store, if it must."""
     regions = gateway.place.regions
     near = sum(
         regions.get(member.failure_domain) == gateway.place.region
         for member in gateway.members.values()
     )
-    return FOLLOWED_WATCH_MS if near > WATCHERS else WATCH_MS
+    wait_ms = FOLLOWED_WATCH_MS if near > WATCHERS else WATCH_MS
+    if is_watcher(gateway):
+        return Pace(wait_ms, 0, WATCHER_RETRY_MS, WATCHER_LONGEST_RETRY_MS)
+    return Pace(
+        wait_ms, FOLLOWER_PATIENCE_MS, FOLLOWER_RETRY_MS, FOLLOWER_LONGEST_RETRY_MS
+    )
 
 
 def watchers(gateway: gateway_state.Gateway) -> list[str]:
--- a/amaranthpulley/coordination/forwarding/repeating.py
+++ b/amaranthpulley/coordination/forwarding/repeating.py
@@ -54,7 +54,18 @@
     return (rendezvous.weight_of(daemon, service) % 1_000 + 1) / 1_000
 
 
-def may_run_again(request: requests.ForwardedRequest, call: requests.ShardCall) -> bool:
+def may_use_another_leaf(
+    request: requests.ForwardedRequest, call: requests.ShardCall
+) -> bool:
     """Tell whether one more leaf may run a request."""
     most = request.route.maximum_leaves if request.route.idempotent else 1
-    return call.runs < most
+    return len(call.runs) < most
+
+
+def may_run_again(request: requests.ForwardedRequest, call: requests.ShardCall) -> bool:
+    """Tell whether a request may run once more, on a new leaf or on one that ran it."""
+    if may_use_another_leaf(request, call):
+        return True
+    return request.route.idempotent and any(
+        choosing.may_run_it_again(call, leaf_id) for leaf_id in call.runs
+    )
--- a/amaranthpulley/coordination/forwarding/sending.py
+++ b/amaranthpulley/coordination/forwarding/sending.py
@@ -69,7 +69,9 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call = request.calls[shard]
     call.hedge_due_ms = None
-    if not request.route.idempotent or not repeating.may_run_again(request, call):
+    if not request.route.idempotent or not repeating.may_use_another_leaf(
+        request, call
+    ):
         return []
     if not repeating.may_repeat(gateway, call, now_ms, repeating.HEDGE_SHARE):
         call.hedge_due_ms = now_ms + BUDGET_PAUSE_MS
@@ -107,8 +109,8 @@
     if call.sends:
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
-    call.runs += 1
-    if call.hedge_due_ms is None and call.runs < request.route.maximum_leaves:
+    call.count_run(leaf_id)
+    if call.hedge_due_ms is None and len(call.runs) < request.route.maximum_leaves:
         call.hedge_due_ms = now_ms + int(late_ms)
     tracing.note(request, now_ms, "sent", call.service, leaf_id)
     budget_ms = max(LEAST_BUDGET_MS, request.give_up_ms - now_ms)
@@ -125,7 +127,7 @@
     now_ms: int,
 ) -> None:
     waits = any(
-        leaf.entry.leaf_id not in call.tried
+        choosing.is_open_to(call, request.route, leaf.entry.leaf_id)
         and choosing.may_take(gateway, leaf, request.route, now_ms)
         for leaf in gateway.directory.of_service(call.service)
     )
--- a/amaranthpulley/coordination/forwarding/tests/test_merged_answers.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_merged_answers.py
@@ -94,6 +94,23 @@
                 self.assertEqual(len(site.sends_of(key)), 4)
                 self.assertNotEqual(again.leaf_id, first.command.leaf_id)
 
+    def test_a_shard_that_lost_its_answers_is_asked_again_on_the_same_leaves(
+        self,
+    ) -> None:
+        site = _site()
+        key = site.request()
+        shard = site.sends_of(key)[0].command.leaf_id.rpartition("-")[0]
+
+        def of_shard() -> list[gateway_site.Sent]:
+            found = site.sends_of(key)
+            return [s for s in found if s.command.leaf_id.startswith(shard)]
+
+        for _ in range(8):
+            site.fail(of_shard()[-1], requests.AttemptEnd.LOST)
+        sent = [s.command.leaf_id for s in of_shard()]
+        self.assertEqual(len(sent), 4)
+        self.assertEqual(len(set(sent)), gateway_site.route().maximum_leaves)
+
     def test_parts_of_the_slower_attempt_are_not_counted_twice(self) -> None:
         site = _site()
         key = site.request()
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -95,6 +95,7 @@
         self.warm_shards: list[str] = []
         self.warm_version: int | None = None
         self.warm_next = 0
+        self.next_tell_ms = started_ms
         self.draining_since_ms: int | None = None
         self.log_tokens = LOG_BURST
         self.log_refilled_ms = started_ms
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -130,8 +130,8 @@
         self.service = service
         self.attempts: dict[int, Attempt] = {}
         self.tried: set[str] = set()
-        # Sends that may have been run by a leaf.
-        self.runs = 0
+        # How often each leaf may have run the request.
+        self.runs: dict[str, int] = {}
         self.sends = 0
         self.answer: LeafAnswer | None = None
         # A leaf's own failure, passed on when nothing better comes.
@@ -140,6 +140,16 @@
         self.hedge_due_ms: int | None = None
         self.retry_due_ms: int | None = None
 
+    def count_run(self, leaf_id: str) -> None:
+        """Count a send as one that the leaf may run."""
+        self.runs[leaf_id] = self.runs.get(leaf_id, 0) + 1
+
+    def take_run_back(self, leaf_id: str) -> None:
+        """Count a send as one that the leaf has certainly not run."""
+        self.runs[leaf_id] -= 1
+        if not self.runs[leaf_id]:
+            del self.runs[leaf_id]
+
 
 class ForwardedRequest:
     """A request between its arrival and its answer.
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/datagrams.py
@@ -0,0 +1,95 @@
+"""Datagrams between daemons, on the address where they also listen for connections.
+
+A datagram may be lost; nothing is sent again, since each says little by itself.
+"""
+
+import errno
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import eventlet.hubs
+import eventlet.patcher
+
+from amaranthpulley.coordination.forwarding import commands, events
+from amaranthpulley.protocol import errors as protocol_errors
+from amaranthpulley.protocol.forwarding import slowness_codec
+from amaranthpulley.transport import errors
+
+_plain_socket: Final = eventlet.patcher.original("socket")
+_MOST_BYTES: Final = 2_048
+# Datagrams that are read before other work has its turn.
+_MOST_AT_ONCE: Final = 32
+_AGAIN: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
+_LOGGER: Final = logging.getLogger("amaranthpulley.datagrams")
+
+
+def _never(*_: object) -> None:
+    """Stand in for the hub's calls into a green thread, of which there is none."""
+
+
+class Datagrams:
+    """A socket for datagrams of other daemons.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` to listen on.
+    feed : callable
+        Takes the events that datagrams stand for.
+
+    Raises
+    ------
+    AddressInUseError
+        When the address cannot be bound.
+    """
+
+    def __init__(self, address: str, feed: Callable[[events.Event], None]) -> None:
+        host, port = address.rsplit(":", 1)
+        kind = _plain_socket.SOCK_DGRAM
+        self._socket = _plain_socket.socket(_plain_socket.AF_INET, kind)
+        self._socket.setblocking(False)
+        try:
+            self._socket.bind((host, int(port)))
+        except OSError as error:
+            self._socket.close()
+            raise errors.AddressInUseError(
+                f"cannot listen on {address}: {error}; free the port or change the "
+                "settings"
+            ) from error
+        self._feed = feed
+        hub = eventlet.hubs.get_hub()
+        hub.add(hub.READ, self._socket.fileno(), self._read, _never, _never)
+
+    @property
+    def address(self) -> str:
+        """The ``IP:port`` that it listens on."""
+        host, port = self._socket.getsockname()
+        return f"{host}:{port}"
+
+    def tell(self, command: commands.TellSlowness) -> None:
+        """Send what a command tells to each of its addresses."""
+        message = slowness_codec.SlownessMessage(command.leaf_id, command.slowness)
+        data = slowness_codec.encode(message)
+        for address in command.addresses:
+            host, port = address.rsplit(":", 1)
+            try:
+                self._socket.sendto(data, (host, int(port)))
+            except OSError as error:
+                # It counts as lost, like one that the network drops.
+                _LOGGER.debug("no datagram to %s: %s", address, error)
+
+    def _read(self, _fileno: int) -> None:
+        for _ in range(_MOST_AT_ONCE):
+            try:
+                data, sender = self._socket.recvfrom(_MOST_BYTES)
+            except OSError as error:
+                if error.errno not in _AGAIN:
+                    _LOGGER.warning("datagrams cannot be read: %s", error)
+                return
+            try:
+                message = slowness_codec.decode(data)
+            except protocol_errors.MalformedMessageError as error:
+                _LOGGER.warning("a datagram of %s cannot be read: %s", sender, error)
+                continue
+            self._feed(events.SlownessTold(message.leaf_id, message.slowness))
--- a/amaranthpulley/transport/forwarding/feed.py
+++ b/amaranthpulley/transport/forwarding/feed.py
@@ -9,7 +9,7 @@
 
 import eventlet
 
-from amaranthpulley.coordination.forwarding import events
+from amaranthpulley.coordination.forwarding import events, relaying
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import store
 from amaranthpulley.transport import errors
@@ -20,9 +20,6 @@
 # Pause between two watches, so that a burst of changes comes in one answer; a fifth of
 # the 3 s within which a change must be in force. In milliseconds.
 GATHER_MS: Final = 600
-# Pauses after a failed call, in milliseconds.
-FIRST_RETRY_MS: Final = 100
-LONGEST_RETRY_MS: Final = 800
 # How often a daemon that need not follow the store looks whether it must, in
 # milliseconds.
 IDLE_CHECK_MS: Final = 250
@@ -31,6 +28,9 @@
 # Life of the registration, and how often it is renewed, in milliseconds.
 REGISTRATION_MS: Final = 30_000
 RENEW_MS: Final = 10_000
+# Pause after a failed registration or renewal; three fit into the registration's life
+# after a renewal that was due has failed. In milliseconds.
+REGISTRATION_RETRY_MS: Final = 2_500
 
 
 class Source(NamedTuple):
@@ -78,8 +78,8 @@
         Source of time.
     is_needed : callable
         Tells whether this daemon must follow the store itself.
-    watch_wait_ms : callable
-        Returns the longest wait of one watch, in milliseconds.
+    pace : callable
+        Returns how this daemon follows the store at the moment.
     """
 
     def __init__(
@@ -89,14 +89,15 @@
         feed: view_module.Feed,
         clock: clock_state.Clock,
         is_needed: Callable[[], bool],
-        watch_wait_ms: Callable[[], int],
+        pace: Callable[[], relaying.Pace],
     ) -> None:
         self._source = source
         self._view = view
         self._feed = feed
         self._now_ms = clock.monotonic_ms
         self._is_needed = is_needed
-        self._watch_wait_ms = watch_wait_ms
+        self._pace = pace
+        self._needed_since_ms: int | None = None
         self._failures = 0
         self._lost = False
         self._list_again = True
@@ -116,7 +117,7 @@
 
     def _follow(self) -> None:
         while True:
-            if self._view.listed and not self._is_needed():
+            if self._view.listed and not self._must_follow():
                 eventlet.sleep(IDLE_CHECK_MS / 1000)
                 continue
             try:
@@ -129,6 +130,15 @@
                 self._note_success()
                 eventlet.sleep(GATHER_MS / 1000)
 
+    def _must_follow(self) -> bool:
+        if not self._is_needed():
+            self._needed_since_ms = None
+            return False
+        now_ms = self._now_ms()
+        if self._needed_since_ms is None:
+            self._needed_since_ms = now_ms
+        return now_ms - self._needed_since_ms >= self._pace().patience_ms
+
     def _follow_once(self) -> None:
         if self._list_again:
             listing = self._source.read_all()
@@ -136,7 +146,7 @@
             self._view.take_listing(listing)
             self._view.take_confirmed((), listing.revision, self._now_ms())
             return
-        changes = self._source.watch(self._view.revision, self._watch_wait_ms())
+        changes = self._source.watch(self._view.revision, self._pace().wait_ms)
         if changes is None:
             self._list_again = True
             return
@@ -151,13 +161,14 @@
                 registered = True
             except errors.PlatformUnreachableError as error:
                 self._note_failure(str(error))
-                eventlet.sleep(self._pause_ms() / 1000)
+                eventlet.sleep(REGISTRATION_RETRY_MS / 1000)
             else:
                 eventlet.sleep(RENEW_MS / 1000)
 
     def _pause_ms(self) -> int:
-        doubled = FIRST_RETRY_MS * 2 ** min(self._failures, 10)
-        return min(LONGEST_RETRY_MS, doubled)
+        pace = self._pace()
+        doubled = pace.retry_ms * 2 ** min(self._failures - 1, 10)
+        return min(pace.longest_retry_ms, doubled)
 
     def _note_failure(self, reason: str) -> None:
         self._failures += 1
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -23,6 +23,7 @@
 from amaranthpulley.transport import line_writer, log_sink, process_signals
 from amaranthpulley.transport.forwarding import (
     client_connections,
+    datagrams,
     feed,
     peer_feed,
     relay,
@@ -108,8 +109,16 @@
         self.gateway = gateway_state.Gateway(
             setup.place, setup.limits, clock.monotonic_ms()
         )
+        self._view = view.View(source.decode, self._take)
+        self._relay = relay.Relay(setup.peer_address, self._view, clock)
+        self._datagrams = datagrams.Datagrams(self._relay.address, self._take)
         self.runtime = runtime.Runtime(
-            self.gateway, clock, random.Random().random, setup.names, self._write_log
+            self.gateway,
+            clock,
+            random.Random().random,
+            setup.names,
+            self._write_log,
+            self._datagrams.tell,
         )
         self._front = client_connections.Front(
             setup.front_address, clock, self.runtime.handler
@@ -117,8 +126,6 @@
         self._ready = self._serve(setup.ready_address, self._show_ready)
         self._metrics = self._serve(setup.metrics_address, self._show_metrics)
         self._metrics_text: Callable[[], bytes] | None = None
-        self._view = view.View(source.decode, self._take)
-        self._relay = relay.Relay(setup.peer_address, self._view, clock)
         self._peers = peer_feed.PeerFeed(
             self._view, clock, lambda: relaying.followed(self.gateway)
         )
@@ -128,7 +135,7 @@
             self._take,
             clock,
             self._must_follow_store,
-            lambda: relaying.watch_wait_ms(self.gateway),
+            lambda: relaying.pace(self.gateway),
         )
         self._ended = eventlet.event.Event()
 
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -42,6 +42,8 @@
         The headers that mean something here.
     write_log : callable
         Writes log events.
+    tell : callable
+        Tells other daemons of a slow leaf.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         random: Callable[[], float],
         names: header_names.HeaderNames,
         write_log: log_sink.WriteLog,
+        tell: Callable[[commands.TellSlowness], None],
     ) -> None:
         self.gateway = gateway
         self.names = names
@@ -76,6 +79,7 @@
             commands.WakeAt: self._wake_at,
             commands.ProbeLeaf: self._probe,
             commands.OpenConnection: self._open_connection,
+            commands.TellSlowness: tell,
             common.Log: self._write_log,
         }
 
