--- a/amaranthpulley/coordination/forwarding/tracing.py
+++ b/amaranthpulley/coordination/forwarding/tracing.py
@@ -1,5 +1,6 @@
 """What was decided about a request, kept until it is known whether it went wrong."""
 
+import collections
 from typing import Final
 
 from amaranthpulley.coordination import commands
@@ -13,6 +14,9 @@
 MOST_DECISIONS: Final = 120
 # One in so many requests that went well is written, too.
 SAMPLED: Final = 200
+# Lines that are left to refused and failed requests when many are served late or with
+# shards missing.
+RESERVED_LINES: Final = 100
 
 
 def note(
@@ -24,7 +28,8 @@
 ) -> None:
     """Keep a decision about a request."""
     if len(request.trace) < MOST_DECISIONS:
-        request.trace.append((now_ms, decision, service, detail))
+        traced = requests.TracedDecision(now_ms, decision, service, detail)
+        request.trace.append(traced)
 
 
 def outcome_lines(
@@ -38,16 +43,19 @@
 
     All lines of a request are written or none, so that a reader never sees half of its
     decisions. Served requests are sampled; others are written while lines are left.
+    Of many shards, those that were asked once and answered in time are left out.
     """
     elapsed_ms = now_ms - request.arrived_ms
     well = outcome == "served" and elapsed_ms <= request.route.objective_ms
     if well and request.incoming.key % SAMPLED:
         return []
-    if not _take_lines(gateway, len(request.trace) + 1, now_ms):
+    decisions = _telling_decisions(request)
+    reserved = RESERVED_LINES if outcome in ("served", "partial") else 0
+    if not _take_lines(gateway, len(decisions) + 1, reserved, now_ms):
         return []
     configuration = gateway.configuration
     version = configuration.version if configuration is not None else 0
-    lines = [_decision(request, *decision) for decision in request.trace]
+    lines = [_decision(request, *decision) for decision in decisions]
     lines.append(
         commands.log(
             log_events.FORWARD_ENDED,
@@ -69,7 +77,7 @@
     now_ms: int,
 ) -> list[commands.Log]:
     """Return the log line of a request that was refused on its arrival."""
-    if not _take_lines(gateway, 1, now_ms):
+    if not _take_lines(gateway, 1, 0, now_ms):
         return []
     configuration = gateway.configuration
     return [
@@ -120,12 +128,23 @@
     )
 
 
-def _take_lines(gateway: gateway_state.Gateway, lines: int, now_ms: int) -> bool:
+def _telling_decisions(
+    request: requests.ForwardedRequest,
+) -> list[requests.TracedDecision]:
+    if not request.route.shards:
+        return request.trace
+    counts = collections.Counter(decision.service for decision in request.trace)
+    return [decision for decision in request.trace if counts[decision.service] > 1]
+
+
+def _take_lines(
+    gateway: gateway_state.Gateway, lines: int, reserved: int, now_ms: int
+) -> bool:
     passed_s = (now_ms - gateway.log_refilled_ms) / 1000
     tokens = gateway.log_tokens + passed_s * LINES_PER_SECOND
     gateway.log_tokens = min(gateway_state.LOG_BURST, tokens)
     gateway.log_refilled_ms = now_ms
-    if gateway.log_tokens < lines:
+    if gateway.log_tokens < lines + reserved:
         gateway.logs_dropped += lines
         gateway.counters.add("log_lines_dropped_total", lines)
         return False
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -117,6 +117,25 @@
     sent_ms: int
 
 
+class TracedDecision(NamedTuple):
+    """A decision about a request, kept until the request has ended.
+
+    Attributes
+    ----------
+    at_ms : int
+        When it was made, by the monotonic clock.
+    decision : str
+        What was decided.
+    service, detail : str
+        The service that it is about, and the leaf or whatever else it names.
+    """
+
+    at_ms: int
+    decision: str
+    service: str
+    detail: str
+
+
 class ShardCall:
     """The part of a request that one service answers.
 
@@ -182,4 +201,4 @@
         self.answered = False
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
-        self.trace: list[tuple[int, str, str, str]] = []
+        self.trace: list[TracedDecision] = []
