--- a/amaranthpulley/coordination/forwarding/relaying.py
+++ b/amaranthpulley/coordination/forwarding/relaying.py
@@ -13,14 +13,10 @@
 WATCHERS: Final = 3
 # Watchers that every other daemon follows, so that one of them may be behind.
 FOLLOWED: Final = 2
-
-
 # Longest wait of one watch, in milliseconds: a store that has gone silent is noticed
 # after it. Shorter where others follow, which must hear of a change within 5 s.
 WATCH_MS: Final = 5_000
 FOLLOWED_WATCH_MS: Final = 2_500
-
-
 # Pauses of a watcher after failed calls, in milliseconds.
 WATCHER_RETRY_MS: Final = 100
 WATCHER_LONGEST_RETRY_MS: Final = 800
@@ -53,14 +49,20 @@
     longest_retry_ms: int
 
 
+def near_members(gateway: gateway_state.Gateway) -> list[str]:
+    """Return the names of the registered daemons of the own region."""
+    regions = gateway.place.regions
+    return [
+        name
+        for name, member in gateway.members.items()
+        if regions.get(member.failure_domain) == gateway.place.region
+    ]
+
+
 def pace(gateway: gateway_state.Gateway) -> Pace:
     """Return how this daemon follows the store, if it must."""
-    regions = gateway.place.regions
-    near = sum(
-        regions.get(member.failure_domain) == gateway.place.region
-        for member in gateway.members.values()
-    )
-    wait_ms = FOLLOWED_WATCH_MS if near > WATCHERS else WATCH_MS
+    has_followers = len(near_members(gateway)) > WATCHERS
+    wait_ms = FOLLOWED_WATCH_MS if has_followers else WATCH_MS
     if is_watcher(gateway):
         return Pace(wait_ms, 0, WATCHER_RETRY_MS, WATCHER_LONGEST_RETRY_MS)
     return Pace(
@@ -70,13 +72,7 @@
 
 def watchers(gateway: gateway_state.Gateway) -> list[str]:
     """Return the daemons of the own region that watch the store, best first."""
-    regions = gateway.place.regions
-    members = [
-        name
-        for name, member in gateway.members.items()
-        if regions.get(member.failure_domain) == gateway.place.region
-    ]
-    return rendezvous.ranking(members, gateway.place.region)[:WATCHERS]
+    return rendezvous.ranking(near_members(gateway), gateway.place.region)[:WATCHERS]
 
 
 def is_watcher(gateway: gateway_state.Gateway) -> bool:
--- a/amaranthpulley/coordination/forwarding/telling.py
+++ b/amaranthpulley/coordination/forwarding/telling.py
@@ -12,6 +12,7 @@
     commands,
     events,
     learning,
+    relaying,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
 
@@ -62,12 +63,10 @@
 def _listeners(
     gateway: gateway_state.Gateway, random: choosing.Random
 ) -> tuple[str, ...]:
-    place = gateway.place
     near = [
-        member.address
-        for name, member in gateway.members.items()
-        if name != place.name
-        and place.regions.get(member.failure_domain) == place.region
+        gateway.members[name].address
+        for name in relaying.near_members(gateway)
+        if name != gateway.place.name
     ]
     if len(near) > TOLD_DAEMONS:
         near.sort(key=lambda _: random())
--- a/amaranthpulley/transport/forwarding/datagrams.py
+++ b/amaranthpulley/transport/forwarding/datagrams.py
@@ -3,7 +3,6 @@
 A datagram may be lost; nothing is sent again, since each says little by itself.
 """
 
-import errno
 import logging
 from collections.abc import Callable
 from typing import Final
@@ -14,20 +13,15 @@
 from amaranthpulley.coordination.forwarding import commands, events
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol.forwarding import slowness_codec
-from amaranthpulley.transport import errors
+from amaranthpulley.transport.forwarding import streams
 
 _plain_socket: Final = eventlet.patcher.original("socket")
 _MOST_BYTES: Final = 2_048
 # Datagrams that are read before other work has its turn.
 _MOST_AT_ONCE: Final = 32
-_AGAIN: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
 _LOGGER: Final = logging.getLogger("amaranthpulley.datagrams")
 
 
-def _never(*_: object) -> None:
-    """Stand in for the hub's calls into a green thread, of which there is none."""
-
-
 class Datagrams:
     """A socket for datagrams of other daemons.
 
@@ -53,13 +47,11 @@
             self._socket.bind((host, int(port)))
         except OSError as error:
             self._socket.close()
-            raise errors.AddressInUseError(
-                f"cannot listen on {address}: {error}; free the port or change the "
-                "settings"
-            ) from error
+            raise streams.address_in_use(address, error) from error
         self._feed = feed
         hub = eventlet.hubs.get_hub()
-        hub.add(hub.READ, self._socket.fileno(), self._read, _never, _never)
+        ignore = streams.ignore
+        hub.add(hub.READ, self._socket.fileno(), self._read, ignore, ignore)
 
     @property
     def address(self) -> str:
@@ -84,7 +76,7 @@
             try:
                 data, sender = self._socket.recvfrom(_MOST_BYTES)
             except OSError as error:
-                if error.errno not in _AGAIN:
+                if error.errno not in streams.AGAIN:
                     _LOGGER.warning("datagrams cannot be read: %s", error)
                 return
             try:
--- a/amaranthpulley/transport/forwarding/streams.py
+++ b/amaranthpulley/transport/forwarding/streams.py
@@ -19,7 +19,8 @@
 _READ_BYTES: Final = 65_536
 # More unsent bytes than this mean that the peer does not read.
 MAXIMUM_UNSENT_BYTES: Final = 4_194_304
-_AGAIN: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
+# The system has nothing for now; it is tried again when the hub says so.
+AGAIN: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
 _LOGGER: Final = logging.getLogger("amaranthpulley.streams")
 
 OnData = Callable[[bytes], None]
@@ -27,7 +28,7 @@
 OnConnected = Callable[[], None]
 
 
-def _never(*_: object) -> None:
+def ignore(*_: object) -> None:
     """Stand in for the hub's calls into a green thread, of which there is none."""
 
 
@@ -101,7 +102,7 @@
         self._socket.close()
 
     def _listen(self, kind: str, react: Callable[[int], None]) -> object:
-        return self._hub.add(kind, self._socket.fileno(), react, _never, _never)
+        return self._hub.add(kind, self._socket.fileno(), react, ignore, ignore)
 
     def _read(self, _fileno: int) -> None:
         if self._closed:
@@ -109,7 +110,7 @@
         try:
             data = self._socket.recv(_READ_BYTES)
         except OSError as error:
-            if error.errno not in _AGAIN:
+            if error.errno not in AGAIN:
                 self._end(True)
             return
         if not data:
@@ -151,7 +152,7 @@
         try:
             return self._socket.send(data)
         except OSError as error:
-            if error.errno not in _AGAIN:
+            if error.errno not in AGAIN:
                 self._end(True)
             return 0
 
@@ -208,14 +209,19 @@
         listener.bind((host, int(port)))
     except OSError as error:
         listener.close()
-        raise errors.AddressInUseError(
-            f"cannot listen on {address}: {error}; free the port or change the settings"
-        ) from error
+        raise address_in_use(address, error) from error
     listener.listen(1024)
     listener.setblocking(False)
     return Listener(listener, on_accepted)
 
 
+def address_in_use(address: str, error: OSError) -> errors.AddressInUseError:
+    """Return the error for an address that cannot be bound."""
+    return errors.AddressInUseError(
+        f"cannot listen on {address}: {error}; free the port or change the settings"
+    )
+
+
 class Listener:
     """A listening socket.
 
@@ -234,7 +240,7 @@
         self._on_accepted = on_accepted
         self._hub = eventlet.hubs.get_hub()
         self._reader = self._hub.add(
-            self._hub.READ, listener.fileno(), self._accept, _never, _never
+            self._hub.READ, listener.fileno(), self._accept, ignore, ignore
         )
 
     @property
@@ -253,7 +259,7 @@
             try:
                 connection, _ = self._socket.accept()
             except OSError as error:
-                if error.errno not in _AGAIN:
+                if error.errno not in AGAIN:
                     _LOGGER.warning("a connection could not be accepted: %s", error)
                 return
             connection.setblocking(False)
