Give a first listing up after 300 ms, so that a daemon serves soon after a silent store

Ruled out: the listing itself (the second one took some 10 ms) and the order of the calls.

Change: the first wait is 300 ms and doubles up to 1 s (StoreFeedTest).

--- a/amaranthpulley/platform/store.py
+++ b/amaranthpulley/platform/store.py
@@ -84,13 +84,16 @@
             entries.decode,
         )
 
-    def read_all(self) -> view.Listing:
-        """Read every item, page by page."""
+    def read_all(self, timeout_ms: int) -> view.Listing:
+        """Read every item, page by page, each within a time."""
         found: list[store.Change] = []
         after, revision = "", None
         while True:
             query = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
-            page = _decode(self._call("GET", names.RANGE_PATH, query), _Range)
+            status, body = self._send("GET", names.RANGE_PATH, query, None, timeout_ms)
+            if status != _OK:
+                raise errors.PlatformUnreachableError(f"listing: status {status}")
+            page = _decode(body, _Range)
             if revision is None:
                 # Later pages may hold newer items; the watch begins at the first one.
                 revision = page["CurrentRev"]
@@ -114,11 +117,11 @@
 
     def register(self, life_ms: int) -> None:
         """Enter this daemon under a new lease."""
-        body = self._call("POST", names.LEASE_PATH, {}, {"TtlMs": life_ms})
+        body = self._post(names.LEASE_PATH, {"TtlMs": life_ms})
         self._lease = _decode(body, _Lease)["Lease"]
         put = {"Key": self._key, "Value": self._value, "Lease": self._lease}
         change = {"Expect": [], "Puts": [put], "Deletes": []}
-        self._call("POST", names.TRANSACTION_PATH, {}, change)
+        self._post(names.TRANSACTION_PATH, change)
 
     def renew(self) -> bool:
         """Renew the lease; False when it has ended."""
@@ -136,10 +139,8 @@
             path = f"{names.END_LEASE_PATH}{self._lease}"
             self._send("DELETE", path, {}, None, CALL_TIMEOUT_MS)
 
-    def _call(
-        self, method: str, path: str, query: dict[str, Any], body: object = None
-    ) -> bytes:
-        status, answer = self._send(method, path, query, body, CALL_TIMEOUT_MS)
+    def _post(self, path: str, body: object) -> bytes:
+        status, answer = self._send("POST", path, {}, body, CALL_TIMEOUT_MS)
         if status != _OK:
             raise errors.PlatformUnreachableError(f"{path}: status {status}")
         return answer
--- a/amaranthpulley/transport/forwarding/feed.py
+++ b/amaranthpulley/transport/forwarding/feed.py
@@ -20,6 +20,11 @@
 # Pause between two watches, so that a burst of changes comes in one answer; a fifth of
 # the 3 s within which a change must be in force. In milliseconds.
 GATHER_MS: Final = 600
+# Wait for a page of a listing. A daemon that knows nothing yet serves nobody, so a call
+# that a silent store has swallowed is given up soon: a store that is 60 times slower
+# answers in 240 ms. Doubled after each failure, in milliseconds.
+FIRST_LISTING_TIMEOUT_MS: Final = 300
+LONGEST_LISTING_TIMEOUT_MS: Final = 1_000
 # How often a daemon that need not follow the store looks whether it must, in
 # milliseconds.
 IDLE_CHECK_MS: Final = 250
@@ -41,7 +46,7 @@
     Attributes
     ----------
     read_all : callable
-        Returns a `Listing`.
+        Takes the longest wait for a page in milliseconds; returns a `Listing`.
     watch : callable
         Takes a revision and a wait in milliseconds; returns `Changes`, or None when
         the history since that revision is no longer there.
@@ -55,7 +60,7 @@
         Turns a change into an event; None when it is of no concern.
     """
 
-    read_all: Callable[[], view_module.Listing]
+    read_all: Callable[[int], view_module.Listing]
     watch: Callable[[int, int], store.Changes | None]
     register: Callable[[int], None]
     renew: Callable[[], bool]
@@ -101,6 +106,7 @@
         self._failures = 0
         self._lost = False
         self._list_again = True
+        self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
 
     def start(self) -> None:
         """Begin to follow the store."""
@@ -141,7 +147,7 @@
 
     def _follow_once(self) -> None:
         if self._list_again:
-            listing = self._source.read_all()
+            listing = self._read_all()
             self._list_again = False
             self._view.take_listing(listing)
             self._view.take_confirmed((), listing.revision, self._now_ms())
@@ -152,6 +158,13 @@
             return
         self._view.take_confirmed(changes.changes, changes.revision, self._now_ms())
 
+    def _read_all(self) -> view_module.Listing:
+        timeout_ms = self._listing_timeout_ms
+        self._listing_timeout_ms = min(LONGEST_LISTING_TIMEOUT_MS, 2 * timeout_ms)
+        listing = self._source.read_all(timeout_ms)
+        self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
+        return listing
+
     def _keep_registered(self) -> None:
         registered = False
         while True:
--- a/amaranthpulley/transport/forwarding/tests/test_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_feed.py
@@ -30,12 +30,13 @@
 
     def __init__(self, pace: relaying.Pace) -> None:
         self.calls: collections.Counter[str] = collections.Counter()
+        self.listing_timeouts_ms: list[int] = []
         self.down = False
         self.needed = True
         self.heard: list[events.Event] = []
         self.view = view.View(lambda change: None, self.heard.append)
         source = feed.Source(
-            self._call("list", lambda: view.Listing((), 7)),
+            self._call("list", self._list),
             self._call("watch", self._watch),
             self._call("register", lambda life_ms: None),
             self._call("renew", lambda: True),
@@ -51,6 +52,9 @@
             lambda: pace,
         )
 
+    def _list(self, timeout_ms: int) -> view.Listing:
+        return view.Listing((), 7)
+
     def _watch(self, revision: int, wait_ms: int) -> store.Changes:
         eventlet.sleep(0.2)
         return store.Changes((), revision)
@@ -58,6 +62,8 @@
     def _call(self, name: str, answer: Callable) -> Callable:
         def call(*arguments: object) -> object:
             self.calls[name] += 1
+            if name == "list":
+                self.listing_timeouts_ms += arguments
             if self.down:
                 raise errors.PlatformUnreachableError("status 503")
             return answer(*arguments)
@@ -112,6 +118,13 @@
         eventlet.sleep(OUTAGE_S)
         self.assertEqual(subject.calls["register"], 2)
 
+    def test_a_first_listing_is_given_up_soon_and_tried_with_more_time(self) -> None:
+        subject = _StoreSubject(WATCHER)
+        subject.down = True
+        subject.feed.start()
+        eventlet.sleep(2.5)
+        self.assertEqual(subject.listing_timeouts_ms[:4], [300, 600, 1_000, 1_000])
+
     def test_loss_and_return_are_said_once(self) -> None:
         subject = self._subject(WATCHER)
         subject.let_store_fail()
