Try the last suspected replica of a shard without a lease

Cause: an answer that was merely late makes a target suspected of a restart, and only the holder of a lease may then send to it. A search that found only suspected replicas ended at once as no_target, before the lease could be granted; with a frozen store it could never be (KilledLeafTest, FrozenStoreTest).

Change: such a search waits within its deadline, and the last replica of a shard gets one attempt without a lease, 200 ms times the rank after the suspicion.

--- a/amaranthpulley/coordination/searches/cold_starts.py
+++ b/amaranthpulley/coordination/searches/cold_starts.py
@@ -13,7 +13,8 @@
 further attempts require the lease too. The suspicion is published as a fact, but only
 a daemon without any report of the target (one that has just started) adopts it. An
 answer with the old boot id clears the suspicion. While no lease can be acquired,
-daemons probe a suspected target without one, in turn by rendezvous rank.
+daemons probe a suspected target without one, in turn by rendezvous rank. The last
+replica of a shard gets a single attempt sooner.
 """
 
 from collections.abc import Iterable
@@ -32,6 +33,9 @@
 RECHECK_INTERVAL_MS: Final = 1_000
 NO_LEASE_PROBE_DELAY_MS: Final = 6_000
 NO_LEASE_PROBE_STEP_MS: Final = 1_000
+# Waited for a lease before the last replica of a shard is tried without one, for each
+# rank; a store that works grants a lease sooner.
+LAST_REPLICA_STEP_MS: Final = 200
 FACT_VALID_MS: Final = 60_000
 SUSPICION_VALID_MS: Final = 30_000
 FACTS_READ_INTERVAL_MS: Final = 200
@@ -250,7 +254,34 @@
         return True
     if not state.cold.suspected or now_ms < daemon.leases.valid_until_ms:
         return False
-    return now_ms >= _no_lease_probe_at_ms(daemon, target.name, state)
+    if now_ms >= _no_lease_probe_at_ms(daemon, target.name, state):
+        return True
+    return _may_try_last_replica(daemon, target, state, now_ms)
+
+
+def _may_try_last_replica(
+    daemon: daemon_state.Daemon,
+    target: topology.Target,
+    state: targets.TargetState,
+    now_ms: int,
+) -> bool:
+    """Return whether to send one attempt to a shard's last replica without a lease.
+
+    An answer that was merely late is the usual cause of a suspicion, and without the
+    last replica every search of the shard would be refused while the store is down.
+    """
+    if state.cold.failures or state.in_flight:
+        return False
+    step_ms = LAST_REPLICA_STEP_MS * (1 + _rank(daemon, target.name))
+    if now_ms < state.cold.since_ms + step_ms:
+        return False
+    shards = daemon.configuration.shards(target.service)
+    return all(
+        replica.name == target.name
+        or daemon.targets.of(replica.name).cold is not None
+        or not daemon.configuration.accepts_work(replica)
+        for replica in shards.get(target.shard, {}).values()
+    )
 
 
 def _set_cold(
--- a/amaranthpulley/coordination/searches/fanout.py
+++ b/amaranthpulley/coordination/searches/fanout.py
@@ -75,7 +75,10 @@
     if choice.target is not None:
         return [_send(daemon, search, shard, choice, kind, now_ms)]
     if not choice.is_busy:
-        return []
+        if not routing.has_cold_replica(daemon, service, shard):
+            return []
+        # A lease that allows sending to the replica may be granted in time.
+        return retry_policy.schedule_retry(search, shard, now_ms, random, True)
     search.waiting.add(shard)
     waiting = services.WaitingAttempt(search.request.request_id, shard, search.restarts)
     state = daemon.services.of(service)
--- a/amaranthpulley/transport/tests/test_cold_starts.py
+++ b/amaranthpulley/transport/tests/test_cold_starts.py
@@ -7,7 +7,7 @@
 import hypothesis.strategies as st
 
 from amaranthpulley.coordination.searches import cold_starts
-from amaranthpulley.state import daemon, standin_leaf
+from amaranthpulley.state import daemon, requests, standin_leaf
 from amaranthpulley.state.control import facts, topology
 from amaranthpulley.transport.emulation import virtual_platform
 from amaranthpulley.transport.tests import search_site, test_search_properties
@@ -149,6 +149,41 @@
         self.assertIsNone(vm.state.targets.of(site.targets[0].name).cold)
 
 
+class LastReplicaTest(unittest.TestCase):
+    """Searches of a shard whose only replica is suspected of a restart."""
+
+    def _suspect_all(self, store_down: bool) -> search_site.Site:
+        settings = search_site.SiteSettings(instances=1, daemons=3)
+        site = search_site.Site(1, settings)
+        _connect_daemons(site)
+        if store_down:
+            site.network.platform.faults = virtual_platform.StoreFaults(down=True)
+        vm = site.network.daemons["vm-2"].state
+        for target in site.targets:
+            cold_starts.mark_cold(vm, target.name, True, site.network.now_ms)
+        return site
+
+    def test_search_is_served_whole_with_and_without_the_store(self) -> None:
+        for store_down in (False, True):
+            with self.subTest(store_down=store_down):
+                site = self._suspect_all(store_down)
+                request_id = site.search(vm=2, deadline_ms=1_000)
+                site.run_for(1_500)
+                outcome = site.outcome(request_id)
+                self.assertIsInstance(outcome, requests.SearchAnswer, outcome)
+                self.assertEqual(outcome.coverage, 1.0)
+
+    def test_lost_replica_gets_one_attempt_without_a_lease(self) -> None:
+        site = self._suspect_all(store_down=True)
+        leaf = site.leaf(0)
+        leaf.faults = standin_leaf.LeafFaults(lost=True)
+        for _ in range(5):
+            site.search(vm=2, deadline_ms=900)
+            site.run_for(1_000)
+        state = site.network.daemons["vm-2"].state.targets.of(site.targets[0].name)
+        self.assertEqual(state.cold.failures, 1)
+
+
 class ColdDetectionTest(unittest.TestCase):
     """The signs by which a daemon detects a cold start."""
 
