Stop answering clients that do not read

Cause: the declared limit of unsent bytes was never applied, a client could pipeline without end, and invalid bytes in the same packet as a request were refused only when more bytes came.

Change: the next pipelined request starts once the last answer has left, a connection without progress for the idle timeout is closed, more than 16 waiting requests are an error, and an error after a request follows its answer.

--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -65,6 +65,11 @@
         """Whether a request has been received in part."""
         return self._started
 
+    @property
+    def error(self) -> errors.BadRequestError | None:
+        """The error in the bytes after the last complete request, if there is one."""
+        return self._error
+
     def pop_expect_continue(self) -> bool:
         """Return once whether the client waits for ``100 Continue``."""
         expected, self._expects_continue = self._expects_continue, False
--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -1,6 +1,7 @@
 """HTTP server for clients: reads pipelined requests and answers them in order."""
 
 import collections
+import http
 import socket
 from collections.abc import Callable
 from typing import Final, NamedTuple
@@ -67,6 +68,11 @@
         self.key = 0
         # Start of the idle time or of the request that is being received.
         self.since_ms = server.now_ms()
+        # The last answer has been sent or buffered.
+        self._closing = False
+        # Unsent bytes at the last sweep, and when they last changed.
+        self.swept_unsent_bytes = 0
+        self.progressed_ms = self.since_ms
         self._pending_error: errors.BadRequestError | None = None
         self._stream = streams.Stream(connection, self._on_data, self._on_end)
         self._stream.start()
@@ -81,6 +87,16 @@
             and not self._stream.unsent_bytes
         )
 
+    @property
+    def closed(self) -> bool:
+        """Whether either side has closed the connection."""
+        return self._stream.closed
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of the part of an answer that the client has not accepted."""
+        return self._stream.unsent_bytes
+
     @property
     def in_request(self) -> bool:
         """Whether a request has been read in part."""
@@ -91,12 +107,12 @@
         self.current = None
         self.since_ms = self._server.now_ms()
         self._stream.write(data)
+        self._closing = closes
         if closes:
-            self._close_when_sent()
-        elif self._queued:
-            self._begin(self._queued.popleft())
-        elif self._pending_error is not None:
-            self._refuse(self._pending_error)
+            self._stream.when_sent(self.close)
+        elif self._queued or self._pending_error is not None:
+            # A client that does not read gets no further answers to buffer.
+            self._stream.when_sent(self._continue)
 
     def close(self) -> None:
         """Close the connection."""
@@ -110,7 +126,7 @@
         self.close()
 
     def _on_data(self, data: bytes) -> None:
-        if self._pending_error is not None:
+        if self._pending_error is not None or self._closing:
             return
         if self.idle:
             self.since_ms = self._server.now_ms()
@@ -121,10 +137,25 @@
             if self.current is None and not self._queued:
                 self._refuse(error)
                 return
+        if self._pending_error is None:
+            self._pending_error = self._reader.error or self._surplus_error()
         if self._reader.pop_expect_continue() and self.current is None:
             self._stream.write(client_answers.CONTINUE)
         if self.current is None and self._queued:
+            self._stream.when_sent(self._continue)
+
+    def _surplus_error(self) -> errors.BadRequestError | None:
+        if len(self._queued) <= client_requests.MAXIMUM_PIPELINED_REQUESTS:
+            return None
+        return errors.BadRequestError(http.HTTPStatus.BAD_REQUEST)
+
+    def _continue(self) -> None:
+        if self._stream.closed or self.current is not None:
+            return
+        if self._queued:
             self._begin(self._queued.popleft())
+        elif self._pending_error is not None:
+            self._refuse(self._pending_error)
 
     def _begin(self, request: client_requests.ClientRequest) -> None:
         self.current = request
@@ -134,15 +165,7 @@
         status = error.status
         data = client_answers.encode_status(status.value, error.code, True)
         self._stream.write(data)
-        self._close_when_sent()
-
-    def _close_when_sent(self) -> None:
-        if self._stream.closed or not self._stream.unsent_bytes:
-            self.close()
-            return
-        # Checked ten times as often as timeouts.
-        hub = eventlet.hubs.get_hub()
-        hub.schedule_call_global(SWEEP_INTERVAL_MS / 10_000, self._close_when_sent)
+        self._stream.when_sent(self.close)
 
     def _on_end(self, was_reset: bool) -> None:
         self._server.forget(self)
@@ -213,6 +236,17 @@
             elif connection.idle:
                 if elapsed_ms > self.limits.idle_timeout_ms + IDLE_GRACE_MS:
                     connection.close()
+            self._close_if_stalled(connection, now_ms)
         eventlet.hubs.get_hub().schedule_call_global(
             SWEEP_INTERVAL_MS / 1000, self._sweep
         )
+
+    def _close_if_stalled(self, connection: ClientConnection, now_ms: int) -> None:
+        """Close a connection whose client has stopped reading its answer."""
+        unsent_bytes = connection.unsent_bytes
+        if unsent_bytes != connection.swept_unsent_bytes:
+            connection.swept_unsent_bytes = unsent_bytes
+            connection.progressed_ms = now_ms
+        elif unsent_bytes:
+            if now_ms - connection.progressed_ms > self.limits.idle_timeout_ms:
+                connection.close()
--- a/amaranthpulley/transport/forwarding/streams.py
+++ b/amaranthpulley/transport/forwarding/streams.py
@@ -17,8 +17,6 @@
 
 _plain_socket: Final = eventlet.patcher.original("socket")
 _READ_BYTES: Final = 65_536
-# Unsent bytes above which the peer counts as not reading; nothing enforces it.
-MAXIMUM_UNSENT_BYTES: Final = 4_194_304
 # The operation would block; it is repeated when the hub reports the socket as ready.
 WOULD_BLOCK_ERRNOS: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
 _LOGGER: Final = logging.getLogger("amaranthpulley.streams")
@@ -26,6 +24,7 @@
 OnData = Callable[[bytes], None]
 OnEnd = Callable[[bool], None]
 OnConnected = Callable[[], None]
+OnSent = Callable[[], None]
 
 
 def ignore(*_: object) -> None:
@@ -57,6 +56,7 @@
         self._reader: object | None = None
         self._writer: object | None = None
         self._on_connected: OnConnected | None = None
+        self._on_sent: OnSent | None = None
         self._closed = False
 
     @property
@@ -90,6 +90,13 @@
             self._unsent += memoryview(data)[sent:]
             self._writer = self._add_listener(self._hub.WRITE, self._flush)
 
+    def when_sent(self, on_sent: OnSent) -> None:
+        """Call a function once the kernel has accepted all bytes, or now if it has."""
+        if self._unsent and not self._closed:
+            self._on_sent = on_sent
+        else:
+            on_sent()
+
     def close(self) -> None:
         """Close the connection; `on_end` is not called."""
         if self._closed:
@@ -147,6 +154,9 @@
         del self._unsent[:sent]
         if not self._unsent:
             self._stop_writer()
+            on_sent, self._on_sent = self._on_sent, None
+            if on_sent is not None:
+                on_sent()
 
     def _send(self, data: bytes | bytearray) -> int:
         try:
--- /dev/null
+++ b/amaranthpulley/transport/forwarding/tests/test_client_connections.py
@@ -0,0 +1,109 @@
+"""Tests of connections of clients that pipeline, do not read, or send garbage."""
+
+from amaranthpulley.transport import loop
+
+loop.prepare_loop()
+
+import socket  # noqa: E402
+import unittest  # noqa: E402
+from typing import Final  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from amaranthpulley.protocol.forwarding import (  # noqa: E402
+    client_answers,
+    client_requests,
+)
+from amaranthpulley.state.forwarding import routes  # noqa: E402
+from amaranthpulley.transport import system_clock  # noqa: E402
+from amaranthpulley.transport.forwarding import client_connections  # noqa: E402
+
+REQUEST: Final = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+LARGE_BYTES: Final = 8_000_000
+WAIT_S: Final = 5.0
+
+
+class ClientConnectionTest(unittest.TestCase):
+    """Memory and answers of connections whose client misbehaves."""
+
+    def setUp(self) -> None:
+        self.body = b"ok"
+        self.holds = False
+        self.received = 0
+        self.disconnected = 0
+        handler = client_connections.Handler(self._answer, self._count_disconnect)
+        self.server = client_connections.HttpServer(
+            "127.0.0.1:0", system_clock.system_clock(), handler
+        )
+        self.addCleanup(self.server.stop_listening)
+        host, port = self.server.address.rsplit(":", 1)
+        self.client = socket.create_connection((host, int(port)))
+        self.addCleanup(self.client.close)
+        eventlet.sleep(0.02)
+
+    def _count_disconnect(self, _connection: object) -> None:
+        self.disconnected += 1
+
+    def _answer(
+        self,
+        connection: client_connections.ClientConnection,
+        request: client_requests.ClientRequest,
+    ) -> None:
+        self.received += 1
+        self.connection = connection
+        if self.holds:
+            return
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.body)
+        connection.answer(head + self.body, not request.keep_alive)
+
+    def _read_until_closed(self) -> bytes:
+        received = b""
+        with eventlet.Timeout(WAIT_S):
+            while part := self.client.recv(65_536):
+                received += part
+        return received
+
+    def test_client_that_does_not_read_gets_no_further_answers(self) -> None:
+        self.body = b"b" * LARGE_BYTES
+        self.client.sendall(REQUEST * 10)
+        eventlet.sleep(0.2)
+        self.assertEqual(self.received, 1)
+        self.assertLessEqual(self.connection.unsent_bytes, LARGE_BYTES + 100)
+
+    def test_client_that_reads_gets_all_answers(self) -> None:
+        self.body = b"b" * LARGE_BYTES
+        self.client.sendall(REQUEST * 2)
+        self.client.sendall(
+            REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        )
+        received = self._read_until_closed()
+        self.assertEqual(received.count(b"HTTP/1.1 200 OK"), 3)
+        self.assertGreater(len(received), 3 * LARGE_BYTES)
+
+    def test_connection_without_progress_is_closed(self) -> None:
+        self.server.limits = routes.ClientLimits(idle_timeout_ms=300)
+        self.body = b"b" * LARGE_BYTES
+        self.client.sendall(REQUEST)
+        with eventlet.Timeout(WAIT_S):
+            while self.server.connections:
+                eventlet.sleep(0.05)
+        self.assertEqual(self.received, 1)
+
+    def test_endless_pipelining_ends_in_an_error(self) -> None:
+        self.holds = True
+        for _ in range(5):
+            self.client.sendall(REQUEST * 10)
+            eventlet.sleep(0.02)
+        self.holds = False
+        data = client_answers.encode_status(200, "ok", False)
+        self.connection.answer(data, False)
+        received = self._read_until_closed()
+        answered = received.count(b"HTTP/1.1 200 OK")
+        self.assertLessEqual(answered, 3 * client_requests.MAXIMUM_PIPELINED_REQUESTS)
+        self.assertEqual(received.count(b"HTTP/1.1 400 "), 1)
+
+    def test_invalid_bytes_after_a_request_are_refused_at_once(self) -> None:
+        self.client.sendall(REQUEST + b"\x00 no request\r\n\r\n")
+        received = self._read_until_closed()
+        self.assertEqual(received.count(b"HTTP/1.1 200 OK"), 1)
+        self.assertEqual(received.count(b"HTTP/1.1 400 "), 1)
