Limit the size of answers, and require their own request id on reused connections

Cause: a leaf's head, body or interim answers were read for as long as they came (a chunked body of 50 MB took 50 MB). An answer without a request id was accepted on a connection that had been in use, so a late copy could reach the next caller. After HEAD the parser took the next answer for a body. urllib3 takes the end of a connection for that of a head, and each of its reads had a time of its own, so a trickling answer was read without end.

Ruled out: the leaf that stops in its answer's head and closes. The clients of the store, targets and daemons decode what they read, but are strict about heads now too.

Change: AnswerLimits (head 64 KB and 256 lines, 16 interim answers, body 4 MB, 32 MB for all incomplete answers), past which the connection is closed and the attempt has failed as 'oversized', logged (311) and counted. Parts keep the greatest TopK records. http_connections.call bounds time, head and body of every other answer.

--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -8,12 +8,13 @@
     events,
     leaf_health,
     leaf_selection,
+    record_merge,
     request_completion,
     slowness_reports,
     tracing,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import requests
+from amaranthpulley.state.forwarding import requests, routes
 
 # An attempt whose request has ended is cancelled after this time. Most leaves answer
 # sooner, and their connections can be reused.
@@ -75,7 +76,10 @@
     request.calls[attempt.shard].attempts.pop(attempt.number, None)
     if event.end is requests.AttemptEnd.LOST:
         leaf_health.record_crash(gateway, request.incoming.fingerprint, attempt.leaf_id)
-    return _retry_or_finish(gateway, request, attempt, event.end, now_ms, random)
+    return [
+        *tracing.oversized_lines(gateway, request, attempt, event.end, now_ms),
+        *_retry_or_finish(gateway, request, attempt, event.end, now_ms, random),
+    ]
 
 
 def handle_wake(
@@ -169,7 +173,7 @@
     now_ms: int,
 ) -> list[commands.Command]:
     if call.answer is None and not call.closed:
-        call.answer = answer
+        call.answer = _without_surplus_records(request.route, answer)
         request.open_calls -= 1
     if request.answered:
         return _remove_if_idle(gateway, request)
@@ -179,6 +183,21 @@
     return request_completion.answer_if_due(gateway, request, now_ms)
 
 
+def _without_surplus_records(
+    route: routes.Route, answer: requests.LeafAnswer
+) -> requests.LeafAnswer:
+    """Return a part without records that cannot be in the merged answer.
+
+    The parts of a request are kept until the last one arrives.
+    """
+    if len(answer.body) <= route.top_records * record_merge.RECORD_BYTES:
+        return answer
+    if not route.shards:
+        return answer
+    body = record_merge.greatest_records((answer.body,), route.top_records)
+    return answer._replace(body=body)
+
+
 def _retry_or_finish(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
--- a/amaranthpulley/coordination/forwarding/tests/test_merged_answers.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_merged_answers.py
@@ -159,3 +159,30 @@
             ]
             site.fail(running[0], requests.AttemptEnd.LOST)
         self.assertFalse(site.answers[key].not_run)
+
+
+class PartSizeTest(unittest.TestCase):
+    """Parts that are larger than the merged answer, or too large to be read."""
+
+    def test_parts_keep_only_the_records_that_the_answer_can_hold(self) -> None:
+        site = _site()
+        key = site.request()
+        body = b"".join(RECORDS)
+        site.reply(site.sends_of(key)[0], gateway_site.answer(body=body))
+        kept = [c.answer for c in site.gateway.requests[key].calls if c.answer]
+        self.assertEqual([part.body for part in kept], [b"".join(RECORDS[:6:-1])])
+
+    def test_oversized_part_is_logged_counted_and_asked_elsewhere(self) -> None:
+        site = _site()
+        key = site.request()
+        first = site.sends_of(key)[0]
+        site.fail(first, requests.AttemptEnd.OVERSIZED)
+        repeated = site.sends_of(key)[-1]
+        self.assertNotEqual(repeated.command.leaf_id, first.command.leaf_id)
+        logged = [c.event.name for c in site.others if hasattr(c, "event")]
+        self.assertIn("leaf_answer_oversized", logged)
+        counters = site.gateway.counters
+        total = counters.total("forward_failures_total", end="oversized")
+        self.assertEqual(total, 1)
+        leaf = site.gateway.directory.get(first.command.leaf_id)
+        self.assertGreater(leaf.failure_share, 0.0)
--- a/amaranthpulley/coordination/forwarding/tracing.py
+++ b/amaranthpulley/coordination/forwarding/tracing.py
@@ -92,6 +92,29 @@
     ]
 
 
+def oversized_lines(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    attempt: requests.Attempt,
+    end: requests.AttemptEnd,
+    now_ms: int,
+) -> list[commands.Log]:
+    """Return the log line of an attempt whose answer exceeded the limits, if it did."""
+    if end is not requests.AttemptEnd.OVERSIZED:
+        return []
+    if not _spend_lines(gateway, 1, 0, now_ms):
+        return []
+    return [
+        commands.log(
+            log_events.LEAF_ANSWER_OVERSIZED,
+            request_id=request.incoming.request_id,
+            target=attempt.leaf_id,
+            service=request.calls[attempt.shard].service,
+            after_ms=now_ms - attempt.sent_ms,
+        )
+    ]
+
+
 def leaf_line(leaf: leaves.Leaf, standing: str, age_ms: int) -> commands.Log:
     """Return the log line of a change in a leaf's state.
 
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -16,6 +16,8 @@
 # A call takes 4 ms, or 240 ms when the store is 60 times slower.
 CALL_TIMEOUT_MS: Final = 1_000
 MAXIMUM_IDLE_CONNECTIONS: Final = 2
+# A page of a listing holds about a megabyte, and more if a single value is larger.
+MAXIMUM_ANSWER_BYTES: Final = 16_777_216
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
@@ -156,19 +158,20 @@
         target = f"{path}?{parse.urlencode(query)}" if query else path
         headers = {"Content-Type": "application/json"}
         try:
-            response = self._pool.urlopen(
+            answer = http_connections.call(
+                self._pool,
                 method,
                 target,
-                body=None if body is None else json_codec.encode(body),
-                headers=headers if body is not None else {},
-                timeout=urllib3.Timeout(total=timeout_ms / 1000),
-                retries=False,
+                timeout_ms,
+                MAXIMUM_ANSWER_BYTES,
+                None if body is None else json_codec.encode(body),
+                headers if body is not None else {},
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise errors.PlatformUnreachableError(
                 f"{path}: {type(error).__name__}"
             ) from error
-        return response.status, response.data
+        return answer.status, answer.body
 
 
 def _decode(body: bytes, kind: type[_Wire]) -> _Wire:
--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -13,6 +13,9 @@
 from amaranthpulley.transport.forwarding import client_connections
 
 HEALTH_PATH: Final = b"/health"
+# Sent again and again by a leaf whose answer has no end.
+ENDLESS_PART: Final = b"x" * 60_000
+ENDLESS_INTERVAL_MS: Final = 1
 # Path on which a test configures the stand-in and reads its runs.
 CONTROL_PATH: Final = b"/control"
 
@@ -44,7 +47,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.work_ms = 5
         # How it answers each request: "answer", "silent", "reset", "reject", "fail",
-        # "cut", "extra", "garble", "unframed" or "late".
+        # "cut", "head", "endless", "extra", "garble", "unframed" or "late".
         self.mode = "answer"
         handler = client_connections.Handler(self._receive, lambda _connection: None)
         self._server = client_connections.HttpServer(address, clock, handler)
@@ -135,6 +138,11 @@
         whole = b"".join(lines) + b"\r\n" + body
         if self.mode == "cut":
             connection.answer(whole[:-3], True)
+        elif self.mode == "head":
+            connection.answer(whole[: len(lines[0]) + 9], True)
+        elif self.mode == "endless":
+            head = b"".join(lines).replace(b"Content-Length", b"X-Length") + b"\r\n"
+            self._send_endlessly(connection, head + body)
         elif self.mode == "garble":
             connection.answer(b"\x00\x01 no answer\r\n\r\n", True)
         elif self.mode == "extra":
@@ -145,3 +153,12 @@
         else:
             connection.answer(whole, unframed)
         self._last_answer = whole
+
+    def _send_endlessly(self, connection: Any, data: bytes) -> None:
+        if connection.closed or self.mode != "endless":
+            connection.close()
+            return
+        connection.answer(data, False)
+        eventlet.hubs.get_hub().schedule_call_global(
+            ENDLESS_INTERVAL_MS / 1000, self._send_endlessly, connection, ENDLESS_PART
+        )
--- a/amaranthpulley/protocol/forwarding/leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -9,6 +9,32 @@
 
 _FIRST_FINAL_STATUS: Final = 200
 _BODYLESS_STATUSES: Final = frozenset({204, 304})
+# Bytes of a chunked answer, framing included, per byte of the body limit.
+MAXIMUM_RAW_RATIO: Final = 2
+# Colon, space and line end of a header line.
+_HEADER_SEPARATORS_BYTES: Final = 4
+
+
+class AnswerLimits(NamedTuple):
+    """Largest answer that is read from a leaf.
+
+    The configuration limits requests only, so these are fixed: a head of four times
+    the usual limit of requests, and a body that fits the smallest VM many times.
+
+    Attributes
+    ----------
+    head_bytes, head_lines : int
+        Size and number of the header and trailer lines.
+    interim_answers : int
+        Interim answers before the final one.
+    body_bytes : int
+        Size of the body without chunk framing.
+    """
+
+    head_bytes: int = 65_536
+    head_lines: int = 256
+    interim_answers: int = 16
+    body_bytes: int = 4_194_304
 
 
 class RawAnswer(NamedTuple):
@@ -70,6 +96,9 @@
     return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
 
 
+DEFAULT_ANSWER_LIMITS: Final = AnswerLimits()
+
+
 class AnswerReader:
     """Incremental parser of the answers on one connection to a leaf.
 
@@ -77,10 +106,23 @@
     ----------
     names : HeaderNames
         Names of the headers that the gateway interprets.
+    limits : AnswerLimits
+        Largest answer that is read.
     """
 
-    def __init__(self, names: header_names.HeaderNames) -> None:
+    def __init__(
+        self,
+        names: header_names.HeaderNames,
+        limits: AnswerLimits = DEFAULT_ANSWER_LIMITS,
+    ) -> None:
         self._names = names
+        self._limits = limits
+        self._oversized = False
+        self._interim_count = 0
+        # Bytes since the parser last called back: an incomplete line.
+        self._line_bytes = 0
+        # Bytes of the current answer with its framing.
+        self._raw_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._answers: list[RawAnswer] = []
         self._started = False
@@ -93,6 +135,18 @@
         """Whether an answer has been received in part."""
         return self._started
 
+    @property
+    def oversized(self) -> bool:
+        """Whether an answer exceeded the limits; no more bytes may be fed."""
+        return self._oversized
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete answer in memory."""
+        if not self._started:
+            return 0
+        return self._head_bytes + self._body_bytes + self._line_bytes
+
     def expect(self, without_body: bool) -> None:
         """Prepare for the answer to the next request."""
         self._without_body = without_body
@@ -104,10 +158,13 @@
         cannot be reused.
         """
         valid = True
+        self._line_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            self._check_raw_size(len(data))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
             valid = False
+        valid = valid and not self._oversized
         completed, self._answers = self._answers, []
         return completed, valid
 
@@ -115,6 +172,8 @@
         """Return the answer that is terminated by the connection's end, if any."""
         if not self._started or not self._has_head or self._has_framing:
             return None
+        if self._oversized:
+            return None
         self.on_message_complete()
         return self._answers.pop()._replace(keep_alive=False)
 
@@ -125,11 +184,20 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle the parser's callback."""
+        self._line_bytes = 0
+        self._head_bytes += len(name) + len(value) + _HEADER_SEPARATORS_BYTES
+        self._head_lines += 1
+        if (
+            self._head_bytes > self._limits.head_bytes
+            or self._head_lines > self._limits.head_lines
+        ):
+            self._fail_oversized()
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Handle the parser's callback."""
         self._has_head = True
+        self._line_bytes = 0
         for name, value in self._headers:
             lowered = name.lower()
             if lowered == header_names.CONTENT_LENGTH:
@@ -145,16 +213,26 @@
 
     def on_body(self, part: bytes) -> None:
         """Handle the parser's callback."""
-        self._body.append(part)
+        self._line_bytes = 0
+        self._body_bytes += len(part)
+        if self._body_bytes > self._limits.body_bytes:
+            self._fail_oversized()
+        self._body += part
 
     def on_message_complete(self) -> None:
         """Handle the parser's callback."""
         if not self._started:
             return
         self._started = False
+        self._line_bytes = 0
         status = self._parser.get_status_code()
         if status >= _FIRST_FINAL_STATUS:
+            self._interim_count = 0
             self._answers.append(self._build_answer(status))
+            return
+        self._interim_count += 1
+        if self._interim_count > self._limits.interim_answers:
+            self._fail_oversized()
 
     def _build_answer(self, status: int) -> RawAnswer:
         names = self._names
@@ -164,7 +242,7 @@
         answer = requests.LeafAnswer(
             status,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             first_values.get(names.signature, b""),
             names.not_run in first_values or status == 421,
             header_names.CONTENT_ENCODING in first_values,
@@ -175,9 +253,27 @@
         request_id = first_values.get(names.request_id, b"")
         return RawAnswer(request_id, answer, keep_alive, idle_timeout_s)
 
+    def _check_raw_size(self, size: int) -> None:
+        """Limit an incomplete line, and the chunk framing beside the body."""
+        self._raw_bytes += size
+        if not self._started:
+            self._raw_bytes = 0
+        limits = self._limits
+        raw_limit_bytes = limits.head_bytes + MAXIMUM_RAW_RATIO * limits.body_bytes
+        if self._line_bytes > limits.head_bytes or self._raw_bytes > raw_limit_bytes:
+            self._oversized = True
+
+    def _fail_oversized(self) -> None:
+        self._oversized = True
+        # The parser stops and reports the error to `feed`.
+        raise ValueError("the answer exceeds the limits")
+
     def _reset(self) -> None:
         self._headers: header_names.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._head_lines = 0
+        self._body_bytes = 0
         self._has_head = False
         self._has_framing = False
 
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -35,7 +35,8 @@
     """How an attempt ended without a usable answer.
 
     With `TURNED_AWAY`, the leaf closed the new connection before anything was sent on
-    it, as leaves do at their connection limit.
+    it, as leaves do at their connection limit. With `OVERSIZED`, its answer exceeded
+    the limits and was not read to its end.
     """
 
     UNREACHABLE = "unreachable"
@@ -44,6 +45,7 @@
     WRONG_LEAF = "wrong_leaf"
     LOST = "lost"
     MALFORMED = "malformed"
+    OVERSIZED = "oversized"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
 
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -25,6 +25,8 @@
 # A request that must not run twice is sent only on a connection that was idle for at
 # most this long: a leaf may have dropped an older one without a notification.
 MAXIMUM_FRESH_IDLE_MS: Final = 400
+# Bytes of all incomplete answers together; the smallest VM has 200 MB.
+BUFFER_LIMIT_BYTES: Final = 33_554_432
 
 OnAnswer = Callable[[requests.LeafAnswer], None]
 OnFailure = Callable[[requests.AttemptEnd], None]
@@ -48,6 +50,9 @@
     ) -> None:
         self.address = address
         self.used = False
+        self._reused = False
+        self._without_body = False
+        self._buffered_bytes = 0
         # Whether it may be reused after the answer.
         self.keep = True
         self.idle_since_ms = 0
@@ -87,13 +92,15 @@
         data : bytes
             The whole request.
         request_id : bytes
-            Answers with a different request id are skipped; an answer without one is
-            accepted.
+            Answers with a different request id are skipped. One without an id is
+            accepted only on a new connection: on another it may be a late copy of an
+            earlier answer.
         without_body : bool
             The answer has no body, whatever its headers say (``HEAD``).
         """
-        self.used = True
+        self._reused, self.used = self.used, True
         self._request_id = request_id
+        self._without_body = without_body
         self._on_answer, self._on_failure = on_answer, on_failure
         self._reader.expect(without_body)
         if self._settled:
@@ -105,6 +112,7 @@
         """Close the connection."""
         self._timer.cancel()
         self._on_answer = self._on_failure = None
+        self._count_buffered(0)
         self._stream.close()
         self._pool.forget(self)
 
@@ -131,21 +139,37 @@
             return
         answers, valid = self._reader.feed(data)
         for raw in answers:
-            if raw.request_id and raw.request_id != self._request_id:
-                # A late answer to an earlier request; the expected one follows.
-                continue
-            self._complete(raw, valid and raw is answers[-1])
-            return
-        if not valid:
+            if self._is_expected(raw):
+                self._complete(raw, valid and raw is answers[-1])
+                return
+            if self._without_body or not raw.request_id:
+                # The end of this answer, or the request that it belongs to, is unknown.
+                valid = False
+            # Else a late answer to an earlier request; the expected one follows.
+        self._count_buffered(self._reader.buffered_bytes)
+        if self._reader.oversized or self._pool.is_over_limit():
+            self._fail(requests.AttemptEnd.OVERSIZED)
+        elif not valid:
             self._fail(requests.AttemptEnd.MALFORMED)
 
+    def _is_expected(self, raw: leaf_messages.RawAnswer) -> bool:
+        if raw.request_id == self._request_id:
+            return True
+        return not raw.request_id and not self._reused
+
+    def _count_buffered(self, size: int) -> None:
+        self._pool.buffered_bytes += size - self._buffered_bytes
+        self._buffered_bytes = size
+
     def _complete(self, raw: leaf_messages.RawAnswer, valid: bool) -> None:
         answer, on_answer = raw.answer, self._on_answer
+        self._count_buffered(0)
         self._on_answer = self._on_failure = None
         if raw.idle_timeout_s is not None:
             self.idle_limit_ms = raw.idle_timeout_s * 1000
             self._pool.idle_limits_ms[self.address] = self.idle_limit_ms
         usable = raw.keep_alive and valid and not self._reader.in_answer
+        usable = usable and not self._without_body
         if usable and self.keep:
             self._pool.release(self)
         else:
@@ -164,7 +188,7 @@
             self._fail(turned_away if self._connected else unreachable)
             return
         raw = None if was_reset else self._reader.finish()
-        if raw is not None and raw.request_id in (b"", self._request_id):
+        if raw is not None and self._is_expected(raw):
             self._complete(raw, False)
         else:
             self._fail(requests.AttemptEnd.LOST)
@@ -185,6 +209,15 @@
         Names of the headers that the gateway interprets.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    idle_limits_ms : dict
+        Idle timeout of each leaf's connections, from its latest Keep-Alive header.
+    opened : int
+        Number of connections opened so far.
+    buffered_bytes, buffer_limit_bytes : int
+        Size of all incomplete answers, and its limit.
     """
 
     def __init__(
@@ -193,9 +226,14 @@
         self._names = names
         self._now_ms = clock.monotonic_ms
         self._idle: dict[str, list[LeafConnection]] = {}
-        # Idle timeout of each leaf's connections, from its latest Keep-Alive header.
         self.idle_limits_ms: dict[str, int] = {}
         self.opened = 0
+        self.buffer_limit_bytes = BUFFER_LIMIT_BYTES
+        self.buffered_bytes = 0
+
+    def is_over_limit(self) -> bool:
+        """Return whether the incomplete answers together take too much memory."""
+        return self.buffered_bytes > self.buffer_limit_bytes
 
     def acquire(self, address: str, fresh: bool) -> LeafConnection:
         """Return an idle connection to a leaf, or a new one.
--- a/amaranthpulley/transport/forwarding/peer_feed.py
+++ b/amaranthpulley/transport/forwarding/peer_feed.py
@@ -17,6 +17,8 @@
 LONG_POLL_WAIT_MS: Final = 3_400
 NETWORK_MARGIN_MS: Final = 700
 RETRY_INTERVAL_MS: Final = 500
+# A compressed page; the whole store takes some megabytes at the intended fleet size.
+MAXIMUM_PAGE_BYTES: Final = 16_777_216
 # A peer's view is fresh when the store confirmed it within this time: its watch waits
 # 2.5 s, and the next one starts 0.6 s later.
 MAXIMUM_AGE_MS: Final = 4_000
@@ -101,17 +103,16 @@
 
 def _request_page(pool: urllib3.HTTPConnectionPool, revision: int) -> relay_codec.Page:
     try:
-        response = pool.urlopen(
+        answer = http_connections.call(
+            pool,
             "GET",
             relay_codec.encode_target(revision, LONG_POLL_WAIT_MS),
-            timeout=urllib3.Timeout(
-                total=(LONG_POLL_WAIT_MS + NETWORK_MARGIN_MS) / 1000
-            ),
-            retries=False,
+            LONG_POLL_WAIT_MS + NETWORK_MARGIN_MS,
+            MAXIMUM_PAGE_BYTES,
         )
-        if response.status != 200:
-            raise errors.PeerUnreachableError(f"status {response.status}")
-        return relay_codec.decode(response.data)
+        if answer.status != 200:
+            raise errors.PeerUnreachableError(f"status {answer.status}")
+        return relay_codec.decode(answer.body)
     except (
         urllib3.exceptions.HTTPError,
         OSError,
--- a/amaranthpulley/transport/peers.py
+++ b/amaranthpulley/transport/peers.py
@@ -17,8 +17,8 @@
 
 MAXIMUM_CHANNELS: Final = 64
 IDLE_CONNECTIONS_PER_PEER: Final = 8
-# Time past the deadline after which a call whose reply is still arriving is cut off.
-REPLY_GRACE_MS: Final = 50
+# Largest reply that is read.
+MAXIMUM_REPLY_BYTES: Final = 16_777_216
 MAXIMUM_REFUSAL_BYTES: Final = 300
 
 _MEDIA_TYPE: Final = "application/octet-stream"
@@ -97,12 +97,12 @@
             self._discard(address, pool)
             raise
         if response.status != http.HTTPStatus.OK:
-            reason = response.data[:MAXIMUM_REFUSAL_BYTES].decode(errors="replace")
+            reason = response.body[:MAXIMUM_REFUSAL_BYTES].decode(errors="replace")
             raise errors.PeerRejectedError(
                 f"{address} refused the message with status {response.status}: "
                 f"{reason or 'no reason given'}; do not send it again unchanged"
             )
-        return response.data
+        return response.body
 
     def close_channel(self, address: str) -> None:
         """Close the channel to a peer; calls that wait for a reply continue."""
@@ -173,16 +173,21 @@
 
 def _post(
     pool: urllib3.HTTPConnectionPool, address: str, message: bytes, timeout_ms: int
-) -> urllib3.BaseHTTPResponse:
+) -> http_connections.Answer:
     timeout_error = errors.PeerTimedOutError(
         f"no reply from {address} within {timeout_ms} ms; it may have processed the "
         "message, so send it again only if the message is idempotent"
     )
-    seconds = max(timeout_ms, 1) / 1000
     try:
-        # urllib3 limits the connect and each single read; this limits the whole call.
-        with eventlet.Timeout(seconds + REPLY_GRACE_MS / 1000, timeout_error):
-            return _request(pool, message, urllib3.Timeout(total=seconds))
+        return http_connections.call(
+            pool,
+            "POST",
+            _PATH,
+            timeout_ms,
+            MAXIMUM_REPLY_BYTES,
+            message,
+            {"Content-Type": _MEDIA_TYPE},
+        )
     except (
         urllib3.exceptions.NewConnectionError,
         urllib3.exceptions.ConnectTimeoutError,
@@ -198,17 +203,3 @@
             f"the connection to {address} ended before the reply: {error}; it may have "
             "processed the message, so send it again only if the message is idempotent"
         ) from error
-
-
-def _request(
-    pool: urllib3.HTTPConnectionPool, message: bytes, timeout: urllib3.Timeout
-) -> urllib3.BaseHTTPResponse:
-    return pool.urlopen(
-        "POST",
-        _PATH,
-        body=message,
-        headers={"Content-Type": _MEDIA_TYPE},
-        timeout=timeout,
-        redirect=False,
-        retries=False,
-    )
--- a/amaranthpulley/transport/store_client.py
+++ b/amaranthpulley/transport/store_client.py
@@ -10,6 +10,8 @@
 from amaranthpulley.transport import http_connections
 
 MAXIMUM_IDLE_CONNECTIONS: Final = 8
+# A page of values of up to a megabyte each, in base64.
+MAXIMUM_ANSWER_BYTES: Final = 16_777_216
 
 
 class StoreClient:
@@ -35,12 +37,13 @@
             Time to wait for the connection and the reply.
         """
         try:
-            response = self._pool.urlopen(
+            answer = http_connections.call(
+                self._pool,
                 "POST",
                 store_api.path_of(operation),
-                body=store_api.encode(operation),
-                timeout=urllib3.Timeout(total=timeout_ms / 1000),
-                retries=False,
+                timeout_ms,
+                MAXIMUM_ANSWER_BYTES,
+                store_api.encode(operation),
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -49,10 +52,10 @@
             return store.StoreFailed("the store cannot be reached", unknown=False)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return store.StoreFailed(type(error).__name__, unknown=True)
-        if response.status != 200:
-            return store.StoreFailed(f"status {response.status}", unknown=False)
+        if answer.status != 200:
+            return store.StoreFailed(f"status {answer.status}", unknown=False)
         try:
-            return store_api.decode_result(operation, response.data)
+            return store_api.decode_result(operation, answer.body)
         except protocol_errors.ProtocolError as error:
             return store.StoreFailed(str(error), unknown=True)
 
--- a/amaranthpulley/transport/target_client.py
+++ b/amaranthpulley/transport/target_client.py
@@ -1,5 +1,7 @@
 """A client of targets over HTTP with persistent connections."""
 
+from typing import Final
+
 import urllib3
 
 from amaranthpulley.coordination import commands, events
@@ -10,6 +12,8 @@
 
 AttemptEnd = events.AttemptAnswered | events.AttemptFailed
 
+# Largest answer of a target that is read.
+MAXIMUM_ANSWER_BYTES: Final = 4_194_304
 _HEADERS = {"Content-Type": "application/json"}
 
 
@@ -68,15 +72,15 @@
 
     def _post(
         self, target: topology.Target, path: str, body: bytes, timeout_ms: int
-    ) -> urllib3.BaseHTTPResponse:
-        seconds = max(timeout_ms, 1) / 1000
-        return self._pool(target).urlopen(
+    ) -> http_connections.Answer:
+        return http_connections.call(
+            self._pool(target),
             "POST",
             path,
-            body=body,
-            headers=_HEADERS | {message_stamps.HEADER: str(self._stamps.next_stamp())},
-            timeout=urllib3.Timeout(total=seconds),
-            retries=False,
+            timeout_ms,
+            MAXIMUM_ANSWER_BYTES,
+            body,
+            _HEADERS | {message_stamps.HEADER: str(self._stamps.next_stamp())},
         )
 
     def _close_idle(self, target: topology.Target) -> None:
@@ -98,17 +102,17 @@
 
 
 def _attempt_end(
-    command: commands.SendAttempt, response: urllib3.BaseHTTPResponse
+    command: commands.SendAttempt, answer: http_connections.Answer
 ) -> AttemptEnd:
-    if response.status != 200:
-        attempt_id, failure, load = leaf_api.decode_refusal(response.data)
+    if answer.status != 200:
+        attempt_id, failure, load = leaf_api.decode_refusal(answer.body)
         _check_attempt(command, attempt_id)
         return _failed(command, failure, load)
     is_order = isinstance(command.call, commands.OrderCall)
     decode = leaf_api.decode_order_answer if is_order else leaf_api.decode_search_answer
-    attempt_id, answer, load = decode(response.data)
+    attempt_id, result, load = decode(answer.body)
     _check_attempt(command, attempt_id)
-    return events.AttemptAnswered(attempt_id, answer, leaf_api.load_of(load))
+    return events.AttemptAnswered(attempt_id, result, leaf_api.load_of(load))
 
 
 def _check_attempt(command: commands.SendAttempt, attempt_id: str) -> None:
--- a/amaranthpulley/transport/tests/test_target_client.py
+++ b/amaranthpulley/transport/tests/test_target_client.py
@@ -16,6 +16,10 @@
 )
 
 
+def _response(body: bytes) -> mock.Mock:
+    return mock.Mock(status=503, read=mock.Mock(side_effect=[body, b""]))
+
+
 class TargetClientTest(unittest.TestCase):
     """Failures of attempts, and the connections of later attempts."""
 
@@ -42,7 +46,7 @@
                 body = leaf_api.json_codec.encode(
                     leaf_api.RefusalBody(attempt_id="a1", code=code, load=load)
                 )
-                response = mock.Mock(status=503, data=body)
+                response = _response(body)
                 client = target_client.TargetClient()
                 failure = self._failure_with(client, return_value=response)
                 self.assertIs(failure.not_run, not_run)
@@ -52,7 +56,7 @@
         body = leaf_api.json_codec.encode(
             leaf_api.RefusalBody(attempt_id="a2", code="shed", load=load)
         )
-        response = mock.Mock(status=503, data=body)
+        response = _response(body)
         failure = self._failure_with(
             target_client.TargetClient(), return_value=response
         )
--- a/amaranthpulley/transport/vm_list_client.py
+++ b/amaranthpulley/transport/vm_list_client.py
@@ -1,5 +1,7 @@
 """A client of the platform's VM list over HTTP."""
 
+from typing import Final
+
 import urllib3
 
 from amaranthpulley.protocol import errors as protocol_errors
@@ -7,6 +9,9 @@
 from amaranthpulley.state.control import members
 from amaranthpulley.transport import http_connections
 
+# 8,300 VMs take about a megabyte.
+MAXIMUM_LIST_BYTES: Final = 8_388_608
+
 
 class VmListClient:
     """A persistent connection to the VM list.
@@ -23,18 +28,15 @@
     def read(self, timeout_ms: int) -> tuple[members.Vm, ...] | None:
         """Return the list, or None when no valid reply arrives in time."""
         try:
-            response = self._pool.urlopen(
-                "GET",
-                vm_list_api.PATH,
-                timeout=urllib3.Timeout(total=timeout_ms / 1000),
-                retries=False,
+            answer = http_connections.call(
+                self._pool, "GET", vm_list_api.PATH, timeout_ms, MAXIMUM_LIST_BYTES
             )
         except (urllib3.exceptions.HTTPError, OSError):
             return None
-        if response.status != 200:
+        if answer.status != 200:
             return None
         try:
-            return vm_list_api.decode(response.data)
+            return vm_list_api.decode(answer.body)
         except protocol_errors.ProtocolError:
             return None
 
--- a/features/forwarded_leaf.feature
+++ b/features/forwarded_leaf.feature
@@ -19,6 +19,8 @@
       | rejects the request                |
       | fails                              |
       | breaks its answer off              |
+      | stops in its answer's head         |
+      | sends an answer without end        |
       | sends bytes that are no answer     |
       | answers twice                      |
       | repeats an earlier answer first    |
@@ -46,5 +48,7 @@
       | resets the connection          | 502    | once         |
       | fails                          | 500    | once         |
       | breaks its answer off          | 502    | once         |
+      | stops in its answer's head     | 502    | once         |
+      | sends an answer without end    | 502    | once         |
       | sends bytes that are no answer | 502    | once         |
       | answers twice                  | 200    | once         |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -26,6 +26,8 @@
     "rejects the request": "reject",
     "fails": "fail",
     "breaks its answer off": "cut",
+    "stops in its answer's head": "head",
+    "sends an answer without end": "endless",
     "sends bytes that are no answer": "garble",
     "answers twice": "extra",
     "repeats an earlier answer first": "late",
