Split the probes without a lease from the cold starts

Change: the probes of suspected targets without a lease stand in leaseless_probes.py; no decision changes.

--- a/amaranthpulley/coordination/searches/cold_starts.py
+++ b/amaranthpulley/coordination/searches/cold_starts.py
@@ -22,8 +22,9 @@
 
 from amaranthpulley.coordination import commands
 from amaranthpulley.coordination.control import named_leases
+from amaranthpulley.coordination.searches import leaseless_probes
 from amaranthpulley.state import daemon as daemon_state
-from amaranthpulley.state import log_events, rendezvous, targets
+from amaranthpulley.state import log_events, targets
 from amaranthpulley.state.control import facts, topology
 
 Commands = list[commands.Command]
@@ -31,11 +32,6 @@
 ATTEMPT_TIMEOUT_MS: Final = 1_000
 LEASE_MARGIN_MS: Final = 500
 RECHECK_INTERVAL_MS: Final = 1_000
-NO_LEASE_PROBE_DELAY_MS: Final = 6_000
-NO_LEASE_PROBE_STEP_MS: Final = 1_000
-# Waited for a lease before the last replica of a shard is tried without one, for each
-# rank; a store that works grants a lease sooner.
-LAST_REPLICA_STEP_MS: Final = 200
 FACT_VALID_MS: Final = 60_000
 SUSPICION_VALID_MS: Final = 30_000
 FACTS_READ_INTERVAL_MS: Final = 200
@@ -57,11 +53,6 @@
     target: str
 
 
-def lease_name(target: str) -> str:
-    """Return the name of the lease whose holder may send to a cold target."""
-    return f"cold/{target}"
-
-
 def free_capacity(
     daemon: daemon_state.Daemon,
     target: topology.Target,
@@ -211,7 +202,9 @@
         elif state.cold is not None and state.cold.lost:
             # Without an open connection this daemon would not notice another restart.
             state.cold = targets.ColdStart(now_ms, suspected=True, lost=True)
-            decided += named_leases.acquire(daemon, lease_name(fact.subject), now_ms)
+            decided += named_leases.acquire(
+                daemon, leaseless_probes.lease_name(fact.subject), now_ms
+            )
         elif state.cold is not None:
             decided += _clear_cold(daemon, fact.subject, now_ms)
     return decided
@@ -231,7 +224,7 @@
         return decided
     if state.cold.suspected:
         _renew_suspicion(daemon, target, now_ms)
-    name = lease_name(target)
+    name = leaseless_probes.lease_name(target)
     if daemon.leases.holds(name, now_ms):
         if not state.cold.suspected:
             _publish_status(daemon, target, COLD, now_ms)
@@ -250,38 +243,9 @@
     now_ms: int,
 ) -> bool:
     until_ms = now_ms + ATTEMPT_TIMEOUT_MS + LEASE_MARGIN_MS
-    if daemon.leases.holds(lease_name(target.name), until_ms):
-        return True
-    if not state.cold.suspected or now_ms < daemon.leases.valid_until_ms:
-        return False
-    if now_ms >= _no_lease_probe_at_ms(daemon, target.name, state):
+    if daemon.leases.holds(leaseless_probes.lease_name(target.name), until_ms):
         return True
-    return _may_try_last_replica(daemon, target, state, now_ms)
-
-
-def _may_try_last_replica(
-    daemon: daemon_state.Daemon,
-    target: topology.Target,
-    state: targets.TargetState,
-    now_ms: int,
-) -> bool:
-    """Return whether to send one attempt to a shard's last replica without a lease.
-
-    An answer that was merely late is the usual cause of a suspicion, and without the
-    last replica every search of the shard would be refused while the store is down.
-    """
-    if state.cold.failures or state.in_flight:
-        return False
-    step_ms = LAST_REPLICA_STEP_MS * (1 + _rank(daemon, target.name))
-    if now_ms < state.cold.since_ms + step_ms:
-        return False
-    shards = daemon.configuration.shards(target.service)
-    return all(
-        replica.name == target.name
-        or daemon.targets.of(replica.name).cold is not None
-        or not daemon.configuration.accepts_work(replica)
-        for replica in shards.get(target.shard, {}).values()
-    )
+    return leaseless_probes.may_probe(daemon, target, state, now_ms)
 
 
 def _set_cold(
@@ -303,8 +267,10 @@
         commands.log(log_events.TARGET_COLD, target=target, suspected=suspected),
         commands.SetTimer(ColdRecheck(target), now_ms + RECHECK_INTERVAL_MS),
     ]
-    if suspected or _rank(daemon, target) == 0:
-        decided += named_leases.acquire(daemon, lease_name(target), now_ms)
+    if suspected or leaseless_probes.rank(daemon, target) == 0:
+        decided += named_leases.acquire(
+            daemon, leaseless_probes.lease_name(target), now_ms
+        )
     return decided
 
 
@@ -345,7 +311,7 @@
     state.slow_answers = 0
     return [
         commands.log(log_events.TARGET_WARM, target=target),
-        *named_leases.release(daemon, lease_name(target), now_ms),
+        *named_leases.release(daemon, leaseless_probes.lease_name(target), now_ms),
     ]
 
 
@@ -383,24 +349,12 @@
     daemon.facts.publish(fact, now_ms + FACT_VALID_MS)
 
 
-def _rank(daemon: daemon_state.Daemon, target: str) -> int:
-    names = [vm.name for vm in daemon.members.live]
-    return rendezvous.ranking(names, lease_name(target)).index(daemon.identity.name)
-
-
 def _has_turn(
     daemon: daemon_state.Daemon, target: str, state: targets.TargetState, now_ms: int
 ) -> bool:
-    rank = _rank(daemon, target)
+    rank = leaseless_probes.rank(daemon, target)
     turn = (now_ms - state.cold.since_ms) // RECHECK_INTERVAL_MS
     return rank == 0 or turn % len(daemon.members.live) == rank
 
 
-def _no_lease_probe_at_ms(
-    daemon: daemon_state.Daemon, target: str, state: targets.TargetState
-) -> int:
-    wait_ms = NO_LEASE_PROBE_DELAY_MS + _rank(daemon, target) * NO_LEASE_PROBE_STEP_MS
-    return state.cold.since_ms + wait_ms
-
-
 HANDLERS: Final = {ColdRecheck: recheck}
--- a/amaranthpulley/transport/tests/test_cold_starts.py
+++ b/amaranthpulley/transport/tests/test_cold_starts.py
@@ -6,7 +6,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from amaranthpulley.coordination.searches import cold_starts
+from amaranthpulley.coordination.searches import cold_starts, leaseless_probes
 from amaranthpulley.state import daemon, requests, standin_leaf
 from amaranthpulley.state.control import facts, topology
 from amaranthpulley.transport.emulation import virtual_platform
@@ -125,7 +125,7 @@
         _send_searches(site, 500)
         site.leaf(0).restart(COLD._replace(warm_after=60))
         _send_searches(site, 1_000)
-        name = cold_starts.lease_name(site.targets[0].name)
+        name = leaseless_probes.lease_name(site.targets[0].name)
         now_ms = site.network.now_ms
         holders = [
             vm_name
