--- a/amaranthpulley/coordination/accounts/request_journal.py
+++ b/amaranthpulley/coordination/accounts/request_journal.py
@@ -25,7 +25,15 @@
 
 
 class FlushDue(NamedTuple):
-    """Purpose of the timer that writes the unwritten records."""
+    """Purpose of the timer that writes the unwritten records.
+
+    Attributes
+    ----------
+    chain : int
+        Timers of an earlier chain than the journal's do nothing.
+    """
+
+    chain: int = 0
 
 
 def pending_write_count(daemon: daemon_state.Daemon) -> int:
@@ -150,11 +158,13 @@
 
 
 def flush(
-    daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
+    daemon: daemon_state.Daemon, event: events.TimerDue, now_ms: int, random: Random
 ) -> Commands:
     """Seal and write the unwritten records, and set the timer of the next flush."""
     wall_ms = daemon.wall_ms(now_ms)
     own_journal = daemon.journal
+    if event.purpose.chain != own_journal.flush_chain:
+        return []
     _seal(own_journal)
     if daemon.draining and daemon.requests_in_progress == 0:
         own_journal.drop_unanswered(wall_ms + 1)
@@ -166,7 +176,7 @@
     )
     return [
         *journal_writes.write_next(daemon, wall_ms),
-        commands.SetTimer(FlushDue(), now_ms + wait_ms),
+        commands.SetTimer(event.purpose, now_ms + wait_ms),
     ]
 
 
@@ -174,7 +184,9 @@
     daemon: daemon_state.Daemon, event: events.Event, now_ms: int, random: Random
 ) -> Commands:
     """Flush soon, and then at short intervals, because the process is draining."""
-    return [commands.SetTimer(FlushDue(), now_ms + DRAIN_FLUSH_INTERVAL_MS)]
+    daemon.journal.flush_chain += 1
+    due = FlushDue(daemon.journal.flush_chain)
+    return [commands.SetTimer(due, now_ms + DRAIN_FLUSH_INTERVAL_MS)]
 
 
 def _may_be_dropped(daemon: daemon_state.Daemon, outcome: requests.Outcome) -> bool:
--- a/amaranthpulley/coordination/accounts/tests/test_request_journal.py
+++ b/amaranthpulley/coordination/accounts/tests/test_request_journal.py
@@ -65,7 +65,8 @@
     def tick(self, wait_ms: int = 5_000) -> None:
         """Advance the clock and fire the flush timer."""
         self.now_ms += wait_ms
-        self.feed(events.TimerDue(request_journal.FlushDue()))
+        chain = self.daemon.journal.flush_chain
+        self.feed(events.TimerDue(request_journal.FlushDue(chain)))
 
     def batches(self) -> list[journal.Batch]:
         """Return the batches in the store."""
@@ -106,6 +107,16 @@
         self.assertEqual(harness.life().status, journal.LifeStatus.OPEN)
         self.assertEqual(len(harness.batches()), 1)
 
+    def test_a_drain_replaces_the_chain_of_flushes(self) -> None:
+        harness = JournalHarness()
+        harness.settle()
+        decided = harness.feed(events.DrainRequested())
+        earlier, current = (request_journal.FlushDue(chain) for chain in (0, 1))
+        due = [c.purpose for c in decided if isinstance(c, commands.SetTimer)]
+        self.assertEqual(due.count(current), 1)
+        self.assertEqual(harness.feed(events.TimerDue(earlier)), [])
+        self.assertTrue(harness.feed(events.TimerDue(current)))
+
     def test_batch_has_a_segment_for_each_customer(self) -> None:
         harness = JournalHarness()
         for customer in ("b", "a", "b"):
--- a/amaranthpulley/coordination/forwarding/delegates.py
+++ b/amaranthpulley/coordination/forwarding/delegates.py
@@ -25,7 +25,7 @@
 # One delegate may be lost or stopped at any time.
 MINIMUM_DELEGATES: Final = 2
 # Share of the fleet's allowances that is divided among the runners alone.
-RUNNERS_SHARE: Final = 0.5
+RUNNERS_SHARE: Final = 0.75
 # Assumed until the daemons have been read from the store; the users' smallest sites.
 DEFAULT_DAEMON_COUNT: Final = 8
 
--- a/amaranthpulley/coordination/tracing.py
+++ b/amaranthpulley/coordination/tracing.py
@@ -64,7 +64,7 @@
     search = daemon.searches.get(daemon.searches.request_of(attempt_id) or "")
     if search is not None:
         return search.attempts[attempt_id].target.failure_domain
-    order = daemon.orders.get(daemon.orders.request_of(attempt_id) or "")
+    order = daemon.orders.of_attempt(attempt_id)
     if order is None or order.target is None:
         return None
     return order.target.failure_domain
--- a/amaranthpulley/state/accounts/journal.py
+++ b/amaranthpulley/state/accounts/journal.py
@@ -253,6 +253,8 @@
         self.life_revision = 0
         self.last_sequence = 0
         self.last_write_ms = 0
+        # Number of the timer chain that flushes it.
+        self.flush_chain = 0
         self.previous_bucket_ms = 0
         self.pending_write: PendingWrite | None = None
         self.unsealed: list[NumberedRecord] = []
--- a/amaranthpulley/state/orders/orders.py
+++ b/amaranthpulley/state/orders/orders.py
@@ -145,9 +145,13 @@
         order.attempts_sent += 1
         self._claims_by_attempt[attempt_id] = order.claim_id
 
+    def of_attempt(self, attempt_id: str) -> Order | None:
+        """Return the order of an attempt in flight; None when it has ended."""
+        return self._orders.get(self._claims_by_attempt.get(attempt_id, ""))
+
     def request_of(self, attempt_id: str) -> str | None:
         """Return the request id of an attempt in flight; None when it has ended."""
-        order = self._orders.get(self._claims_by_attempt.get(attempt_id, ""))
+        order = self.of_attempt(attempt_id)
         return order.request.request_id if order else None
 
     def end_attempt(self, attempt_id: str) -> Order | None:
--- a/amaranthpulley/transport/emulation/virtual_targets.py
+++ b/amaranthpulley/transport/emulation/virtual_targets.py
@@ -50,7 +50,7 @@
         Share of the answers, from 0.0 to 1.0, that arrive twice; the second copy also
         arrives when the attempt has ended.
     started_requests : set of str
-        IDs of the searches that some leaf has started to run; orders are not recorded.
+        IDs of the requests that some leaf has started to run.
     """
 
     def __init__(self, network: virtual_network.VirtualNetwork) -> None:
@@ -195,7 +195,7 @@
         attempt_id = command.attempt_id
         # A leaf selects the index version when the attempt starts.
         part = _search(leaf, command)
-        if part is not None:
+        if part is not None or isinstance(command.call, commands.OrderCall):
             self.started_requests.add(command.request_id)
 
         def finish() -> None:
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -32,8 +32,8 @@
 # Lifetime of the registration's lease, and how often it is renewed.
 REGISTRATION_LIFETIME_MS: Final = 30_000
 RENEWAL_INTERVAL_MS: Final = 10_000
-# Pause after a failed registration or renewal. Three retries fit into the lifetime that
-# remains after a failed renewal.
+# Pause after a failed registration or renewal. Several retries fit into the 20 s of the
+# lifetime that remain after a failed renewal.
 REGISTRATION_RETRY_MS: Final = 2_500
 
 
--- a/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
@@ -5,6 +5,7 @@
 loop.prepare_loop()
 
 import unittest  # noqa: E402
+from unittest import mock  # noqa: E402
 
 import eventlet  # noqa: E402
 
@@ -90,6 +91,9 @@
             self.assertTrue(self.feed.is_fresh())
             eventlet.sleep(0.02)
 
+    @mock.patch.object(peer_feed, "LONG_POLL_WAIT_MS", 3_600_000)
+    @mock.patch.object(peer_feed, "MAXIMUM_AGE_MS", 3_600_000)
+    @mock.patch.object(relay, "MAXIMUM_WAIT_MS", 3_600_000)
     def test_store_failure_is_reported_at_once(self) -> None:
         self.feed.start()
         for number, watcher in enumerate(self.watchers):
@@ -97,9 +101,8 @@
         self._wait(self.feed.is_fresh)
         for watcher in self.watchers:
             watcher.mark_unconfirmed()
-        with eventlet.Timeout(0.5):
-            while self.feed.is_fresh():
-                eventlet.sleep(0.02)
+        # Neither the end of a poll nor the age of the confirmations ends it earlier.
+        self._wait(lambda: not self.feed.is_fresh())
 
     def test_watchers_with_an_old_confirmation_are_not_fresh(self) -> None:
         old_ms = self.clock.monotonic_ms() - peer_feed.MAXIMUM_AGE_MS - 1
--- a/amaranthpulley/transport/tests/test_observability.py
+++ b/amaranthpulley/transport/tests/test_observability.py
@@ -83,12 +83,23 @@
         ):
             self.assertIn(name, text)
 
-    def test_failed_attempts_are_counted_by_failure_domain(self) -> None:
+    def test_failed_searches_are_counted_by_failure_domain(self) -> None:
         site = journal_site.JournalSite()
         leaf = site.network.targets.leaves.pop("leaf")
         site.search("vm-1", "forno")
         site.run(5_000)
         site.network.add_leaf("leaf", leaf)
+        self._check_failures_of_recife(site)
+
+    def test_failed_orders_are_counted_by_failure_domain(self) -> None:
+        site = journal_site.JournalSite()
+        desk = site.network.targets.leaves.pop("desk")
+        site.order("vm-1", "forno")
+        site.run(5_000)
+        site.network.add_leaf("desk", desk)
+        self._check_failures_of_recife(site)
+
+    def _check_failures_of_recife(self, site: journal_site.JournalSite) -> None:
         daemon = site.network.daemons["vm-1"].state
         counted = [
             dict(counter.labels)["failure_domain"]
