Continue the registration of a daemon's previous life

Change: the listing shows the registration of the previous life; if it has the same value its lease is renewed, at a tenth of a call. Only watchers and runners end their registration at a stop, since only they are relied on. Registering waits for the listing.

--- a/amaranthpulley/coordination/forwarding/store_watchers.py
+++ b/amaranthpulley/coordination/forwarding/store_watchers.py
@@ -7,6 +7,7 @@
 
 from typing import Final, NamedTuple
 
+from amaranthpulley.coordination.forwarding import delegates
 from amaranthpulley.state import rendezvous
 from amaranthpulley.state.forwarding import gateway as gateway_state
 
@@ -91,6 +92,14 @@
     return len(selected) < WATCHERS_PER_REGION or gateway.place.name in selected
 
 
+def serves_others(gateway: gateway_state.Gateway) -> bool:
+    """Return whether other daemons rely on this one and must learn that it stops.
+
+    The registration of any other daemon may expire, or be renewed by its next life.
+    """
+    return is_watcher(gateway) or delegates.runs_searches(gateway)
+
+
 def followed_addresses(gateway: gateway_state.Gateway) -> tuple[str, ...]:
     """Return the addresses of the watchers to follow; none for a watcher."""
     if is_watcher(gateway):
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -30,6 +30,7 @@
     Key: str
     Revision: int
     Value: NotRequired[str]
+    Lease: NotRequired[int]
     Deleted: NotRequired[bool]
 
 
@@ -100,6 +101,7 @@
                 # Later pages may hold newer items, so the watch starts at this one.
                 revision = page["CurrentRev"]
             changes += [_change_of(item) for item in page["items"]]
+            self._adopt_lease(page["items"])
             if not page["MorePages"] or not page["items"]:
                 return store_view.Listing(tuple(changes), revision)
             after = page["items"][-1]["Key"]
@@ -117,6 +119,12 @@
         changes = tuple(_change_of(item) for item in page["events"])
         return store.Changes(changes, page["CurrentRev"])
 
+    def _adopt_lease(self, items: list[_Item]) -> None:
+        """Continue the registration of this daemon's previous life, if it is there."""
+        for item in items:
+            if item["Key"] == self._key and item.get("Value") == self._value:
+                self._lease = self._lease or item.get("Lease") or None
+
     def register(self, life_ms: int) -> None:
         """Register this daemon under a new lease."""
         body = self._post(names.LEASE_PATH, {"TtlMs": life_ms})
@@ -126,7 +134,7 @@
         self._post(names.TRANSACTION_PATH, change)
 
     def renew(self) -> bool:
-        """Renew the lease; return False when it has expired."""
+        """Renew the lease; return False when there is none or it has expired."""
         if self._lease is None:
             return False
         path = f"{names.RENEW_PATH}{self._lease}"
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -249,7 +249,8 @@
             (EXIT_SHARE - CLOSE_IDLE_SHARE) * grace_ms
         )
         self._front.stop_listening()
-        self._feed.stop()
+        if store_watchers.serves_others(self.gateway):
+            self._feed.stop()
         self._delegated.stop_listening()
         while self._close_idle() and self._clock.monotonic_ms() < end_ms:
             eventlet.sleep(DRAIN_CHECK_INTERVAL_MS / 1000)
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -8,6 +8,7 @@
 from typing import Final, NamedTuple
 
 import eventlet
+import eventlet.event
 
 from amaranthpulley.coordination.forwarding import events, store_watchers
 from amaranthpulley.state import clock as clock_state
@@ -52,7 +53,8 @@
     register : callable
         Takes a lifetime in milliseconds; registers this daemon for that time.
     renew : callable
-        Extends the registration; returns False when it has expired.
+        Extends the registration, also that of a previous life if `read_all` found it;
+        returns False when there is none or it has expired.
     unregister : callable
         Ends the registration.
     decode : callable
@@ -105,6 +107,7 @@
         self._failures = 0
         self._lost = False
         self._needs_listing = True
+        self._first_listing = eventlet.event.Event()
         self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
 
     def start(self) -> None:
@@ -113,7 +116,7 @@
         eventlet.spawn_n(self._keep_registered)
 
     def stop(self) -> None:
-        """End the registration."""
+        """End the registration, so that other daemons stop relying on this one."""
         try:
             self._calls.unregister()
         except errors.PlatformUnreachableError as error:
@@ -148,6 +151,8 @@
         if self._needs_listing:
             listing = self._read_all()
             self._needs_listing = False
+            if not self._first_listing.ready():
+                self._first_listing.send()
             self._view.apply_listing(listing)
             self._view.apply_confirmed((), listing.revision, self._now_ms())
             return
@@ -165,12 +170,12 @@
         return listing
 
     def _keep_registered(self) -> None:
-        registered = False
+        # The listing finds the registration of the previous life, which is renewed.
+        self._first_listing.wait()
         while True:
             try:
-                if not registered or not self._calls.renew():
+                if not self._calls.renew():
                     self._calls.register(REGISTRATION_LIFETIME_MS)
-                registered = True
             except errors.PlatformUnreachableError as error:
                 self._record_failure(str(error))
                 eventlet.sleep(REGISTRATION_RETRY_MS / 1000)
