Answer what is established before a stop, and spend nothing without a registration

A daemon that was paused or cut off for longer than its registration went on spending its part of the budgets, which the others had divided among themselves; one whose lease was revoked noticed it only after up to 10 s. Change: the listener accepts what is established before it closes; a connection is read before it is closed as idle; a new one has 500 ms for its first request. A daemon has no part of a shared budget after the end of its registration, counted from before the call, and registers again as soon as it sees that it is missing. Requests that must not run twice are never handed over. Looked for and not found: a leaf that had left is in use after a restart (RestartTest, over lagging watchers).

--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -156,6 +156,17 @@
     return []
 
 
+def record_registration(
+    gateway: gateway_state.Gateway,
+    event: events.Registered,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Record until when the other daemons count this one."""
+    gateway.registered_until_ms = event.until_ms
+    return []
+
+
 def log_store_state(
     gateway: gateway_state.Gateway,
     event: events.StoreReached,
--- a/amaranthpulley/coordination/forwarding/delegates.py
+++ b/amaranthpulley/coordination/forwarding/delegates.py
@@ -60,8 +60,14 @@
     return not fleet.runners or gateway.place.name in fleet.runners
 
 
-def allowance(gateway: gateway_state.Gateway, service: str) -> float:
-    """Return this daemon's share of what all may spend on a service, from 0 to 1."""
+def allowance(gateway: gateway_state.Gateway, service: str, now_ms: int) -> float:
+    """Return this daemon's share of what all may spend on a service, from 0 to 1.
+
+    A daemon whose registration has lapsed, also while it was paused, has no share: the
+    others have divided it among themselves.
+    """
+    if not is_registered(gateway, now_ms):
+        return 0.0
     equal = 1.0 / daemon_count(gateway)
     fleet = fleet_of(gateway)
     if not fleet.delegates or service not in gateway.sharded_services:
@@ -72,6 +78,14 @@
     return share
 
 
+def is_registered(gateway: gateway_state.Gateway, now_ms: int) -> bool:
+    """Return whether the other daemons count this one."""
+    if gateway.members and gateway.place.name not in gateway.members:
+        return False
+    until_ms = gateway.registered_until_ms
+    return until_ms is None or now_ms < until_ms
+
+
 def _divide(gateway: gateway_state.Gateway) -> delegations.Fleet:
     by_domain: dict[str, list[str]] = collections.defaultdict(list)
     for name, member in gateway.members.items():
--- a/amaranthpulley/coordination/forwarding/delegation.py
+++ b/amaranthpulley/coordination/forwarding/delegation.py
@@ -158,7 +158,7 @@
     gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
 ) -> bool:
     route = request.route
-    if not route.shards or request.incoming.origin is not None:
+    if not route.shards or not route.idempotent or request.incoming.origin is not None:
         return False
     if route.regions and gateway.place.region not in route.regions:
         return False
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -96,6 +96,18 @@
     member: gateway.Member | None
 
 
+class Registered(NamedTuple):
+    """The registration of this daemon was written or renewed.
+
+    Attributes
+    ----------
+    until_ms : int
+        Its end by the monotonic clock, counted from before the call.
+    """
+
+    until_ms: int
+
+
 class StoreReached(NamedTuple):
     """The store has become reachable or unreachable."""
 
@@ -172,6 +184,7 @@
     | EvacuationChanged
     | MemberChanged
     | StoreReached
+    | Registered
     | ProbeEnded
     | SlownessReported
     | DelegateHeard
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -238,7 +238,7 @@
     rate = routes.limits_of(configuration, leaf.entry.service).cold_requests_per_second
     if rate <= 0.0:
         return True
-    share = delegates.allowance(gateway, leaf.entry.service)
+    share = delegates.allowance(gateway, leaf.entry.service, now_ms)
     passed_s = (now_ms - leaf.cold_tokens_refilled_ms) / 1000
     burst = max(1.0, gateway.limits.cold_slack * share)
     leaf.cold_tokens = min(burst, leaf.cold_tokens + passed_s * rate * share)
--- a/amaranthpulley/coordination/forwarding/retry_budget.py
+++ b/amaranthpulley/coordination/forwarding/retry_budget.py
@@ -53,7 +53,7 @@
     request_count, repeat_count = gateway.window_of(service).totals(now_ms)
     # After a restart the earlier spending is unknown, so the slack grows with uptime.
     uptime_share = min(1.0, (now_ms - gateway.started_ms) / limits.retry_window_ms)
-    own_share = delegates.allowance(gateway, service)
+    own_share = delegates.allowance(gateway, service, now_ms)
     slack = limits.retry_slack * uptime_share * own_share
     return repeat_count, USABLE_SHARE * (limits.retry_ratio * request_count + slack)
 
--- a/amaranthpulley/coordination/forwarding/tests/test_delegates.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_delegates.py
@@ -83,10 +83,22 @@
         members = _fleet(a1=first, a2=second, b1=third)
         for service in ("shard-0", "visits"):
             total = sum(
-                delegates.allowance(_daemon(name, members), service) for name in members
+                delegates.allowance(_daemon(name, members), service, 0)
+                for name in members
             )
             self.assertAlmostEqual(total, 1.0)
 
+    def test_a_daemon_whose_registration_has_lapsed_has_none(self) -> None:
+        members = _fleet(a1=10)
+        state = _daemon("a1-5", members)
+        state.registered_until_ms = 30_000
+        self.assertGreater(delegates.allowance(state, "shard-0", 29_999), 0.0)
+        # It was paused, or the store was out of reach, for longer than that.
+        self.assertEqual(delegates.allowance(state, "shard-0", 30_000), 0.0)
+        state.registered_until_ms = 60_000
+        state.set_member("a1-5", None)
+        self.assertEqual(delegates.allowance(state, "shard-0", 30_000), 0.0)
+
 
 class ConnectionSharesTest(unittest.TestCase):
     """Division of a leaf's connections, 40 in these tests, among the daemons."""
--- a/amaranthpulley/coordination/forwarding/tests/test_delegation.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_delegation.py
@@ -86,6 +86,11 @@
         delegating.site.request()
         self.assertEqual(delegating.handed_over(), [])
 
+    def test_a_request_that_must_not_run_twice_is_not_handed_over(self) -> None:
+        delegating = DelegatingSite(idempotent=False)
+        delegating.site.request()
+        self.assertEqual(delegating.handed_over(), [])
+
     def test_a_daemon_with_much_traffic_runs_its_own_requests(self) -> None:
         delegating = DelegatingSite()
         for _ in range(50):
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -104,6 +104,8 @@
         again after a change of the configuration, the daemons or the leaves.
     sharded_services : tuple of str
         Services of the configuration's sharded routes.
+    registered_until_ms : int or None
+        End of this daemon's registration unless it is renewed; None before the first.
     fleet : Fleet or None
         The daemons that run sharded requests; None after a change of the daemons.
     delegations : dict
@@ -139,6 +141,7 @@
         self.watchers: list[str] | None = None
         self.connection_plans: dict[str, dict[str, int]] = {}
         self.sharded_services: tuple[str, ...] = ()
+        self.registered_until_ms: int | None = None
         self.fleet: delegations.Fleet | None = None
         self.delegations: dict[int, int] = {}
         self.suspected_delegates: dict[str, delegations.Suspicion] = {}
--- a/amaranthpulley/state/forwarding/tests/test_change_log.py
+++ b/amaranthpulley/state/forwarding/tests/test_change_log.py
@@ -92,3 +92,43 @@
             second.add(change)
         expected = {c.key: c.value for c in first.after(0).changes}
         self.assertEqual({c.key: c.value for c in second.after(0).changes}, expected)
+
+
+class RestartTest(unittest.TestCase):
+    """A daemon that has restarted and follows watchers that lag behind the store."""
+
+    OPERATIONS = strategies.lists(
+        strategies.tuples(strategies.sampled_from(KEYS), strategies.booleans()),
+        min_size=1,
+        max_size=30,
+    )
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(OPERATIONS, strategies.data())
+    def test_nothing_that_was_deleted_before_its_listing_comes_back(
+        self, operations: list[tuple[str, bool]], data: strategies.DataObject
+    ) -> None:
+        history = [
+            _change(key, revision, b"v" if is_write else None)
+            for revision, (key, is_write) in enumerate(operations, 1)
+        ]
+        last = len(history)
+        latest = {change.key: change for change in history}
+        log = change_log.ChangeLog()
+        for change in latest.values():
+            if change.value is not None:
+                log.add(change)
+        log.advance(last)
+        for _ in range(3):
+            watcher = change_log.ChangeLog()
+            known = data.draw(strategies.integers(0, last))
+            for change in history[:known]:
+                watcher.add(change)
+            watcher.advance(known)
+            excerpt = watcher.after(log.revision)
+            for change in excerpt.changes:
+                log.add(change)
+            log.advance(excerpt.revision)
+        live = {change.key for change in log.after(0).changes}
+        expected = {key for key, change in latest.items() if change.value is not None}
+        self.assertEqual(live, expected)
--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -19,6 +19,9 @@
 
 # Interval between checks for connections that exceeded a timeout.
 SWEEP_INTERVAL_MS: Final = 500
+# While draining, a connection without a first request is kept for this time, because
+# the request may already be in transit.
+FIRST_REQUEST_GRACE_MS: Final = 500
 # Idle connections are kept this much longer than the idle timeout, because the client's
 # next request may already be in transit.
 IDLE_GRACE_MS: Final = 1_000
@@ -68,6 +71,8 @@
         self.key = 0
         # Start of the idle time or of the request that is being received.
         self.since_ms = server.now_ms()
+        # Whether it has had a request.
+        self._used = False
         # The last answer has been sent or buffered.
         self._closing = False
         # Unsent bytes at the last sweep, and when they last changed.
@@ -123,6 +128,13 @@
         self._stream.close()
         self._server.forget(self)
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request has come or may be on its way."""
+        self._stream.read_pending()
+        open_ms = self._server.now_ms() - self.since_ms
+        if self.idle and (self._used or open_ms >= FIRST_REQUEST_GRACE_MS):
+            self.close()
+
     def time_out(self) -> None:
         """Answer 408 Request Timeout and close the connection."""
         data = client_answers.encode_status(_TIMEOUT_STATUS, "request_timeout", True)
@@ -163,6 +175,7 @@
 
     def _begin(self, request: client_requests.ClientRequest) -> None:
         self.current = request
+        self._used = True
         self._server.handler.on_request(self, request)
 
     def _refuse(self, error: errors.BadRequestError) -> None:
@@ -223,8 +236,8 @@
 
     def close_idle(self) -> int:
         """Close the idle connections; return the number that remain open."""
-        for connection in [c for c in self._connections if c.idle]:
-            connection.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
         return len(self._connections)
 
     def _accept(self, connection: socket.socket) -> None:
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -220,6 +220,8 @@
 
     def _handle(self, event: events.Event) -> None:
         self.runtime.feed(event)
+        if event == events.MemberChanged(self.gateway.place.name, None):
+            self._feed.renew_registration()
         if isinstance(event, events.ConfigurationRead):
             configuration = self.gateway.configuration
             if configuration is not None:
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -108,6 +108,7 @@
         self._lost = False
         self._needs_listing = True
         self._first_listing = eventlet.event.Event()
+        self._renewal_due = eventlet.event.Event()
         self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
 
     def start(self) -> None:
@@ -169,10 +170,16 @@
         self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
         return listing
 
+    def renew_registration(self) -> None:
+        """Renew the registration now, because it is missing in the store."""
+        if not self._renewal_due.ready():
+            self._renewal_due.send()
+
     def _keep_registered(self) -> None:
         # The listing finds the registration of the previous life, which is renewed.
         self._first_listing.wait()
         while True:
+            until_ms = self._now_ms() + REGISTRATION_LIFETIME_MS
             try:
                 if not self._calls.renew():
                     self._calls.register(REGISTRATION_LIFETIME_MS)
@@ -180,7 +187,10 @@
                 self._record_failure(str(error))
                 eventlet.sleep(REGISTRATION_RETRY_MS / 1000)
             else:
-                eventlet.sleep(RENEWAL_INTERVAL_MS / 1000)
+                self._handle_event(events.Registered(until_ms))
+                with eventlet.Timeout(RENEWAL_INTERVAL_MS / 1000, False):
+                    self._renewal_due.wait()
+                self._renewal_due = eventlet.event.Event()
 
     def _retry_pause_ms(self) -> int:
         timing = self._timing()
--- a/amaranthpulley/transport/forwarding/streams.py
+++ b/amaranthpulley/transport/forwarding/streams.py
@@ -78,6 +78,11 @@
         self._on_connected = on_connected
         self._writer = self._add_listener(self._hub.WRITE, self._finish_connecting)
 
+    def read_pending(self) -> None:
+        """Read what the kernel holds now instead of in a later turn of the loop."""
+        if self._reader is not None:
+            self._read(self._socket.fileno())
+
     def write(self, data: bytes) -> None:
         """Send bytes, or buffer them until the kernel accepts them."""
         if self._closed:
@@ -260,7 +265,8 @@
         return f"{host}:{port}"
 
     def close(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections, after those that are already established."""
+        self._accept(self._socket.fileno())
         self._hub.remove(self._reader)
         self._socket.close()
 
--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -134,6 +134,16 @@
         self.assertEqual(subject.calls["renew"], 1)
         self.assertEqual(subject.calls["register"], 0)
 
+    def test_a_registration_that_is_missing_is_written_at_once(self) -> None:
+        subject = self._subject(FOLLOWER)
+        self.assertEqual(subject.calls["register"], 1)
+        subject.registered = False
+        subject.feed.renew_registration()
+        eventlet.sleep(0.1)
+        self.assertEqual(subject.calls["register"], 2)
+        registered = [type(e) for e in subject.received_events]
+        self.assertEqual(registered.count(events.Registered), 2)
+
     def test_nothing_is_registered_before_the_first_listing(self) -> None:
         subject = _StoreSubject(WATCHER)
         subject.refused = {"list"}
