--- a/amaranthpulley/coordination/searches/leaseless_probes.py
+++ b/amaranthpulley/coordination/searches/leaseless_probes.py
@@ -16,7 +16,7 @@
 NO_LEASE_PROBE_STEP_MS: Final = 1_000
 # Waited for a lease before the last replica of a shard is tried without one, for each
 # rank; a store that works grants a lease sooner.
-LAST_REPLICA_STEP_MS: Final = 200
+LAST_REPLICA_STEP_MS: Final = 100
 
 
 def lease_name(target: str) -> str:
--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -19,6 +19,7 @@
 from amaranthpulley.state.control import members, tickets, topology
 
 SHARDS: Final = 3
+LOG_TAIL_CHARACTERS: Final = 6_000
 START_TIMEOUT_S: Final = 30
 POLL_S: Final = 0.05
 FAILURE_DOMAIN: Final = "Pokhara"
@@ -153,11 +154,18 @@
     def wait_until_ready(self) -> None:
         """Wait until every daemon serves searches over all shards."""
         body = {"customer": "c", "service": "stock", "query": "item-0000"}
-        for name in self.daemons:
-            wait_until(
-                lambda name=name: self.post(name, "search", body).get("coverage") == 1,
-                f"{name} serves",
-            )
+        for name, daemon in self.daemons.items():
+            try:
+                wait_until(
+                    lambda name=name: (
+                        self.post(name, "search", body).get("coverage") == 1
+                    ),
+                    f"{name} serves",
+                )
+            except TimeoutError as error:
+                answer = self.post(name, "search", body)
+                log = daemon.log.read_text()[-LOG_TAIL_CHARACTERS:]
+                raise TimeoutError(f"{error}; {answer}; its log: {log}") from error
 
     def wait_until_warm(self) -> None:
         """Wait until no daemon suspects a target of having restarted.
--- a/tests/test_trace_failures.py
+++ b/tests/test_trace_failures.py
@@ -82,6 +82,30 @@
         self.assertEqual(cause, "partial: leaf silent")
 
 
+class DelegatedCauseTest(unittest.TestCase):
+    """The cause of a failure of a request that another daemon ran."""
+
+    def _traces(self, *delegate_lines: bytes) -> list[trace_failures.Trace]:
+        own = [_decided(0, "delegated", ""), _decided(90, "delegate_answered", "")]
+        return trace_failures.read_traces([*own, _ended("partial"), *delegate_lines])
+
+    def test_it_is_that_of_the_delegate(self) -> None:
+        fields = {"service": "s", "detail": "i-1", "process": "leaf"}
+        own, delegate = self._traces(
+            _line(_DECIDED, 1, after_ms=1, decision="sent", **fields),
+            _line(_DECIDED, 2, after_ms=2, decision="lost", **fields),
+            _line(_DECIDED, 90, after_ms=90, decision="unanswered", **fields),
+            _line(_ENDED, 90, outcome="partial", elapsed_ms=90, process="leaf"),
+        )
+        cause = trace_failures.failure_cause(own, [own, delegate])
+        self.assertEqual(cause, "partial: lost, at a delegate")
+
+    def test_lines_that_the_delegate_dropped_are_named(self) -> None:
+        (own,) = self._traces()
+        cause = trace_failures.failure_cause(own, [own])
+        self.assertEqual(cause, "partial: without the lines of the delegate")
+
+
 class ReadTracesTest(unittest.TestCase):
     """Traces read from log lines."""
 
--- a/tools/trace_failures.py
+++ b/tools/trace_failures.py
@@ -25,6 +25,8 @@
 _PROGRESS_DECISIONS: Final = frozenset(
     {"sent", "answered", "unanswered", "budget_spent"}
 )
+# A delegate ran the request, so that the cause is in its log.
+_ANSWERED_ELSEWHERE: Final = frozenset({"delegate_answered", "delegate_silent"})
 _REQUEST_EVENTS: Final = frozenset(
     {
         log_events.FORWARD_ENDED.number,
@@ -81,10 +83,23 @@
     return trace.outcome not in ("served", "client_left")
 
 
-def failure_cause(trace: Trace) -> str | None:
-    """Return why a request failed; None when its log lines do not show it."""
+def failure_cause(trace: Trace, traces: Iterable[Trace] = ()) -> str | None:
+    """Return why a request failed; None when its log lines do not show it.
+
+    Parameters
+    ----------
+    traces : iterable of Trace
+        Traces of the same request from other daemons.
+    """
     if trace.outcome.startswith("refused: "):
         return trace.outcome
+    delegates = {d.leaf for d in trace.decisions if d.decision in _ANSWERED_ELSEWHERE}
+    for other in traces:
+        if other.process in delegates:
+            cause = failure_cause(other)
+            return f"{cause}, at a delegate" if cause else None
+    if delegates:
+        return f"{trace.outcome}: without the lines of the delegate"
     by_service: dict[str, list[Decision]] = {}
     for decision in trace.decisions:
         by_service.setdefault(decision.service, []).append(decision)
@@ -144,14 +159,21 @@
         found = [t for t in traces if t.request_id == options["--request"]]
         for trace in found:
             _print_trace(trace)
-            print(f"cause: {failure_cause(trace)}")
+            print(f"cause: {failure_cause(trace, found)}")
         return 0 if found else 1
     failed = [trace for trace in traces if is_failure(trace)]
+    by_request = collections.defaultdict(list)
+    for trace in traces:
+        by_request[trace.request_id].append(trace)
+
+    def cause_of(trace: Trace) -> str | None:
+        return failure_cause(trace, by_request[trace.request_id])
+
     count = int(options["--sample"])
     if count:
         for trace in _sample(failed, count):
-            print(f"{trace.request_id} {trace.process}: {failure_cause(trace)}")
-    causes = collections.Counter(failure_cause(trace) for trace in failed)
+            print(f"{trace.request_id} {trace.process}: {cause_of(trace)}")
+    causes = collections.Counter(cause_of(trace) for trace in failed)
     for cause, number in causes.most_common():
         print(f"{number:>6}  {cause or 'not traced'}")
     traced = len(failed) - causes[None]
