Release the lease of a cold target that no search wants

IdleHolderTest shows it under virtual time for each holder; it fails before. Change: a daemon asks for the lease of a cold target while searches want it, and releases it when none has for 2 s.

--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -18,9 +18,10 @@
 
 # Subtracted from the client's deadline, so that the answer reaches it in time.
 DEADLINE_MARGIN_MS: Final = 20
-# Retry-after hint before the configuration is read: a daemon has it within this time of
-# its start.
-CONFIGURATION_RETRY_AFTER_MS: Final = 300
+# A daemon has the configuration within this time of its start.
+START_MS: Final = 200
+# Assumed for clients that do not say how long they wait.
+DEFAULT_DEADLINE_MS: Final = 1_000
 
 
 def receive(
@@ -34,7 +35,9 @@
     configuration = gateway.configuration
     if configuration is None or not gateway.listed:
         reason = commands.Refusal.NO_CONFIGURATION
-        return _refuse(gateway, incoming, reason, CONFIGURATION_RETRY_AFTER_MS, now_ms)
+        left_ms = incoming.deadline_ms or DEFAULT_DEADLINE_MS
+        after_ms = admission.return_after_ms(0, START_MS, left_ms, incoming.key)
+        return _refuse(gateway, incoming, reason, after_ms, now_ms)
     reason = delegation.refusal_of(gateway, incoming.origin)
     if reason is not None:
         return _refuse(gateway, incoming, reason, 0, now_ms)
--- a/amaranthpulley/coordination/forwarding/tests/test_waiting.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_waiting.py
@@ -168,6 +168,19 @@
             self.assertLessEqual(after_ms, max(1, left_ms / 3))
 
 
+class StartTest(unittest.TestCase):
+    """Requests that come before the configuration is read."""
+
+    def test_clients_return_within_the_time_that_they_have(self) -> None:
+        site = gateway_site.GatewaySite()
+        for deadline_ms, most_ms in ((300, 100), (3_000, 350), (None, 350)):
+            with self.subTest(deadline_ms=deadline_ms):
+                refused = site.answers[site.request("/visit/1", deadline_ms)]
+                self.assertEqual(refused.reason, commands.Refusal.NO_CONFIGURATION)
+                self.assertLessEqual(refused.retry_after_ms, most_ms)
+                self.assertGreater(refused.retry_after_ms, 0)
+
+
 class ShedTest(unittest.TestCase):
     """Leaves that reject requests."""
 
--- a/amaranthpulley/coordination/searches/cold_starts.py
+++ b/amaranthpulley/coordination/searches/cold_starts.py
@@ -32,6 +32,8 @@
 ATTEMPT_TIMEOUT_MS: Final = 1_000
 LEASE_MARGIN_MS: Final = 500
 RECHECK_INTERVAL_MS: Final = 1_000
+# A cold target is wanted for this long after a search considered it.
+WANTED_VALID_MS: Final = 2_000
 FACT_VALID_MS: Final = 60_000
 SUSPICION_VALID_MS: Final = 30_000
 FACTS_READ_INTERVAL_MS: Final = 200
@@ -66,6 +68,7 @@
     int or None
         None when this daemon may not send to the target now.
     """
+    state.cold_wanted_ms = now_ms
     if now_ms < state.probe_at_ms or not _may_send(daemon, target, state, now_ms):
         return None
     return state.cold.limit - state.in_flight
@@ -216,7 +219,11 @@
     now_ms: int,
     random: object,
 ) -> Commands:
-    """Request the lease of a cold target when it is this daemon's turn."""
+    """Request the lease of a cold target, or release it if no search wants the target.
+
+    A daemon without searches would neither send to the target nor learn that it is
+    warm, and would keep the daemons that have searches from doing so.
+    """
     target = event.purpose.target
     state = daemon.targets.of(target)
     decided = apply_facts(daemon, now_ms)
@@ -225,10 +232,13 @@
     if state.cold.suspected:
         _renew_suspicion(daemon, target, now_ms)
     name = leaseless_probes.lease_name(target)
-    if daemon.leases.holds(name, now_ms):
+    is_wanted = now_ms - state.cold_wanted_ms <= WANTED_VALID_MS
+    if daemon.leases.holds(name, now_ms) and (is_wanted or state.in_flight):
         if not state.cold.suspected:
             _publish_status(daemon, target, COLD, now_ms)
-    elif _has_turn(daemon, target, state, now_ms):
+    elif is_wanted and (
+        state.cold.suspected or _has_turn(daemon, target, state, now_ms)
+    ):
         decided += named_leases.acquire(daemon, name, now_ms)
     else:
         decided += named_leases.release(daemon, name, now_ms)
--- a/amaranthpulley/state/targets.py
+++ b/amaranthpulley/state/targets.py
@@ -79,6 +79,8 @@
         Refusals since its last answer.
     probe_at_ms : int
         When one more attempt may be tried.
+    cold_wanted_ms : int
+        When a search last considered it while it was cold.
     slow_answers : int
         Consecutive answers that took far longer than the average.
     was_out_of_service : bool
@@ -104,6 +106,7 @@
         self.full_at: int | None = None
         self.refusals = 0
         self.probe_at_ms = 0
+        self.cold_wanted_ms = 0
         self.slow_answers = 0
         self.was_out_of_service = False
         self.boot_id = ""
--- a/amaranthpulley/transport/tests/test_cold_starts.py
+++ b/amaranthpulley/transport/tests/test_cold_starts.py
@@ -184,6 +184,32 @@
         self.assertEqual(state.cold.failures, 1)
 
 
+class IdleHolderTest(unittest.TestCase):
+    """A daemon without searches that holds the leases of suspected targets."""
+
+    def test_a_daemon_that_has_just_started_serves_nevertheless(self) -> None:
+        for holder in range(3):
+            with self.subTest(holder=holder):
+                settings = search_site.SiteSettings(instances=1, daemons=4)
+                site = search_site.Site(1, settings)
+                _connect_daemons(site)
+                _spread_facts(site)
+                for number in range(len(site.targets)):
+                    site.leaf(number).faults = standin_leaf.LeafFaults(lost=True)
+                site.search(vm=holder, deadline_ms=1_000)
+                site.run_for(2_000)
+                for number in range(len(site.targets)):
+                    site.leaf(number).faults = standin_leaf.LeafFaults()
+                site.start_daemon("vm-3", "b")
+                site.run_for(1_000)
+                for _ in range(10):
+                    request_id = site.search(vm=3, deadline_ms=1_000)
+                    site.run_for(1_050)
+                outcome = site.outcome(request_id)
+                self.assertIsInstance(outcome, requests.SearchAnswer, outcome)
+                self.assertEqual(outcome.coverage, 1.0)
+
+
 class ColdDetectionTest(unittest.TestCase):
     """The signs by which a daemon detects a cold start."""
 
