--- a/amaranthpulley/coordination/forwarding/delegation.py
+++ b/amaranthpulley/coordination/forwarding/delegation.py
@@ -30,7 +30,7 @@
 # Three signs of life are missing.
 SILENCE_TIMEOUT_MS: Final = 300
 # Each silent delegate costs the request an acknowledgement's timeout.
-MAXIMUM_DELEGATES: Final = 2
+MAXIMUM_TRIED_DELEGATES: Final = 2
 # A daemon with more sharded requests of its own runs them: it uses its connections to
 # the leaves before they become idle for long, and delegates would be overloaded.
 DENSE_REQUESTS_PER_S: Final = 5.0
@@ -162,7 +162,7 @@
         return False
     if route.regions and gateway.place.region not in route.regions:
         return False
-    if len(request.tried_delegates) >= MAXIMUM_DELEGATES:
+    if len(request.tried_delegates) >= MAXIMUM_TRIED_DELEGATES:
         return False
     window_s = gateway.limits.retry_window_ms / 1000
     recent, _ = gateway.own_searches.totals(now_ms)
