End the wait of a call that another attempt has answered

Cause: found by reading the diff: a call that waited for a leaf while its earlier attempt was running stayed in the queue after that attempt had answered, and was sent once more, a repeat for nothing. test_a_call_that_another_attempt_answers_does_not_wait_on fails before. Result: the tests of waiting, merged answers, delegation and the properties pass.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -102,7 +102,7 @@
 ) -> commands.SendAttempt:
     """Record an attempt at a leaf and return the command that sends it."""
     call = request.calls[shard]
-    stop_waiting(gateway, request, shard)
+    stop_waiting(gateway, call)
     number = gateway.next_attempt
     gateway.next_attempt += 1
     leaf_id = leaf.entry.leaf_id
@@ -133,11 +133,8 @@
     return commands.SendAttempt(number, key, leaf_id, address, budget_ms, fresh, keep)
 
 
-def stop_waiting(
-    gateway: gateway_state.Gateway, request: requests.ForwardedRequest, shard: int
-) -> None:
+def stop_waiting(gateway: gateway_state.Gateway, call: requests.ShardCall) -> None:
     """Remove a call from the queue of its service, if it waits there."""
-    call = request.calls[shard]
     if call.waiting is not None:
         gateway.waiting.remove(call.service, call.waiting)
         call.waiting = call.retry_due_ms = None
@@ -158,7 +155,7 @@
     ]
     if not usable:
         tracing.record_decision(request, now_ms, "no_leaf", call.service, "")
-        stop_waiting(gateway, request, shard)
+        stop_waiting(gateway, call)
         close_if_idle(request, call)
         return
     fastest_ms = int(leaf_selection.fastest_answer_ms(gateway, request.route))
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -190,6 +190,7 @@
 ) -> list[commands.Command]:
     if call.answer is None and not call.closed:
         call.answer = _without_surplus_records(request.route, answer)
+        attempt_dispatch.stop_waiting(gateway, call)
         request.open_calls -= 1
     if request.answered:
         return _remove_if_idle(gateway, request)
--- a/amaranthpulley/coordination/forwarding/tests/test_waiting.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_waiting.py
@@ -92,6 +92,34 @@
         self.assertEqual(len(self.site.sends_of(urgent)), 1)
         self.assertEqual(self.site.sends_of(usual), [])
 
+    def test_a_call_that_another_attempt_answers_does_not_wait_on(self) -> None:
+        site = gateway_site.GatewaySite()
+        entries = [
+            gateway_site.entry(f"{service}-{number}", service)
+            for service in gateway_site.SHARDS
+            for number in range(2)
+        ]
+        site.begin(gateway_site.configuration(gateway_site.route()), *entries)
+        key = site.request()
+        first = site.sends_of(key)[0]
+        for number in range(2):
+            leaf = site.gateway.directory.get(f"{gateway_site.SHARDS[0]}-{number}")
+            leaf.full_until_ms = site.now_ms + 60
+        call = site.gateway.requests[key].calls[0]
+        call.sends = 0
+        request = site.gateway.requests[key]
+        attempt_dispatch.send_to_best_leaf(
+            site.gateway, request, 0, site.now_ms, site.random.random
+        )
+        self.assertIsNotNone(call.waiting)
+        site.reply(first, gateway_site.answer())
+        site.advance(70)
+        self.assertEqual(site.gateway.waiting.services, [])
+        sends = [
+            s for s in site.sends_of(key) if s.command.leaf_id.startswith("shard-0")
+        ]
+        self.assertEqual(len(sends), 1)
+
     def test_calls_that_can_meet_their_objective_go_first(self) -> None:
         late = self.site.request("/visit/1")
         self.site.advance(gateway_site.single().objective_ms)
--- a/amaranthpulley/coordination/forwarding/waiting.py
+++ b/amaranthpulley/coordination/forwarding/waiting.py
@@ -91,7 +91,7 @@
     call = request.calls[waiting_call.shard]
     fastest_ms = leaf_selection.fastest_answer_ms(gateway, request.route)
     if now_ms + fastest_ms > request.give_up_ms:
-        attempt_dispatch.stop_waiting(gateway, request, waiting_call.shard)
+        attempt_dispatch.stop_waiting(gateway, call)
         attempt_dispatch.close_if_idle(request, call)
         tracing.record_decision(request, now_ms, "too_late", service, "")
         return request_completion.answer_if_due(gateway, request, now_ms)
