Read no more of an oversized answer than shows that it is one

Traced: the stand-in wrote one chunk of three bytes in a turn of the loop, 44,000 turns for the 131,072 bytes that two reads of 65,536 took, 2.4 to 3.1 s for the test when less was running and over 5 s at that load. Change: a read asks for one byte beyond the limit at most, so that the third less is read that the limit does not need; the stand-in writes a hundred chunks in a turn, the same bytes. The check and its bound stay.

--- a/amaranthpulley/transport/http_connections.py
+++ b/amaranthpulley/transport/http_connections.py
@@ -101,10 +101,14 @@
 def _read_body(response: urllib3.BaseHTTPResponse, maximum_bytes: int) -> bytes:
     received = bytearray()
     try:
-        while part := response.read(_READ_BYTES, decode_content=False):
+        # One byte beyond the limit shows that it is exceeded; a server that sends tiny
+        # chunks would take long to fill a larger read.
+        wanted = min(_READ_BYTES, maximum_bytes + 1)
+        while part := response.read(wanted, decode_content=False):
             received += part
             if len(received) > maximum_bytes:
                 raise OversizedAnswerError(f"the answer is over {maximum_bytes} bytes")
+            wanted = min(_READ_BYTES, maximum_bytes + 1 - len(received))
     except BaseException:
         response.close()
         raise
--- a/amaranthpulley/transport/tests/test_http_connections.py
+++ b/amaranthpulley/transport/tests/test_http_connections.py
@@ -73,7 +73,7 @@
         "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 1_000),
         "chunks": (
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-            b"3\r\nabc\r\n",
+            b"3\r\nabc\r\n" * 100,
         ),
     }
 
