--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -156,7 +156,7 @@
 
 
 def fastest_answer_ms(gateway: gateway_state.Gateway, route: routes.Route) -> float:
-    """Return the time in which few answers of a route come."""
+    """Return a low estimate of the time that a leaf takes for a route."""
     latency = gateway.latency_of(route)
     return latency.mean_ms - latency.deviation_ms
 
--- a/amaranthpulley/coordination/forwarding/tests/test_retry_budget.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_retry_budget.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from amaranthpulley.coordination.forwarding import commands, events
+from amaranthpulley.coordination.forwarding import (
+    commands,
+    events,
+    leaf_selection,
+    retry_budget,
+)
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import gateway, requests
 
@@ -88,6 +93,33 @@
         self.assertEqual(len(site.sends_of(key)), 2)
 
 
+class ScarcityTest(unittest.TestCase):
+    """How the spent part of the budget delays hedges."""
+
+    def test_it_grows_with_the_repeats_up_to_one(self) -> None:
+        site = _site()
+        found = []
+        for count in (0, 2, 3, 40):
+            for _ in range(count):
+                site.gateway.window_of("visits").add_repeat(site.now_ms)
+            spent = retry_budget.scarcity(site.gateway, "visits", site.now_ms)
+            found.append(spent)
+        self.assertEqual(found, sorted(found))
+        self.assertLess(found[0], 0.5)
+        self.assertEqual(found[-1], 1.0)
+
+    def test_an_attempt_is_late_sooner_while_the_budget_is_unused(self) -> None:
+        site = _site()
+        leaf = site.gateway.directory.get("l0")
+        route = gateway_site.single(objective_ms=2_000)
+        times = [
+            leaf_selection.late_after_ms(site.gateway, leaf, route, spent)
+            for spent in (0.0, 0.5, 1.0)
+        ]
+        self.assertEqual(times, sorted(times))
+        self.assertLess(times[0], times[-1])
+
+
 class RejectingLeafTest(unittest.TestCase):
     """Leaves that reject requests."""
 
