Count the daemons of a region once for each change of the registrations

Cause: found by reading the diff: the plan of kept connections walked all registrations for each leaf of a service that is not sharded; at 8,300 daemons that is the larger part of it. Change: the division of the fleet holds the numbers by region. No decision changes. Result: the tests of delegates, delegation, selection and warm-up pass.

--- a/amaranthpulley/coordination/forwarding/connection_shares.py
+++ b/amaranthpulley/coordination/forwarding/connection_shares.py
@@ -90,12 +90,9 @@
     fleet = delegates.fleet_of(gateway)
     if is_sharded and fleet.delegates:
         return _Users(len(fleet.runners), fleet.runners_by_region.get(region, 0))
-    regions = gateway.place.regions
-    near = sum(
-        regions.get(member.failure_domain) == region
-        for member in gateway.members.values()
+    return _Users(
+        delegates.daemon_count(gateway), fleet.daemons_by_region.get(region, 0)
     )
-    return _Users(delegates.daemon_count(gateway), near)
 
 
 def _share_of(users: _Users, near: bool) -> float:
--- a/amaranthpulley/coordination/forwarding/delegates.py
+++ b/amaranthpulley/coordination/forwarding/delegates.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from typing import Final
 
 from amaranthpulley.state import rendezvous
@@ -103,8 +104,17 @@
         ranked.sort(key=lambda name: -gateway.members[name].speed)
         selected[domain] = tuple(ranked[:count])
         runners.update(ranked[:count])
-    regions = gateway.place.regions
-    by_region = collections.Counter(
-        regions.get(gateway.members[name].failure_domain, "") for name in runners
+    return delegations.Fleet(
+        selected,
+        frozenset(runners),
+        _count_by_region(gateway, runners),
+        _count_by_region(gateway, gateway.members),
     )
-    return delegations.Fleet(selected, frozenset(runners), dict(by_region))
+
+
+def _count_by_region(
+    gateway: gateway_state.Gateway, names: Iterable[str]
+) -> dict[str, int]:
+    regions = gateway.place.regions
+    domains = (gateway.members[name].failure_domain for name in names)
+    return dict(collections.Counter(regions.get(domain, "") for domain in domains))
--- a/amaranthpulley/state/forwarding/delegations.py
+++ b/amaranthpulley/state/forwarding/delegations.py
@@ -14,13 +14,14 @@
     runners : frozenset of str
         All daemons that run requests regularly: the delegates, and every daemon of a
         failure domain without them.
-    runners_by_region : dict
-        Number of runners by region.
+    runners_by_region, daemons_by_region : dict
+        Numbers of runners and of all daemons by region.
     """
 
     delegates: dict[str, tuple[str, ...]]
     runners: frozenset[str]
     runners_by_region: dict[str, int]
+    daemons_by_region: dict[str, int]
 
 
 class Origin(NamedTuple):
