Read an acknowledgement before taking its delegate for silent

Cause: found by thinking through the broken BUDGET: in a daemon whose loop is late, as in node_slow or under a quota, the timer of 30 ms runs before the acknowledgement that the kernel already holds is read; the request would be given to a second delegate while the first one runs it. Change: the connection to the delegate is read before its timer is handled. test_an_acknowledgement_that_a_late_loop_has_not_read_counts fails before.

--- a/amaranthpulley/platform/tests/test_delegated_path.py
+++ b/amaranthpulley/platform/tests/test_delegated_path.py
@@ -6,11 +6,14 @@
 
 import socket  # noqa: E402
 import unittest  # noqa: E402
+from collections.abc import Callable  # noqa: E402
 from typing import Final  # noqa: E402
 
 import eventlet  # noqa: E402
+import eventlet.hubs  # noqa: E402
 import eventlet.patcher  # noqa: E402
 
+from amaranthpulley.coordination.forwarding import delegation  # noqa: E402
 from amaranthpulley.platform import entries, names  # noqa: E402
 from amaranthpulley.platform.tests import platform_site, wire_samples  # noqa: E402
 from amaranthpulley.protocol.forwarding import delegation_codec  # noqa: E402
@@ -19,6 +22,7 @@
 from amaranthpulley.transport.forwarding import process, streams  # noqa: E402
 
 _plain_socket: Final = eventlet.patcher.original("socket")
+_plain_time: Final = eventlet.patcher.original("time")
 # What a faulty delegate writes before it closes the connection. It may have run the
 # request before.
 FAULTS: Final = {
@@ -137,6 +141,46 @@
         self._search()
         self.assertEqual(self._served(self.delegate), 1)
 
+    def test_an_acknowledgement_that_a_late_loop_has_not_read_counts(self) -> None:
+        listener = _plain_socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        self._register(self.faulty, address, 4.0)
+        members = self.site.daemon.gateway.members
+        self.site.wait_for(
+            lambda: members[self.faulty].delegate_address == address, "it is known"
+        )
+        waiting = eventlet.spawn(self.site.request)
+        eventlet.sleep(0.015)
+        connection, _ = listener.accept()
+        self.addCleanup(connection.close)
+        self.assertTrue(connection.recv(65_536))
+        self._stall_loop(lambda: connection.sendall(delegation_codec.SIGN_OF_LIFE))
+        eventlet.sleep(0.01)
+        self.assertEqual(self.site.daemon.gateway.suspected_delegates, {})
+        connection.sendall(REFUSED)
+        self.assertEqual(waiting.wait().status, 200)
+
+    def _stall_loop(self, meanwhile: Callable[[], None]) -> None:
+        """Keep the loop in one callback until an acknowledgement is overdue."""
+        near, far = _plain_socket.socketpair()
+        self.addCleanup(near.close)
+        self.addCleanup(far.close)
+        hub = eventlet.hubs.get_hub()
+        ended = []
+
+        def stall(_fileno: int) -> None:
+            meanwhile()
+            _plain_time.sleep(2 * delegation.ACKNOWLEDGEMENT_TIMEOUT_MS / 1000)
+            hub.remove(listener)
+            ended.append(True)
+
+        ignore = streams.ignore
+        listener = hub.add(hub.READ, near.fileno(), stall, ignore, ignore)
+        far.send(b"x")
+        while not ended:
+            eventlet.sleep(0)
+
     def test_the_header_of_the_origin_does_not_reach_a_leaf(self) -> None:
         self._search()
         for leaf in self.site.leaves:
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -110,6 +110,10 @@
         else:
             self._unsent = data
 
+    def read_pending(self) -> None:
+        """Read what has come since."""
+        self._stream.read_pending()
+
     def close(self) -> None:
         """Close the connection."""
         self._timer.cancel()
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -81,6 +81,8 @@
         ] = {}
         self._attempts: dict[int, leaf_connections.LeafConnection] = {}
         self._wake_timers: dict[int, object] = {}
+        # Connections to delegates by request.
+        self._delegations: dict[int, leaf_connections.LeafConnection] = {}
         self._handlers = self._command_handlers(send_slowness)
 
     def _command_handlers(
@@ -227,9 +229,14 @@
     def _send_to_delegate(self, command: commands.SendToDelegate) -> None:
         request, head, request_id = self._pending_requests[command.request_key]
         number = command.delegation
-        self._attempts[number] = self.delegates.send(
-            command, request, head, request_id, lambda: self._attempts.pop(number, None)
-        )
+        key = command.request_key
+
+        def on_end() -> None:
+            self._attempts.pop(number, None)
+            self._delegations.pop(key, None)
+
+        connection = self.delegates.send(command, request, head, request_id, on_end)
+        self._attempts[number] = self._delegations[key] = connection
 
     def _cancel(self, command: commands.CancelAttempt) -> None:
         connection = self._attempts.pop(command.attempt, None)
@@ -279,6 +286,7 @@
 
     def _end_request(self, key: int) -> None:
         self._pending_requests.pop(key, None)
+        self._delegations.pop(key, None)
         timer = self._wake_timers.pop(key, None)
         if timer is not None:
             timer.cancel()
@@ -295,6 +303,10 @@
 
     def _wake(self, key: int) -> None:
         self._wake_timers.pop(key, None)
+        delegate = self._delegations.get(key)
+        if delegate is not None:
+            # In a late loop the timer comes before a message that is already here.
+            delegate.read_pending()
         self.feed(events.WakeDue(key))
 
     def _open_connection(self, command: commands.OpenConnection) -> None:
