--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -1,5 +1,6 @@
 """The processes of a soak: a store, leaves and daemons, each behind a proxy."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -40,10 +41,15 @@
     return f"127.{1 + pid // 250 % 250}.{1 + pid % 250}.{number}"
 
 
-def _free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def _free_ports(ip: str, count: int) -> list[int]:
+    """Return different ports that are free on an address."""
+    with contextlib.ExitStack() as probes:
+        ports = []
+        for _ in range(count):
+            probe = probes.enter_context(socket.socket())
+            probe.bind((ip, 0))
+            ports.append(probe.getsockname()[1])
+        return ports
 
 
 class Leaf:
@@ -63,7 +69,7 @@
     def __init__(self, name: str, ip: str, zone: str) -> None:
         self.name, self.ip, self.zone = name, ip, zone
         roles = ("front", "ready", "peer", "delegate")
-        self.ports = {role: _free_port(ip) for role in roles}
+        self.ports = dict(zip(roles, _free_ports(ip, len(roles)), strict=True))
         self.process: subprocess.Popen | None = None
         self.proxy: proxy.Proxy | None = None
 
