--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -107,8 +107,7 @@
     gateway.next_attempt += 1
     leaf_id = leaf.entry.leaf_id
     key = request.incoming.key
-    is_repeat = call.sends > 0
-    attempt = requests.Attempt(number, key, shard, leaf_id, now_ms, is_repeat)
+    attempt = requests.Attempt(number, key, shard, leaf_id, now_ms)
     gateway.attempts[number] = attempt
     call.attempts[number] = attempt
     call.tried.add(leaf_id)
@@ -120,7 +119,7 @@
         leaf.connection_used_ms = now_ms
     if now_ms < leaf.cold_until_ms:
         leaf.cold_tokens -= 1.0
-    if is_repeat:
+    if call.sends:
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
     call.count_run(leaf_id)
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -230,9 +230,6 @@
         call.uncount_run(attempt.leaf_id)
         if end in requests.NOT_ARRIVED:
             call.sends -= 1
-            if attempt.is_repeat:
-                window = gateway.window_of(call.service)
-                window.take_back_repeat(attempt.sent_ms, now_ms)
         if end in requests.BUSY:
             call.tried.discard(attempt.leaf_id)
     if request.answered:
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -114,8 +114,6 @@
         The leaf.
     sent_ms : int
         Time of the send, by the monotonic clock.
-    is_repeat : bool
-        Whether it was counted as a retry or a hedge.
     """
 
     number: int
@@ -123,7 +121,6 @@
     shard: int
     leaf_id: str
     sent_ms: int
-    is_repeat: bool
 
 
 class TracedDecision(NamedTuple):
--- a/amaranthpulley/state/forwarding/retry_window.py
+++ b/amaranthpulley/state/forwarding/retry_window.py
@@ -35,14 +35,6 @@
         self._slot(now_ms)[2] += 1
         self._repeats += 1
 
-    def take_back_repeat(self, counted_ms: int, now_ms: int) -> None:
-        """Uncount a retry or a hedge that did not arrive."""
-        self._drop_before(now_ms // self._slot_ms)
-        for slot in self._slots:
-            if slot[0] == counted_ms // self._slot_ms and slot[2]:
-                slot[2] -= 1
-                self._repeats -= 1
-
     def totals(self, now_ms: int) -> tuple[int, int]:
         """Return the numbers of requests and repeats in the window."""
         self._drop_before(now_ms // self._slot_ms)
