--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -179,6 +179,23 @@
     return [common.log(log_events.STORE_LOST, reason=event.reason)]
 
 
+def log_failed_read(
+    gateway: gateway_state.Gateway,
+    event: events.StoreReadFailed,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Log a failed listing or watch with its duration and the pause after it."""
+    return [
+        common.log(
+            log_events.STORE_READ_FAILED,
+            reason=event.reason,
+            waited_ms=event.waited_ms,
+            pause_ms=event.pause_ms,
+        )
+    ]
+
+
 def handle_probe_end(
     gateway: gateway_state.Gateway,
     event: events.ProbeEnded,
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -115,6 +115,24 @@
     reason: str
 
 
+class StoreReadFailed(NamedTuple):
+    """A listing or watch of the store has failed.
+
+    Attributes
+    ----------
+    reason : str
+        The error.
+    waited_ms : int
+        Time from the call to its failure.
+    pause_ms : int
+        Time until the next call.
+    """
+
+    reason: str
+    waited_ms: int
+    pause_ms: int
+
+
 class ProbeEnded(NamedTuple):
     """A health check has ended."""
 
@@ -184,6 +202,7 @@
     | EvacuationChanged
     | MemberChanged
     | StoreReached
+    | StoreReadFailed
     | Registered
     | ProbeEnded
     | SlownessReported
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -129,12 +129,18 @@
             if self._view.listed and not self._must_follow():
                 eventlet.sleep(IDLE_CHECK_INTERVAL_MS / 1000)
                 continue
+            started_ms = self._now_ms()
             try:
                 self._follow_once()
             except errors.PlatformUnreachableError as error:
                 self._view.mark_unconfirmed()
                 self._record_failure(str(error))
-                eventlet.sleep(self._retry_pause_ms() / 1000)
+                pause_ms = self._retry_pause_ms()
+                waited_ms = self._now_ms() - started_ms
+                self._handle_event(
+                    events.StoreReadFailed(str(error), waited_ms, pause_ms)
+                )
+                eventlet.sleep(pause_ms / 1000)
             else:
                 self._record_success()
                 eventlet.sleep(WATCH_PAUSE_MS / 1000)
--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -87,6 +87,22 @@
         return self.calls
 
 
+class FailedReadTest(unittest.TestCase):
+    """Events about failed listings and watches."""
+
+    def test_each_failed_read_is_reported_with_its_duration_and_pause(self) -> None:
+        subject = _StoreSubject(WATCHER)
+        subject.feed.start()
+        eventlet.sleep(0.1)
+        subject.simulate_outage()
+        failed = [
+            e for e in subject.received_events if type(e) is events.StoreReadFailed
+        ]
+        self.assertGreaterEqual(len(failed), 4)
+        self.assertEqual([e.pause_ms for e in failed][:4], [100, 200, 400, 800])
+        self.assertTrue(all(0 <= e.waited_ms < 300 for e in failed))
+
+
 class StoreFeedTest(unittest.TestCase):
     """Store calls of watchers and followers."""
 
