--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -12,6 +12,7 @@
 
 from amaranthpulley.coordination.forwarding import events, store_watchers  # noqa: E402
 from amaranthpulley.state import store  # noqa: E402
+from amaranthpulley.state.forwarding import gateway  # noqa: E402
 from amaranthpulley.transport import errors, system_clock  # noqa: E402
 from amaranthpulley.transport.forwarding import store_feed, store_view  # noqa: E402
 
@@ -23,6 +24,9 @@
     store_watchers.FOLLOWER_MAXIMUM_RETRY_MS,
 )
 OUTAGE_S = 3.5
+LONGEST_WAIT_S = 20.0
+# The users' bound: so long after the store's return all changes must be in force.
+CONTACT_MS = 5_000
 
 
 class _StoreSubject:
@@ -32,6 +36,9 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.listing_timeouts_ms: list[int] = []
         self.down = False
+        # Whether calls get no answer; those that began before are lost, too.
+        self.silent = False
+        self.clock = system_clock.system_clock()
         # Calls that fail although the store is not down.
         self.refused: set[str] = set()
         self.registered = False
@@ -52,7 +59,7 @@
             source,
             self.view,
             self.received_events.append,
-            system_clock.system_clock(),
+            self.clock,
             lambda: self.needed,
             lambda: timing,
         )
@@ -64,9 +71,27 @@
         self.registered = True
 
     def _watch(self, revision: int, wait_ms: int) -> store.Changes:
-        eventlet.sleep(0.2)
+        timeout_ms = wait_ms + store_feed.WATCH_MARGIN_MS
+        given_up_ms = self.clock.monotonic_ms() + timeout_ms
+        eventlet.sleep(min(200, wait_ms) / 1000)
+        if self.silent:
+            eventlet.sleep((given_up_ms - self.clock.monotonic_ms()) / 1000)
+            raise errors.PlatformUnreachableError("no answer")
         return store.Changes((), revision)
 
+    def await_watches(self, count: int) -> None:
+        """Run the loop until the store has been watched `count` times."""
+        with eventlet.Timeout(LONGEST_WAIT_S):
+            while self.calls["watch"] < count:
+                eventlet.sleep(0.01)
+
+    def await_read_ms(self, since_ms: int) -> int:
+        """Run the loop until the store is read after a time; return the delay."""
+        with eventlet.Timeout(LONGEST_WAIT_S):
+            while (self.view.confirmed_ms or 0) < since_ms:
+                eventlet.sleep(0.01)
+        return self.view.confirmed_ms - since_ms
+
     def _call(self, name: str, answer: Callable) -> Callable:
         def call(*arguments: object) -> object:
             self.calls[name] += 1
@@ -87,6 +112,33 @@
         return self.calls
 
 
+class StoreOutageTest(unittest.TestCase):
+    """How soon after an outage the changes made meanwhile are read."""
+
+    def setUp(self) -> None:
+        place = gateway.Place("vm-1", "a1", "a", {"a1": "a"})
+        daemon = gateway.Gateway(place, gateway.Limits(), 0)
+        self.subject = _StoreSubject(store_watchers.watch_timing(daemon))
+        self.subject.feed.start()
+        eventlet.sleep(0.1)
+        self.subject.silent = True
+        self.lost = self.subject.calls["watch"] + 1
+
+    def _delay_after_return_ms(self) -> int:
+        self.subject.silent = False
+        return self.subject.await_read_ms(self.subject.clock.monotonic_ms())
+
+    def test_a_watch_lost_in_a_short_outage_is_replaced_in_time(self) -> None:
+        self.subject.await_watches(self.lost)
+        eventlet.sleep(0.3)
+        self.assertLess(self._delay_after_return_ms(), CONTACT_MS)
+
+    def test_a_watch_sent_during_an_outage_does_not_delay_the_next_read(self) -> None:
+        self.subject.await_watches(self.lost + 1)
+        eventlet.sleep(0.3)
+        self.assertLess(self._delay_after_return_ms(), CONTACT_MS)
+
+
 class FailedReadTest(unittest.TestCase):
     """Events about failed listings and watches."""
 
