Read the store again within the users' bounds after an outage (CONFIG)

Cause: the time in which a lost long poll is noticed was a constant of 6 s (a wait of 5 s and 1 s more), beside bounds of 5 s after an outage. A watch that was lost with the outage, or sent during it, kept the daemon from asking again after the store's return. Class: a timeout that is not derived from the bound that it serves. Change: the wait of a watch follows from ContactMs, and for watchers with followers also from ConfigApplyMs; after a failure, reads do not wait, so that they fail after 1 s. The age at which a followed watcher is out of date follows from the same bounds, where 4 s were fixed, and followers fall back after 0.5 s in place of 1 s.

--- a/amaranthpulley/coordination/forwarding/store_watchers.py
+++ b/amaranthpulley/coordination/forwarding/store_watchers.py
@@ -15,16 +15,26 @@
 WATCHERS_PER_REGION: Final = 3
 # Watchers that every other daemon follows, so that one of them may lag behind.
 FOLLOWED_WATCHERS: Final = 2
-# Longest wait of one watch call, after which an unresponsive store is noticed. It is
-# shorter for watchers with followers, which must get a change within 5 s.
-WATCH_WAIT_MS: Final = 5_000
-FOLLOWED_WATCH_WAIT_MS: Final = 2_500
+# A read of the store fails when its answer is overdue by this time.
+READ_TIMEOUT_MS: Final = 1_000
+# Pause between two watches, so that one answer carries a burst of changes: a fifth of
+# the 3 s within which a change must be in force.
+WATCH_PAUSE_MS: Final = 600
+# Bounds of the wait of one watch. Within them it is as long as the users' bounds allow:
+# a lost watch must be noticed and replaced in time.
+LONGEST_WATCH_WAIT_MS: Final = 5_000
+SHORTEST_WATCH_WAIT_MS: Final = 500
+# Time that the answer of a slow store takes, or a message on a busy VM.
+ANSWER_MS: Final = 250
 # Bounds of a watcher's exponential backoff after failed calls.
 WATCHER_RETRY_MS: Final = 100
 WATCHER_MAXIMUM_RETRY_MS: Final = 800
-# A follower whose watchers are not up to date watches the store itself after this time.
-# An unresponsive store is noticed after 3.5 s, and a change must be in force after 5 s.
-FOLLOWER_FALLBACK_DELAY_MS: Final = 1_000
+# How often a daemon that follows others checks whether it must watch the store itself,
+# and for how long it must have had to.
+FALLBACK_CHECK_MS: Final = 250
+FOLLOWER_FALLBACK_DELAY_MS: Final = 500
+# A watcher whose next confirmation is overdue by this time is not up to date.
+CONFIRMATION_MARGIN_MS: Final = 900
 # Bounds of a follower's backoff. They are longer than a watcher's because failed calls
 # are charged, too, and the watchers already retry a store that is down for all.
 FOLLOWER_RETRY_MS: Final = 1_000
@@ -64,17 +74,50 @@
 def watch_timing(gateway: gateway_state.Gateway) -> WatchTiming:
     """Return the timing with which this daemon watches the store when it has to."""
     has_followers = len(region_members(gateway)) > WATCHERS_PER_REGION
-    wait_ms = FOLLOWED_WATCH_WAIT_MS if has_followers else WATCH_WAIT_MS
+    limits = gateway.limits
+    wait_ms = _followed_wait_ms(limits) if has_followers else _lone_wait_ms(limits)
     if is_watcher(gateway):
         return WatchTiming(wait_ms, 0, WATCHER_RETRY_MS, WATCHER_MAXIMUM_RETRY_MS)
+    # A call that fails as the store returns is followed by a pause and another call.
+    in_time_ms = limits.contact_ms - READ_TIMEOUT_MS - 2 * ANSWER_MS
     return WatchTiming(
         wait_ms,
         FOLLOWER_FALLBACK_DELAY_MS,
         FOLLOWER_RETRY_MS,
-        FOLLOWER_MAXIMUM_RETRY_MS,
+        max(FOLLOWER_RETRY_MS, min(FOLLOWER_MAXIMUM_RETRY_MS, in_time_ms)),
     )
 
 
+def confirmation_age_ms(limits: gateway_state.Limits) -> int:
+    """Return the age of its last confirmation at which a watcher is out of date."""
+    return _followed_wait_ms(limits) + WATCH_PAUSE_MS + CONFIRMATION_MARGIN_MS
+
+
+def _lone_wait_ms(limits: gateway_state.Limits) -> int:
+    """Return the wait of a watch on whose answers no other daemon relies.
+
+    It is lost in an outage that ends at once: it has to fail, and the next call has to
+    be answered, within the contact time.
+    """
+    in_time_ms = limits.contact_ms - READ_TIMEOUT_MS - WATCHER_RETRY_MS - 2 * ANSWER_MS
+    return max(SHORTEST_WATCH_WAIT_MS, min(LONGEST_WATCH_WAIT_MS, in_time_ms))
+
+
+def _followed_wait_ms(limits: gateway_state.Limits) -> int:
+    """Return the wait of a watch on whose answers other daemons rely.
+
+    When both followed watchers lose the store or fall silent, their followers are not
+    affected, so that a change must reach them as on any other day.
+    """
+    to_fall_back_ms = FALLBACK_CHECK_MS + FOLLOWER_FALLBACK_DELAY_MS + ANSWER_MS
+    lost_ms = READ_TIMEOUT_MS + ANSWER_MS
+    silent_ms = WATCH_PAUSE_MS + CONFIRMATION_MARGIN_MS
+    bound_ms = min(limits.configuration_ms, limits.contact_ms)
+    in_time_ms = bound_ms - max(lost_ms, silent_ms) - to_fall_back_ms
+    wait_ms = max(SHORTEST_WATCH_WAIT_MS, in_time_ms)
+    return min(_lone_wait_ms(limits), wait_ms)
+
+
 def watchers(gateway: gateway_state.Gateway) -> list[str]:
     """Return the daemons of this region that watch the store, best ranked first."""
     if gateway.watchers is None:
--- a/amaranthpulley/coordination/forwarding/tests/test_store_watchers.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_store_watchers.py
@@ -52,3 +52,50 @@
         del members[before[0]]
         after = store_watchers.watchers(_gateway("a-0", members))
         self.assertEqual(after[:2], before[1:])
+
+
+class WatchTimingTest(unittest.TestCase):
+    """Waits that let a lost watch be replaced within the users' bounds."""
+
+    # Contact time and configuration time of the users' sites, and shorter ones.
+    BOUNDS = ((5_000, 3_000), (5_000, 4_000), (5_000, 6_000), (3_000, 5_000))
+
+    def _gateway(self, bounds: tuple[int, int], count: int) -> gateway.Gateway:
+        members = {f"a-{n}": "a1" for n in range(count)}
+        made = _gateway("a-0", members)
+        contact_ms, configuration_ms = bounds
+        made.limits = gateway.Limits(
+            contact_ms=contact_ms, configuration_ms=configuration_ms
+        )
+        return made
+
+    def test_a_lost_watch_is_replaced_within_the_contact_time(self) -> None:
+        for bounds in self.BOUNDS:
+            for count in (0, 3, 10):
+                with self.subTest(bounds=bounds, daemons=count):
+                    timing = store_watchers.watch_timing(self._gateway(bounds, count))
+                    failed_ms = timing.wait_ms + store_watchers.READ_TIMEOUT_MS
+                    answered_ms = failed_ms + store_watchers.WATCHER_RETRY_MS
+                    answered_ms += store_watchers.ANSWER_MS
+                    self.assertLess(answered_ms, bounds[0])
+
+    def test_a_call_that_fails_at_the_stores_return_is_repeated_in_time(self) -> None:
+        for bounds in self.BOUNDS:
+            for count in (0, 3, 10):
+                with self.subTest(bounds=bounds, daemons=count):
+                    timing = store_watchers.watch_timing(self._gateway(bounds, count))
+                    failed_ms = store_watchers.READ_TIMEOUT_MS
+                    answered_ms = failed_ms + timing.maximum_retry_ms
+                    answered_ms += store_watchers.ANSWER_MS
+                    self.assertLess(answered_ms, bounds[0])
+
+    def test_followers_fall_back_in_time_when_both_watchers_are_lost(self) -> None:
+        for bounds in self.BOUNDS:
+            with self.subTest(bounds=bounds):
+                daemon = self._gateway(bounds, 10)
+                wait_ms = store_watchers.watch_timing(daemon).wait_ms
+                lost_ms = wait_ms + store_watchers.READ_TIMEOUT_MS
+                silent_ms = store_watchers.confirmation_age_ms(daemon.limits)
+                own_ms = store_watchers.FALLBACK_CHECK_MS + store_watchers.ANSWER_MS
+                own_ms += store_watchers.FOLLOWER_FALLBACK_DELAY_MS
+                self.assertLessEqual(max(lost_ms, silent_ms) + own_ms, min(bounds))
--- a/amaranthpulley/platform/settings.py
+++ b/amaranthpulley/platform/settings.py
@@ -115,4 +115,6 @@
         drain_ms=int(number("DrainMs", defaults.drain_ms)),
         grace_ms=int(1000 * number("GraceS", 6)),
         cold_slack=number("WarmupSlack", defaults.cold_slack),
+        contact_ms=int(number("ContactMs", defaults.contact_ms)),
+        configuration_ms=int(number("ConfigApplyMs", defaults.configuration_ms)),
     )
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from amaranthpulley.coordination.forwarding import store_watchers
 from amaranthpulley.platform import entries, names
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import json_codec
@@ -109,7 +110,7 @@
     def watch(self, revision: int, wait_ms: int) -> store.Changes | None:
         """Wait for changes after a revision."""
         query = {"PathPrefix": "", "after": revision, "WaitMs": wait_ms}
-        timeout_ms = wait_ms + store_feed.WATCH_MARGIN_MS
+        timeout_ms = wait_ms + store_watchers.READ_TIMEOUT_MS
         status, body = self._send("GET", names.WATCH_PATH, query, None, timeout_ms)
         if status == _GONE:
             return None
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -32,6 +32,11 @@
         Time between the request to stop and the end of the process.
     cold_slack : float
         Burst of requests that a cold leaf accepts from all daemons beyond its rate.
+    contact_ms : int
+        Time after an outage of the store, or of the way to it, within which everything
+        that changed meanwhile must be in force.
+    configuration_ms : int
+        Time within which a change must be in force where there was no outage.
     """
 
     retry_ratio: float = 0.2
@@ -40,6 +45,8 @@
     drain_ms: int = 3_000
     grace_ms: int = 6_000
     cold_slack: float = 5.0
+    contact_ms: int = 5_000
+    configuration_ms: int = 3_000
 
 
 class Place(NamedTuple):
--- a/amaranthpulley/transport/forwarding/peer_feed.py
+++ b/amaranthpulley/transport/forwarding/peer_feed.py
@@ -12,16 +12,11 @@
 from amaranthpulley.transport import errors, http_connections
 from amaranthpulley.transport.forwarding import store_view
 
-# Longest wait requested from a peer, and the margin added for the network. A watcher
-# answers as soon as the store has answered it: every 3.1 s when nothing changes.
-LONG_POLL_WAIT_MS: Final = 3_400
+# Time that a poll has beyond its wait, for the network.
 NETWORK_MARGIN_MS: Final = 700
 RETRY_INTERVAL_MS: Final = 500
 # A compressed page; the whole store takes some megabytes at the intended fleet size.
 MAXIMUM_PAGE_BYTES: Final = 16_777_216
-# A peer's view is fresh when the store confirmed it within this time: its watch waits
-# 2.5 s, and the next one starts 0.6 s later.
-MAXIMUM_AGE_MS: Final = 4_000
 # How often the set of followed daemons is updated.
 CHECK_INTERVAL_MS: Final = 500
 
@@ -37,6 +32,8 @@
         Source of time.
     followed : callable
         Returns the addresses of the daemons to follow.
+    maximum_age_ms : int
+        Age of the store's last confirmation at which a peer's view is out of date.
     """
 
     def __init__(
@@ -44,8 +41,10 @@
         view: store_view.StoreView,
         clock: clock_state.Clock,
         followed: Callable[[], tuple[str, ...]],
+        maximum_age_ms: int,
     ) -> None:
         self._view = view
+        self._maximum_age_ms = maximum_age_ms
         self._now_ms = clock.monotonic_ms
         self._followed = followed
         self._tasks: dict[str, object] = {}
@@ -60,7 +59,7 @@
         """Return whether the store recently confirmed a followed daemon's view."""
         now_ms = self._now_ms()
         return any(
-            now_ms - confirmed_ms <= MAXIMUM_AGE_MS
+            now_ms - confirmed_ms <= self._maximum_age_ms
             for confirmed_ms in self._confirmed_ms.values()
         )
 
@@ -79,7 +78,7 @@
         pool = http_connections.connection_pool(address, 1)
         while self._tasks.get(address) is token:
             try:
-                page = _request_page(pool, self._view.revision)
+                page = _request_page(pool, self._view.revision, self._maximum_age_ms)
             except errors.PeerUnreachableError:
                 # Until the next answer the peer does not count as fresh.
                 self._confirmed_ms.pop(address, None)
@@ -101,13 +100,15 @@
             self._view.apply(changes, page.revision)
 
 
-def _request_page(pool: urllib3.HTTPConnectionPool, revision: int) -> relay_codec.Page:
+def _request_page(
+    pool: urllib3.HTTPConnectionPool, revision: int, wait_ms: int
+) -> relay_codec.Page:
     try:
         answer = http_connections.call(
             pool,
             "GET",
-            relay_codec.encode_target(revision, LONG_POLL_WAIT_MS),
-            LONG_POLL_WAIT_MS + NETWORK_MARGIN_MS,
+            relay_codec.encode_target(revision, wait_ms),
+            wait_ms + NETWORK_MARGIN_MS,
             MAXIMUM_PAGE_BYTES,
         )
         if answer.status != 200:
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -158,6 +158,7 @@
             self._view,
             self._clock,
             lambda: store_watchers.followed_addresses(self.gateway),
+            store_watchers.confirmation_age_ms(self.gateway.limits),
         )
 
     def _store_feed(self, store_calls: store_feed.StoreCalls) -> store_feed.StoreFeed:
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -16,18 +16,11 @@
 from amaranthpulley.transport import errors
 from amaranthpulley.transport.forwarding import store_view
 
-# A watch has failed when it takes this much longer than the requested wait.
-WATCH_MARGIN_MS: Final = 1_000
-# Pause between two watches, so that one answer carries a burst of changes: a fifth of
-# the 3 s within which a change must be in force.
-WATCH_PAUSE_MS: Final = 600
 # Timeout of a page of a listing, doubled after each failure. It is short, so that a
 # call without an answer is soon retried: a daemon serves no requests before its first
 # listing. A store that is 60 times slower than usual still answers in 240 ms.
 FIRST_LISTING_TIMEOUT_MS: Final = 300
 LONGEST_LISTING_TIMEOUT_MS: Final = 1_000
-# How often a daemon that follows other daemons checks whether it must watch the store.
-IDLE_CHECK_INTERVAL_MS: Final = 250
 # Consecutive failures after which the store counts as lost.
 FAILURES_UNTIL_LOST: Final = 2
 # Lifetime of the registration's lease, and how often it is renewed.
@@ -127,7 +120,7 @@
     def _follow(self) -> None:
         while True:
             if self._view.listed and not self._must_follow():
-                eventlet.sleep(IDLE_CHECK_INTERVAL_MS / 1000)
+                eventlet.sleep(store_watchers.FALLBACK_CHECK_MS / 1000)
                 continue
             started_ms = self._now_ms()
             try:
@@ -143,7 +136,7 @@
                 eventlet.sleep(pause_ms / 1000)
             else:
                 self._record_success()
-                eventlet.sleep(WATCH_PAUSE_MS / 1000)
+                eventlet.sleep(store_watchers.WATCH_PAUSE_MS / 1000)
 
     def _must_follow(self) -> bool:
         if not self._is_needed():
@@ -163,7 +156,10 @@
             self._view.apply_listing(listing)
             self._view.apply_confirmed((), listing.revision, self._now_ms())
             return
-        changes = self._calls.watch(self._view.revision, self._timing().wait_ms)
+        # A store that did not answer may return at any moment. A call that is sent
+        # before is lost, and must not delay the next one by the wait of a watch.
+        wait_ms = 0 if self._failures else self._timing().wait_ms
+        changes = self._calls.watch(self._view.revision, wait_ms)
         if changes is None:
             self._needs_listing = True
             return
--- a/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_peer_feed.py
@@ -13,11 +13,11 @@
 from amaranthpulley.protocol import errors  # noqa: E402
 from amaranthpulley.protocol.forwarding import relay_codec  # noqa: E402
 from amaranthpulley.state import store  # noqa: E402
+from amaranthpulley.state.forwarding import gateway  # noqa: E402
 from amaranthpulley.transport import system_clock  # noqa: E402
 from amaranthpulley.transport.forwarding import (  # noqa: E402
     peer_feed,
     relay,
-    store_feed,
     store_view,
 )
 
@@ -44,8 +44,20 @@
         self.received_events: list[events.Event] = []
         self.view = store_view.StoreView(_decode, self.received_events.append)
         self.view.apply_listing(store_view.Listing((), 0))
-        self.feed = peer_feed.PeerFeed(
-            self.view, self.clock, lambda: tuple(r.address for r in self.relays)
+        members = {f"vm-{n}": gateway.Member("a1", f"vm-{n}:1") for n in range(9)}
+        place = gateway.Place("vm-1", "a1", "a", {"a1": "a"})
+        follower = gateway.Gateway(place, gateway.Limits(), 0)
+        follower.members = members
+        self.watch_wait_ms = store_watchers.watch_timing(follower).wait_ms
+        self.age_ms = store_watchers.confirmation_age_ms(follower.limits)
+        self.feed = self._feed(self.age_ms)
+
+    def _feed(self, maximum_age_ms: int) -> peer_feed.PeerFeed:
+        return peer_feed.PeerFeed(
+            self.view,
+            self.clock,
+            lambda: tuple(r.address for r in self.relays),
+            maximum_age_ms,
         )
 
     def _wait(self, condition: object) -> None:
@@ -65,10 +77,7 @@
             for watcher in self.watchers:
                 now_ms = self.clock.monotonic_ms()
                 watcher.apply_confirmed([], watcher.revision, now_ms)
-            eventlet.sleep(
-                (store_watchers.FOLLOWED_WATCH_WAIT_MS + store_feed.WATCH_PAUSE_MS)
-                / 1000
-            )
+            eventlet.sleep((self.watch_wait_ms + store_watchers.WATCH_PAUSE_MS) / 1000)
 
     def test_changes_of_both_watchers_are_applied_once(self) -> None:
         self.feed.start()
@@ -91,10 +100,9 @@
             self.assertTrue(self.feed.is_fresh())
             eventlet.sleep(0.02)
 
-    @mock.patch.object(peer_feed, "LONG_POLL_WAIT_MS", 3_600_000)
-    @mock.patch.object(peer_feed, "MAXIMUM_AGE_MS", 3_600_000)
     @mock.patch.object(relay, "MAXIMUM_WAIT_MS", 3_600_000)
     def test_store_failure_is_reported_at_once(self) -> None:
+        self.feed = self._feed(3_600_000)
         self.feed.start()
         for number, watcher in enumerate(self.watchers):
             self._confirm_change(watcher, f"k{number}", number + 1)
@@ -105,7 +113,7 @@
         self._wait(lambda: not self.feed.is_fresh())
 
     def test_watchers_with_an_old_confirmation_are_not_fresh(self) -> None:
-        old_ms = self.clock.monotonic_ms() - peer_feed.MAXIMUM_AGE_MS - 1
+        old_ms = self.clock.monotonic_ms() - self.age_ms - 1
         for number, watcher in enumerate(self.watchers):
             watcher.apply([store.Change(f"k{number}", number + 1, b"v")], number + 1)
             watcher.confirmed_ms = old_ms
--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -71,7 +71,7 @@
         self.registered = True
 
     def _watch(self, revision: int, wait_ms: int) -> store.Changes:
-        timeout_ms = wait_ms + store_feed.WATCH_MARGIN_MS
+        timeout_ms = wait_ms + store_watchers.READ_TIMEOUT_MS
         given_up_ms = self.clock.monotonic_ms() + timeout_ms
         eventlet.sleep(min(200, wait_ms) / 1000)
         if self.silent:
