--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -62,6 +62,7 @@
     end = requests.AttemptEnd.REJECTED if answer.not_run else requests.AttemptEnd.FAILED
     if not answer.not_run:
         call.failure = answer
+    gateway.counters.add("forward_leaf_refusals_total", status=str(answer.status))
     return [
         *report,
         *_retry_or_finish(gateway, request, attempt, end, now_ms, random),
