--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -45,6 +45,8 @@
         self.service = service
         self.failure_domain = failure_domain
         self.runs: collections.Counter[str] = collections.Counter()
+        # Requests that were addressed to another leaf.
+        self.misdirected_count = 0
         self.received_names: set[bytes] = set()
         self.work_ms = 5
         # How it answers each request: "answer", "silent", "reset", "reject", "fail",
@@ -90,6 +92,7 @@
         request_id = (request.first(names.HEADERS.request_id) or b"").decode()
         addressed = (request.first(names.HEADERS.wanted_leaf) or b"").decode()
         if addressed and addressed != self.leaf_id:
+            self.misdirected_count += 1
             self._send(connection, 421, request_id, b"", {})
         elif self.mode == "reject":
             rejected = {names.HEADERS.not_run: "1"}
--- a/amaranthpulley/platform/tests/test_whole_path.py
+++ b/amaranthpulley/platform/tests/test_whole_path.py
@@ -9,8 +9,13 @@
 
 import eventlet  # noqa: E402
 
+from amaranthpulley.coordination.forwarding import leaf_health  # noqa: E402
 from amaranthpulley.platform import names  # noqa: E402
-from amaranthpulley.platform.tests import platform_site, wire_samples  # noqa: E402
+from amaranthpulley.platform.tests import (  # noqa: E402
+    platform_site,
+    standin_leaf,
+    wire_samples,
+)
 
 TARGET_LATENCY_MS = 900
 
@@ -67,6 +72,41 @@
         self.assertEqual(self._check(self.site.request()), 1)
 
 
+class ReplacedLeafPathTest(unittest.TestCase):
+    """Leaves whose address another leaf has taken over, while the store says nothing."""
+
+    def setUp(self) -> None:
+        self.site = platform_site.PlatformSite()
+
+    def _replace(self, leaf_id: str) -> standin_leaf.StandInLeaf:
+        leaf = self.site.leaf(leaf_id)
+        leaf.leaf_id = f"new-{leaf_id}"
+        return leaf
+
+    def test_successors_of_a_service_get_no_repeats(self) -> None:
+        replaced = [self._replace(f"visits-{number}") for number in (0, 1)]
+        for _ in range(10):
+            self.assertEqual(self.site.request("/visit/1").status, 503)
+        for leaf in replaced:
+            self.assertLessEqual(leaf.misdirected_count, 1)
+
+    def test_successors_of_a_whole_shard_get_no_repeats(self) -> None:
+        replaced = [self._replace(f"shard-1-{number}") for number in (0, 1)]
+        for _ in range(10):
+            answer = self.site.request()
+            self.assertEqual(answer.headers["X-Missing-Parts"], "1")
+        for leaf in replaced:
+            self.assertLessEqual(leaf.misdirected_count, 1)
+
+    def test_a_health_check_recognises_the_successor(self) -> None:
+        replaced = self._replace("visits-0")
+        suspected = self.site.daemon.gateway.directory.get("visits-0")
+        leaf_health.suspect(suspected, 0)
+        directory = self.site.daemon.gateway.directory
+        self.site.wait_for(lambda: directory.get("visits-0") is None, "it is removed")
+        self.assertEqual(replaced.misdirected_count, 0)
+
+
 class SinglePathTest(unittest.TestCase):
     """Requests that are forwarded to one leaf."""
 
