--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -202,10 +202,12 @@
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
-    """Use a suspected leaf again, or schedule its next health check."""
+    """Use a suspected leaf again, schedule its next health check, or remove it."""
     leaf = gateway.directory.get(event.leaf_id)
     if leaf is None:
         return []
+    if event.replaced:
+        return leaf_health.remove_replaced(gateway, event.leaf_id)
     leaf_health.record_probe(leaf, event.healthy, now_ms)
     if not event.healthy:
         return []
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -134,10 +134,17 @@
 
 
 class ProbeEnded(NamedTuple):
-    """A health check has ended."""
+    """A health check has ended.
+
+    Attributes
+    ----------
+    replaced : bool
+        Whether another leaf has answered at the address.
+    """
 
     leaf_id: str
     healthy: bool
+    replaced: bool = False
 
 
 class SlownessReported(NamedTuple):
--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -3,7 +3,11 @@
 import math
 from typing import Final
 
-from amaranthpulley.coordination.forwarding import leaf_selection
+from amaranthpulley.coordination.forwarding import (
+    commands,
+    leaf_selection,
+    tracing,
+)
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, routes
 
@@ -75,11 +79,7 @@
     if leaf is None:
         return
     leaf.overdue_at_ms.pop(attempt.number, None)
-    if end is requests.AttemptEnd.WRONG_LEAF:
-        # Another leaf has taken over the address; the directory entry is stale.
-        gateway.directory.remove(attempt.leaf_id)
-        gateway.connection_plans.pop(leaf.entry.service, None)
-    elif end is requests.AttemptEnd.TURNED_AWAY:
+    if end is requests.AttemptEnd.TURNED_AWAY:
         leaf.full_until_ms = now_ms + CONNECTION_LIMIT_PAUSE_MS
     elif end in (requests.AttemptEnd.UNREACHABLE, requests.AttemptEnd.TIMED_OUT):
         suspect(leaf, now_ms)
@@ -87,6 +87,22 @@
         _record_outcome(leaf, True, now_ms)
 
 
+def remove_replaced(
+    gateway: gateway_state.Gateway, leaf_id: str
+) -> list[commands.Command]:
+    """Remove a leaf at whose address another leaf has answered.
+
+    Its entry in the store may stay for as long as the store is silent. It counts again
+    when it is written anew.
+    """
+    leaf = gateway.directory.get(leaf_id)
+    if leaf is None:
+        return []
+    gateway.directory.remove(leaf_id)
+    gateway.connection_plans.pop(leaf.entry.service, None)
+    return [tracing.leaf_line(leaf, "replaced", 0)]
+
+
 def record_slowness(leaf: leaves.Leaf, observed: float, now_ms: int) -> None:
     """Add one observation to the moving average of a leaf's slowness."""
     slowness = leaf_selection.current_slowness(leaf, now_ms)
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -25,6 +25,8 @@
 # is suspected; the longest observed pauses take 300 ms.
 SUSPECT_AFTER_MS: Final = 450
 FIRST_SERVER_ERROR: Final = 500
+# Status with which a leaf declines a request that is addressed to another leaf.
+WRONG_LEAF_STATUS: Final = 421
 # An answer after more than this share of the objective is added to the request's trace.
 TRACED_ANSWER_SHARE: Final = 0.5
 
@@ -60,7 +62,10 @@
             *waiting.send_next(gateway, call.service, now_ms, random),
         ]
     end = requests.AttemptEnd.REJECTED if answer.not_run else requests.AttemptEnd.FAILED
-    if not answer.not_run:
+    if answer.not_run and answer.status == WRONG_LEAF_STATUS:
+        end = requests.AttemptEnd.WRONG_LEAF
+        report += leaf_health.remove_replaced(gateway, attempt.leaf_id)
+    elif not answer.not_run:
         call.failure = answer
     gateway.counters.add("forward_leaf_refusals_total", status=str(answer.status))
     return [
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_selection.py
@@ -89,9 +89,18 @@
     def test_a_leaf_is_removed_when_another_answers_at_its_address(self) -> None:
         self._begin(gateway_site.entry("l", "visits"))
         key = self.site.request("/visit/1")
-        self.site.fail(self.site.sends_of(key)[0], requests.AttemptEnd.WRONG_LEAF)
+        wrong_leaf = gateway_site.answer(421, signature=b"", not_run=True)
+        self.site.reply(self.site.sends_of(key)[0], wrong_leaf)
         self.assertIsNone(self.site.gateway.directory.get("l"))
 
+    def test_a_replaced_leaf_whose_entry_is_written_anew_is_used(self) -> None:
+        entry = gateway_site.entry("l", "visits")
+        self._begin(entry)
+        self.site.feed(events.ProbeEnded("l", False, replaced=True))
+        self.assertIsNone(self._selected())
+        self.site.feed(events.LeafWritten(entry._replace(address="l:2")))
+        self.assertEqual(self._selected(), "l")
+
     def test_a_daemon_uses_its_share_of_the_connections(self) -> None:
         self._begin(gateway_site.entry("l", "visits"))
         for number in range(2, 11):
--- a/amaranthpulley/platform/tests/test_whole_path.py
+++ b/amaranthpulley/platform/tests/test_whole_path.py
@@ -73,7 +73,7 @@
 
 
 class ReplacedLeafPathTest(unittest.TestCase):
-    """Leaves whose address another leaf has taken over, while the store says nothing."""
+    """Leaves whose address another leaf has taken over unknown to the store."""
 
     def setUp(self) -> None:
         self.site = platform_site.PlatformSite()
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -316,9 +316,14 @@
         connection = self.leaves.acquire(command.address, True)
         timer = None
 
-        def end(healthy: bool) -> None:
+        def end(healthy: bool, replaced: bool = False) -> None:
             timer.cancel()
-            self.feed(events.ProbeEnded(command.leaf_id, healthy))
+            self.feed(events.ProbeEnded(command.leaf_id, healthy, replaced))
+
+        def on_answer(answer: requests.LeafAnswer) -> None:
+            named = self._leaf_named_in(answer)
+            replaced = named not in ("", command.leaf_id)
+            end(answer.status == 200 and not replaced, replaced)
 
         def give_up() -> None:
             connection.close()
@@ -329,11 +334,10 @@
             leaf_messages.encode_health_request(command.address, command.path),
             b"",
             False,
-            lambda answer: end(self._is_healthy(answer, command.leaf_id)),
+            on_answer,
             lambda _end: end(False),
         )
 
-    def _is_healthy(self, answer: requests.LeafAnswer, leaf_id: str) -> bool:
+    def _leaf_named_in(self, answer: requests.LeafAnswer) -> str:
         named = dict((name.lower(), value) for name, value in answer.headers)
-        leaf = named.get(self.names.leaf, b"").decode("latin-1")
-        return answer.status == 200 and leaf in ("", leaf_id)
+        return named.get(self.names.leaf, b"").decode("latin-1")
