Decide in one module whether a leaf may get a request

leaf_permits holds what choose_leaf, admission and the queue asked in different places: region, evacuation, leaving, cold tokens, rejections, connections.

--- a/amaranthpulley/coordination/forwarding/admission.py
+++ b/amaranthpulley/coordination/forwarding/admission.py
@@ -11,7 +11,11 @@
 from collections.abc import Sequence
 from typing import Final
 
-from amaranthpulley.coordination.forwarding import connection_shares, leaf_selection
+from amaranthpulley.coordination.forwarding import (
+    connection_shares,
+    leaf_permits,
+    leaf_selection,
+)
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, routes
 
@@ -39,7 +43,7 @@
     available_count = 0
     for service in services:
         available_count += any(
-            leaf_selection.is_eligible(gateway, leaf, route, now_ms)
+            leaf_permits.may_wait_for(gateway, leaf, route, now_ms)
             for leaf in gateway.directory.of_service(service)
         )
     return available_count > 0 and available_count >= route.minimum_coverage * len(
@@ -54,7 +58,7 @@
     usable = [
         leaf
         for leaf in gateway.directory.of_service(service)
-        if leaf_selection.is_eligible(gateway, leaf, route, now_ms)
+        if leaf_permits.may_wait_for(gateway, leaf, route, now_ms)
     ]
     if not usable:
         return float(route.timeout_ms)
--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -5,6 +5,7 @@
 from amaranthpulley.coordination.forwarding import (
     commands,
     connection_warmup,
+    leaf_permits,
     leaf_selection,
     retry_budget,
     tracing,
@@ -117,8 +118,7 @@
     keep = connection_warmup.may_keep_connection(gateway, leaf, now_ms)
     if keep:
         leaf.connection_used_ms = now_ms
-    if now_ms < leaf.cold_until_ms:
-        leaf.cold_tokens -= 1.0
+    leaf_permits.record_send(leaf, now_ms)
     if call.sends:
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
@@ -145,28 +145,31 @@
     shard: int,
     now_ms: int,
 ) -> None:
-    call = request.calls[shard]
-    usable = [
-        leaf
+    call, route = request.calls[shard], request.route
+    holds = [
+        leaf_permits.hold_of(gateway, leaf, route, now_ms)
         for leaf in gateway.directory.of_service(call.service)
-        if leaf_selection.may_send_to(call, request.route, leaf.entry.leaf_id)
-        and leaf_selection.is_eligible(gateway, leaf, request.route, now_ms)
+        if leaf_selection.may_send_to(call, route, leaf.entry.leaf_id)
     ]
-    if not usable:
-        tracing.record_decision(request, now_ms, "no_leaf", call.service, "")
+    reasons = sorted({hold.reason.value for hold in holds if hold is not None})
+    for reason in reasons:
+        gateway.counters.add("forward_leaf_holds_total", reason=reason)
+    detail = ",".join(reasons)
+    if all(hold is not None and hold.lasting for hold in holds):
+        tracing.record_decision(request, now_ms, "no_leaf", call.service, detail)
         stop_waiting(gateway, call)
         close_if_idle(request, call)
         return
     fastest_ms = int(leaf_selection.fastest_answer_ms(gateway, request.route))
     due_ms = [now_ms + LONGEST_WAIT_CHECK_MS, request.give_up_ms - fastest_ms + 1]
-    due_ms += [leaf.full_until_ms for leaf in usable]
+    due_ms += [hold.until_ms or 0 for hold in holds if hold is not None]
     call.retry_due_ms = min([at_ms for at_ms in due_ms if at_ms > now_ms])
     if call.waiting is None:
         call.waiting = waiting.WaitingCall(
             request.route.priority, request.arrived_ms, request.incoming.key, shard
         )
         gateway.waiting.add(call.service, call.waiting)
-        tracing.record_decision(request, now_ms, "leaves_busy", call.service, "")
+        tracing.record_decision(request, now_ms, "leaves_busy", call.service, detail)
 
 
 def close_if_idle(request: requests.ForwardedRequest, call: requests.ShardCall) -> None:
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -0,0 +1,110 @@
+"""Decides whether a leaf may get a request now, and if not, why and for how long.
+
+All that sends to leaves asks here: first sends, retries, hedges, the queues of waiting
+calls, admission, and delegates that run requests for others. A lasting hold is not
+waited for; the others end by themselves.
+
+Suspicion is no hold: a suspected leaf is selected last, since it may be the only one
+that can answer. See `leaf_selection`.
+"""
+
+import enum
+from typing import Final, NamedTuple
+
+from amaranthpulley.coordination.forwarding import connection_shares, delegates
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import leaves, routes
+
+# Share of the drain time during which a leaving leaf still gets requests.
+LEAVING_SHARE: Final = 0.6
+
+
+class HoldReason(enum.Enum):
+    """Why a leaf gets no request."""
+
+    REGION = "region"
+    EVACUATED = "evacuated"
+    LEAVING = "leaving"
+    COLD = "cold"
+    FULL = "full"
+    CONNECTIONS = "connections"
+
+
+class Hold(NamedTuple):
+    """A leaf gets no request at the moment.
+
+    Attributes
+    ----------
+    reason : HoldReason
+        Why.
+    until_ms : int or None
+        When the hold ends, if that is known.
+    lasting : bool
+        Whether a request can't wait for its end.
+    """
+
+    reason: HoldReason
+    until_ms: int | None = None
+    lasting: bool = False
+
+
+_REGION: Final = Hold(HoldReason.REGION, lasting=True)
+_EVACUATED: Final = Hold(HoldReason.EVACUATED, lasting=True)
+_LEAVING: Final = Hold(HoldReason.LEAVING, lasting=True)
+_COLD: Final = Hold(HoldReason.COLD, lasting=True)
+_CONNECTIONS: Final = Hold(HoldReason.CONNECTIONS)
+
+
+def hold_of(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+    now_ms: int,
+) -> Hold | None:
+    """Return why a leaf may not get a request of a route now, or None if it may."""
+    if route.regions and leaf.region not in route.regions:
+        return _REGION
+    if leaf.entry.failure_domain in gateway.evacuated:
+        return _EVACUATED
+    leaving_ms = leaf.leaving_since_ms
+    if leaving_ms is not None:
+        if now_ms - leaving_ms > gateway.limits.drain_ms * LEAVING_SHARE:
+            return _LEAVING
+    if now_ms < leaf.cold_until_ms and not _has_cold_token(gateway, leaf, now_ms):
+        return _COLD
+    if leaf.full_until_ms > now_ms:
+        return Hold(HoldReason.FULL, leaf.full_until_ms)
+    if leaf.in_flight >= connection_shares.maximum_concurrency(gateway, leaf):
+        return _CONNECTIONS
+    return None
+
+
+def may_wait_for(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+    now_ms: int,
+) -> bool:
+    """Return whether a request of a route may be sent to a leaf, now or soon."""
+    hold = hold_of(gateway, leaf, route, now_ms)
+    return hold is None or not hold.lasting
+
+
+def record_send(leaf: leaves.Leaf, now_ms: int) -> None:
+    """Count a request that is sent to a leaf."""
+    if now_ms < leaf.cold_until_ms:
+        leaf.cold_tokens.take()
+
+
+def _has_cold_token(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
+) -> bool:
+    configuration = gateway.configuration
+    if configuration is None:
+        return False
+    rate = routes.limits_of(configuration, leaf.entry.service).cold_requests_per_second
+    if rate <= 0.0:
+        return True
+    share = delegates.allowance(gateway, leaf.entry.service, now_ms)
+    size = max(1.0, gateway.limits.cold_slack * share)
+    return leaf.cold_tokens.refill(rate * share, size, now_ms) >= 1.0
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from amaranthpulley.coordination.forwarding import connection_shares, delegates
+from amaranthpulley.coordination.forwarding import leaf_permits
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, routes
 
@@ -46,8 +46,6 @@
 LOAD_REPORT_VALID_MS: Final = 100
 # Slowness assumed for a cold leaf until it is measured.
 COLD_SLOWNESS: Final = 1.6
-# Share of the drain time during which a leaving leaf still gets requests.
-LEAVING_SHARE: Final = 0.6
 # A leaf may run a request a second time when its first answer was lost.
 MAXIMUM_RUNS_PER_LEAF: Final = 2
 
@@ -172,12 +170,9 @@
     best: tuple[int, float] | None = None
     chosen: leaves.Leaf | None = None
     for leaf in gateway.directory.of_service(call.service):
-        if (
-            not may_send_to(call, route, leaf.entry.leaf_id)
-            or leaf.full_until_ms > now_ms
-            or not is_eligible(gateway, leaf, route, now_ms)
-            or leaf.in_flight >= connection_shares.maximum_concurrency(gateway, leaf)
-        ):
+        if not may_send_to(call, route, leaf.entry.leaf_id):
+            continue
+        if leaf_permits.hold_of(gateway, leaf, route, now_ms) is not None:
             continue
         # Breaks ties at random, so that daemons do not all choose the same leaf.
         expected = expected_answer_ms(gateway, leaf, route, now_ms) + random()
@@ -205,42 +200,7 @@
     return all(attempt.leaf_id != leaf_id for attempt in call.attempts.values())
 
 
-def is_eligible(
-    gateway: gateway_state.Gateway,
-    leaf: leaves.Leaf,
-    route: routes.Route,
-    now_ms: int,
-) -> bool:
-    """Return whether a leaf may get requests of a route, whatever its load."""
-    if route.regions and leaf.region not in route.regions:
-        return False
-    if leaf.entry.failure_domain in gateway.evacuated:
-        return False
-    leaving_ms = leaf.leaving_since_ms
-    if leaving_ms is not None:
-        if now_ms - leaving_ms > gateway.limits.drain_ms * LEAVING_SHARE:
-            return False
-    return now_ms >= leaf.cold_until_ms or _has_cold_token(gateway, leaf, now_ms)
-
-
 def _preference_tier(leaf: leaves.Leaf) -> int:
     if leaf.suspected:
         return 2
     return 0 if leaf.leaving_since_ms is None else 1
-
-
-def _has_cold_token(
-    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
-) -> bool:
-    configuration = gateway.configuration
-    if configuration is None:
-        return False
-    rate = routes.limits_of(configuration, leaf.entry.service).cold_requests_per_second
-    if rate <= 0.0:
-        return True
-    share = delegates.allowance(gateway, leaf.entry.service, now_ms)
-    passed_s = (now_ms - leaf.cold_tokens_refilled_ms) / 1000
-    burst = max(1.0, gateway.limits.cold_slack * share)
-    leaf.cold_tokens = min(burst, leaf.cold_tokens + passed_s * rate * share)
-    leaf.cold_tokens_refilled_ms = now_ms
-    return leaf.cold_tokens >= 1.0
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -2,6 +2,8 @@
 
 from typing import Final, NamedTuple
 
+from amaranthpulley.state.forwarding import token_bucket
+
 # A new leaf is assumed to be as fast as the route's mean until it is measured.
 INITIAL_SLOWNESS: Final = 1.0
 
@@ -79,8 +81,7 @@
         self.probe_delay_ms = 0
         self.full_until_ms = 0
         self.cold_until_ms = now_ms + entry.cold_ms
-        self.cold_tokens = 0.0
-        self.cold_tokens_refilled_ms = now_ms
+        self.cold_tokens = token_bucket.TokenBucket(0.0, now_ms)
         self.leaving_since_ms: int | None = now_ms if entry.draining else None
         self.deleted_ms: int | None = None
 
