--- a/amaranthpulley/platform/names.py
+++ b/amaranthpulley/platform/names.py
@@ -18,6 +18,7 @@
     part_signatures=b"x-part-stamps",
     missing_parts=b"x-missing-parts",
     retry_after=b"retry-after",
+    limit=b"server-limit",
 )
 
 READY_PATH: Final = b"/api/ready"
--- a/amaranthpulley/platform/tests/platform_site.py
+++ b/amaranthpulley/platform/tests/platform_site.py
@@ -65,13 +65,30 @@
         self, path: str = "/wide/1", method: str = "GET", body: bytes | None = None
     ) -> urllib3.BaseHTTPResponse:
         """Send a request as a client and return its answer."""
+        return self._request(self.pool, path, method, body)
+
+    def request_at(self, address: str, path: str) -> urllib3.BaseHTTPResponse:
+        """Send a request to the daemon at an address on a connection of its own."""
+        pool = http_connections.connection_pool(address, 1)
+        try:
+            return self._request(pool, path, "GET", None)
+        finally:
+            pool.close()
+
+    def _request(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        path: str,
+        method: str,
+        body: bytes | None,
+    ) -> urllib3.BaseHTTPResponse:
         self._requests += 1
         headers = {
             "Host": wire_samples.HOST,
             "X-Request-Id": f"r{self._requests}",
             "X-Deadline-Ms": "1000",
         }
-        return self.pool.urlopen(
+        return pool.urlopen(
             method, path, body=body, headers=headers, retries=False, timeout=5
         )
 
--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -41,12 +41,17 @@
         failure_domain: str,
         address: str = "127.0.0.1:0",
     ) -> None:
+        self._now_ms = clock.monotonic_ms
         self.leaf_id = leaf_id
         self.service = service
         self.failure_domain = failure_domain
         self.runs: collections.Counter[str] = collections.Counter()
         # Requests that were addressed to another leaf.
         self.misdirected_count = 0
+        # Times of all requests but health checks, by the monotonic clock.
+        self.arrivals_s: list[float] = []
+        # Headers of all answers.
+        self.headers: dict[bytes, str] = {}
         self.received_names: set[bytes] = set()
         self.work_ms = 5
         # How it answers each request: "answer", "silent", "reset", "reject", "fail",
@@ -88,6 +93,7 @@
         if request.target == CONTROL_PATH:
             self._control(connection, json.loads(request.body))
             return
+        self.arrivals_s.append(self._now_ms() / 1000)
         self.received_names.update(name.lower() for name, _ in request.headers)
         request_id = (request.first(names.HEADERS.request_id) or b"").decode()
         addressed = (request.first(names.HEADERS.wanted_leaf) or b"").decode()
@@ -136,6 +142,7 @@
         lines = [b"HTTP/1.1 %d Status\r\n" % status]
         if request_id:
             lines.append(b"X-Request-Id: %b\r\n" % request_id.encode())
+        headers = {**self.headers, **headers}
         lines += [b"%b: %b\r\n" % (k, v.encode()) for k, v in headers.items()]
         unframed = self.mode == "unframed"
         if not unframed:
--- a/amaranthpulley/protocol/forwarding/header_names.py
+++ b/amaranthpulley/protocol/forwarding/header_names.py
@@ -49,6 +49,8 @@
         Number of shards that are missing from a merged answer.
     retry_after : bytes
         Seconds after which the client may retry.
+    limit : bytes
+        Requests a second that a leaf takes from all daemons together.
     """
 
     request_id: bytes
@@ -61,6 +63,7 @@
     part_signatures: bytes
     missing_parts: bytes
     retry_after: bytes
+    limit: bytes
 
 
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -19,6 +19,7 @@
     part_signatures=b"x-parts",
     missing_parts=b"x-missing",
     retry_after=b"retry-after",
+    limit=b"x-limit",
 )
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s1\r\n"
