Keep the limits that leaves name (LIMIT)

Cause: no code read the header. Change: an answer's limit is kept with the leaf; each daemon has a token bucket with its share, and leaf_permits holds a leaf without a token. The limit ends with the first answer that ran and names none. Admission counts it into the throughput of a service.

--- a/amaranthpulley/coordination/forwarding/admission.py
+++ b/amaranthpulley/coordination/forwarding/admission.py
@@ -63,14 +63,14 @@
     if not usable:
         return float(route.timeout_ms)
     ahead = gateway.waiting.count_ahead(service, route.priority)
-    places = sum(_places(gateway, leaf) for leaf in usable)
-    wait_ms = ahead * gateway.latency_of(route).mean_ms / places
+    mean_ms = gateway.latency_of(route).mean_ms
+    per_ms = sum(_throughput_per_ms(gateway, leaf, mean_ms) for leaf in usable)
     soonest_ms = min(
-        max(0, leaf.full_until_ms - now_ms)
+        _held_for_ms(gateway, leaf, route, now_ms)
         + leaf_selection.answer_time_ms(gateway, leaf, route, now_ms)
         for leaf in usable
     )
-    return wait_ms + soonest_ms
+    return ahead / per_ms + soonest_ms
 
 
 def return_after_ms(rank: int, room_ms: float, left_ms: int, key: int) -> int:
@@ -106,6 +106,23 @@
     return float(min(known, default=0))
 
 
-def _places(gateway: gateway_state.Gateway, leaf: leaves.Leaf) -> int:
+def _throughput_per_ms(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, mean_ms: float
+) -> float:
+    """Return the requests that a leaf runs for this daemon in a millisecond."""
     concurrency = connection_shares.maximum_concurrency(gateway, leaf)
-    return max(1, min(leaf.entry.slots, concurrency))
+    places = max(1, min(leaf.entry.slots, concurrency))
+    per_ms = leaf_permits.allowed_per_s(gateway, leaf) / 1000
+    return min(places / mean_ms, per_ms)
+
+
+def _held_for_ms(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+    now_ms: int,
+) -> int:
+    hold = leaf_permits.hold_of(gateway, leaf, route, now_ms)
+    if hold is None or hold.until_ms is None:
+        return 0
+    return max(0, hold.until_ms - now_ms)
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -13,9 +13,9 @@
     tracing,
     waiting,
 )
-from amaranthpulley.state import log_events
+from amaranthpulley.state import log_events, rendezvous
+from amaranthpulley.state.forwarding import backpressure, leaves, routes
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, routes
 
 # Entries that lapsed during an outage of the store are back within two seconds. Until
 # then a leaf with a deleted entry counts as leaving.
@@ -56,7 +56,9 @@
     leaf = gateway.directory.get(entry.leaf_id)
     if leaf is None or not _is_same_start(leaf.entry, entry):
         region = gateway.place.regions.get(entry.failure_domain, "")
-        added = leaves.Leaf(entry, region, now_ms)
+        phase = rendezvous.fraction_of(gateway.place.name, entry.leaf_id)
+        pressure = backpressure.Backpressure(phase)
+        added = leaves.Leaf(entry, region, now_ms, pressure)
         gateway.directory.add(added)
         gateway.connection_plans.pop(entry.service, None)
         standing = "draining" if entry.draining else "known"
--- a/amaranthpulley/coordination/forwarding/connection_shares.py
+++ b/amaranthpulley/coordination/forwarding/connection_shares.py
@@ -30,7 +30,6 @@
 MINIMUM_CONCURRENCY: Final = 2
 # Requests beyond a leaf's slots, so that a freed slot is taken without a round trip.
 QUEUED_AT_LEAF: Final = 1
-_WEIGHT_RANGE: Final = float(2**64)
 
 
 class _Users(NamedTuple):
@@ -73,7 +72,7 @@
         and leaf.entry.failure_domain not in gateway.evacuated
     ]
     usable.sort(key=lambda leaf: (leaf.region != own_region, leaf.entry.leaf_id))
-    offset = rendezvous.weight_of(gateway.place.name, service) / _WEIGHT_RANGE
+    offset = rendezvous.fraction_of(gateway.place.name, service)
     plan: dict[str, int] = {}
     for leaf in usable:
         users = _users(gateway, is_sharded, leaf.region)
--- a/amaranthpulley/coordination/forwarding/delegates.py
+++ b/amaranthpulley/coordination/forwarding/delegates.py
@@ -67,8 +67,11 @@
     A daemon whose registration has lapsed, also while it was paused, has no share: the
     others have divided it among themselves.
     """
-    if not is_registered(gateway, now_ms):
-        return 0.0
+    return share_of(gateway, service) if is_registered(gateway, now_ms) else 0.0
+
+
+def share_of(gateway: gateway_state.Gateway, service: str) -> float:
+    """Return a registered daemon's share of the requests to a service, from 0 to 1."""
     equal = 1.0 / daemon_count(gateway)
     fleet = fleet_of(gateway)
     if not fleet.delegates or service not in gateway.sharded_services:
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -9,12 +9,25 @@
 """
 
 import enum
+import math
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination.forwarding import connection_shares, delegates
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, routes
 
+# In a window, a leaf may get its limit times the overage, and a slack.
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_OVERAGE: Final = 1.5
+LIMIT_SLACK: Final = 5.0
+# Share of that which is used; the rest covers requests that arrive late.
+USABLE_LIMIT_SHARE: Final = 0.95
+# Daemons rarely use their shares at the same time, so they are larger than equal parts.
+SHARE_OVERAGE: Final = 1.25
+# Least requests a second of all daemons, so that the end of a limit is learned.
+LEAST_RATE_PER_S: Final = 0.5
+# Requests that a daemon may save up.
+SAVED_REQUESTS: Final = 1.0
 # Share of the drain time during which a leaving leaf still gets requests.
 LEAVING_SHARE: Final = 0.6
 
@@ -26,6 +39,7 @@
     EVACUATED = "evacuated"
     LEAVING = "leaving"
     COLD = "cold"
+    LIMIT = "limit"
     FULL = "full"
     CONNECTIONS = "connections"
 
@@ -72,6 +86,10 @@
             return _LEAVING
     if now_ms < leaf.cold_until_ms and not _has_cold_token(gateway, leaf, now_ms):
         return _COLD
+    if leaf.backpressure.limit_per_s is not None:
+        hold = _limit_hold(gateway, leaf, now_ms)
+        if hold is not None:
+            return hold
     if leaf.full_until_ms > now_ms:
         return Hold(HoldReason.FULL, leaf.full_until_ms)
     if leaf.in_flight >= connection_shares.maximum_concurrency(gateway, leaf):
@@ -94,6 +112,38 @@
     """Count a request that is sent to a leaf."""
     if now_ms < leaf.cold_until_ms:
         leaf.cold_tokens.take()
+    if leaf.backpressure.limit_tokens is not None:
+        leaf.backpressure.limit_tokens.take()
+
+
+def allowed_per_s(gateway: gateway_state.Gateway, leaf: leaves.Leaf) -> float:
+    """Return the requests a second that this daemon may send to a leaf with a limit.
+
+    In the worst case every daemon sends what it has saved up, besides its rate.
+    """
+    limit_per_s = leaf.backpressure.limit_per_s
+    if limit_per_s is None:
+        return math.inf
+    allowed = LIMIT_OVERAGE * LIMIT_WINDOW_S * limit_per_s + LIMIT_SLACK
+    saved = SAVED_REQUESTS * delegates.daemon_count(gateway)
+    in_time_per_s = (USABLE_LIMIT_SHARE * allowed - saved) / LIMIT_WINDOW_S
+    total_per_s = min(SHARE_OVERAGE * limit_per_s, in_time_per_s)
+    total_per_s = max(total_per_s, limit_per_s / 2, LEAST_RATE_PER_S)
+    return total_per_s * delegates.share_of(gateway, leaf.entry.service)
+
+
+def _limit_hold(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
+) -> Hold | None:
+    tokens = leaf.backpressure.limit_tokens
+    if tokens is None:
+        return None
+    per_s = allowed_per_s(gateway, leaf)
+    level = tokens.refill(per_s, SAVED_REQUESTS, now_ms)
+    if level >= SAVED_REQUESTS:
+        return None
+    wait_ms = 1000 * (SAVED_REQUESTS - level) / per_s
+    return Hold(HoldReason.LIMIT, now_ms + math.ceil(wait_ms))
 
 
 def _has_cold_token(
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -7,6 +7,7 @@
     commands,
     delegation,
     events,
+    leaf_demands,
     leaf_health,
     leaf_selection,
     record_merge,
@@ -25,8 +26,6 @@
 # is suspected; the longest observed pauses take 300 ms.
 SUSPECT_AFTER_MS: Final = 450
 FIRST_SERVER_ERROR: Final = 500
-# Status with which a leaf declines a request that is addressed to another leaf.
-WRONG_LEAF_STATUS: Final = 421
 # An answer after more than this share of the objective is added to the request's trace.
 TRACED_ANSWER_SHARE: Final = 0.5
 
@@ -41,14 +40,15 @@
     attempt = gateway.attempts.pop(event.attempt, None)
     if attempt is None:
         return []
+    answer = event.answer
+    demands = leaf_demands.apply(gateway, attempt.leaf_id, answer, now_ms)
     request = gateway.requests.get(attempt.request_key)
     if request is None:
-        return []
-    answer = event.answer
+        return demands
     slowness = leaf_health.record_answer(
         gateway, attempt, request.route, answer, event.opened, now_ms
     )
-    report = slowness_reports.report_late_answer(
+    report = demands + slowness_reports.report_late_answer(
         gateway, attempt.leaf_id, slowness, now_ms, random
     )
     call = request.calls[attempt.shard]
@@ -62,7 +62,7 @@
             *waiting.send_next(gateway, call.service, now_ms, random),
         ]
     end = requests.AttemptEnd.REJECTED if answer.not_run else requests.AttemptEnd.FAILED
-    if answer.not_run and answer.status == WRONG_LEAF_STATUS:
+    if answer.not_run and answer.status == requests.WRONG_LEAF_STATUS:
         end = requests.AttemptEnd.WRONG_LEAF
         report += leaf_health.remove_replaced(gateway, attempt.leaf_id)
     elif not answer.not_run:
--- a/amaranthpulley/coordination/forwarding/tests/gateway_site.py
+++ b/amaranthpulley/coordination/forwarding/tests/gateway_site.py
@@ -82,12 +82,16 @@
     ----------
     limits : Limits
         Limits of the daemon.
+    name : str
+        Name of the daemon.
     """
 
-    def __init__(self, limits: gateway.Limits | None = None) -> None:
+    def __init__(
+        self, limits: gateway.Limits | None = None, name: str = "vm-1"
+    ) -> None:
         self.clock = clock.VirtualClock(1_000_000)
         regions = {"a1": "a", "b1": "b"}
-        place = gateway.Place("vm-1", "a1", "a", regions)
+        place = gateway.Place(name, "a1", "a", regions)
         # The daemon has run for longer than a retry window and has its full slack.
         started_ms = self.clock.now_ms - 60_000
         self.gateway = gateway.Gateway(place, limits or gateway.Limits(), started_ms)
@@ -110,8 +114,9 @@
         for one in entries:
             self.feed(events.LeafWritten(one))
         self.feed(events.DirectoryListed())
-        member = gateway.Member("a1", "vm-1:1")
-        self.feed(events.MemberChanged("vm-1", member))
+        name = self.gateway.place.name
+        member = gateway.Member("a1", f"{name}:1")
+        self.feed(events.MemberChanged(name, member))
 
     def request(
         self, path: str = "/wide/1", deadline_ms: int | None = 800, fingerprint: int = 0
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_demands.py
@@ -0,0 +1,93 @@
+"""Tests of what leaves ask for in their answers."""
+
+import unittest
+
+from amaranthpulley.coordination.forwarding import commands, events, leaf_permits
+from amaranthpulley.coordination.forwarding.tests import gateway_site
+from amaranthpulley.state.forwarding import gateway, requests
+
+
+def limited(per_s: float | None, **changes: object) -> requests.LeafAnswer:
+    """Return an answer that names a limit."""
+    return gateway_site.answer(demands=requests.LeafDemands(per_s), **changes)
+
+
+class LeafLimitTest(unittest.TestCase):
+    """A service whose only leaf names a limit of 10 requests a second."""
+
+    def setUp(self) -> None:
+        self.site = gateway_site.GatewaySite()
+        found = gateway_site.configuration(gateway_site.single())
+        self.site.begin(found, gateway_site.entry("l", "visits"))
+
+    def _ask_for(self, seconds: float, per_s: int, given: requests.LeafAnswer) -> int:
+        """Send requests and answer each at once; return how many reached the leaf."""
+        before = len(self.site.sent)
+        answered = before
+        for _ in range(int(seconds * per_s)):
+            self.site.request("/visit/1")
+            while answered < len(self.site.sent):
+                self.site.reply(self.site.sent[answered], given)
+                answered += 1
+            self.site.advance(1000 // per_s)
+            while answered < len(self.site.sent):
+                self.site.reply(self.site.sent[answered], given)
+                answered += 1
+        return len(self.site.sent) - before
+
+    def _add_daemons(self, count: int) -> None:
+        for number in range(2, count + 1):
+            member = gateway.Member("a1", f"vm-{number}:1")
+            self.site.feed(events.MemberChanged(f"vm-{number}", member))
+
+    def test_one_daemon_uses_the_limit(self) -> None:
+        sent = self._ask_for(4.0, 50, limited(10.0))
+        self.assertLessEqual(sent, 1.5 * 40 + 5)
+        self.assertGreaterEqual(sent, 40)
+
+    def test_daemons_divide_the_limit(self) -> None:
+        self._add_daemons(4)
+        sent = self._ask_for(4.0, 50, limited(10.0))
+        self.assertLessEqual(sent, (1.5 * 40 + 5) / 4)
+        self.assertGreaterEqual(sent, 10)
+
+    def test_the_limit_ends_when_the_leaf_no_longer_names_it(self) -> None:
+        self._ask_for(1.0, 50, limited(2.0))
+        self.site.advance(2_000)
+        self.assertGreater(self._ask_for(1.0, 50, limited(None)), 40)
+
+    def test_a_rejection_without_a_limit_does_not_end_it(self) -> None:
+        self._ask_for(0.1, 50, limited(2.0))
+        self.site.advance(2_000)
+        sent = self._ask_for(2.0, 50, gateway_site.REJECTED)
+        self.assertLessEqual(sent, 1.5 * 4 + 5)
+
+    def test_the_end_of_a_limit_of_zero_is_learned(self) -> None:
+        self._ask_for(0.1, 50, limited(0.0))
+        sent = self._ask_for(8.0, 10, limited(0.0))
+        self.assertLessEqual(sent, 5 * 2)
+        self.assertGreaterEqual(sent, 1)
+
+    def test_a_request_that_cannot_be_served_in_time_is_refused_at_once(self) -> None:
+        self._add_daemons(8)
+        self._ask_for(0.1, 50, limited(1.0))
+        key = self.site.request("/visit/1", deadline_ms=300)
+        refusal = self.site.answers[key]
+        self.assertIsInstance(refusal, commands.Refuse)
+        self.assertTrue(refusal.not_run)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_a_waiting_request_names_the_limit_as_its_reason(self) -> None:
+        self._ask_for(0.1, 50, limited(10.0))
+        key = self.site.request("/visit/1")
+        request = self.site.gateway.requests[key]
+        waited = [t for t in request.trace if t.decision == "leaves_busy"]
+        self.assertEqual(waited[0].detail, leaf_permits.HoldReason.LIMIT.value)
+
+    def test_an_answer_of_another_leaf_sets_no_limit(self) -> None:
+        key = self.site.request("/visit/1")
+        misdirected = limited(1.0, status=421, signature=b"", not_run=True)
+        self.site.reply(self.site.sends_of(key)[0], misdirected)
+        entry = gateway_site.entry("l", "visits")
+        self.site.feed(events.LeafWritten(entry))
+        self.assertGreater(self._ask_for(1.0, 50, gateway_site.answer()), 40)
--- a/amaranthpulley/protocol/forwarding/leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -1,5 +1,6 @@
 """Encoding of requests to leaves, and parsing of their answers."""
 
+import re
 from typing import Final, NamedTuple
 
 import httptools
@@ -13,6 +14,8 @@
 MAXIMUM_RAW_RATIO: Final = 2
 # Colon, space and line end of a header line.
 _HEADER_SEPARATORS_BYTES: Final = 4
+# A decimal number without a sign, an exponent or a special value.
+_DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{0,12})?")
 
 
 class AnswerLimits(NamedTuple):
@@ -254,12 +257,24 @@
             names.not_run in first_values or status == 421,
             header_names.CONTENT_ENCODING in first_values,
             _parse_load(first_values.get(names.load)),
+            self._demands(first_values),
         )
         idle_timeout_s = _parse_idle_timeout(first_values.get(b"keep-alive"))
         keep_alive = self._has_framing and self._parser.should_keep_alive()
         request_id = first_values.get(names.request_id, b"")
         return RawAnswer(request_id, answer, keep_alive, idle_timeout_s)
 
+    def _demands(self, first_values: dict[bytes, bytes]) -> requests.LeafDemands:
+        names = self._names
+        if names.limit not in first_values:
+            return requests.NO_DEMANDS
+        return requests.LeafDemands(_parse_limit(self._values_of(names.limit)))
+
+    def _values_of(self, wanted: bytes) -> list[bytes]:
+        """Return all values of a header, also those that stand in one line."""
+        values = [value for name, value in self._headers if name.lower() == wanted]
+        return b",".join(values).split(b",")
+
     def _check_raw_size(self, size: int) -> None:
         """Limit an incomplete line, and the chunk framing beside the body."""
         self._raw_bytes += size
@@ -303,3 +318,9 @@
         if name.lower() == b"timeout" and number.isdigit():
             return int(number)
     return None
+
+
+def _parse_limit(values: list[bytes]) -> float | None:
+    """Return the smallest limit; values that are no decimal number are ignored."""
+    limits = [float(value) for value in values if _DECIMAL.fullmatch(value.strip())]
+    return min(limits, default=None)
--- a/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -130,3 +130,33 @@
                 data = HEAD + line + b"Content-Length: 0\r\n\r\n"
                 (raw,), _ = _reader().feed(data)
                 self.assertEqual(getattr(raw.answer, field), value)
+
+
+class LimitHeaderTest(unittest.TestCase):
+    """The limit that a leaf names in an answer."""
+
+    CASES = {
+        b"X-Limit: 14.4\r\n": 14.4,
+        b"x-limit:  7 \r\n": 7.0,
+        b"X-Limit: 0\r\n": 0.0,
+        b"X-Limit: 20\r\nX-Limit: 12.5\r\n": 12.5,
+        b"X-Limit: 20, 12.5\r\n": 12.5,
+        b"X-Limit: many, 9\r\n": 9.0,
+        b"": None,
+        b"X-Limit:\r\n": None,
+        b"X-Limit: -3\r\n": None,
+        b"X-Limit: nan\r\n": None,
+        b"X-Limit: inf\r\n": None,
+        b"X-Limit: 1e3\r\n": None,
+        b"X-Limit: 99999999999999999999\r\n": None,
+    }
+
+    def test_odd_values_are_no_limit(self) -> None:
+        for lines, expected in self.CASES.items():
+            for status in (b"200", b"500", b"503"):
+                with self.subTest(lines, status=status):
+                    reader = _reader()
+                    head = HEAD.replace(b"200", status, 1) + lines
+                    ((raw,), valid) = reader.feed(head + b"Content-Length: 0\r\n\r\n")
+                    self.assertTrue(valid)
+                    self.assertEqual(raw.answer.demands.limit_per_s, expected)
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.state.forwarding import token_bucket
+from amaranthpulley.state.forwarding import backpressure, token_bucket
 
 # A new leaf is assumed to be as fast as the route's mean until it is measured.
 INITIAL_SLOWNESS: Final = 1.0
@@ -60,11 +60,20 @@
         Region of its failure domain.
     now_ms : int
         Time at which it was first seen.
+    pressure : Backpressure
+        What it has asked of this daemon.
     """
 
-    def __init__(self, entry: LeafEntry, region: str, now_ms: int) -> None:
+    def __init__(
+        self,
+        entry: LeafEntry,
+        region: str,
+        now_ms: int,
+        pressure: backpressure.Backpressure,
+    ) -> None:
         self.entry = entry
         self.region = region
+        self.backpressure = pressure
         # Time at which each running attempt is overdue, by its number, in send order.
         self.overdue_at_ms: dict[int, float] = {}
         self.last_response_ms = now_ms
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -1,7 +1,7 @@
 """Forwarded requests in progress: their shards and attempts."""
 
 import enum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from amaranthpulley.state.forwarding import delegations, routes, waiting
 
@@ -68,6 +68,25 @@
 BUSY = frozenset({AttemptEnd.TURNED_AWAY, AttemptEnd.REJECTED})
 
 
+# Status with which a leaf declines a request that is addressed to another leaf.
+WRONG_LEAF_STATUS: Final = 421
+
+
+class LeafDemands(NamedTuple):
+    """What a leaf asks of the daemon in an answer.
+
+    Attributes
+    ----------
+    limit_per_s : float or None
+        Requests a second that it takes from all daemons together; None for no limit.
+    """
+
+    limit_per_s: float | None = None
+
+
+NO_DEMANDS = LeafDemands()
+
+
 class LeafAnswer(NamedTuple):
     """A complete answer of a leaf.
 
@@ -88,6 +107,8 @@
         not the leaf's own and is not used.
     load : tuple of int or None
         Running and waiting requests and slots, if the leaf reports them.
+    demands : LeafDemands
+        What the leaf asks of the daemon.
     """
 
     status: int
@@ -97,6 +118,7 @@
     not_run: bool
     encoded: bool
     load: tuple[int, int, int] | None
+    demands: LeafDemands = NO_DEMANDS
 
 
 class Attempt(NamedTuple):
--- a/amaranthpulley/state/rendezvous.py
+++ b/amaranthpulley/state/rendezvous.py
@@ -2,6 +2,9 @@
 
 import hashlib
 from collections.abc import Iterable
+from typing import Final
+
+_WEIGHT_RANGE: Final = float(2**64)
 
 
 def weight_of(member: str, key: str) -> int:
@@ -10,6 +13,11 @@
     return int.from_bytes(digest, "big")
 
 
+def fraction_of(member: str, key: str) -> float:
+    """Return a fixed number from 0 to 1 for a member and a key."""
+    return weight_of(member, key) / _WEIGHT_RANGE
+
+
 def ranking(members: Iterable[str], key: str) -> list[str]:
     """Return the members by descending weight for a key.
 
