Read the store on when another writer leaves an odd entry

Seen by the test: after a deeply nested entry the daemon followed the store no longer, so that a new configuration did not come into force; identities with spaces or line ends were accepted and sent in a header. Cause: the JSON decoder raises RecursionError beside its own errors, which ended the task; addresses and identities were hardly checked. Change: nesting counts as malformed; port, IPv4 address, ranges of numbers and identities are checked; an item whose decoding fails in any other way becomes unreadable too.

--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -1,6 +1,10 @@
 """Decoding of the items of the platform's store into events."""
 
-from typing import Literal, NotRequired, TypedDict
+import ipaddress
+import re
+from typing import Annotated, Final, Literal, NotRequired, TypedDict
+
+import msgspec
 
 from amaranthpulley.coordination.forwarding import events
 from amaranthpulley.platform import configuration, names
@@ -8,6 +12,14 @@
 from amaranthpulley.state import store
 from amaranthpulley.state.forwarding import gateway, leaves
 
+# Identities are sent in a header: visible ASCII characters only.
+_IDENTITY: Final = re.compile("[!-~]+")
+_PORT: Final = re.compile("[0-9]{1,5}")
+LARGEST_PORT: Final = 65_535
+MOST_SLOTS: Final = 1_000_000
+LONGEST_COLD_MS: Final = 86_400_000
+LATEST_START_MS: Final = 2**53
+
 
 class _Leaf(TypedDict):
     """A leaf's entry, written by the leaf itself."""
@@ -16,13 +28,13 @@
     Address: str
     Zone: str
     Version: str
-    Capacity: int
+    Capacity: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
     State: Literal["ready", "draining"]
     # Remaining time for which the leaf is slow after its start.
-    WarmupLeftMs: int
+    WarmupLeftMs: Annotated[int, msgspec.Meta(ge=0, le=LONGEST_COLD_MS)]
     Sequence: int
     # Unix time of the start in milliseconds; identifies one run of the leaf's process.
-    born: NotRequired[int]
+    born: NotRequired[Annotated[int, msgspec.Meta(ge=0, le=LATEST_START_MS)]]
 
 
 class Daemon(TypedDict):
@@ -47,6 +59,7 @@
         leaf_id = None
         if change.key.startswith(names.LEAF_PREFIX):
             leaf_id = change.key.removeprefix(names.LEAF_PREFIX)
+            leaf_id = leaf_id if _IDENTITY.fullmatch(leaf_id) else None
         return events.ItemUnreadable(change.key, str(error), leaf_id)
 
 
@@ -76,11 +89,9 @@
 
 def _leaf(leaf_id: str, value: bytes) -> leaves.LeafEntry:
     raw = json_codec.decode(value, _Leaf)
-    host, colon, port = raw["Address"].rpartition(":")
-    if not colon or not host or not port.isdigit():
-        raise errors.MalformedMessageError(f"Address: {raw['Address']!r}")
-    if raw["Capacity"] < 1:
-        raise errors.MalformedMessageError(f"Capacity: {raw['Capacity']}")
+    if not _IDENTITY.fullmatch(leaf_id):
+        raise errors.MalformedMessageError(f"identity: {leaf_id!r}")
+    _check_address(raw["Address"], "Address", lowest_port=1)
     return leaves.LeafEntry(
         leaf_id=leaf_id,
         service=raw["Service"],
@@ -97,4 +108,18 @@
     if value is None:
         return None
     raw = json_codec.decode(value, Daemon)
+    _check_address(raw["address"], "address")
+    if raw.get("delegate_address"):
+        _check_address(raw["delegate_address"], "delegate_address")
     return gateway.Member(**raw)
+
+
+def _check_address(address: str, field: str, lowest_port: int = 0) -> None:
+    """Require an IPv4 address and a port: names are not looked up."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise errors.MalformedMessageError(f"{field}: {error}") from error
+    if not _PORT.fullmatch(port) or not lowest_port <= int(port) <= LARGEST_PORT:
+        raise errors.MalformedMessageError(f"{field}: port {port[:20]!r}")
--- a/amaranthpulley/platform/tests/test_entries.py
+++ b/amaranthpulley/platform/tests/test_entries.py
@@ -64,6 +64,55 @@
                 self.assertIsInstance(event, events.ItemUnreadable)
                 self.assertEqual((event.key, event.leaf_id), (KEY, "i-1"))
 
+    def test_entry_with_an_odd_address_is_unreadable(self) -> None:
+        for address in (
+            "10.0.0.1:0",
+            "10.0.0.1:99999",
+            "10.0.0.1:-1",
+            "10.0.0.1:+80",
+            "10.0.0.1:8_0",
+            "10.0.0.1:\u0663\u0664",
+            "10.0.0.1:" + "9" * 5_000,
+            "10.0.0.256:80",
+            "10.0.0:80",
+            "leaf.example:80",
+            "10.0.0.1:80\r\nX-Other: 1",
+            " 10.0.0.1:80",
+        ):
+            with self.subTest(address[:40]):
+                event = _decoded(KEY, {**LEAF, "Address": address})
+                self.assertIsInstance(event, events.ItemUnreadable)
+
+    def test_entry_with_a_number_out_of_range_is_unreadable(self) -> None:
+        whole = json.dumps(LEAF)
+        for field in ("Capacity", "WarmupLeftMs", "born"):
+            for number in ("-1", "1" * 400, "9" * 30, "1e999", "1e30"):
+                text = whole.replace(
+                    f'"{field}": {LEAF[field]}', f'"{field}": {number}'
+                )
+                with self.subTest(field, number=number[:20]):
+                    self.assertNotEqual(text, whole)
+                    event = _decoded(KEY, text.encode())
+                    self.assertIsInstance(event, events.ItemUnreadable)
+
+    def test_deeply_nested_entry_is_unreadable(self) -> None:
+        for depth in (5_000, 200_000):
+            nested = b"[" * depth + b"]" * depth
+            for value in (
+                nested,
+                json.dumps(LEAF).encode()[:-1] + b',"x":%b}' % nested,
+            ):
+                with self.subTest(depth=depth, size=len(value)):
+                    event = _decoded(KEY, value)
+                    self.assertIsInstance(event, events.ItemUnreadable)
+
+    def test_entry_whose_key_is_no_identity_names_no_leaf(self) -> None:
+        for leaf_id in ("", "i-1\r\nX-Other: 1", "i 1", "i-1\x00", "i-\u00e9"):
+            with self.subTest(leaf_id):
+                event = _decoded(names.LEAF_PREFIX + leaf_id, LEAF)
+                self.assertIsInstance(event, events.ItemUnreadable)
+                self.assertIsNone(event.leaf_id)
+
     def test_deletion_names_the_leaf(self) -> None:
         self.assertEqual(_decoded(KEY, None), events.LeafDeleted("i-1"))
 
@@ -95,6 +144,18 @@
                 self.assertIsInstance(event, events.ItemUnreadable)
                 self.assertIsNone(event.leaf_id)
 
+    def test_registration_with_an_odd_address_is_unreadable(self) -> None:
+        usual = {"failure_domain": "a1", "address": "10.0.0.1:80"}
+        for change in (
+            {"address": "10.0.0.1:99999"},
+            {"address": "vm:80"},
+            {"delegate_address": "10.0.0.1:99999"},
+            {"delegate_address": "x"},
+        ):
+            with self.subTest(change):
+                event = _decoded(names.DAEMON_PREFIX + "vm", {**usual, **change})
+                self.assertIsInstance(event, events.ItemUnreadable)
+
     def test_other_keys(self) -> None:
         cases = {
             (names.EVACUATION_PREFIX + "a1", b"{}"): events.EvacuationChanged(
--- a/amaranthpulley/platform/tests/test_whole_path.py
+++ b/amaranthpulley/platform/tests/test_whole_path.py
@@ -224,3 +224,28 @@
         with eventlet.Timeout(platform_site.WAIT_S):
             self.assertEqual(site.daemon.wait(), 0)
         self.assertNotIn(names.DAEMON_PREFIX + "vm-1", site.store.keys())
+
+
+class OddEntryPathTest(unittest.TestCase):
+    """Entries of another writer among those of the leaves."""
+
+    def test_the_daemon_serves_and_follows_the_store(self) -> None:
+        site = platform_site.PlatformSite()
+        usual = site.leaf("visits-0").entry()
+        nested = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        site.store.put(names.LEAF_PREFIX + "nested", nested)
+        port = {**usual, "Address": "127.0.0.1:99999"}
+        site.store.put(names.LEAF_PREFIX + "port", port)
+        site.store.put(names.LEAF_PREFIX + "number", {**usual, "Capacity": 10**40})
+        site.store.put(names.LEAF_PREFIX + "line\r\nX-Other: 1", usual)
+        for leaf in site.leaves[:2]:
+            site.store.delete(names.LEAF_PREFIX + leaf.leaf_id)
+        found = wire_samples.configuration(
+            2, wire_samples.visit_route(PathPrefix="/added/")
+        )
+        site.store.put(names.CONFIGURATION_KEY, found)
+        site.wait_for(
+            lambda: site.daemon.gateway.configuration.version == 2, "it is in force"
+        )
+        for _ in range(20):
+            self.assertEqual(site.request("/added/1").status, 200)
--- a/amaranthpulley/protocol/json_codec.py
+++ b/amaranthpulley/protocol/json_codec.py
@@ -31,5 +31,6 @@
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
+        # The decoder recurses into nested values, also of unknown fields.
         raise errors.MalformedMessageError(str(error)) from error
--- a/amaranthpulley/transport/forwarding/store_view.py
+++ b/amaranthpulley/transport/forwarding/store_view.py
@@ -65,13 +65,20 @@
         new_changes = [change for change in changes if self._change_log.add(change)]
         self._change_log.advance(revision)
         for change in new_changes:
-            event = self._decode(change)
+            event = self._event_of(change)
             if event is not None:
                 self._handle_event(event)
         if new_changes:
             self._notify_listeners()
         return bool(new_changes)
 
+    def _event_of(self, change: store.Change) -> events.Event | None:
+        try:
+            return self._decode(change)
+        except Exception as error:
+            # One item must not keep the others from being followed.
+            return events.ItemUnreadable(change.key, repr(error), None)
+
     def apply_confirmed(
         self, changes: Iterable[store.Change], revision: int, now_ms: int
     ) -> None:
