Answer every request before the end of a planned stop

Seen by the test: requests that came at 0.55 of the grace were taken, passed on, and cut when the process ended at 0.9 of it, also those that must not run twice. Cause: a draining daemon waited for requests in progress until its end, and then exited whatever was left. Change: from the start of the drain, no request is kept beyond 0.85 of the grace; what is left then is answered with what is true of it. Evidence: three subjects of LateRequestTest failed before and pass; a request that fits is still served.

--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -9,6 +9,7 @@
     events,
     leaf_health,
     leaf_selection,
+    request_completion,
     request_progress,
     tracing,
     waiting,
@@ -20,6 +21,9 @@
 # Entries that lapsed during an outage of the store are back within two seconds. Until
 # then a leaf with a deleted entry counts as leaving.
 DELETED_GRACE_MS: Final = 2_200
+# Share of the grace period after which a draining daemon has answered every request.
+# The process ends a little later, so that the answers reach their clients.
+ANSWERED_GRACE_SHARE: Final = 0.85
 
 
 def apply_configuration(
@@ -242,11 +246,20 @@
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
-    """Start draining; the daemon is no longer ready."""
-    if gateway.draining_since_ms is None:
-        gateway.draining_since_ms = now_ms
+    """Start draining; the daemon is no longer ready.
+
+    Requests that would outlast the process are answered before it ends.
+    """
     grace_ms = gateway.limits.grace_ms
-    return [common.log(log_events.DRAIN_STARTED, grace_ms=grace_ms)]
+    decided = [common.log(log_events.DRAIN_STARTED, grace_ms=grace_ms)]
+    if gateway.draining_since_ms is not None:
+        return decided
+    gateway.draining_since_ms = now_ms
+    gateway.drain_end_ms = now_ms + int(ANSWERED_GRACE_SHARE * grace_ms)
+    for request in list(gateway.requests.values()):
+        request.give_up_ms = min(request.give_up_ms, gateway.drain_end_ms)
+        decided += request_completion.answer_if_due(gateway, request, now_ms)
+    return decided
 
 
 def is_ready(gateway: gateway_state.Gateway) -> bool:
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -159,6 +159,11 @@
     return latency.mean_ms - latency.deviation_ms
 
 
+def slow_answer_ms(gateway: gateway_state.Gateway, route: routes.Route) -> float:
+    """Return by how much an unusually slow answer comes after the usual time."""
+    return MAXIMUM_LATE_DEVIATIONS * gateway.latency_of(route).deviation_ms
+
+
 def choose_leaf(
     gateway: gateway_state.Gateway,
     call: requests.ShardCall,
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -46,7 +46,7 @@
         return _refuse(gateway, incoming, commands.Refusal.NO_ROUTE, 0, now_ms)
     if leaf_health.crashes_leaves(gateway, incoming.fingerprint):
         return _refuse(gateway, incoming, commands.Refusal.CRASHES_LEAVES, 0, now_ms)
-    request = _create_request(incoming, route, configuration.version, now_ms)
+    request = _create_request(gateway, incoming, route, now_ms)
     if route.shards and incoming.origin is None:
         gateway.own_searches.add_request(now_ms)
     handed_over = delegation.hand_over(gateway, request, now_ms)
@@ -78,20 +78,31 @@
             return []
         reason = commands.Refusal.OVERLOADED
         room_ms = admission.expected_answer_ms(gateway, route, services[0], now_ms)
-        if room_ms <= left_ms:
+        spare_ms = 0.0
+        if gateway.drain_end_ms is not None and not route.idempotent:
+            # An answer that does not come before the end leaves the outcome unknown.
+            spare_ms = leaf_selection.slow_answer_ms(gateway, route)
+        if room_ms + spare_ms <= left_ms:
             return []
     after_ms = admission.return_after_ms(route.priority, room_ms, left_ms, incoming.key)
     return _refuse(gateway, incoming, reason, after_ms, now_ms)
 
 
 def _create_request(
-    incoming: requests.IncomingRequest, route: routes.Route, version: int, now_ms: int
+    gateway: gateway_state.Gateway,
+    incoming: requests.IncomingRequest,
+    route: routes.Route,
+    now_ms: int,
 ) -> requests.ForwardedRequest:
     origin = incoming.origin
     elapsed_ms = origin.elapsed_ms if origin is not None else 0
     wait_ms = route.timeout_ms - elapsed_ms
     if incoming.deadline_ms is not None:
         wait_ms = min(wait_ms, incoming.deadline_ms - DEADLINE_MARGIN_MS)
+    if gateway.drain_end_ms is not None:
+        wait_ms = min(wait_ms, gateway.drain_end_ms - now_ms)
+    configuration = gateway.configuration
+    version = configuration.version if configuration is not None else 0
     return requests.ForwardedRequest(
         incoming, route, version, now_ms - elapsed_ms, now_ms + max(1, wait_ms)
     )
--- a/amaranthpulley/platform/tests/platform_site.py
+++ b/amaranthpulley/platform/tests/platform_site.py
@@ -62,16 +62,20 @@
         return next(leaf for leaf in self.leaves if leaf.leaf_id == leaf_id)
 
     def request(
-        self, path: str = "/wide/1", method: str = "GET", body: bytes | None = None
+        self,
+        path: str = "/wide/1",
+        method: str = "GET",
+        body: bytes | None = None,
+        deadline_ms: int = 1_000,
     ) -> urllib3.BaseHTTPResponse:
         """Send a request as a client and return its answer."""
-        return self._request(self.pool, path, method, body)
+        return self._request(self.pool, path, method, body, deadline_ms)
 
     def request_at(self, address: str, path: str) -> urllib3.BaseHTTPResponse:
         """Send a request to the daemon at an address on a connection of its own."""
         pool = http_connections.connection_pool(address, 1)
         try:
-            return self._request(pool, path, "GET", None)
+            return self._request(pool, path, "GET", None, 1_000)
         finally:
             pool.close()
 
@@ -81,12 +85,13 @@
         path: str,
         method: str,
         body: bytes | None,
+        deadline_ms: int,
     ) -> urllib3.BaseHTTPResponse:
         self._requests += 1
         headers = {
             "Host": wire_samples.HOST,
             "X-Request-Id": f"r{self._requests}",
-            "X-Deadline-Ms": "1000",
+            "X-Deadline-Ms": str(deadline_ms),
         }
         return pool.urlopen(
             method, path, body=body, headers=headers, retries=False, timeout=5
--- a/amaranthpulley/platform/tests/test_stop_under_load.py
+++ b/amaranthpulley/platform/tests/test_stop_under_load.py
@@ -11,6 +11,7 @@
 
 import eventlet  # noqa: E402
 import eventlet.patcher  # noqa: E402
+import urllib3  # noqa: E402
 
 from amaranthpulley.platform.tests import platform_site, wire_samples  # noqa: E402
 
@@ -119,3 +120,60 @@
             return connection
 
         self._check(begin)
+
+
+class LateRequestTest(unittest.TestCase):
+    """Requests that come late in the grace of a planned stop, in calm."""
+
+    DEADLINE_MS = 4_000
+    # The daemon listens until 0.6 of its grace.
+    LATE_S = 0.55 * wire_samples.GRACE_S
+
+    def setUp(self) -> None:
+        self.routes = (
+            wire_samples.route(TimeoutMs=self.DEADLINE_MS),
+            wire_samples.visit_route(
+                RouteType="non_idempotent", TimeoutMs=self.DEADLINE_MS
+            ),
+        )
+
+    def _answer_late(self, work_ms: int, path: str, learned: int = 0) -> tuple:
+        """Return the answer to a late request, or None, and how often it ran.
+
+        There is no answer if it has not come when the process would end.
+        """
+        site = platform_site.PlatformSite(*self.routes)
+        for leaf in site.leaves:
+            leaf.work_ms = work_ms
+        for _ in range(learned):
+            site.request(path, "POST", b"oven")
+        runs = sum(sum(leaf.runs.values()) for leaf in site.leaves)
+        site.daemon.drain()
+        eventlet.sleep(self.LATE_S)
+        answers: list[urllib3.BaseHTTPResponse] = []
+
+        def ask() -> None:
+            answers.append(site.request(path, "POST", b"oven", self.DEADLINE_MS))
+
+        asking = eventlet.spawn(ask)
+        site.daemon.wait()
+        answer = answers[0] if answers else None
+        asking.kill()
+        ran = sum(sum(leaf.runs.values()) for leaf in site.leaves) - runs
+        return answer, ran
+
+    def test_one_that_outlasts_the_grace_gets_an_answer(self) -> None:
+        for path in ("/visit/1", "/wide/1"):
+            with self.subTest(path):
+                answer, ran = self._answer_late(3_000, path)
+                self.assertIsNotNone(answer)
+                self.assertIn(answer.status, (502, 504) if ran else (503,))
+
+    def test_one_that_is_known_not_to_fit_is_refused_as_not_run(self) -> None:
+        answer, ran = self._answer_late(900, "/visit/1", learned=3)
+        self.assertIsNotNone(answer)
+        self.assertEqual((answer.status, ran), (503, 0))
+
+    def test_one_that_fits_is_served(self) -> None:
+        answer, ran = self._answer_late(50, "/visit/1", learned=3)
+        self.assertEqual((answer.status, ran), (200, 1))
--- a/amaranthpulley/platform/tests/wire_samples.py
+++ b/amaranthpulley/platform/tests/wire_samples.py
@@ -7,6 +7,7 @@
 HOST: Final = "search.example"
 SHARDS: Final = ("shard-0", "shard-1", "shard-2")
 RECORDS: Final = 4
+GRACE_S: Final = 2
 
 
 def signature_of(leaf_id: str, request_id: str) -> str:
@@ -35,7 +36,7 @@
             "Zones": {"a1": "a", "b1": "b"},
             "BindAddrs": {"FrontAddr": f"{ip}:0", "ReadyAddr": f"{ip}:0"},
             "InternalPorts": [0, 0],
-            "Bounds": {"GraceS": 2, "DrainMs": 3000, "RetrySlack": 52},
+            "Bounds": {"GraceS": GRACE_S, "DrainMs": 3000, "RetrySlack": 52},
             "platform": {"Address": store_address},
         }
     ).encode()
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -131,6 +131,8 @@
         Position of the sharded service whose connections were warmed last.
     draining_since_ms : int or None
         When the drain started; None before.
+    drain_end_ms : int or None
+        Until when a draining daemon answers every request.
     log_tokens, log_refilled_ms, logs_dropped
         Token bucket for log lines, when it was last refilled, and the number of lines
         dropped for lack of tokens.
@@ -167,6 +169,7 @@
         self.warmup_index = 0
         self.next_slowness_report_ms = started_ms
         self.draining_since_ms: int | None = None
+        self.drain_end_ms: int | None = None
         self.log_tokens = LOG_BURST
         self.log_refilled_ms = started_ms
         self.logs_dropped = 0
