Send nothing to a leaf that has said that it leaves (DRAIN)

Seen by tests: with the store down, or with an entry that still said ready, a leaf whose answers said Server-Leaving got requests for as long as it answered (27 after DrainMs in 4 s; 271 where it failed). Cause: no code read the header. What a leaf has asked is kept when its entry lapses and returns. A restart of the daemon forgets it.

--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -58,10 +58,12 @@
     """Add a leaf, or update a known one from its entry."""
     entry = event.entry
     leaf = gateway.directory.get(entry.leaf_id)
-    if leaf is None or not _is_same_start(leaf.entry, entry):
+    if leaf is None or leaves.start_of(leaf.entry) != leaves.start_of(entry):
         region = gateway.place.regions.get(entry.failure_domain, "")
-        phase = rendezvous.fraction_of(gateway.place.name, entry.leaf_id)
-        pressure = backpressure.Backpressure(phase)
+        pressure = gateway.directory.take_kept(entry)
+        if pressure is None:
+            phase = rendezvous.fraction_of(gateway.place.name, entry.leaf_id)
+            pressure = backpressure.Backpressure(phase)
         added = leaves.Leaf(entry, region, now_ms, pressure)
         gateway.directory.add(added)
         gateway.connection_plans.pop(entry.service, None)
@@ -233,6 +235,8 @@
             if now_ms - leaf.deleted_ms >= DELETED_GRACE_MS:
                 gateway.directory.remove(leaf.entry.leaf_id)
                 decided.append(tracing.leaf_line(leaf, "forgotten", 0))
+        elif leaf.backpressure.leaving_since_ms is not None:
+            continue
         elif leaf.suspected and now_ms >= leaf.probe_due_ms:
             decided += _probe(gateway, leaf, now_ms)
     decided += request_progress.sweep_attempts(gateway, now_ms)
@@ -271,14 +275,6 @@
     )
 
 
-def _is_same_start(known: leaves.LeafEntry, entry: leaves.LeafEntry) -> bool:
-    return (
-        known.address == entry.address
-        and known.service == entry.service
-        and known.born_ms == entry.born_ms
-    )
-
-
 def _probe(
     gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
 ) -> list[commands.Command]:
--- a/amaranthpulley/coordination/forwarding/connection_warmup.py
+++ b/amaranthpulley/coordination/forwarding/connection_warmup.py
@@ -10,6 +10,7 @@
     commands,
     connection_shares,
     delegates,
+    leaf_permits,
     leaf_selection,
 )
 from amaranthpulley.state import rendezvous
@@ -78,7 +79,7 @@
     usable = {
         leaf.entry.leaf_id: leaf
         for leaf in gateway.directory.of_service(service)
-        if leaf.leaving_since_ms is None
+        if leaf_permits.leaving_since_ms(leaf) is None
         and not leaf.suspected
         and leaf.entry.failure_domain not in gateway.evacuated
         and connection_shares.kept_connections(gateway, leaf)
--- a/amaranthpulley/coordination/forwarding/leaf_demands.py
+++ b/amaranthpulley/coordination/forwarding/leaf_demands.py
@@ -27,7 +27,19 @@
     leaf = gateway.directory.get(leaf_id)
     if leaf is None or answer.status == requests.WRONG_LEAF_STATUS:
         return []
-    return _apply_limit(leaf, answer, now_ms)
+    return [
+        *_apply_leaving(leaf, answer, now_ms),
+        *_apply_limit(leaf, answer, now_ms),
+    ]
+
+
+def _apply_leaving(
+    leaf: leaves.Leaf, answer: requests.LeafAnswer, now_ms: int
+) -> list[commands.Command]:
+    if not answer.demands.leaving or leaf.backpressure.leaving_since_ms is not None:
+        return []
+    leaf.backpressure.leaving_since_ms = now_ms
+    return [_line(leaf, "leaving", "")]
 
 
 def _apply_limit(
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -80,7 +80,7 @@
         return _REGION
     if leaf.entry.failure_domain in gateway.evacuated:
         return _EVACUATED
-    leaving_ms = leaf.leaving_since_ms
+    leaving_ms = leaving_since_ms(leaf)
     if leaving_ms is not None:
         if now_ms - leaving_ms > gateway.limits.drain_ms * LEAVING_SHARE:
             return _LEAVING
@@ -97,6 +97,16 @@
     return None
 
 
+def leaving_since_ms(leaf: leaves.Leaf) -> int | None:
+    """Return since when a leaf leaves, by its entry or by its own word.
+
+    Either is enough. An entry that is ready again ends what the entry had said; what
+    the leaf has said holds until its next start.
+    """
+    known = (leaf.leaving_since_ms, leaf.backpressure.leaving_since_ms)
+    return min((at_ms for at_ms in known if at_ms is not None), default=None)
+
+
 def may_wait_for(
     gateway: gateway_state.Gateway,
     leaf: leaves.Leaf,
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -208,4 +208,4 @@
 def _preference_tier(leaf: leaves.Leaf) -> int:
     if leaf.suspected:
         return 2
-    return 0 if leaf.leaving_since_ms is None else 1
+    return 0 if leaf_permits.leaving_since_ms(leaf) is None else 1
--- a/amaranthpulley/platform/names.py
+++ b/amaranthpulley/platform/names.py
@@ -19,6 +19,7 @@
     missing_parts=b"x-missing-parts",
     retry_after=b"retry-after",
     limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 
 READY_PATH: Final = b"/api/ready"
--- a/amaranthpulley/protocol/forwarding/header_names.py
+++ b/amaranthpulley/protocol/forwarding/header_names.py
@@ -51,6 +51,8 @@
         Seconds after which the client may retry.
     limit : bytes
         Requests a second that a leaf takes from all daemons together.
+    leaving : bytes
+        Whether a leaf is about to stop.
     """
 
     request_id: bytes
@@ -64,6 +66,7 @@
     missing_parts: bytes
     retry_after: bytes
     limit: bytes
+    leaving: bytes
 
 
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/amaranthpulley/protocol/forwarding/leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -14,6 +14,8 @@
 MAXIMUM_RAW_RATIO: Final = 2
 # Colon, space and line end of a header line.
 _HEADER_SEPARATORS_BYTES: Final = 4
+# The value with which a leaf says that it leaves; others are ignored.
+_LEAVING: Final = b"1"
 # A decimal number without a sign, an exponent or a special value.
 _DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{0,12})?")
 
@@ -266,9 +268,12 @@
 
     def _demands(self, first_values: dict[bytes, bytes]) -> requests.LeafDemands:
         names = self._names
-        if names.limit not in first_values:
+        if not (names.limit in first_values or names.leaving in first_values):
             return requests.NO_DEMANDS
-        return requests.LeafDemands(_parse_limit(self._values_of(names.limit)))
+        leaving = [value.strip() for value in self._values_of(names.leaving)]
+        return requests.LeafDemands(
+            _parse_limit(self._values_of(names.limit)), _LEAVING in leaving
+        )
 
     def _values_of(self, wanted: bytes) -> list[bytes]:
         """Return all values of a header, also those that stand in one line."""
--- a/amaranthpulley/protocol/forwarding/tests/test_answer_limits.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_answer_limits.py
@@ -8,7 +8,7 @@
 
 NAMES: Final = header_names.HeaderNames(
     *(b"x-id", b"x-left", b"x-signed", b"x-wanted", b"x-load", b"x-not-run"),
-    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit"),
+    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit", b"x-leaving"),
 )
 LIMITS: Final = leaf_messages.AnswerLimits(
     head_bytes=2_000, head_lines=20, interim_answers=4, body_bytes=4_000
--- a/amaranthpulley/protocol/forwarding/tests/test_delegation_codec.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_delegation_codec.py
@@ -11,7 +11,7 @@
 
 NAMES = header_names.HeaderNames(
     *(b"x-id", b"x-left", b"x-signed", b"x-wanted", b"x-load", b"x-not-run"),
-    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit"),
+    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit", b"x-leaving"),
 )
 HEAD = b"GET /wide/1 HTTP/1.1\r\nHost: search.example\r\n"
 
--- a/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -20,6 +20,7 @@
     missing_parts=b"x-missing",
     retry_after=b"retry-after",
     limit=b"x-limit",
+    leaving=b"x-leaving",
 )
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s1\r\n"
@@ -160,3 +161,28 @@
                     ((raw,), valid) = reader.feed(head + b"Content-Length: 0\r\n\r\n")
                     self.assertTrue(valid)
                     self.assertEqual(raw.answer.demands.limit_per_s, expected)
+
+
+class LeavingHeaderTest(unittest.TestCase):
+    """The word of a leaf that it leaves."""
+
+    CASES = {
+        b"X-Leaving: 1\r\n": True,
+        b"x-leaving:  1 \r\n": True,
+        b"X-Leaving: 0\r\nX-Leaving: 1\r\n": True,
+        b"": False,
+        b"X-Leaving:\r\n": False,
+        b"X-Leaving: 0\r\n": False,
+        b"X-Leaving: true\r\n": False,
+        b"X-Leaving: 11\r\n": False,
+    }
+
+    def test_only_one_means_leaving(self) -> None:
+        for lines, expected in self.CASES.items():
+            for status in (b"200", b"404", b"500", b"503"):
+                with self.subTest(lines, status=status):
+                    reader = _reader()
+                    head = HEAD.replace(b"200", status, 1) + lines
+                    ((raw,), valid) = reader.feed(head + b"Content-Length: 0\r\n\r\n")
+                    self.assertTrue(valid)
+                    self.assertEqual(raw.answer.demands.leaving, expected)
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -6,6 +6,8 @@
 
 # A new leaf is assumed to be as fast as the route's mean until it is measured.
 INITIAL_SLOWNESS: Final = 1.0
+# Removed leaves of which it is kept what they had asked.
+MAXIMUM_KEPT: Final = 4_096
 
 
 class LeafEntry(NamedTuple):
@@ -104,12 +106,30 @@
         return next(iter(self.overdue_at_ms.values()), None)
 
 
+class LeafStart(NamedTuple):
+    """One start of a leaf's process."""
+
+    leaf_id: str
+    service: str
+    address: str
+    born_ms: int
+
+
+def start_of(entry: LeafEntry) -> LeafStart:
+    """Return the start that an entry is about."""
+    return LeafStart(entry.leaf_id, entry.service, entry.address, entry.born_ms)
+
+
 class LeafDirectory:
-    """All known leaves, by identity and by service."""
+    """All known leaves, by identity and by service.
+
+    What a removed leaf has asked of this daemon is kept: its entry may return.
+    """
 
     def __init__(self) -> None:
         self._by_id: dict[str, Leaf] = {}
         self._by_service: dict[str, list[Leaf]] = {}
+        self._kept: dict[LeafStart, backpressure.Backpressure] = {}
 
     def get(self, leaf_id: str) -> Leaf | None:
         """Return a leaf by its identity."""
@@ -132,5 +152,14 @@
     def remove(self, leaf_id: str) -> None:
         """Remove a leaf, if it is known."""
         leaf = self._by_id.pop(leaf_id, None)
-        if leaf is not None:
-            self._by_service[leaf.entry.service].remove(leaf)
+        if leaf is None:
+            return
+        self._by_service[leaf.entry.service].remove(leaf)
+        if leaf.backpressure.outlasts_entry:
+            if len(self._kept) >= MAXIMUM_KEPT:
+                self._kept.pop(next(iter(self._kept)))
+            self._kept[start_of(leaf.entry)] = leaf.backpressure
+
+    def take_kept(self, entry: LeafEntry) -> backpressure.Backpressure | None:
+        """Return what a removed leaf had asked, if it is still the same start."""
+        return self._kept.pop(start_of(entry), None)
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -79,9 +79,12 @@
     ----------
     limit_per_s : float or None
         Requests a second that it takes from all daemons together; None for no limit.
+    leaving : bool
+        Whether it is about to stop.
     """
 
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 NO_DEMANDS = LeafDemands()
--- a/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
@@ -20,7 +20,7 @@
 
 NAMES: Final = header_names.HeaderNames(
     *(b"x-id", b"x-left", b"x-signed", b"x-wanted", b"x-load", b"x-not-run"),
-    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit"),
+    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit", b"x-leaving"),
 )
 ANSWER: Final = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: 2\r\n\r\nok"
 WAIT_S: Final = 5.0
--- a/amaranthpulley/transport/forwarding/tests/test_leaf_faults.py
+++ b/amaranthpulley/transport/forwarding/tests/test_leaf_faults.py
@@ -25,7 +25,7 @@
 _plain_socket: Final = eventlet.patcher.original("socket")
 NAMES: Final = header_names.HeaderNames(
     *(b"x-id", b"x-left", b"x-signed", b"x-wanted", b"x-load", b"x-not-run"),
-    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit"),
+    *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit", b"x-leaving"),
 )
 WAIT_S: Final = 5.0
 HEAD: Final = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n"
