Give leaves the pauses that they ask for (BUDGET)

Seen by tests: leaves that turned requests away with 503 and Retry-After: 2 got 62 requests from one daemon within the pause, where two are allowed; a request that could not wait for the end of the pause was refused after 801 ms; after the pause, four requests came at once. Cause: the header was not read. Change: such a rejection (also with 429) holds the leaf until the time it names, an hour at most; a text that is no positive number of seconds is none. The leaf gets no health checks meanwhile. Admission, the queue and retries know when a hold ends: what can't be sent by then in time is refused at once, as not run; sharded requests, too.

--- a/amaranthpulley/coordination/forwarding/admission.py
+++ b/amaranthpulley/coordination/forwarding/admission.py
@@ -37,13 +37,15 @@
     gateway: gateway_state.Gateway,
     route: routes.Route,
     services: Sequence[str],
+    left_ms: float,
     now_ms: int,
 ) -> bool:
-    """Return whether enough services have a leaf that may get a request of a route."""
+    """Return whether enough services have a leaf that can answer a request in time."""
+    latest_ms = now_ms + left_ms - leaf_selection.fastest_answer_ms(gateway, route)
     available_count = 0
     for service in services:
         available_count += any(
-            leaf_permits.may_wait_for(gateway, leaf, route, now_ms)
+            leaf_permits.may_get_by(gateway, leaf, route, now_ms, latest_ms)
             for leaf in gateway.directory.of_service(service)
         )
     return available_count > 0 and available_count >= route.minimum_coverage * len(
@@ -94,16 +96,19 @@
 
 
 def next_leaf_ms(
-    gateway: gateway_state.Gateway, services: Sequence[str], now_ms: int
+    gateway: gateway_state.Gateway,
+    route: routes.Route,
+    services: Sequence[str],
+    now_ms: int,
 ) -> float:
     """Return the time until a service without a usable leaf may have one again."""
-    known = [
-        leaf.probe_due_ms - now_ms
-        for service in services
-        for leaf in gateway.directory.of_service(service)
-        if leaf.suspected and leaf.probe_due_ms > now_ms
-    ]
-    return float(min(known, default=0))
+    found: list[int] = []
+    for service in services:
+        for leaf in gateway.directory.of_service(service):
+            if leaf.suspected:
+                found.append(leaf.probe_due_ms - now_ms)
+            found.append(_held_for_ms(gateway, leaf, route, now_ms))
+    return float(min((after_ms for after_ms in found if after_ms > 0), default=0))
 
 
 def _throughput_per_ms(
--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -155,13 +155,16 @@
     for reason in reasons:
         gateway.counters.add("forward_leaf_holds_total", reason=reason)
     detail = ",".join(reasons)
-    if all(hold is not None and hold.lasting for hold in holds):
+    fastest_ms = int(leaf_selection.fastest_answer_ms(gateway, request.route))
+    latest_ms = request.give_up_ms - fastest_ms
+    if not any(
+        hold is None or leaf_permits.may_end_by(hold, latest_ms) for hold in holds
+    ):
         tracing.record_decision(request, now_ms, "no_leaf", call.service, detail)
         stop_waiting(gateway, call)
         close_if_idle(request, call)
         return
-    fastest_ms = int(leaf_selection.fastest_answer_ms(gateway, request.route))
-    due_ms = [now_ms + LONGEST_WAIT_CHECK_MS, request.give_up_ms - fastest_ms + 1]
+    due_ms = [now_ms + LONGEST_WAIT_CHECK_MS, latest_ms + 1]
     due_ms += [hold.until_ms or 0 for hold in holds if hold is not None]
     call.retry_due_ms = min([at_ms for at_ms in due_ms if at_ms > now_ms])
     if call.waiting is None:
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -8,6 +8,7 @@
     connection_warmup,
     events,
     leaf_health,
+    leaf_permits,
     leaf_selection,
     request_completion,
     request_progress,
@@ -235,7 +236,7 @@
             if now_ms - leaf.deleted_ms >= DELETED_GRACE_MS:
                 gateway.directory.remove(leaf.entry.leaf_id)
                 decided.append(tracing.leaf_line(leaf, "forgotten", 0))
-        elif leaf.backpressure.leaving_since_ms is not None:
+        elif not leaf_permits.may_probe(leaf, now_ms):
             continue
         elif leaf.suspected and now_ms >= leaf.probe_due_ms:
             decided += _probe(gateway, leaf, now_ms)
--- a/amaranthpulley/coordination/forwarding/leaf_demands.py
+++ b/amaranthpulley/coordination/forwarding/leaf_demands.py
@@ -29,6 +29,7 @@
         return []
     return [
         *_apply_leaving(leaf, answer, now_ms),
+        *_apply_pause(leaf, answer, now_ms),
         *_apply_limit(leaf, answer, now_ms),
     ]
 
@@ -42,6 +43,19 @@
     return [_line(leaf, "leaving", "")]
 
 
+def _apply_pause(
+    leaf: leaves.Leaf, answer: requests.LeafAnswer, now_ms: int
+) -> list[commands.Command]:
+    pause_ms = answer.demands.pause_ms
+    if pause_ms is None:
+        if not answer.not_run:
+            leaf.backpressure.step_up(leaf.entry.slots)
+        return []
+    was_paused = leaf.backpressure.paused_until_ms > now_ms
+    leaf.backpressure.pause(pause_ms, now_ms)
+    return [] if was_paused else [_line(leaf, "pause", f"{pause_ms} ms")]
+
+
 def _apply_limit(
     leaf: leaves.Leaf, answer: requests.LeafAnswer, now_ms: int
 ) -> list[commands.Command]:
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -39,6 +39,8 @@
     EVACUATED = "evacuated"
     LEAVING = "leaving"
     COLD = "cold"
+    PAUSE = "pause"
+    RETURN = "return"
     LIMIT = "limit"
     FULL = "full"
     CONNECTIONS = "connections"
@@ -67,6 +69,7 @@
 _LEAVING: Final = Hold(HoldReason.LEAVING, lasting=True)
 _COLD: Final = Hold(HoldReason.COLD, lasting=True)
 _CONNECTIONS: Final = Hold(HoldReason.CONNECTIONS)
+_RETURN: Final = Hold(HoldReason.RETURN)
 
 
 def hold_of(
@@ -86,10 +89,9 @@
             return _LEAVING
     if now_ms < leaf.cold_until_ms and not _has_cold_token(gateway, leaf, now_ms):
         return _COLD
-    if leaf.backpressure.limit_per_s is not None:
-        hold = _limit_hold(gateway, leaf, now_ms)
-        if hold is not None:
-            return hold
+    hold = _demanded_hold(gateway, leaf, now_ms)
+    if hold is not None:
+        return hold
     if leaf.full_until_ms > now_ms:
         return Hold(HoldReason.FULL, leaf.full_until_ms)
     if leaf.in_flight >= connection_shares.maximum_concurrency(gateway, leaf):
@@ -97,6 +99,25 @@
     return None
 
 
+def may_get_by(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+    now_ms: int,
+    latest_ms: float,
+) -> bool:
+    """Return whether a request of a route may be sent to a leaf until a time."""
+    hold = hold_of(gateway, leaf, route, now_ms)
+    return hold is None or may_end_by(hold, latest_ms)
+
+
+def may_end_by(hold: Hold, latest_ms: float) -> bool:
+    """Return whether a hold may end until a time."""
+    if hold.lasting:
+        return False
+    return hold.until_ms is None or hold.until_ms <= latest_ms
+
+
 def leaving_since_ms(leaf: leaves.Leaf) -> int | None:
     """Return since when a leaf leaves, by its entry or by its own word.
 
@@ -118,6 +139,12 @@
     return hold is None or not hold.lasting
 
 
+def may_probe(leaf: leaves.Leaf, now_ms: int) -> bool:
+    """Return whether a suspected leaf may get a health check."""
+    demanded = leaf.backpressure
+    return demanded.leaving_since_ms is None and demanded.paused_until_ms <= now_ms
+
+
 def record_send(leaf: leaves.Leaf, now_ms: int) -> None:
     """Count a request that is sent to a leaf."""
     if now_ms < leaf.cold_until_ms:
@@ -142,6 +169,21 @@
     return total_per_s * delegates.share_of(gateway, leaf.entry.service)
 
 
+def _demanded_hold(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
+) -> Hold | None:
+    """Return the hold that follows from what the leaf has asked for."""
+    demanded = leaf.backpressure
+    if demanded.paused_until_ms > now_ms:
+        return Hold(HoldReason.PAUSE, demanded.paused_until_ms)
+    returning = demanded.return_concurrency
+    if returning is not None and leaf.in_flight >= returning:
+        return _RETURN
+    if demanded.limit_per_s is not None:
+        return _limit_hold(gateway, leaf, now_ms)
+    return None
+
+
 def _limit_hold(
     gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
 ) -> Hold | None:
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -1,5 +1,6 @@
 """Handles arriving requests: finds their route and sends their first attempts."""
 
+import math
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import (
@@ -70,9 +71,12 @@
     """Return the refusal of a request that cannot be served; empty if it can."""
     route, incoming = request.route, request.incoming
     left_ms = request.give_up_ms - now_ms
-    if not admission.has_enough_leaves(gateway, route, services, now_ms):
-        reason = commands.Refusal.NO_LEAF
-        room_ms = admission.next_leaf_ms(gateway, services, now_ms)
+    if not admission.has_enough_leaves(gateway, route, services, left_ms, now_ms):
+        has_any = admission.has_enough_leaves(
+            gateway, route, services, math.inf, now_ms
+        )
+        reason = commands.Refusal.OVERLOADED if has_any else commands.Refusal.NO_LEAF
+        room_ms = admission.next_leaf_ms(gateway, route, services, now_ms)
     else:
         if route.shards:
             return []
--- a/amaranthpulley/platform/tests/platform_site.py
+++ b/amaranthpulley/platform/tests/platform_site.py
@@ -71,11 +71,13 @@
         """Send a request as a client and return its answer."""
         return self._request(self.pool, path, method, body, deadline_ms)
 
-    def request_at(self, address: str, path: str) -> urllib3.BaseHTTPResponse:
+    def request_at(
+        self, address: str, path: str, deadline_ms: int = 1_000
+    ) -> urllib3.BaseHTTPResponse:
         """Send a request to the daemon at an address on a connection of its own."""
         pool = http_connections.connection_pool(address, 1)
         try:
-            return self._request(pool, path, "GET", None, 1_000)
+            return self._request(pool, path, "GET", None, deadline_ms)
         finally:
             pool.close()
 
--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -50,6 +50,8 @@
         self.misdirected_count = 0
         # Times of all requests but health checks, by the monotonic clock.
         self.arrivals_s: list[float] = []
+        # Times at which it turned a request away, by the monotonic clock.
+        self.pauses_asked_s: list[float] = []
         # Headers of all answers.
         self.headers: dict[bytes, str] = {}
         self.received_names: set[bytes] = set()
@@ -101,6 +103,7 @@
             self.misdirected_count += 1
             self._send(connection, 421, request_id, b"", {})
         elif self.mode == "reject":
+            self.pauses_asked_s.append(self._now_ms() / 1000)
             rejected = {names.HEADERS.not_run: "1"}
             self._send(connection, 503, request_id, b"", rejected)
         elif self.mode != "silent":
--- a/amaranthpulley/protocol/forwarding/leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -1,5 +1,6 @@
 """Encoding of requests to leaves, and parsing of their answers."""
 
+import math
 import re
 from typing import Final, NamedTuple
 
@@ -14,6 +15,10 @@
 MAXIMUM_RAW_RATIO: Final = 2
 # Colon, space and line end of a header line.
 _HEADER_SEPARATORS_BYTES: Final = 4
+# Statuses with which a leaf that is busy turns a request away.
+_REJECTING_STATUSES: Final = frozenset({429, 503})
+# Longer pauses count as this long.
+LONGEST_PAUSE_MS: Final = 3_600_000
 # The value with which a leaf says that it leaves; others are ignored.
 _LEAVING: Final = b"1"
 # A decimal number without a sign, an exponent or a special value.
@@ -259,20 +264,27 @@
             names.not_run in first_values or status == 421,
             header_names.CONTENT_ENCODING in first_values,
             _parse_load(first_values.get(names.load)),
-            self._demands(first_values),
+            self._demands(status, first_values),
         )
         idle_timeout_s = _parse_idle_timeout(first_values.get(b"keep-alive"))
         keep_alive = self._has_framing and self._parser.should_keep_alive()
         request_id = first_values.get(names.request_id, b"")
         return RawAnswer(request_id, answer, keep_alive, idle_timeout_s)
 
-    def _demands(self, first_values: dict[bytes, bytes]) -> requests.LeafDemands:
+    def _demands(
+        self, status: int, first_values: dict[bytes, bytes]
+    ) -> requests.LeafDemands:
         names = self._names
-        if not (names.limit in first_values or names.leaving in first_values):
+        asks_pause = status in _REJECTING_STATUSES and names.retry_after in first_values
+        if not (
+            asks_pause or names.limit in first_values or names.leaving in first_values
+        ):
             return requests.NO_DEMANDS
         leaving = [value.strip() for value in self._values_of(names.leaving)]
         return requests.LeafDemands(
-            _parse_limit(self._values_of(names.limit)), _LEAVING in leaving
+            _parse_limit(self._values_of(names.limit)),
+            _LEAVING in leaving,
+            _parse_pause_ms(self._values_of(names.retry_after)) if asks_pause else None,
         )
 
     def _values_of(self, wanted: bytes) -> list[bytes]:
@@ -329,3 +341,13 @@
     """Return the smallest limit; values that are no decimal number are ignored."""
     limits = [float(value) for value in values if _DECIMAL.fullmatch(value.strip())]
     return min(limits, default=None)
+
+
+def _parse_pause_ms(values: list[bytes]) -> int | None:
+    """Return the longest pause; None if no value is a positive number of seconds.
+
+    A date is no number of seconds, and is ignored as well.
+    """
+    pauses = [float(value) for value in values if _DECIMAL.fullmatch(value.strip())]
+    longest_ms = min(LONGEST_PAUSE_MS, math.ceil(1000 * max(pauses, default=0.0)))
+    return longest_ms or None
--- a/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -186,3 +186,43 @@
                     ((raw,), valid) = reader.feed(head + b"Content-Length: 0\r\n\r\n")
                     self.assertTrue(valid)
                     self.assertEqual(raw.answer.demands.leaving, expected)
+
+
+class PauseHeaderTest(unittest.TestCase):
+    """The pause that a leaf asks for when it turns a request away."""
+
+    CASES = {
+        b"Retry-After: 2\r\n": 2_000,
+        b"retry-after:  0.25 \r\n": 250,
+        b"Retry-After: 0.0001\r\n": 1,
+        b"Retry-After: 1\r\nRetry-After: 3\r\n": 3_000,
+        b"Retry-After: 1, 3\r\n": 3_000,
+        b"Retry-After: 86400\r\n": leaf_messages.LONGEST_PAUSE_MS,
+        b"Retry-After: 999999999999\r\n": leaf_messages.LONGEST_PAUSE_MS,
+        b"": None,
+        b"Retry-After:\r\n": None,
+        b"Retry-After: 0\r\n": None,
+        b"Retry-After: -2\r\n": None,
+        b"Retry-After: nan\r\n": None,
+        b"Retry-After: inf\r\n": None,
+        b"Retry-After: soon\r\n": None,
+        b"Retry-After: Sat, 05 Dec 2026 03:00:00 GMT\r\n": None,
+    }
+
+    def test_only_a_positive_number_of_seconds_is_a_pause(self) -> None:
+        for lines, expected in self.CASES.items():
+            with self.subTest(lines):
+                self.assertEqual(self._pause_ms(b"503", lines), expected)
+
+    def test_only_a_rejection_asks_for_a_pause(self) -> None:
+        for status in (b"200", b"404", b"421", b"500", b"502"):
+            with self.subTest(status):
+                self.assertIsNone(self._pause_ms(status, b"Retry-After: 2\r\n"))
+        self.assertEqual(self._pause_ms(b"429", b"Retry-After: 2\r\n"), 2_000)
+
+    def _pause_ms(self, status: bytes, lines: bytes) -> int | None:
+        reader = _reader()
+        head = HEAD.replace(b"200", status, 1) + lines
+        ((raw,), valid) = reader.feed(head + b"Content-Length: 0\r\n\r\n")
+        self.assertTrue(valid)
+        return raw.answer.demands.pause_ms
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -81,10 +81,13 @@
         Requests a second that it takes from all daemons together; None for no limit.
     leaving : bool
         Whether it is about to stop.
+    pause_ms : int or None
+        Time for which it wants no requests of this daemon, from a rejection.
     """
 
     limit_per_s: float | None = None
     leaving: bool = False
+    pause_ms: int | None = None
 
 
 NO_DEMANDS = LeafDemands()
