--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -115,8 +115,14 @@
     def _control(self, connection: Any, settings: dict[str, Any]) -> None:
         mode, self.mode = settings.get("mode", self.mode), "answer"
         self.work_ms = settings.get("work_ms", self.work_ms)
-        self._send(connection, 200, "", json.dumps(self.runs).encode(), {})
-        self.mode = mode
+        headers, self.headers = self.headers, {}
+        if "headers" in settings:
+            headers = {k.encode(): v for k, v in settings["headers"].items()}
+        counted: dict[str, int] = dict(self.runs)
+        if settings.get("arrivals"):
+            counted = {"arrivals": len(self.arrivals_s)}
+        self._send(connection, 200, "", json.dumps(counted).encode(), {})
+        self.mode, self.headers = mode, headers
 
     def _finish(self, connection: Any, request: Any, request_id: str) -> None:
         if connection.current is not request:
