Do not take a daemon's own pause for targets that return to service

Seen by callers (KilledLeafTest, a known red): a search answered with coverage 1/3 in place of 2/3; 4 of 40 runs beside ten busy processes. Cause, from the logs of the failed runs: a search reached vm-3 after its start, before its configuration was confirmed; 2 s later the next search there logged target_cold with suspected=false for all three leaves, and sent to one of them only. mark_returned asked accepts_work, which is also false while the daemon itself is not confirmed, at its start or after a pause: all targets then looked as if operators had returned them, were marked cold and published as cold to the other daemons. Class: a local state taken for a remote one. Ruled out: a leaf that does not answer, which the entry in KNOWN-RED.txt supposed. Change: mark_returned asks what the operators say alone. Evidence: the new subject of ColdDetectionTest failed before and passes.

--- a/amaranthpulley/coordination/searches/cold_starts.py
+++ b/amaranthpulley/coordination/searches/cold_starts.py
@@ -165,7 +165,7 @@
     decided: Commands = []
     for target in all_targets:
         state = daemon.targets.of(target.name)
-        if not daemon.configuration.accepts_work(target):
+        if not daemon.configuration.is_in_service(target):
             state.was_out_of_service = True
         elif state.was_out_of_service:
             state.was_out_of_service = False
--- a/amaranthpulley/state/control/configuration.py
+++ b/amaranthpulley/state/control/configuration.py
@@ -202,8 +202,10 @@
 
     def accepts_work(self, target: topology.Target) -> bool:
         """Return whether the configuration lets a target get new work."""
-        if self.suspended:
-            return False
+        return not self.suspended and self.is_in_service(target)
+
+    def is_in_service(self, target: topology.Target) -> bool:
+        """Return whether the operators let a target get new work."""
         numbered = self._entries.get(Scope("failure_domain", target.failure_domain))
         domain_serves = numbered is None or numbered.entry.in_service
         return domain_serves and target.status is topology.TargetStatus.SERVING
--- a/amaranthpulley/transport/tests/test_cold_starts.py
+++ b/amaranthpulley/transport/tests/test_cold_starts.py
@@ -256,6 +256,26 @@
         vm.facts.publish(fact, now_ms + 60_000)
         cold_starts.apply_facts(vm, now_ms + cold_starts.FACTS_READ_INTERVAL_MS)
 
+    def test_a_pause_of_the_daemon_itself_is_no_sign(self) -> None:
+        now_ms = self.site.network.now_ms
+        self.vm.configuration.suspended = True
+        cold_starts.mark_returned(self.vm, self.site.targets, now_ms)
+        self.vm.configuration.suspended = False
+        cold_starts.mark_returned(self.vm, self.site.targets, now_ms + 1_000)
+        for target in self.site.targets:
+            self.assertIsNone(self.vm.targets.of(target.name).cold)
+
+    def test_a_return_to_service_during_a_pause_is_a_sign(self) -> None:
+        now_ms = self.site.network.now_ms
+        leaving = topology.TargetStatus.LEAVING
+        out = [target._replace(status=leaving) for target in self.site.targets]
+        cold_starts.mark_returned(self.vm, out, now_ms)
+        self.vm.configuration.suspended = True
+        cold_starts.mark_returned(self.vm, self.site.targets, now_ms + 1_000)
+        self.vm.configuration.suspended = False
+        cold_starts.mark_returned(self.vm, self.site.targets, now_ms + 2_000)
+        self.assertIsNotNone(self._state().cold)
+
     def test_ordinary_refusals_and_stragglers_are_no_signs(self) -> None:
         load = self._state().load._replace(busy_slots=4)
         cold_starts.observe_load(self.vm, self.target, load, True, 1, 1)
