--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -87,7 +87,7 @@
         call.hedge_due_ms = now_ms + LONGEST_WAIT_CHECK_MS
         return []
     leaf = leaf_selection.choose_leaf(gateway, call, request.route, now_ms, random)
-    if leaf is None or leaf_selection.is_paused(leaf, now_ms) or leaf.suspected:
+    if leaf is None or leaf_selection.is_stalled(leaf, now_ms) or leaf.suspected:
         call.hedge_due_ms = now_ms + BUSY_HEDGE_RETRY_MS
         return []
     gateway.counters.add("forward_hedges_total")
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -2,7 +2,7 @@
 
 The expected time adds up the network round trip, the mean time of the route and the
 requests already queued at the leaf. A leaf whose oldest attempt is overdue and that has
-answered nothing since counts as paused. New requests then go to other leaves and need
+answered nothing since counts as stalled. New requests then go to other leaves and need
 no hedge.
 """
 
@@ -25,10 +25,10 @@
 CLIENT_MARGIN_MS: Final = 15.0
 # Allowance for network jitter and event loop delays before an attempt is late.
 LATE_MARGIN_MS: Final = 4.0
-# A leaf that has answered anything within this time is not paused.
+# A leaf that has answered anything within this time is not stalled.
 RECENT_ANSWER_MS: Final = 12
-# Lower bound for the expected rest of a pause.
-MINIMUM_PAUSE_MS: Final = 60.0
+# Lower bound for the expected rest of a stall.
+MINIMUM_STALL_MS: Final = 60.0
 # A connection that was used within this time is still open: leaves keep idle
 # connections for at least four seconds.
 CONNECTION_REUSE_MS: Final = 3_000
@@ -106,7 +106,7 @@
     return min(outlier_ms, max(last_hedge_ms, 1.5 * latency.mean_ms))
 
 
-def is_paused(leaf: leaves.Leaf, now_ms: int) -> bool:
+def is_stalled(leaf: leaves.Leaf, now_ms: int) -> bool:
     """Return whether a leaf's oldest attempt is overdue and no answer came lately."""
     overdue_at_ms = leaf.first_overdue_at_ms()
     return (
@@ -127,8 +127,8 @@
     A failing leaf costs its failure share of the objective on top.
     """
     total_ms = answer_time_ms(gateway, leaf, route, now_ms)
-    if is_paused(leaf, now_ms):
-        total_ms += max(MINIMUM_PAUSE_MS, float(now_ms - leaf.last_response_ms))
+    if is_stalled(leaf, now_ms):
+        total_ms += max(MINIMUM_STALL_MS, float(now_ms - leaf.last_response_ms))
     return total_ms + current_failure_share(leaf, now_ms) * route.objective_ms
 
 
--- a/amaranthpulley/coordination/forwarding/waiting.py
+++ b/amaranthpulley/coordination/forwarding/waiting.py
@@ -2,7 +2,7 @@
 
 Load pattern: a burst, or a service that lost leaves, so that for a while more requests
 come than the leaves take. Each call then waits in the queue of its service. An answer
-of the service, a leaf that is back, or the end of a leaf's pause lets the next ones
+of the service, a leaf that is back, or the end of a leaf's hold lets the next ones
 through: those of the most urgent routes first, of these the ones that can still meet
 their objective, and of these the oldest. A call that can no longer be answered in time
 leaves the queue at once, so that its client learns it.
