Remember a delegate that drains

Seen by the test: a daemon handed six requests of six to a delegate that refused each since it was draining, a round trip and a retry each. Change: the refusal carries the header with which leaves say that they leave; the sender gives such a delegate nothing for the grace period. Evidence: 6 refused before, 1 after. The test's set-up had a race, seen twice beside 24 busy processes (the delegates are known): the delegate's own registration could come after the one that replaces it. With the registration delayed by 0.5 s it failed each time before, and passes now that it waits.

--- a/amaranthpulley/coordination/forwarding/delegation.py
+++ b/amaranthpulley/coordination/forwarding/delegation.py
@@ -101,8 +101,14 @@
         return []
     gateway.suspected_delegates.pop(request.delegation.daemon, None)
     if event.answer.status in request_completion.NOT_RUN_STATUSES:
+        decided: list[commands.Command] = []
+        if event.answer.demands.leaving:
+            pause_ms = gateway.limits.grace_ms
+            decided = _suspect(
+                gateway, request.delegation, "draining", now_ms, pause_ms
+            )
         _end_delegation(gateway, request, now_ms, "delegate_refused")
-        return _continue(gateway, request, now_ms, random)
+        return decided + _continue(gateway, request, now_ms, random)
     _end_delegation(gateway, request, now_ms, "delegate_answered")
     request.ran_elsewhere = True
     return request_completion.pass_delegated(
@@ -226,10 +232,10 @@
     delegation: delegations.Delegation,
     reason: str,
     now_ms: int,
+    pause_ms: int = FIRST_SUSPICION_MS,
 ) -> list[commands.Command]:
     daemon = delegation.daemon
     known = gateway.suspected_delegates.get(daemon)
-    pause_ms = FIRST_SUSPICION_MS
     if known is not None:
         if now_ms < known.until_ms:
             return []
--- a/amaranthpulley/platform/tests/test_delegated_path.py
+++ b/amaranthpulley/platform/tests/test_delegated_path.py
@@ -55,6 +55,9 @@
             for name in (f"faulty-{number}" for number in range(100))
             if rendezvous.ranking((name, "vm-2"), "vm-1")[0] == name
         )
+        # Its own registration must not come after the one that replaces it here.
+        members = self.site.daemon.gateway.members
+        self.site.wait_for(lambda: "vm-2" in members, "the delegate is registered")
         self._register("vm-2", self.delegate.delegate_address, 4.0)
         self._register(self.faulty, self.listener.address, 4.0)
         for number in range(10):
@@ -186,6 +189,15 @@
         for leaf in self.site.leaves:
             self.assertNotIn(delegation_codec.ORIGIN_HEADER, leaf.received_names)
 
+    def test_a_draining_delegate_is_asked_once(self) -> None:
+        self.fault = REFUSED
+        self.delegate.drain()
+        for _ in range(6):
+            self.assertEqual(self.site.request().status, 200)
+        counters = self.delegate.gateway.counters
+        refused = counters.total("forward_delegated_requests_total", outcome="draining")
+        self.assertEqual(refused, 1)
+
     def test_a_draining_delegate_hands_its_requests_back(self) -> None:
         self.fault = REFUSED
         self.delegate.drain()
--- a/amaranthpulley/protocol/forwarding/client_answers.py
+++ b/amaranthpulley/protocol/forwarding/client_answers.py
@@ -98,6 +98,9 @@
     if refusal.retry_after_ms and status == 503:
         seconds = refusal.retry_after_ms / 1000
         extra += b"%b: %.3f\r\n" % (names.retry_after, seconds)
+    if refusal.reason is commands.Refusal.DRAINING:
+        # Only other daemons get this refusal.
+        extra += b"%b: 1\r\n" % names.leaving
     return encode_status(status, refusal.reason.value, closes, extra)
 
 
