--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -19,10 +19,12 @@
   amaranthpulley timeline [--log FILE]... [--admin ADDRESS]... [--request ID]
                           [--target NAME] [--domain NAME] [--ticket NUMBER]
                           [--from TIME] [--to TIME] [--picture FILE]
+  amaranthpulley trace [--request ID] [--sample N] LOG...
   amaranthpulley status --admin ADDRESS
   amaranthpulley version
   amaranthpulley --help
 
+`trace` says of every request that went wrong why it did, from the logs of daemons.
 `forward` finds the settings file that the users' platform gives it; see the page on
 operations.
 
@@ -42,6 +44,7 @@
   --admin ADDRESS    IP:port of a daemon's admin port; for the time line and for
                      tickets it may be given more than once.
   --request ID       Only the events of this request.
+  --sample N         Show N requests with their causes, evenly spread [default: 0].
   --target NAME      Only the events of this target.
   --domain NAME      Only the events of targets in this failure domain.
   --ticket NUMBER    Only the events of this change ticket.
@@ -223,6 +226,20 @@
     )
 
 
+def _trace_failures(arguments: Arguments) -> int:
+    from amaranthpulley.transport import failure_traces
+
+    if not arguments["--sample"].isdecimal():
+        _show_problem("N must be a number")
+        return EXIT_USAGE
+    files, request_id = arguments["LOG"], arguments["--request"]
+    if request_id:
+        done = failure_traces.show_request(files, request_id, _show)
+    else:
+        done = failure_traces.show_causes(files, int(arguments["--sample"]), _show)
+    return EXIT_OK if done else EXIT_FAILED
+
+
 def _show_status(arguments: Arguments) -> int:
     from amaranthpulley.transport import operator_commands
 
@@ -270,6 +287,7 @@
     "settings": _check_settings,
     "customer": _export_customer,
     "timeline": _show_timeline,
+    "trace": _trace_failures,
     "status": _show_status,
     "version": _show_version,
 }
--- a/tools/trace_failures.py
+++ b/amaranthpulley/transport/failure_traces.py
@@ -1,23 +1,9 @@
-"""Say of every request that went wrong why it did, from the daemons' logs alone.
-
-Usage: trace_failures [--request ID] [--sample N] FILE...
-
-FILE holds what daemons wrote; other text before a line's JSON is passed over. Without
-options the causes are counted, most frequent first.
-
-Options:
-  --request ID  Show the lines of one request and its cause.
-  --sample N    Show N requests with their causes, evenly spread [default: 0].
-  -h --help     Show this text.
-"""
+"""Says of every request that went wrong why it did, from the daemons' logs alone."""
 
 import collections
-import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final, NamedTuple
 
-import docopt
-
 from amaranthpulley.state import log_events
 from amaranthpulley.transport import timeline
 
@@ -145,22 +131,40 @@
     yield from traces[::step][:count]
 
 
-def _print_trace(trace: Trace) -> None:
+def _lines_of(trace: Trace) -> Iterator[str]:
     for d in trace.decisions:
-        print(f"  {d.after_ms:>6} ms  {d.decision} {d.service} {d.leaf}".rstrip())
-    print(f"  {trace.elapsed_ms:>6} ms  ended {trace.outcome} on {trace.process}")
-
-
-def main(arguments: list[str]) -> int:
-    """Print what the options select; return 1 if a request has no trace or cause."""
-    options = docopt.docopt(__doc__, arguments)
-    traces = read_traces(timeline.read_logs(options["FILE"]))
-    if options["--request"]:
-        found = [t for t in traces if t.request_id == options["--request"]]
-        for trace in found:
-            _print_trace(trace)
-            print(f"cause: {failure_cause(trace, found)}")
-        return 0 if found else 1
+        yield f"  {d.after_ms:>6} ms  {d.decision} {d.service} {d.leaf}".rstrip()
+    yield f"  {trace.elapsed_ms:>6} ms  ended {trace.outcome} on {trace.process}"
+
+
+def show_request(
+    files: list[str], request_id: str, show: Callable[[str], None]
+) -> bool:
+    """Show the lines of one request and its cause; return whether there are any."""
+    traces = read_traces(timeline.read_logs(files))
+    found = [trace for trace in traces if trace.request_id == request_id]
+    for trace in found:
+        for line in _lines_of(trace):
+            show(line)
+        show(f"cause: {failure_cause(trace, found)}")
+    return bool(found)
+
+
+def show_causes(
+    files: list[str], sample_count: int, show: Callable[[str], None]
+) -> bool:
+    """Count the causes, the most frequent first; return whether all have one.
+
+    Parameters
+    ----------
+    files : list of str
+        Logs of daemons; other text before a line's JSON is passed over.
+    sample_count : int
+        Number of requests that are shown with their causes, evenly spread.
+    show : callable
+        Called with each line.
+    """
+    traces = read_traces(timeline.read_logs(files))
     failed = [trace for trace in traces if is_failure(trace)]
     by_request = collections.defaultdict(list)
     for trace in traces:
@@ -169,17 +173,12 @@
     def cause_of(trace: Trace) -> str | None:
         return failure_cause(trace, by_request[trace.request_id])
 
-    count = int(options["--sample"])
-    if count:
-        for trace in _sample(failed, count):
-            print(f"{trace.request_id} {trace.process}: {cause_of(trace)}")
+    if sample_count:
+        for trace in _sample(failed, sample_count):
+            show(f"{trace.request_id} {trace.process}: {cause_of(trace)}")
     causes = collections.Counter(cause_of(trace) for trace in failed)
     for cause, number in causes.most_common():
-        print(f"{number:>6}  {cause or 'not traced'}")
+        show(f"{number:>6}  {cause or 'not traced'}")
     traced = len(failed) - causes[None]
-    print(f"{traced} of {len(failed)} requests that went wrong have a cause")
-    return 0 if traced == len(failed) else 1
-
-
-if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    show(f"{traced} of {len(failed)} requests that went wrong have a cause")
+    return traced == len(failed)
--- a/tests/test_trace_failures.py
+++ b/amaranthpulley/transport/tests/test_failure_traces.py
@@ -1,11 +1,11 @@
-"""Tests of the tool that reports why requests failed."""
+"""Tests of the command that says why requests went wrong."""
 
 import json
 import unittest
 from typing import Any
 
 from amaranthpulley.state import log_events
-from tools import trace_failures
+from amaranthpulley.transport import failure_traces
 
 _DECIDED = log_events.FORWARD_DECIDED
 _ENDED = log_events.FORWARD_ENDED
@@ -33,8 +33,8 @@
     return _line(_ENDED, 1_000, outcome=outcome, elapsed_ms=900)
 
 
-def _read_single_trace(lines: list[bytes]) -> trace_failures.Trace:
-    (trace,) = trace_failures.read_traces(lines)
+def _read_single_trace(lines: list[bytes]) -> failure_traces.Trace:
+    (trace,) = failure_traces.read_traces(lines)
     return trace
 
 
@@ -56,18 +56,18 @@
             with self.subTest(decisions):
                 lines = [_decided(n, what) for n, what in enumerate(decisions)]
                 trace = _read_single_trace([*lines, _ended("timed_out")])
-                self.assertTrue(trace_failures.is_failure(trace))
-                self.assertEqual(trace_failures.failure_cause(trace), cause)
+                self.assertTrue(failure_traces.is_failure(trace))
+                self.assertEqual(failure_traces.failure_cause(trace), cause)
 
     def test_refusal_gives_its_reason(self) -> None:
         trace = _read_single_trace(
             [_line(_REFUSED, 5, reason="no_leaf", host="h", version=3)]
         )
-        self.assertEqual(trace_failures.failure_cause(trace), "refused: no_leaf")
+        self.assertEqual(failure_traces.failure_cause(trace), "refused: no_leaf")
 
     def test_lines_without_a_reason_give_no_cause(self) -> None:
         trace = _read_single_trace([_decided(0, "sent"), _ended("too_few_shards")])
-        self.assertIsNone(trace_failures.failure_cause(trace))
+        self.assertIsNone(failure_traces.failure_cause(trace))
 
     def test_shards_that_answered_are_no_cause(self) -> None:
         lines = [
@@ -78,16 +78,16 @@
             _decided(4, "unanswered", "b"),
             _ended("partial"),
         ]
-        cause = trace_failures.failure_cause(_read_single_trace(lines))
+        cause = failure_traces.failure_cause(_read_single_trace(lines))
         self.assertEqual(cause, "partial: leaf silent")
 
 
 class DelegatedCauseTest(unittest.TestCase):
     """The cause of a failure of a request that another daemon ran."""
 
-    def _traces(self, *delegate_lines: bytes) -> list[trace_failures.Trace]:
+    def _traces(self, *delegate_lines: bytes) -> list[failure_traces.Trace]:
         own = [_decided(0, "delegated", ""), _decided(90, "delegate_answered", "")]
-        return trace_failures.read_traces([*own, _ended("partial"), *delegate_lines])
+        return failure_traces.read_traces([*own, _ended("partial"), *delegate_lines])
 
     def test_it_is_that_of_the_delegate(self) -> None:
         fields = {"service": "s", "detail": "i-1", "process": "leaf"}
@@ -97,12 +97,12 @@
             _line(_DECIDED, 90, after_ms=90, decision="unanswered", **fields),
             _line(_ENDED, 90, outcome="partial", elapsed_ms=90, process="leaf"),
         )
-        cause = trace_failures.failure_cause(own, [own, delegate])
+        cause = failure_traces.failure_cause(own, [own, delegate])
         self.assertEqual(cause, "partial: lost, at a delegate")
 
     def test_lines_that_the_delegate_dropped_are_named(self) -> None:
         (own,) = self._traces()
-        cause = trace_failures.failure_cause(own, [own])
+        cause = failure_traces.failure_cause(own, [own])
         self.assertEqual(cause, "partial: without the lines of the delegate")
 
 
@@ -121,6 +121,6 @@
     def test_attempts_on_two_daemons_give_separate_traces(self) -> None:
         first = _line(_ENDED, 1, outcome="timed_out", elapsed_ms=5)
         second = _line(_ENDED, 2, outcome="served", elapsed_ms=5, process="vm-2")
-        traces = trace_failures.read_traces([second, first])
-        wrong = [t.process for t in traces if trace_failures.is_failure(t)]
+        traces = failure_traces.read_traces([second, first])
+        wrong = [t.process for t in traces if failure_traces.is_failure(t)]
         self.assertEqual(wrong, ["vm-1"])
