--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -15,9 +15,9 @@
     tracing,
     waiting,
 )
-from amaranthpulley.state import log_events, rendezvous
-from amaranthpulley.state.forwarding import backpressure, leaves, routes
+from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import leaves, routes
 
 # Entries that lapsed during an outage of the store are back within two seconds. Until
 # then a leaf with a deleted entry counts as leaving.
@@ -62,9 +62,6 @@
     if leaf is None or leaves.start_of(leaf.entry) != leaves.start_of(entry):
         region = gateway.place.regions.get(entry.failure_domain, "")
         pressure = gateway.directory.take_kept(entry)
-        if pressure is None:
-            phase = rendezvous.fraction_of(gateway.place.name, entry.leaf_id)
-            pressure = backpressure.Backpressure(phase)
         added = leaves.Leaf(entry, region, now_ms, pressure)
         gateway.directory.add(added)
         gateway.connection_plans.pop(entry.service, None)
--- a/amaranthpulley/coordination/forwarding/leaf_demands.py
+++ b/amaranthpulley/coordination/forwarding/leaf_demands.py
@@ -9,9 +9,9 @@
 
 from amaranthpulley.coordination import commands as common
 from amaranthpulley.coordination.forwarding import commands
-from amaranthpulley.state import log_events
+from amaranthpulley.state import log_events, rendezvous
+from amaranthpulley.state.forwarding import backpressure, leaves, requests
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, requests
 
 # A limit is logged again after a change by this share.
 LOGGED_CHANGE: Final = 0.25
@@ -27,48 +27,62 @@
     leaf = gateway.directory.get(leaf_id)
     if leaf is None or answer.status == requests.WRONG_LEAF_STATUS:
         return []
+    if leaf.backpressure is None:
+        if answer.demands == requests.NO_DEMANDS:
+            return []
+        phase = rendezvous.fraction_of(gateway.place.name, leaf_id)
+        leaf.backpressure = backpressure.Backpressure(phase)
+    pressure = leaf.backpressure
     return [
-        *_apply_leaving(leaf, answer, now_ms),
-        *_apply_pause(leaf, answer, now_ms),
-        *_apply_limit(leaf, answer, now_ms),
+        *_apply_leaving(leaf, pressure, answer, now_ms),
+        *_apply_pause(leaf, pressure, answer, now_ms),
+        *_apply_limit(leaf, pressure, answer, now_ms),
     ]
 
 
 def _apply_leaving(
-    leaf: leaves.Leaf, answer: requests.LeafAnswer, now_ms: int
+    leaf: leaves.Leaf,
+    pressure: backpressure.Backpressure,
+    answer: requests.LeafAnswer,
+    now_ms: int,
 ) -> list[commands.Command]:
-    if not answer.demands.leaving or leaf.backpressure.leaving_since_ms is not None:
+    if not answer.demands.leaving or pressure.leaving_since_ms is not None:
         return []
-    leaf.backpressure.leaving_since_ms = now_ms
+    pressure.leaving_since_ms = now_ms
     return [_line(leaf, "leaving", "")]
 
 
 def _apply_pause(
-    leaf: leaves.Leaf, answer: requests.LeafAnswer, now_ms: int
+    leaf: leaves.Leaf,
+    pressure: backpressure.Backpressure,
+    answer: requests.LeafAnswer,
+    now_ms: int,
 ) -> list[commands.Command]:
     pause_ms = answer.demands.pause_ms
     if pause_ms is None:
         if not answer.not_run:
-            leaf.backpressure.step_up(leaf.entry.slots)
+            pressure.step_up(leaf.entry.slots)
         return []
-    was_paused = leaf.backpressure.paused_until_ms > now_ms
-    leaf.backpressure.pause(pause_ms, now_ms)
+    was_paused = pressure.paused_until_ms > now_ms
+    pressure.pause(pause_ms, now_ms)
     return [] if was_paused else [_line(leaf, "pause", f"{pause_ms} ms")]
 
 
 def _apply_limit(
-    leaf: leaves.Leaf, answer: requests.LeafAnswer, now_ms: int
+    leaf: leaves.Leaf,
+    pressure: backpressure.Backpressure,
+    answer: requests.LeafAnswer,
+    now_ms: int,
 ) -> list[commands.Command]:
     """Set the limit that the leaf names, or end it when the leaf no longer names one.
 
     A rejection without a limit ends none: it may be written before the leaf knows how
     busy it is.
     """
-    demanded = answer.demands.limit_per_s
-    known = leaf.backpressure.limit_per_s
+    demanded, known = answer.demands.limit_per_s, pressure.limit_per_s
     if demanded is None and (known is None or answer.not_run):
         return []
-    leaf.backpressure.set_limit(demanded, now_ms)
+    pressure.set_limit(demanded, now_ms)
     if demanded is None:
         return [_line(leaf, "limit", "ended")]
     if known is not None and abs(demanded - known) <= LOGGED_CHANGE * known:
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -13,8 +13,8 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination.forwarding import connection_shares, delegates
+from amaranthpulley.state.forwarding import backpressure, leaves, routes
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, routes
 
 # In a window, a leaf may get its limit times the overage, and a slack.
 LIMIT_WINDOW_S: Final = 4.0
@@ -89,9 +89,10 @@
             return _LEAVING
     if now_ms < leaf.cold_until_ms and not _has_cold_token(gateway, leaf, now_ms):
         return _COLD
-    hold = _demanded_hold(gateway, leaf, now_ms)
-    if hold is not None:
-        return hold
+    if leaf.backpressure is not None:
+        hold = _demanded_hold(gateway, leaf, leaf.backpressure, now_ms)
+        if hold is not None:
+            return hold
     if leaf.full_until_ms > now_ms:
         return Hold(HoldReason.FULL, leaf.full_until_ms)
     if leaf.in_flight >= connection_shares.maximum_concurrency(gateway, leaf):
@@ -124,8 +125,12 @@
     Either is enough. An entry that is ready again ends what the entry had said; what
     the leaf has said holds until its next start.
     """
-    known = (leaf.leaving_since_ms, leaf.backpressure.leaving_since_ms)
-    return min((at_ms for at_ms in known if at_ms is not None), default=None)
+    if leaf.backpressure is None or leaf.backpressure.leaving_since_ms is None:
+        return leaf.leaving_since_ms
+    said_ms = leaf.backpressure.leaving_since_ms
+    if leaf.leaving_since_ms is None:
+        return said_ms
+    return min(said_ms, leaf.leaving_since_ms)
 
 
 def may_wait_for(
@@ -142,6 +147,8 @@
 def may_probe(leaf: leaves.Leaf, now_ms: int) -> bool:
     """Return whether a suspected leaf may get a health check."""
     demanded = leaf.backpressure
+    if demanded is None:
+        return True
     return demanded.leaving_since_ms is None and demanded.paused_until_ms <= now_ms
 
 
@@ -149,7 +156,7 @@
     """Count a request that is sent to a leaf."""
     if now_ms < leaf.cold_until_ms:
         leaf.cold_tokens.take()
-    if leaf.backpressure.limit_tokens is not None:
+    if leaf.backpressure is not None and leaf.backpressure.limit_tokens is not None:
         leaf.backpressure.limit_tokens.take()
 
 
@@ -158,9 +165,9 @@
 
     In the worst case every daemon sends what it has saved up, besides its rate.
     """
-    limit_per_s = leaf.backpressure.limit_per_s
-    if limit_per_s is None:
+    if leaf.backpressure is None or leaf.backpressure.limit_per_s is None:
         return math.inf
+    limit_per_s = leaf.backpressure.limit_per_s
     allowed = LIMIT_OVERAGE * LIMIT_WINDOW_S * limit_per_s + LIMIT_SLACK
     saved = SAVED_REQUESTS * delegates.daemon_count(gateway)
     in_time_per_s = (USABLE_LIMIT_SHARE * allowed - saved) / LIMIT_WINDOW_S
@@ -170,25 +177,19 @@
 
 
 def _demanded_hold(
-    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    demanded: backpressure.Backpressure,
+    now_ms: int,
 ) -> Hold | None:
     """Return the hold that follows from what the leaf has asked for."""
-    demanded = leaf.backpressure
     if demanded.paused_until_ms > now_ms:
         return Hold(HoldReason.PAUSE, demanded.paused_until_ms)
     returning = demanded.return_concurrency
     if returning is not None and leaf.in_flight >= returning:
         return _RETURN
-    if demanded.limit_per_s is not None:
-        return _limit_hold(gateway, leaf, now_ms)
-    return None
-
-
-def _limit_hold(
-    gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int
-) -> Hold | None:
-    tokens = leaf.backpressure.limit_tokens
-    if tokens is None:
+    tokens = demanded.limit_tokens
+    if demanded.limit_per_s is None or tokens is None:
         return None
     per_s = allowed_per_s(gateway, leaf)
     level = tokens.refill(per_s, SAVED_REQUESTS, now_ms)
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -62,8 +62,8 @@
         Region of its failure domain.
     now_ms : int
         Time at which it was first seen.
-    pressure : Backpressure
-        What it has asked of this daemon.
+    pressure : Backpressure or None
+        What it has asked of this daemon; None when it has not asked for anything.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         entry: LeafEntry,
         region: str,
         now_ms: int,
-        pressure: backpressure.Backpressure,
+        pressure: backpressure.Backpressure | None = None,
     ) -> None:
         self.entry = entry
         self.region = region
@@ -155,7 +155,7 @@
         if leaf is None:
             return
         self._by_service[leaf.entry.service].remove(leaf)
-        if leaf.backpressure.outlasts_entry:
+        if leaf.backpressure is not None and leaf.backpressure.outlasts_entry:
             if len(self._kept) >= MAXIMUM_KEPT:
                 self._kept.pop(next(iter(self._kept)))
             self._kept[start_of(leaf.entry)] = leaf.backpressure
