--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -61,20 +61,34 @@
             *_accept(gateway, request, call, answer, now_ms),
             *waiting.send_next(gateway, call.service, now_ms, random),
         ]
-    end = requests.AttemptEnd.REJECTED if answer.not_run else requests.AttemptEnd.FAILED
-    if answer.not_run and answer.status == requests.WRONG_LEAF_STATUS:
-        end = requests.AttemptEnd.WRONG_LEAF
-        report += leaf_health.remove_replaced(gateway, attempt.leaf_id)
-    elif not answer.not_run:
-        call.failure = answer
-    gateway.counters.add("forward_leaf_refusals_total", status=str(answer.status))
     return [
         *report,
-        *_retry_or_finish(gateway, request, attempt, end, now_ms, random),
+        *_handle_unusable(gateway, request, attempt, answer, now_ms, random),
         *waiting.send_next(gateway, call.service, now_ms, random),
     ]
 
 
+def _handle_unusable(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    attempt: requests.Attempt,
+    answer: requests.LeafAnswer,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Send a request again after an answer that is no use to its client."""
+    gateway.counters.add("forward_leaf_refusals_total", status=str(answer.status))
+    decided: list[commands.Command] = []
+    end = requests.AttemptEnd.REJECTED
+    if not answer.not_run:
+        end = requests.AttemptEnd.FAILED
+        request.calls[attempt.shard].failure = answer
+    elif answer.status == requests.WRONG_LEAF_STATUS:
+        end = requests.AttemptEnd.WRONG_LEAF
+        decided = leaf_health.remove_replaced(gateway, attempt.leaf_id)
+    return decided + _retry_or_finish(gateway, request, attempt, end, now_ms, random)
+
+
 def handle_failure(
     gateway: gateway_state.Gateway,
     event: events.AttemptFailed,
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_demands.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_demands.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from amaranthpulley.coordination.forwarding import commands, events, leaf_permits
+from amaranthpulley.coordination.forwarding import (
+    commands,
+    events,
+    leaf_health,
+    leaf_permits,
+)
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import gateway, requests
 
@@ -91,3 +96,61 @@
         entry = gateway_site.entry("l", "visits")
         self.site.feed(events.LeafWritten(entry))
         self.assertGreater(self._ask_for(1.0, 50, gateway_site.answer()), 40)
+
+
+class LeafPauseTest(unittest.TestCase):
+    """Leaves that turn requests away and want a pause of 2 s."""
+
+    def setUp(self) -> None:
+        self.site = gateway_site.GatewaySite()
+        found = gateway_site.configuration(gateway_site.route(), gateway_site.single())
+        services = (*gateway_site.SHARDS, "visits")
+        entries = [gateway_site.entry(f"{s}-0", s) for s in services]
+        self.site.begin(found, *entries)
+
+    def _pause(self, path: str, *services: str) -> None:
+        """Let the leaves of services turn a request away; the others answer."""
+        paused = requests.LeafDemands(pause_ms=2_000)
+        for sent in self.site.sends_of(self.site.request(path)):
+            service = sent.command.leaf_id.rpartition("-")[0]
+            given = gateway_site.answer()
+            if service in services:
+                given = gateway_site.REJECTED._replace(demands=paused)
+            self.site.reply(sent, given)
+
+    def _refusal_of(self, path: str, deadline_ms: int) -> commands.Refuse:
+        key = self.site.request(path, deadline_ms)
+        refusal = self.site.answers[key]
+        self.assertIsInstance(refusal, commands.Refuse)
+        return refusal
+
+    def test_what_cannot_be_served_by_its_end_is_refused_with_that_time(self) -> None:
+        self._pause("/visit/1", "visits")
+        refusal = self._refusal_of("/visit/1", 700)
+        self.assertEqual(refusal.reason, commands.Refusal.OVERLOADED)
+        self.assertTrue(refusal.not_run)
+        self.assertGreater(refusal.retry_after_ms, 100)
+
+    def test_a_search_that_cannot_have_its_coverage_is_refused_at_once(self) -> None:
+        self._pause("/wide/1", *gateway_site.SHARDS[:2])
+        refusal = self._refusal_of("/wide/1", 700)
+        self.assertEqual(refusal.reason, commands.Refusal.OVERLOADED)
+        self.assertTrue(refusal.not_run)
+
+    def test_a_search_with_enough_shards_is_served(self) -> None:
+        self._pause("/wide/1", gateway_site.SHARDS[0])
+        key = self.site.request("/wide/1", 700)
+        self.assertEqual(len(self.site.sends_of(key)), 2)
+
+    def test_a_paused_leaf_gets_no_health_check(self) -> None:
+        self._pause("/visit/1", "visits")
+        leaf_health.suspect(
+            self.site.gateway.directory.get("visits-0"), self.site.now_ms
+        )
+        self.site.others.clear()
+        self.site.advance(1_900)
+        probes = [c for c in self.site.others if isinstance(c, commands.ProbeLeaf)]
+        self.assertEqual(probes, [])
+        self.site.advance(1_000)
+        probes = [c for c in self.site.others if isinstance(c, commands.ProbeLeaf)]
+        self.assertEqual(len(probes), 1)
