--- a/amaranthpulley/platform/tests/test_limited_path.py
+++ b/amaranthpulley/platform/tests/test_limited_path.py
@@ -50,7 +50,11 @@
         first_s = self.limited.arrivals_s[0]
         counted = [at for at in self.limited.arrivals_s if at >= first_s + CONTACT_S]
         return max(
-            sum(begin <= at < begin + WINDOW_S for at in counted) for begin in counted
+            (
+                sum(begin <= at < begin + WINDOW_S for at in counted)
+                for begin in counted
+            ),
+            default=0,
         )
 
     def test_a_limited_leaf_gets_no_more_than_it_asked_for(self) -> None:
