Apply a demand to the start of the leaf that the request was sent to

Found by reading: after a freeze, a daemon may read a new start of a leaf from the store before an answer of the old one, which then marked the new start as leaving for good; and an answer that came while the entry was gone was forgotten. Health checks were not read. Evidence: three of the four subjects of LeafStartTest failed before, one of them by the missing argument; all pass.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -108,7 +108,7 @@
     gateway.next_attempt += 1
     leaf_id = leaf.entry.leaf_id
     key = request.incoming.key
-    attempt = requests.Attempt(number, key, shard, leaf_id, now_ms)
+    attempt = requests.Attempt(number, key, shard, leaf.start, now_ms)
     gateway.attempts[number] = attempt
     call.attempts[number] = attempt
     call.tried.add(leaf_id)
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -7,6 +7,7 @@
     commands,
     connection_warmup,
     events,
+    leaf_demands,
     leaf_health,
     leaf_permits,
     leaf_selection,
@@ -59,7 +60,7 @@
     """Add a leaf, or update a known one from its entry."""
     entry = event.entry
     leaf = gateway.directory.get(entry.leaf_id)
-    if leaf is None or leaves.start_of(leaf.entry) != leaves.start_of(entry):
+    if leaf is None or leaf.start != leaves.start_of(entry):
         region = gateway.place.regions.get(entry.failure_domain, "")
         pressure = gateway.directory.take_kept(entry)
         added = leaves.Leaf(entry, region, now_ms, pressure)
@@ -214,10 +215,11 @@
         return []
     if event.replaced:
         return leaf_health.remove_replaced(gateway, event.leaf_id)
+    decided = leaf_demands.apply(gateway, leaf.start, event.demands, False, now_ms)
     leaf_health.record_probe(leaf, event.healthy, now_ms)
-    if not event.healthy:
-        return []
-    return [tracing.leaf_line(leaf, "healthy", 0)]
+    if event.healthy:
+        decided.append(tracing.leaf_line(leaf, "healthy", 0))
+    return decided
 
 
 def tick(
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -140,11 +140,14 @@
     ----------
     replaced : bool
         Whether another leaf has answered at the address.
+    demands : LeafDemands
+        What the leaf asks for in its answer.
     """
 
     leaf_id: str
     healthy: bool
     replaced: bool = False
+    demands: requests.LeafDemands = requests.NO_DEMANDS
 
 
 class SlownessReported(NamedTuple):
--- a/amaranthpulley/coordination/forwarding/leaf_demands.py
+++ b/amaranthpulley/coordination/forwarding/leaf_demands.py
@@ -17,84 +17,102 @@
 LOGGED_CHANGE: Final = 0.25
 
 
-def apply(
+def apply_answer(
     gateway: gateway_state.Gateway,
-    leaf_id: str,
+    start: leaves.LeafStart,
     answer: requests.LeafAnswer,
     now_ms: int,
 ) -> list[commands.Command]:
-    """Apply the demands in an answer to a request that was sent to a leaf."""
-    leaf = gateway.directory.get(leaf_id)
-    if leaf is None or answer.status == requests.WRONG_LEAF_STATUS:
+    """Apply the demands in an answer to a request that was sent to a start of a leaf.
+
+    A rejection without a limit ends none: it may be written before the leaf knows how
+    busy it is.
+    """
+    if answer.status == requests.WRONG_LEAF_STATUS:
         return []
-    if leaf.backpressure is None:
-        if answer.demands == requests.NO_DEMANDS:
+    return apply(gateway, start, answer.demands, not answer.not_run, now_ms)
+
+
+def apply(
+    gateway: gateway_state.Gateway,
+    start: leaves.LeafStart,
+    demands: requests.LeafDemands,
+    ran: bool,
+    now_ms: int,
+) -> list[commands.Command]:
+    """Apply the demands of a start of a leaf, whose entry may be gone.
+
+    Parameters
+    ----------
+    ran : bool
+        Whether the leaf ran a request. Only then does it end a limit or the steps after
+        a pause.
+    """
+    pressure = gateway.directory.pressure_of(start)
+    if pressure is None:
+        if demands == requests.NO_DEMANDS:
             return []
-        phase = rendezvous.fraction_of(gateway.place.name, leaf_id)
-        leaf.backpressure = backpressure.Backpressure(phase)
-    pressure = leaf.backpressure
+        phase = rendezvous.fraction_of(gateway.place.name, start.leaf_id)
+        pressure = backpressure.Backpressure(phase)
+    changes = [
+        ("leaving", _apply_leaving(pressure, demands, now_ms)),
+        ("pause", _apply_pause(gateway, start, pressure, demands, ran, now_ms)),
+        ("limit", _apply_limit(pressure, demands, ran, now_ms)),
+    ]
+    gateway.directory.set_pressure(start, pressure)
     return [
-        *_apply_leaving(leaf, pressure, answer, now_ms),
-        *_apply_pause(leaf, pressure, answer, now_ms),
-        *_apply_limit(leaf, pressure, answer, now_ms),
+        common.log(
+            log_events.LEAF_DEMAND_CHANGED,
+            target=start.leaf_id,
+            service=start.service,
+            demand=demand,
+            value=value,
+        )
+        for demand, value in changes
+        if value is not None
     ]
 
 
 def _apply_leaving(
-    leaf: leaves.Leaf,
-    pressure: backpressure.Backpressure,
-    answer: requests.LeafAnswer,
-    now_ms: int,
-) -> list[commands.Command]:
-    if not answer.demands.leaving or pressure.leaving_since_ms is not None:
-        return []
+    pressure: backpressure.Backpressure, demands: requests.LeafDemands, now_ms: int
+) -> str | None:
+    if not demands.leaving or pressure.leaving_since_ms is not None:
+        return None
     pressure.leaving_since_ms = now_ms
-    return [_line(leaf, "leaving", "")]
+    return ""
 
 
 def _apply_pause(
-    leaf: leaves.Leaf,
+    gateway: gateway_state.Gateway,
+    start: leaves.LeafStart,
     pressure: backpressure.Backpressure,
-    answer: requests.LeafAnswer,
+    demands: requests.LeafDemands,
+    ran: bool,
     now_ms: int,
-) -> list[commands.Command]:
-    pause_ms = answer.demands.pause_ms
-    if pause_ms is None:
-        if not answer.not_run:
+) -> str | None:
+    if demands.pause_ms is None:
+        leaf = gateway.directory.get(start.leaf_id)
+        if ran and leaf is not None:
             pressure.step_up(leaf.entry.slots)
-        return []
+        return None
     was_paused = pressure.paused_until_ms > now_ms
-    pressure.pause(pause_ms, now_ms)
-    return [] if was_paused else [_line(leaf, "pause", f"{pause_ms} ms")]
+    pressure.pause(demands.pause_ms, now_ms)
+    return None if was_paused else f"{demands.pause_ms} ms"
 
 
 def _apply_limit(
-    leaf: leaves.Leaf,
     pressure: backpressure.Backpressure,
-    answer: requests.LeafAnswer,
+    demands: requests.LeafDemands,
+    ran: bool,
     now_ms: int,
-) -> list[commands.Command]:
-    """Set the limit that the leaf names, or end it when the leaf no longer names one.
-
-    A rejection without a limit ends none: it may be written before the leaf knows how
-    busy it is.
-    """
-    demanded, known = answer.demands.limit_per_s, pressure.limit_per_s
-    if demanded is None and (known is None or answer.not_run):
-        return []
+) -> str | None:
+    """Set the limit that a leaf names, or end it when the leaf names none any more."""
+    demanded, known = demands.limit_per_s, pressure.limit_per_s
+    if demanded is None and (known is None or not ran):
+        return None
     pressure.set_limit(demanded, now_ms)
     if demanded is None:
-        return [_line(leaf, "limit", "ended")]
+        return "ended"
     if known is not None and abs(demanded - known) <= LOGGED_CHANGE * known:
-        return []
-    return [_line(leaf, "limit", f"{demanded:g}/s")]
-
-
-def _line(leaf: leaves.Leaf, demand: str, value: str) -> commands.Command:
-    return common.log(
-        log_events.LEAF_DEMAND_CHANGED,
-        target=leaf.entry.leaf_id,
-        service=leaf.entry.service,
-        demand=demand,
-        value=value,
-    )
+        return None
+    return f"{demanded:g}/s"
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -41,7 +41,7 @@
     if attempt is None:
         return []
     answer = event.answer
-    demands = leaf_demands.apply(gateway, attempt.leaf_id, answer, now_ms)
+    demands = leaf_demands.apply_answer(gateway, attempt.start, answer, now_ms)
     request = gateway.requests.get(attempt.request_key)
     if request is None:
         return demands
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_demand_properties.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_demand_properties.py
@@ -126,7 +126,7 @@
         for demand, drawn in demands.items():
             with (
                 self.subTest(demand),
-                mock.patch.object(leaf_demands, "apply", return_value=[]),
+                mock.patch.object(leaf_demands, "apply_answer", return_value=[]),
             ):
                 scenario = _Scenario()
                 for value in drawn:
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_demands.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_demands.py
@@ -154,3 +154,44 @@
         self.site.advance(1_000)
         probes = [c for c in self.site.others if isinstance(c, commands.ProbeLeaf)]
         self.assertEqual(len(probes), 1)
+
+
+class LeafStartTest(unittest.TestCase):
+    """Answers that come after the directory has changed."""
+
+    LEAVING = gateway_site.answer(demands=requests.LeafDemands(leaving=True))
+
+    def setUp(self) -> None:
+        self.site = gateway_site.GatewaySite()
+        found = gateway_site.configuration(gateway_site.single())
+        self.entry = gateway_site.entry("l", "visits")
+        self.site.begin(found, self.entry)
+        self.sent = self.site.sends_of(self.site.request("/visit/1"))[0]
+
+    def _is_leaving(self) -> bool:
+        leaf = self.site.gateway.directory.get("l")
+        return leaf_permits.leaving_since_ms(leaf) is not None
+
+    def test_one_of_an_earlier_start_says_nothing_of_the_new_one(self) -> None:
+        self.site.feed(events.LeafWritten(self.entry._replace(born_ms=2_000)))
+        self.site.reply(self.sent, self.LEAVING)
+        self.assertFalse(self._is_leaving())
+
+    def test_one_that_comes_while_the_entry_is_gone_is_remembered(self) -> None:
+        self.site.feed(events.LeafDeleted("l"))
+        self.site.feed(events.ProbeEnded("l", False, replaced=True))
+        self.assertIsNone(self.site.gateway.directory.get("l"))
+        self.site.reply(self.sent, self.LEAVING)
+        self.site.feed(events.LeafWritten(self.entry))
+        self.assertTrue(self._is_leaving())
+
+    def test_a_health_check_that_says_so_counts(self) -> None:
+        demands = requests.LeafDemands(leaving=True)
+        self.site.feed(events.ProbeEnded("l", False, demands=demands))
+        self.assertTrue(self._is_leaving())
+
+    def test_a_health_check_without_a_limit_ends_none(self) -> None:
+        self.site.reply(self.sent, limited(2.0))
+        self.site.feed(events.ProbeEnded("l", True))
+        pressure = self.site.gateway.directory.get("l").backpressure
+        self.assertEqual(pressure.limit_per_s, 2.0)
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -43,6 +43,20 @@
     born_ms: int
 
 
+class LeafStart(NamedTuple):
+    """One start of a leaf's process."""
+
+    leaf_id: str
+    service: str
+    address: str
+    born_ms: int
+
+
+def start_of(entry: LeafEntry) -> LeafStart:
+    """Return the start that an entry is about."""
+    return LeafStart(entry.leaf_id, entry.service, entry.address, entry.born_ms)
+
+
 class Load(NamedTuple):
     """The load that a leaf reported with an answer."""
 
@@ -74,6 +88,7 @@
         pressure: backpressure.Backpressure | None = None,
     ) -> None:
         self.entry = entry
+        self.start = start_of(entry)
         self.region = region
         self.backpressure = pressure
         # Time at which each running attempt is overdue, by its number, in send order.
@@ -106,20 +121,6 @@
         return next(iter(self.overdue_at_ms.values()), None)
 
 
-class LeafStart(NamedTuple):
-    """One start of a leaf's process."""
-
-    leaf_id: str
-    service: str
-    address: str
-    born_ms: int
-
-
-def start_of(entry: LeafEntry) -> LeafStart:
-    """Return the start that an entry is about."""
-    return LeafStart(entry.leaf_id, entry.service, entry.address, entry.born_ms)
-
-
 class LeafDirectory:
     """All known leaves, by identity and by service.
 
@@ -155,10 +156,32 @@
         if leaf is None:
             return
         self._by_service[leaf.entry.service].remove(leaf)
-        if leaf.backpressure is not None and leaf.backpressure.outlasts_entry:
-            if len(self._kept) >= MAXIMUM_KEPT:
-                self._kept.pop(next(iter(self._kept)))
-            self._kept[start_of(leaf.entry)] = leaf.backpressure
+        if leaf.backpressure is not None:
+            self._keep(leaf.start, leaf.backpressure)
+
+    def pressure_of(self, start: LeafStart) -> backpressure.Backpressure | None:
+        """Return what a start of a leaf has asked, also if its entry is gone."""
+        leaf = self._by_id.get(start.leaf_id)
+        if leaf is not None and leaf.start == start:
+            return leaf.backpressure
+        return self._kept.get(start)
+
+    def set_pressure(
+        self, start: LeafStart, pressure: backpressure.Backpressure
+    ) -> None:
+        """Record what a start of a leaf has asked, also if its entry is gone."""
+        leaf = self._by_id.get(start.leaf_id)
+        if leaf is not None and leaf.start == start:
+            leaf.backpressure = pressure
+        else:
+            self._keep(start, pressure)
+
+    def _keep(self, start: LeafStart, pressure: backpressure.Backpressure) -> None:
+        if not pressure.outlasts_entry:
+            return
+        if len(self._kept) >= MAXIMUM_KEPT:
+            self._kept.pop(next(iter(self._kept)))
+        self._kept[start] = pressure
 
     def take_kept(self, entry: LeafEntry) -> backpressure.Backpressure | None:
         """Return what a removed leaf had asked, if it is still the same start."""
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -3,7 +3,7 @@
 import enum
 from typing import Final, NamedTuple
 
-from amaranthpulley.state.forwarding import delegations, routes, waiting
+from amaranthpulley.state.forwarding import delegations, leaves, routes, waiting
 
 
 class IncomingRequest(NamedTuple):
@@ -138,8 +138,8 @@
         Key of the request.
     shard : int
         Index of the shard in the request's calls.
-    leaf_id : str
-        The leaf.
+    start : LeafStart
+        The start of the leaf to which it was sent.
     sent_ms : int
         Time of the send, by the monotonic clock.
     """
@@ -147,9 +147,14 @@
     number: int
     request_key: int
     shard: int
-    leaf_id: str
+    start: leaves.LeafStart
     sent_ms: int
 
+    @property
+    def leaf_id(self) -> str:
+        """Identity of the leaf."""
+        return self.start.leaf_id
+
 
 class TracedDecision(NamedTuple):
     """A decision about a request, kept until the request has ended.
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -316,14 +316,19 @@
         connection = self.leaves.acquire(command.address, True)
         timer = None
 
-        def end(healthy: bool, replaced: bool = False) -> None:
+        def end(
+            healthy: bool,
+            replaced: bool = False,
+            demands: requests.LeafDemands = requests.NO_DEMANDS,
+        ) -> None:
             timer.cancel()
-            self.feed(events.ProbeEnded(command.leaf_id, healthy, replaced))
+            ended = events.ProbeEnded(command.leaf_id, healthy, replaced, demands)
+            self.feed(ended)
 
         def on_answer(answer: requests.LeafAnswer) -> None:
             named = self._leaf_named_in(answer)
             replaced = named not in ("", command.leaf_id)
-            end(answer.status == 200 and not replaced, replaced)
+            end(answer.status == 200 and not replaced, replaced, answer.demands)
 
         def give_up() -> None:
             connection.close()
