Give a slow store more time after failed reads

SlowStoreTest (2 s for an answer) waited in vain for 20 s and passes now: after two quick reads, each watch waits 0.5 s longer, as far as the contact time allows.

--- a/amaranthpulley/coordination/forwarding/store_watchers.py
+++ b/amaranthpulley/coordination/forwarding/store_watchers.py
@@ -24,6 +24,9 @@
 # a lost watch must be noticed and replaced in time.
 LONGEST_WATCH_WAIT_MS: Final = 5_000
 SHORTEST_WATCH_WAIT_MS: Final = 500
+# After so many failed calls, each watch waits longer than the one before by a step.
+QUICK_RECHECKS: Final = 2
+RECHECK_WAIT_STEP_MS: Final = 500
 # Time that the answer of a slow store takes, or a message on a busy VM.
 ANSWER_MS: Final = 250
 # Bounds of a watcher's exponential backoff after failed calls.
@@ -53,12 +56,26 @@
         0 for a watcher.
     retry_ms, maximum_retry_ms : int
         Bounds of the exponential backoff after failed calls.
+    maximum_recheck_wait_ms : int
+        Bound of the wait of a watch after failed calls.
     """
 
     wait_ms: int
     fallback_delay_ms: int
     retry_ms: int
     maximum_retry_ms: int
+    maximum_recheck_wait_ms: int = 0
+
+    def recheck_wait_ms(self, failures: int) -> int:
+        """Return the wait of a watch after so many failed calls.
+
+        A store that did not answer may return at any moment, so the first watches do
+        not wait. Later ones give a slow store more time.
+        """
+        if not failures:
+            return self.wait_ms
+        longer_ms = RECHECK_WAIT_STEP_MS * (failures - QUICK_RECHECKS)
+        return max(0, min(self.maximum_recheck_wait_ms, longer_ms))
 
 
 def region_members(gateway: gateway_state.Gateway) -> list[str]:
@@ -76,15 +93,19 @@
     has_followers = len(region_members(gateway)) > WATCHERS_PER_REGION
     limits = gateway.limits
     wait_ms = _followed_wait_ms(limits) if has_followers else _lone_wait_ms(limits)
-    if is_watcher(gateway):
-        return WatchTiming(wait_ms, 0, WATCHER_RETRY_MS, WATCHER_MAXIMUM_RETRY_MS)
     # A call that fails as the store returns is followed by a pause and another call.
     in_time_ms = limits.contact_ms - READ_TIMEOUT_MS - 2 * ANSWER_MS
+    if is_watcher(gateway):
+        maximum_ms = WATCHER_MAXIMUM_RETRY_MS
+        recheck_ms = max(0, in_time_ms - maximum_ms)
+        return WatchTiming(wait_ms, 0, WATCHER_RETRY_MS, maximum_ms, recheck_ms)
+    maximum_ms = max(FOLLOWER_RETRY_MS, min(FOLLOWER_MAXIMUM_RETRY_MS, in_time_ms))
     return WatchTiming(
         wait_ms,
         FOLLOWER_FALLBACK_DELAY_MS,
         FOLLOWER_RETRY_MS,
-        max(FOLLOWER_RETRY_MS, min(FOLLOWER_MAXIMUM_RETRY_MS, in_time_ms)),
+        maximum_ms,
+        max(0, in_time_ms - maximum_ms),
     )
 
 
--- a/amaranthpulley/coordination/forwarding/tests/test_store_watchers.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_store_watchers.py
@@ -85,10 +85,16 @@
                 with self.subTest(bounds=bounds, daemons=count):
                     timing = store_watchers.watch_timing(self._gateway(bounds, count))
                     failed_ms = store_watchers.READ_TIMEOUT_MS
+                    failed_ms += timing.recheck_wait_ms(1_000)
                     answered_ms = failed_ms + timing.maximum_retry_ms
                     answered_ms += store_watchers.ANSWER_MS
                     self.assertLess(answered_ms, bounds[0])
 
+    def test_watches_wait_again_after_some_failures(self) -> None:
+        timing = store_watchers.watch_timing(self._gateway((5_000, 4_000), 3))
+        waits_ms = [timing.recheck_wait_ms(failures) for failures in range(6)]
+        self.assertEqual(waits_ms, [timing.wait_ms, 0, 0, 500, 1_000, 1_500])
+
     def test_followers_fall_back_in_time_when_both_watchers_are_lost(self) -> None:
         for bounds in self.BOUNDS:
             with self.subTest(bounds=bounds):
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -156,9 +156,7 @@
             self._view.apply_listing(listing)
             self._view.apply_confirmed((), listing.revision, self._now_ms())
             return
-        # A store that did not answer may return at any moment. A call that is sent
-        # before is lost, and must not delay the next one by the wait of a watch.
-        wait_ms = 0 if self._failures else self._timing().wait_ms
+        wait_ms = self._timing().recheck_wait_ms(self._failures)
         changes = self._calls.watch(self._view.revision, wait_ms)
         if changes is None:
             self._needs_listing = True
--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -16,7 +16,7 @@
 from amaranthpulley.transport import errors, system_clock  # noqa: E402
 from amaranthpulley.transport.forwarding import store_feed, store_view  # noqa: E402
 
-WATCHER = store_watchers.WatchTiming(2_500, 0, 100, 800)
+WATCHER = store_watchers.WatchTiming(2_500, 0, 100, 800, 2_700)
 FOLLOWER = store_watchers.WatchTiming(
     2_500,
     store_watchers.FOLLOWER_FALLBACK_DELAY_MS,
@@ -38,6 +38,8 @@
         self.down = False
         # Whether calls get no answer; those that began before are lost, too.
         self.silent = False
+        # Time that the answer to a watch takes.
+        self.answer_ms = 200
         self.clock = system_clock.system_clock()
         # Calls that fail although the store is not down.
         self.refused: set[str] = set()
@@ -73,8 +75,8 @@
     def _watch(self, revision: int, wait_ms: int) -> store.Changes:
         timeout_ms = wait_ms + store_watchers.READ_TIMEOUT_MS
         given_up_ms = self.clock.monotonic_ms() + timeout_ms
-        eventlet.sleep(min(200, wait_ms) / 1000)
-        if self.silent:
+        eventlet.sleep(min(self.answer_ms, timeout_ms) / 1000)
+        if self.silent or self.answer_ms > timeout_ms:
             eventlet.sleep((given_up_ms - self.clock.monotonic_ms()) / 1000)
             raise errors.PlatformUnreachableError("no answer")
         return store.Changes((), revision)
@@ -139,6 +141,20 @@
         self.assertLess(self._delay_after_return_ms(), CONTACT_MS)
 
 
+class SlowStoreTest(unittest.TestCase):
+    """A store that takes longer for an answer than a read may usually take."""
+
+    def test_it_is_read_nevertheless_after_some_failures(self) -> None:
+        subject = _StoreSubject(WATCHER)
+        subject.feed.start()
+        eventlet.sleep(0.1)
+        subject.silent = True
+        subject.await_watches(subject.calls["watch"] + 2)
+        subject.silent = False
+        subject.answer_ms = 2 * store_watchers.READ_TIMEOUT_MS
+        subject.await_read_ms(subject.clock.monotonic_ms())
+
+
 class FailedReadTest(unittest.TestCase):
     """Events about failed listings and watches."""
 
