Start each limit of a leaf with fresh tokens

Found by reading. Seen by the test: a leaf that named a limit, ended it, got 200 requests and named one again got nothing from the daemon for 4 s (0 requests, 40 to 65 wanted). Cause: requests were counted against the tokens of the ended limit. Change: the end of a limit ends its tokens.

--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_demands.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_demands.py
@@ -61,6 +61,15 @@
         self.site.advance(2_000)
         self.assertGreater(self._ask_for(1.0, 50, limited(None)), 40)
 
+    def test_requests_between_two_limits_do_not_count_for_the_second(self) -> None:
+        self._ask_for(0.5, 50, limited(10.0))
+        self.site.advance(2_000)
+        self._ask_for(4.0, 50, limited(None))
+        self._ask_for(0.5, 50, limited(10.0))
+        sent = self._ask_for(4.0, 50, limited(10.0))
+        self.assertGreaterEqual(sent, 40)
+        self.assertLessEqual(sent, 1.5 * 40 + 5)
+
     def test_a_rejection_without_a_limit_does_not_end_it(self) -> None:
         self._ask_for(0.1, 50, limited(2.0))
         self.site.advance(2_000)
--- a/amaranthpulley/state/forwarding/backpressure.py
+++ b/amaranthpulley/state/forwarding/backpressure.py
@@ -24,7 +24,7 @@
     limit_per_s : float or None
         Requests a second that the leaf takes from all daemons together.
     limit_tokens : TokenBucket or None
-        This daemon's requests within the limit; None before the first limit.
+        This daemon's requests within the limit; None without a limit.
     leaving_since_ms : int or None
         When the leaf first said that it leaves. A leaf that leaves does not stay, so
         that this holds until its next start.
@@ -54,7 +54,9 @@
     def set_limit(self, per_s: float | None, now_ms: int) -> None:
         """Set or end the limit."""
         self.limit_per_s = per_s
-        if per_s is not None and self.limit_tokens is None:
+        if per_s is None:
+            self.limit_tokens = None
+        elif self.limit_tokens is None:
             self.limit_tokens = token_bucket.TokenBucket(self._phase, now_ms)
 
     def pause(self, pause_ms: int, now_ms: int) -> None:
