Log which request lost which leaf

The fingerprint of a request is now the same at every daemon: a BLAKE2 hash of method, host, path, query and body in place of Python's hash, which differs from process to process. Events 314 and 315 name it with the leaf and the count, 211 names it with each refusal. No decision is changed.

--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -137,12 +137,25 @@
 
 
 def record_crash(
-    gateway: gateway_state.Gateway, fingerprint: int, leaf_id: str
-) -> None:
+    gateway: gateway_state.Gateway,
+    incoming: requests.IncomingRequest,
+    leaf_id: str,
+    now_ms: int,
+) -> list[commands.Command]:
     """Record that the connection to a leaf was lost while it ran a request."""
     if len(gateway.crashes) >= MAXIMUM_CRASH_RECORDS:
         gateway.crashes.pop(next(iter(gateway.crashes)))
-    gateway.crashes.setdefault(fingerprint, set()).add(leaf_id)
+    lost = gateway.crashes.setdefault(incoming.fingerprint, set())
+    lost.add(leaf_id)
+    return tracing.lost_leaf_lines(gateway, incoming, leaf_id, len(lost), now_ms)
+
+
+def clear_crashes(
+    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
+) -> list[commands.Command]:
+    """Forget the leaves that were lost under a request that has been answered."""
+    lost = gateway.crashes.pop(incoming.fingerprint, set())
+    return tracing.cleared_lines(gateway, incoming, len(lost), now_ms)
 
 
 def crashes_leaves(gateway: gateway_state.Gateway, fingerprint: int) -> bool:
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -54,10 +54,11 @@
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
     if _is_usable(request, answer):
-        gateway.crashes.pop(request.incoming.fingerprint, None)
+        cleared = leaf_health.clear_crashes(gateway, request.incoming, now_ms)
         _trace_late_answer(request, call, attempt, now_ms)
         return [
             *report,
+            *cleared,
             *_accept(gateway, request, call, answer, now_ms),
             *waiting.send_next(gateway, call.service, now_ms, random),
         ]
@@ -105,9 +106,13 @@
         return []
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
+    crash: list[commands.Command] = []
     if event.end is requests.AttemptEnd.LOST:
-        leaf_health.record_crash(gateway, request.incoming.fingerprint, attempt.leaf_id)
+        crash = leaf_health.record_crash(
+            gateway, request.incoming, attempt.leaf_id, now_ms
+        )
     return [
+        *crash,
         *tracing.oversized_lines(gateway, request, attempt, event.end, now_ms),
         *_retry_or_finish(gateway, request, attempt, event.end, now_ms, random),
         *waiting.send_next(gateway, call.service, now_ms, random),
--- a/amaranthpulley/coordination/forwarding/tests/gateway_site.py
+++ b/amaranthpulley/coordination/forwarding/tests/gateway_site.py
@@ -3,8 +3,9 @@
 import random
 from typing import NamedTuple
 
+from amaranthpulley.coordination import commands as common
 from amaranthpulley.coordination.forwarding import commands, engine, events
-from amaranthpulley.state import clock
+from amaranthpulley.state import clock, log_events
 from amaranthpulley.state.forwarding import gateway, leaves, requests, routes
 
 HOST = "search.example"
@@ -142,6 +143,14 @@
         """Return the sent attempts of a request."""
         return [sent for sent in self.sent if sent.command.request_key == key]
 
+    def logs_of(self, event: log_events.LogEvent) -> list[dict[str, object]]:
+        """Return the fields of the log lines of an event."""
+        return [
+            dict(command.fields)
+            for command in self.others
+            if isinstance(command, common.Log) and command.event == event
+        ]
+
     def reply(self, sent: Sent, given: requests.LeafAnswer) -> None:
         """Feed a leaf's answer to an attempt."""
         self.feed(events.AttemptAnswered(sent.command.attempt, given))
--- a/amaranthpulley/coordination/forwarding/tests/test_retry_budget.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_retry_budget.py
@@ -9,6 +9,7 @@
     retry_budget,
 )
 from amaranthpulley.coordination.forwarding.tests import gateway_site
+from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway, requests
 
 LIMITS = gateway.Limits(retry_ratio=0.2, retry_slack=20)
@@ -152,6 +153,9 @@
         key = site.request("/visit/1", fingerprint=7)
         self.assertEqual(site.sends_of(key), [])
         self.assertIs(site.answers[key].reason, commands.Refusal.CRASHES_LEAVES)
+        lost = site.logs_of(log_events.REQUEST_LOST_LEAF)
+        self.assertEqual([line["leaves"] for line in lost[:3]], [1, 2, 3])
+        self.assertEqual({line["fingerprint"] for line in lost}, {f"{7:016x}"})
 
     def test_a_request_with_occasional_answers_is_not_refused(self) -> None:
         site = _site()
@@ -164,3 +168,4 @@
                 site.fail(sent, requests.AttemptEnd.LOST)
         key = site.request("/visit/1", fingerprint=7)
         self.assertEqual(len(site.sends_of(key)), 1)
+        self.assertEqual(len(site.logs_of(log_events.REQUEST_CLEARED)), 4)
--- a/amaranthpulley/coordination/forwarding/tracing.py
+++ b/amaranthpulley/coordination/forwarding/tracing.py
@@ -87,11 +87,63 @@
             request_id=incoming.request_id,
             host=incoming.host,
             reason=reason,
+            fingerprint=fingerprint_text(incoming.fingerprint),
             version=configuration.version if configuration is not None else 0,
         )
     ]
 
 
+def lost_leaf_lines(
+    gateway: gateway_state.Gateway,
+    incoming: requests.IncomingRequest,
+    leaf_id: str,
+    lost: int,
+    now_ms: int,
+) -> list[commands.Log]:
+    """Return the log line of a leaf that was lost while it ran a request.
+
+    Parameters
+    ----------
+    lost : int
+        Number of leaves that were lost under such requests.
+    """
+    if not _spend_lines(gateway, 1, 0, now_ms):
+        return []
+    return [
+        commands.log(
+            log_events.REQUEST_LOST_LEAF,
+            request_id=incoming.request_id,
+            fingerprint=fingerprint_text(incoming.fingerprint),
+            target=leaf_id,
+            leaves=lost,
+        )
+    ]
+
+
+def cleared_lines(
+    gateway: gateway_state.Gateway,
+    incoming: requests.IncomingRequest,
+    lost: int,
+    now_ms: int,
+) -> list[commands.Log]:
+    """Return the log line of an answered request under which leaves had been lost."""
+    if not lost or not _spend_lines(gateway, 1, 0, now_ms):
+        return []
+    return [
+        commands.log(
+            log_events.REQUEST_CLEARED,
+            request_id=incoming.request_id,
+            fingerprint=fingerprint_text(incoming.fingerprint),
+            leaves=lost,
+        )
+    ]
+
+
+def fingerprint_text(fingerprint: int) -> str:
+    """Return a fingerprint as it stands in log lines."""
+    return f"{fingerprint:016x}"
+
+
 def oversized_lines(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -1,5 +1,6 @@
 """Strict parser of client requests: requests with ambiguous framing are rejected."""
 
+import hashlib
 import http
 from typing import Final, NamedTuple
 
@@ -8,6 +9,7 @@
 from amaranthpulley.protocol.forwarding import errors, header_names
 
 MAXIMUM_PIPELINED_REQUESTS: Final = 16
+_FINGERPRINT_BYTES: Final = 8
 
 
 class ClientRequest(NamedTuple):
@@ -41,6 +43,26 @@
         return None
 
 
+def host_of(request: ClientRequest) -> str:
+    """Return the host of a request in lower case, without its port."""
+    host = (request.first(header_names.HOST) or b"").decode("latin-1").lower()
+    return host.partition(":")[0]
+
+
+def fingerprint_of(request: ClientRequest) -> int:
+    """Return a hash of what a request asks for, the same at every daemon.
+
+    It covers the method, host, path, query and body, but no identifier, so that a
+    repeated request has the fingerprint of the first.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    host = host_of(request).encode("latin-1")
+    for part in (request.method, host, request.target, request.body):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return int.from_bytes(digest.digest())
+
+
 class RequestReader:
     """Incremental parser of the requests of one connection.
 
--- a/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -74,3 +74,36 @@
         self.assertEqual(len(reader.feed(good + b"\x00\x01")), 1)
         with self.assertRaises(errors.BadRequestError):
             reader.feed(b"GET / HTTP/1.1\r\n")
+
+
+class FingerprintTest(unittest.TestCase):
+    """What makes two requests the same one, sent again."""
+
+    def _fingerprint(self, text: bytes) -> int:
+        (request,) = _reader().feed(text)
+        return client_requests.fingerprint_of(request)
+
+    def test_a_repeat_has_the_fingerprint_of_the_first(self) -> None:
+        first = HEAD + b"X-Request-Id: 1\r\nContent-Length: 1\r\n\r\nx"
+        repeat = (
+            b"POST /a/1?x=%20 HTTP/1.1\r\nhost: H:80\r\nX-Request-Id: 2\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+        )
+        self.assertEqual(self._fingerprint(first), self._fingerprint(repeat))
+
+    def test_it_is_the_same_in_every_process(self) -> None:
+        first = HEAD + b"Content-Length: 1\r\n\r\nx"
+        self.assertEqual(self._fingerprint(first), 8078881132502875524)
+
+    def test_other_requests_have_other_fingerprints(self) -> None:
+        others = (
+            HEAD + b"Content-Length: 1\r\n\r\nx",
+            HEAD + b"Content-Length: 1\r\n\r\ny",
+            HEAD + b"\r\n",
+            HEAD.replace(b"POST", b"PUT") + b"\r\n",
+            HEAD.replace(b"/a/1", b"/a/2") + b"\r\n",
+            HEAD.replace(b"x=%20", b"x=%21") + b"\r\n",
+            HEAD.replace(b"Host: h", b"Host: g") + b"\r\n",
+        )
+        found = {self._fingerprint(other) for other in others}
+        self.assertEqual(len(found), len(others))
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -18,7 +18,7 @@
     host, path : str
         Select the route.
     fingerprint : int
-        Hash of the method, path and body.
+        Hash of what the request asks for, the same at every daemon.
     deadline_ms : int or None
         Time that the client waits, from the arrival of the request.
     origin : Origin or None
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -186,14 +186,13 @@
         request_id = request.first(self.names.request_id) or b""
         self._pending_requests[key] = (request, head, request_id)
         path = request.target.partition(b"?")[0].decode("latin-1")
-        host = (request.first(header_names.HOST) or b"").decode("latin-1").lower()
         deadline = request.first(self.names.deadline_ms)
         incoming = requests.IncomingRequest(
             key,
             request_id.decode("latin-1"),
-            host.partition(":")[0],
+            client_requests.host_of(request),
             path,
-            hash((request.method, request.target, request.body)),
+            client_requests.fingerprint_of(request),
             int(deadline) if deadline is not None and deadline.isdigit() else None,
             origin,
         )
