--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+from collections.abc import Callable
 from typing import Any, Final
 
 import eventlet.hubs
@@ -56,6 +57,11 @@
         self.headers: dict[bytes, str] = {}
         self.received_names: set[bytes] = set()
         self.work_ms = 5
+        # Unix time of its start in milliseconds.
+        self.born_ms = 1_000
+        # Requests whose path starts with this end the leaf; it starts again at once.
+        self.crash_prefix: bytes | None = None
+        self.on_crash: Callable[[StandInLeaf], None] = lambda _leaf: None
         # How it answers each request: "answer", "silent", "reset", "reject", "fail",
         # "cut", "head", "endless", "extra", "garble", "unframed" or "late".
         self.mode = "answer"
@@ -79,7 +85,7 @@
             "State": "ready",
             "WarmupLeftMs": 0,
             "Sequence": 1,
-            "born": 1_000,
+            "born": self.born_ms,
             **changes,
         }
 
@@ -127,7 +133,10 @@
     def _finish(self, connection: Any, request: Any, request_id: str) -> None:
         if connection.current is not request:
             return
-        if self.mode == "reset":
+        crashes = self.crash_prefix and request.target.startswith(self.crash_prefix)
+        if crashes:
+            self.on_crash(self)
+        if crashes or self.mode == "reset":
             connection.close()
             return
         if request.target.startswith(b"/visit"):
