Count each start of a leaf that a request crashes

Cause: the leaves lost under a request were counted by identity, so that a service with fewer than three identities never reached the limit. Now each start counts, by identity, service, address and time of the start.

--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -30,7 +30,7 @@
 # A leaf at its connection limit closes a new connection unused. It gets no requests
 # for this time.
 CONNECTION_LIMIT_PAUSE_MS: Final = 40
-# A request is refused after this many different leaves were lost while running it.
+# A request is refused after this many starts of leaves were lost while running it.
 CRASH_LIMIT: Final = 3
 # Fingerprints of such requests that are kept.
 MAXIMUM_CRASH_RECORDS: Final = 500
@@ -139,15 +139,18 @@
 def record_crash(
     gateway: gateway_state.Gateway,
     incoming: requests.IncomingRequest,
-    leaf_id: str,
+    start: leaves.LeafStart,
     now_ms: int,
 ) -> list[commands.Command]:
-    """Record that the connection to a leaf was lost while it ran a request."""
+    """Record that the connection to a leaf was lost while it ran a request.
+
+    A leaf may end and start again under its identity, so each start counts.
+    """
     if len(gateway.crashes) >= MAXIMUM_CRASH_RECORDS:
         gateway.crashes.pop(next(iter(gateway.crashes)))
     lost = gateway.crashes.setdefault(incoming.fingerprint, set())
-    lost.add(leaf_id)
-    return tracing.lost_leaf_lines(gateway, incoming, leaf_id, len(lost), now_ms)
+    lost.add(start)
+    return tracing.lost_leaf_lines(gateway, incoming, start.leaf_id, len(lost), now_ms)
 
 
 def clear_crashes(
@@ -159,7 +162,7 @@
 
 
 def crashes_leaves(gateway: gateway_state.Gateway, fingerprint: int) -> bool:
-    """Return whether a request lost `CRASH_LIMIT` leaves without any answer."""
+    """Return whether a request lost `CRASH_LIMIT` starts of leaves unanswered."""
     return len(gateway.crashes.get(fingerprint, ())) >= CRASH_LIMIT
 
 
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -109,7 +109,7 @@
     crash: list[commands.Command] = []
     if event.end is requests.AttemptEnd.LOST:
         crash = leaf_health.record_crash(
-            gateway, request.incoming, attempt.leaf_id, now_ms
+            gateway, request.incoming, attempt.start, now_ms
         )
     return [
         *crash,
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -126,7 +126,7 @@
     turns : dict
         By route and service, the current weights of the smooth weighted round robin.
     crashes : dict
-        By fingerprint, the leaves whose connection was lost while running a request.
+        By fingerprint, the starts of leaves that were lost while running a request.
     warmup_index : int
         Position of the sharded service whose connections were warmed last.
     draining_since_ms : int or None
@@ -163,7 +163,7 @@
         self.distances = latencies.Distances()
         self.retry_windows: dict[str, retry_window.RetryWindow] = {}
         self.turns: dict[str, dict[str, float]] = {}
-        self.crashes: dict[int, set[str]] = {}
+        self.crashes: dict[int, set[leaves.LeafStart]] = {}
         self.counters = counters_state.Counters()
         self.latency_by_kind: dict[str, latency.LatencyHistogram] = {}
         self.warmup_index = 0
