Stop a request that crashes leaves while it runs

Cause: whether a request crashes leaves was asked only when it arrived. One that lost its third leaf was sent again, hedged, or waited for a leaf.

Evidence: three tests of CrashingRequestTest fail before (4 sends for 1, a hedge, a request that waits on) and pass after. The leaf that a request runs on may still lose it; the answer says then that its outcome is unknown, and otherwise that it has not run.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -5,6 +5,7 @@
 from amaranthpulley.coordination.forwarding import (
     commands,
     connection_warmup,
+    crash_attribution,
     leaf_permits,
     leaf_selection,
     retry_budget,
@@ -53,7 +54,12 @@
     """Send a shard's request again after a failed attempt, if the limits allow it."""
     call = request.calls[shard]
     call.retry_due_ms = None
-    if not retry_budget.may_run_again(request, call) or call.sends >= MAXIMUM_SENDS:
+    if (
+        not retry_budget.may_run_again(request, call)
+        or call.sends >= MAXIMUM_SENDS
+        or crash_attribution.refuses(gateway, request.incoming.fingerprint)
+    ):
+        stop_waiting(gateway, call)
         close_if_idle(request, call)
         return []
     if not retry_budget.allows_send(gateway, call, now_ms):
@@ -74,6 +80,8 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call = request.calls[shard]
     call.hedge_due_ms = None
+    if crash_attribution.refuses(gateway, request.incoming.fingerprint):
+        return []
     if not request.route.idempotent or not retry_budget.may_use_another_leaf(
         request, call
     ):
--- a/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
@@ -50,6 +50,40 @@
         )
         self.assertEqual({line["fingerprint"] for line in lost}, {f"{7:016x}"})
 
+    def test_it_is_not_sent_again_once_it_is_refused(self) -> None:
+        site = _site()
+        for start in range(crash_attribution.CRASH_LIMIT - 1):
+            site.feed(events.LossPublished(crashes.Loss(7, start)))
+        self.assertEqual(len(_lose_all(site)), 1)
+        site.advance(1_000)
+        self.assertEqual(len(site.sent), 1)
+        (answer,) = site.answers.values()
+        self.assertIs(answer.reason, commands.Refusal.OUTCOME_UNKNOWN)
+
+    def test_a_running_request_gets_no_hedge_once_it_is_refused(self) -> None:
+        site = _site()
+        site.request("/visit/1", fingerprint=7)
+        for start in range(crash_attribution.CRASH_LIMIT):
+            site.feed(events.LossPublished(crashes.Loss(7, start)))
+        site.advance(700)
+        self.assertEqual(len(site.sent), 1)
+
+    def test_a_waiting_request_is_refused_at_once(self) -> None:
+        site = gateway_site.GatewaySite()
+        route = gateway_site.single()
+        entry = gateway_site.entry("l0", "visits", slots=1)
+        site.begin(gateway_site.configuration(route), entry)
+        while not site.gateway.waiting.of_service("visits"):
+            key = site.request("/visit/1", fingerprint=len(site.sent) + 100)
+        fingerprint = site.gateway.requests[key].incoming.fingerprint
+        for start in range(crash_attribution.CRASH_LIMIT):
+            loss = crashes.Loss(fingerprint, start)
+            site.feed(events.LossPublished(loss))
+        site.advance(100)
+        self.assertIs(site.answers[key].reason, commands.Refusal.CRASHES_LEAVES)
+        self.assertTrue(site.answers[key].not_run)
+        self.assertEqual(site.answers[key].retry_after_ms, 0)
+
     def test_each_start_of_a_leaf_counts(self) -> None:
         site = gateway_site.GatewaySite()
         entry = gateway_site.entry("l0", "visits")
--- a/amaranthpulley/coordination/forwarding/waiting.py
+++ b/amaranthpulley/coordination/forwarding/waiting.py
@@ -13,6 +13,7 @@
 from amaranthpulley.coordination.forwarding import (
     attempt_dispatch,
     commands,
+    crash_attribution,
     leaf_selection,
     request_completion,
     retry_budget,
@@ -90,10 +91,12 @@
         return []
     call = request.calls[waiting_call.shard]
     fastest_ms = leaf_selection.fastest_answer_ms(gateway, request.route)
-    if now_ms + fastest_ms > request.give_up_ms:
+    is_refused = crash_attribution.refuses(gateway, request.incoming.fingerprint)
+    if is_refused or now_ms + fastest_ms > request.give_up_ms:
         attempt_dispatch.stop_waiting(gateway, call)
         attempt_dispatch.close_if_idle(request, call)
-        tracing.record_decision(request, now_ms, "too_late", service, "")
+        decision = "crashes_leaves" if is_refused else "too_late"
+        tracing.record_decision(request, now_ms, decision, service, "")
         return request_completion.answer_if_due(gateway, request, now_ms)
     if not retry_budget.allows_send(gateway, call, now_ms):
         return None
