--- a/amaranthpulley/platform/tests/standin_store.py
+++ b/amaranthpulley/platform/tests/standin_store.py
@@ -3,7 +3,7 @@
 import base64
 import collections
 import json
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 from urllib import parse
 
 import eventlet.hubs
@@ -22,6 +22,16 @@
 Reply = tuple[int, dict[str, Any]]
 
 
+class StoreCopy(NamedTuple):
+    """All that the store holds at a moment."""
+
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    revision: int
+    dropped_revision: int
+    leases: dict[int, tuple[int, int]]
+
+
 class StandInStore:
     """A store on one address.
 
@@ -42,6 +52,8 @@
         self._leases: dict[int, tuple[int, int]] = {}
         self._next_lease = 100
         self._watches: list[tuple[Any, Any, int]] = []
+        # Rises by one whenever the store comes back from a copy.
+        self._era = 1
         self.calls: collections.Counter[str] = collections.Counter()
         # Status of every answer; 0 for no answers, None for normal operation.
         self.failing: int | None = None
@@ -81,6 +93,28 @@
         self._history.clear()
         self._dropped_revision = self._revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds."""
+        return StoreCopy(
+            dict(self._items),
+            list(self._history),
+            self._revision,
+            self._dropped_revision,
+            dict(self._leases),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; what was written since is lost."""
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        self._dropped_revision = copy.dropped_revision
+        self._leases = dict(copy.leases)
+        self._era += 1
+        waiting, self._watches = self._watches, []
+        for connection, _, _ in waiting:
+            self._answer(connection, (410, {}))
+
     def end_leases(self) -> None:
         """End every lease and delete its keys."""
         for lease in list(self._leases):
@@ -178,7 +212,7 @@
         fields: dict[str, str],
     ) -> None:
         after = int(fields["after"])
-        if after < self._dropped_revision:
+        if after < self._dropped_revision or after > self._revision:
             self._answer(connection, (410, {}))
         elif after < self._revision:
             self._answer(connection, self._changes(after))
@@ -204,7 +238,8 @@
     def _answer(self, connection: Any, reply: Reply) -> None:
         status, body = reply
         raw = json.dumps(body).encode()
-        answer = requests.LeafAnswer(status, _JSON, raw, b"", False, False, None)
+        headers = (*_JSON, (b"Store-Era", b"%d" % self._era))
+        answer = requests.LeafAnswer(status, headers, raw, b"", False, False, None)
         connection.answer(client_answers.encode_forwarded(answer, False, False), False)
 
     def _end_lease(self, lease: int) -> None:
