--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -186,6 +186,16 @@
     return [common.log(log_events.STORE_LOST, reason=event.reason)]
 
 
+def log_restored_store(
+    gateway: gateway_state.Gateway,
+    event: events.StoreRestored,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Log that the store has come back from a copy."""
+    return [common.log(log_events.STORE_RESTORED, **event._asdict())]
+
+
 def log_failed_read(
     gateway: gateway_state.Gateway,
     event: events.StoreReadFailed,
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -36,6 +36,7 @@
     events.EvacuationChanged: cluster_updates.update_evacuation,
     events.MemberChanged: cluster_updates.update_member,
     events.StoreReached: cluster_updates.log_store_state,
+    events.StoreRestored: cluster_updates.log_restored_store,
     events.StoreReadFailed: cluster_updates.log_failed_read,
     events.Registered: cluster_updates.record_registration,
     events.ProbeEnded: cluster_updates.handle_probe_end,
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -115,6 +115,22 @@
     reason: str
 
 
+class StoreRestored(NamedTuple):
+    """The store has come back from a copy and has lost what was written since.
+
+    Attributes
+    ----------
+    era : int
+        Era of the store, one more after each return from a copy.
+    known_revision, revision : int
+        Latest known revision before, and the store's revision now.
+    """
+
+    era: int
+    known_revision: int
+    revision: int
+
+
 class StoreReadFailed(NamedTuple):
     """A listing or watch of the store has failed.
 
@@ -243,6 +259,7 @@
     | EvacuationChanged
     | MemberChanged
     | StoreReached
+    | StoreRestored
     | StoreReadFailed
     | Registered
     | ProbeEnded
--- a/amaranthpulley/platform/names.py
+++ b/amaranthpulley/platform/names.py
@@ -31,6 +31,9 @@
 RENEW_PATH: Final = "/api/kv-keep/"
 END_LEASE_PATH: Final = "/api/kv-lease-end/"
 
+# Header of the store's answers: a number that rises when it comes back from a copy.
+ERA_HEADER: Final = "Store-Era"
+
 CONFIGURATION_KEY: Final = "op/config"
 EVACUATION_PREFIX: Final = "op/evacuate/"
 LEAF_PREFIX: Final = "servers/"
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -1,7 +1,7 @@
 """HTTP client of the platform's store."""
 
 import base64
-from typing import Any, Final, NotRequired, TypedDict, TypeVar
+from typing import Any, Final, NamedTuple, NotRequired, TypedDict, TypeVar
 from urllib import parse
 
 import urllib3
@@ -61,6 +61,20 @@
     Lease: int
 
 
+class _Answer(NamedTuple):
+    """An answer of the store.
+
+    Attributes
+    ----------
+    era : int
+        Era of the store when it answered; 0 if it names none.
+    """
+
+    status: int
+    body: bytes
+    era: int
+
+
 class StoreClient:
     """Calls of one daemon to the store, and its registration there.
 
@@ -86,6 +100,8 @@
         self._pool = http_connections.connection_pool(address, MAXIMUM_IDLE_CONNECTIONS)
         self._key = registration_key
         self._value = base64.b64encode(registration).decode()
+        # Latest era that the store has named.
+        self._era = 0
         self._lease: int | None = None
         self._losses_lease: int | None = None
         # When losses get another lease, by the monotonic clock.
@@ -110,14 +126,18 @@
         after, revision = "", None
         while True:
             query = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
-            status, body = self._send("GET", names.RANGE_PATH, query, None, timeout_ms)
-            if status != _OK:
-                raise errors.PlatformUnreachableError(f"listing: status {status}")
-            page = _decode(body, _Range)
+            answer = self._send("GET", names.RANGE_PATH, query, None, timeout_ms)
+            if answer.status != _OK:
+                raise errors.PlatformUnreachableError(
+                    f"listing: status {answer.status}"
+                )
+            page = _decode(answer.body, _Range)
             if revision is None:
                 # Later pages may hold newer items, so the watch starts at this one.
-                revision = page["CurrentRev"]
-            changes += [_change_of(item) for item in page["items"]]
+                revision = store.revision_in(answer.era, page["CurrentRev"])
+            if answer.era != store.era_of(revision):
+                raise errors.PlatformUnreachableError("listing: the store was restored")
+            changes += [_change_of(answer.era, item) for item in page["items"]]
             self._adopt_lease(page["items"])
             if not page["MorePages"] or not page["items"]:
                 return store_view.Listing(tuple(changes), revision)
@@ -125,16 +145,20 @@
 
     def watch(self, revision: int, wait_ms: int) -> store.Changes | None:
         """Wait for changes after a revision."""
-        query = {"PathPrefix": "", "after": revision, "WaitMs": wait_ms}
+        number = store.number_of(revision)
+        query = {"PathPrefix": "", "after": number, "WaitMs": wait_ms}
         timeout_ms = wait_ms + store_watchers.READ_TIMEOUT_MS
-        status, body = self._send("GET", names.WATCH_PATH, query, None, timeout_ms)
-        if status == _GONE:
+        answer = self._send("GET", names.WATCH_PATH, query, None, timeout_ms)
+        if answer.status == _GONE:
             return None
-        if status != _OK:
-            raise errors.PlatformUnreachableError(f"watch: status {status}")
-        page = _decode(body, _Changes)
-        changes = tuple(_change_of(item) for item in page["events"])
-        return store.Changes(changes, page["CurrentRev"])
+        if answer.status != _OK:
+            raise errors.PlatformUnreachableError(f"watch: status {answer.status}")
+        if answer.era != store.era_of(revision):
+            return None
+        page = _decode(answer.body, _Changes)
+        changes = tuple(_change_of(answer.era, item) for item in page["events"])
+        following = store.revision_in(answer.era, page["CurrentRev"])
+        return store.Changes(changes, following)
 
     def _adopt_lease(self, items: list[_Item]) -> None:
         """Continue the registration of this daemon's previous life, if it is there."""
@@ -155,7 +179,7 @@
         if self._lease is None:
             return False
         path = f"{names.RENEW_PATH}{self._lease}"
-        status, _ = self._send("POST", path, {}, None, CALL_TIMEOUT_MS)
+        status = self._send("POST", path, {}, None, CALL_TIMEOUT_MS).status
         if status not in (_OK, _NOT_FOUND):
             raise errors.PlatformUnreachableError(f"renewal: status {status}")
         return status == _OK
@@ -181,7 +205,7 @@
         deletes = [entries.loss_key(loss) for loss in withdrawn]
         change = {"Expect": [], "Puts": puts, "Deletes": deletes}
         path = names.TRANSACTION_PATH
-        status, _ = self._send("POST", path, {}, change, CALL_TIMEOUT_MS)
+        status = self._send("POST", path, {}, change, CALL_TIMEOUT_MS).status
         if status == _NOT_FOUND:
             # The lease has ended; the next call gets another one.
             self._losses_lease = None
@@ -198,10 +222,10 @@
         return self._losses_lease
 
     def _post(self, path: str, body: object) -> bytes:
-        status, answer = self._send("POST", path, {}, body, CALL_TIMEOUT_MS)
-        if status != _OK:
-            raise errors.PlatformUnreachableError(f"{path}: status {status}")
-        return answer
+        answer = self._send("POST", path, {}, body, CALL_TIMEOUT_MS)
+        if answer.status != _OK:
+            raise errors.PlatformUnreachableError(f"{path}: status {answer.status}")
+        return answer.body
 
     def _send(
         self,
@@ -210,7 +234,7 @@
         query: dict[str, Any],
         body: object,
         timeout_ms: int,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         target = f"{path}?{parse.urlencode(query)}" if query else path
         headers = {"Content-Type": "application/json"}
         try:
@@ -227,7 +251,13 @@
             raise errors.PlatformUnreachableError(
                 f"{path}: {type(error).__name__}"
             ) from error
-        return answer.status, answer.body
+        text = answer.headers.get(names.ERA_HEADER, "")
+        era = int(text) if text.isascii() and text.isdigit() else 0
+        if era > self._era:
+            # The store may have lost the leases of an earlier era.
+            self._era = era
+            self._lease = self._losses_lease = None
+        return _Answer(answer.status, answer.body, era)
 
 
 def _decode(body: bytes, kind: type[_Wire]) -> _Wire:
@@ -237,9 +267,10 @@
         raise errors.PlatformUnreachableError(f"unreadable answer: {error}") from error
 
 
-def _change_of(item: _Item) -> store.Change:
+def _change_of(era: int, item: _Item) -> store.Change:
     value = None if item.get("Deleted") else _bytes_of(item)
-    return store.Change(item["Key"], item["Revision"], value)
+    revision = store.revision_in(era, item["Revision"])
+    return store.Change(item["Key"], revision, value)
 
 
 def _bytes_of(item: _Item) -> bytes:
--- a/amaranthpulley/state/forwarding/change_log.py
+++ b/amaranthpulley/state/forwarding/change_log.py
@@ -1,5 +1,6 @@
 """Log of the latest change of every known key of the store."""
 
+import collections
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -7,6 +8,8 @@
 
 # Deletions that are kept; a daemon that is further behind gets a complete listing.
 MAXIMUM_DELETIONS: Final = 2_000
+# Earlier writes of a key by which an item of a restored store is recognised as old.
+MAXIMUM_PAST_WRITES: Final = 4
 
 
 class Excerpt(NamedTuple):
@@ -36,6 +39,8 @@
         # Deletions up to this revision may have been discarded.
         self._horizon = 0
         self._deletions = 0
+        # By key, revision and content of the writes before the latest change.
+        self._past: dict[str, collections.deque[tuple[int, int]]] = {}
 
     @property
     def revision(self) -> int:
@@ -47,9 +52,10 @@
         self._revision = max(self._revision, revision)
 
     def add(self, change: store.Change) -> bool:
-        """Add a change; return False if it is not newer than the known one.
+        """Add a change; return False if it says nothing new.
 
-        `revision` stays as it is, since changes of other keys may be missing; see
+        That is one that is not newer than the known one, or the known one in another
+        era. `revision` stays as it is, since changes of other keys may be missing; see
         `advance`.
         """
         known = self._changes.get(change.key)
@@ -58,11 +64,50 @@
         # Reinserted at the end to keep the order of arrival.
         self._changes.pop(change.key, None)
         self._changes[change.key] = change
+        if known is not None:
+            if _is_copy(change, known):
+                return False
+            self._remember(known)
         if change.value is None:
             self._deletions += 1
             self._discard_deletions()
         return True
 
+    def without_superseded(
+        self, listed: Iterable[store.Change]
+    ) -> tuple[store.Change, ...]:
+        """Return the items of a restored store that are not older than the known ones.
+
+        Items that are as they were known show up to which revision the copy goes: an
+        item up to there that differs from the known one was written before it.
+        """
+        listed = tuple(listed)
+        copied = max(
+            (
+                store.number_of(change.revision)
+                for change in listed
+                if _is_copy(change, self._changes.get(change.key))
+            ),
+            default=0,
+        )
+        return tuple(
+            change for change in listed if not self._is_superseded(change, copied)
+        )
+
+    def _is_superseded(self, change: store.Change, copied: int) -> bool:
+        known = self._changes.get(change.key)
+        if known is None or _is_copy(change, known):
+            return False
+        number = store.number_of(change.revision)
+        past = self._past.get(change.key, ())
+        return number <= copied or (number, hash(change.value)) in past
+
+    def _remember(self, change: store.Change) -> None:
+        past = self._past.setdefault(
+            change.key, collections.deque(maxlen=MAXIMUM_PAST_WRITES)
+        )
+        past.append((store.number_of(change.revision), hash(change.value)))
+
     def missing_from(self, keys: Iterable[str], revision: int) -> list[store.Change]:
         """Return deletions of the known keys that are missing from a listing.
 
@@ -105,4 +150,16 @@
             for key, change in self._changes.items()
             if change.value is not None
         }
+        self._past = {
+            key: past for key, past in self._past.items() if key in self._changes
+        }
         self._deletions = 0
+
+
+def _is_copy(change: store.Change, known: store.Change | None) -> bool:
+    """Return whether a change is the known one, or what the store restored of it."""
+    return (
+        known is not None
+        and store.number_of(change.revision) == store.number_of(known.revision)
+        and change.value == known.value
+    )
--- a/amaranthpulley/state/forwarding/tests/test_change_log.py
+++ b/amaranthpulley/state/forwarding/tests/test_change_log.py
@@ -132,3 +132,64 @@
         live = {change.key for change in log.after(0).changes}
         expected = {key for key, change in latest.items() if change.value is not None}
         self.assertEqual(live, expected)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """Changes of a store that has come back from a copy."""
+
+    def setUp(self) -> None:
+        self.log = change_log.ChangeLog()
+
+    def _add(self, era: int, key: str, number: int, value: bytes | None) -> bool:
+        revision = store.revision_in(era, number)
+        self.log.advance(revision)
+        return self.log.add(store.Change(key, revision, value))
+
+    def _kept(self, *items: tuple[str, int, bytes]) -> list[str]:
+        """Return the keys that count of a listing in the second era."""
+        listed = [
+            store.Change(key, store.revision_in(2, number), value)
+            for key, number, value in items
+        ]
+        return [change.key for change in self.log.without_superseded(listed)]
+
+    def test_revisions_rise_over_eras(self) -> None:
+        revision = store.revision_in(3, 70)
+        self.assertGreater(revision, store.revision_in(2, 9_000_000))
+        self.assertEqual((store.era_of(revision), store.number_of(revision)), (3, 70))
+
+    def test_a_write_under_a_number_given_out_again_is_new(self) -> None:
+        self._add(1, "a", 90, b"1")
+        self.assertTrue(self._add(2, "a", 85, b"2"))
+
+    def test_an_item_that_was_restored_unchanged_is_not_new(self) -> None:
+        self._add(1, "a", 70, b"1")
+        self.assertFalse(self._add(2, "a", 70, b"1"))
+        self.assertEqual(self.log.after(store.revision_in(1, 99)).changes[0].key, "a")
+
+    def test_items_that_are_older_than_the_known_ones_are_left_out(self) -> None:
+        for number, value in ((70, b"1"), (75, b"2")):
+            self._add(1, "changed", number, value)
+        self._add(1, "same", 72, b"s")
+        self._add(1, "deleted", 60, b"d")
+        self._add(1, "deleted", 76, None)
+        self._add(1, "listed late", 77, b"n")
+        kept = self._kept(
+            ("changed", 70, b"1"),
+            ("same", 72, b"s"),
+            ("deleted", 60, b"d"),
+            ("listed late", 50, b"o"),
+        )
+        self.assertEqual(kept, ["same"])
+
+    def test_the_last_write_before_the_copy_is_recognised(self) -> None:
+        for number, value in ((70, b"1"), (75, b"2"), (80, None)):
+            self._add(1, "a", number, value)
+        self.assertEqual(self._kept(("a", 70, b"1")), [])
+
+    def test_what_was_written_after_the_return_counts(self) -> None:
+        self._add(1, "same", 72, b"s")
+        for number, value in ((70, b"1"), (75, b"2")):
+            self._add(1, "a", number, value)
+        kept = self._kept(("same", 72, b"s"), ("a", 74, b"3"), ("new", 75, b"n"))
+        self.assertEqual(kept, ["same", "a", "new"])
--- a/amaranthpulley/state/store.py
+++ b/amaranthpulley/state/store.py
@@ -5,7 +5,28 @@
 although its reply was lost.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+# Numbers of revisions in one era.
+_ERA_SPAN: Final = 2**44
+
+
+def revision_in(era: int, number: int) -> int:
+    """Return a revision that rises over the eras of a store.
+
+    A store that comes back from a copy gives numbers out again, in another era.
+    """
+    return era * _ERA_SPAN + number
+
+
+def era_of(revision: int) -> int:
+    """Return the era of a revision."""
+    return revision // _ERA_SPAN
+
+
+def number_of(revision: int) -> int:
+    """Return the number that the store gave to a revision."""
+    return revision % _ERA_SPAN
 
 
 class Get(NamedTuple):
--- a/amaranthpulley/transport/forwarding/loss_publisher.py
+++ b/amaranthpulley/transport/forwarding/loss_publisher.py
@@ -48,6 +48,8 @@
         self._now_ms = clock.monotonic_ms
         # By loss, whether it is published or withdrawn, and since when it waits.
         self._waiting: dict[crashes.Loss, tuple[bool, int]] = {}
+        # When each published loss was added; the store has them under a lease.
+        self._published_ms: dict[crashes.Loss, int] = {}
         self._added = eventlet.event.Event()
 
     def start(self) -> None:
@@ -62,12 +64,29 @@
         """Remove losses from the store soon."""
         self._add(command.losses, False)
 
+    def publish_again(self) -> None:
+        """Write the losses of this daemon to a store that may have lost them."""
+        oldest_ms = self._now_ms() - LONGEST_WAIT_MS
+        recent = {
+            loss: at_ms
+            for loss, at_ms in self._published_ms.items()
+            if at_ms > oldest_ms
+        }
+        self._published_ms = recent
+        self._add(tuple(recent), True)
+
     def _add(self, losses: tuple[crashes.Loss, ...], published: bool) -> None:
         for loss in losses:
             self._waiting.pop(loss, None)
             self._waiting[loss] = (published, self._now_ms())
+            if published:
+                self._published_ms.setdefault(loss, self._now_ms())
+            else:
+                self._published_ms.pop(loss, None)
         while len(self._waiting) > MAXIMUM_WAITING:
             self._waiting.pop(next(iter(self._waiting)))
+        while len(self._published_ms) > MAXIMUM_WAITING:
+            self._published_ms.pop(next(iter(self._published_ms)))
         if not self._added.ready():
             self._added.send()
 
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -237,6 +237,9 @@
         self.runtime.feed(event)
         if event == events.MemberChanged(self.gateway.place.name, None):
             self._feed.renew_registration()
+        if isinstance(event, events.StoreRestored):
+            self._feed.renew_registration()
+            self._losses.publish_again()
         if isinstance(event, events.ConfigurationRead):
             configuration = self.gateway.configuration
             if configuration is not None:
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -29,6 +29,9 @@
 # Pause after a failed registration or renewal. Several retries fit into the 20 s of the
 # lifetime that remain after a failed renewal.
 REGISTRATION_RETRY_MS: Final = 2_500
+# Time after the return of a restored store in which operators, leaves and daemons have
+# written again what it had lost. Then it is listed once more.
+REWRITTEN_MS: Final = 2_500
 
 
 class StoreCalls(NamedTuple):
@@ -42,7 +45,7 @@
         Takes the timeout of a page in milliseconds; returns a `Listing`.
     watch : callable
         Takes a revision and a wait in milliseconds; returns `Changes`, or None when
-        the store no longer has the history since that revision.
+        the store does not have the history since that revision.
     register : callable
         Takes a lifetime in milliseconds; registers this daemon for that time.
     renew : callable
@@ -103,6 +106,8 @@
         self._failures = 0
         self._lost = False
         self._needs_listing = True
+        # When a restored store is listed again.
+        self._relisting_ms: int | None = None
         self._first_listing = eventlet.event.Event()
         self._renewal_due = eventlet.event.Event()
         self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
@@ -151,15 +156,23 @@
         return now_ms - self._needed_since_ms >= self._timing().fallback_delay_ms
 
     def _follow_once(self) -> None:
+        if self._relisting_ms is not None and self._now_ms() >= self._relisting_ms:
+            self._needs_listing, self._relisting_ms = True, None
         if self._needs_listing:
             listing = self._read_all()
             self._needs_listing = False
             if not self._first_listing.ready():
                 self._first_listing.send()
-            self._view.apply_listing(listing)
+            if self._view.is_restored(listing.revision):
+                self._relisting_ms = self._now_ms() + REWRITTEN_MS
+                self._view.apply_restored_listing(listing)
+            else:
+                self._view.apply_listing(listing)
             self._view.apply_confirmed((), listing.revision, self._now_ms())
             return
         wait_ms = self._timing().recheck_wait_ms(self._failures)
+        if self._relisting_ms is not None:
+            wait_ms = max(0, min(wait_ms, self._relisting_ms - self._now_ms()))
         changes = self._calls.watch(self._view.revision, wait_ms)
         if changes is None:
             self._needs_listing = True
--- a/amaranthpulley/transport/forwarding/store_view.py
+++ b/amaranthpulley/transport/forwarding/store_view.py
@@ -52,6 +52,10 @@
         """Revision up to which all changes are known."""
         return self._change_log.revision
 
+    def is_restored(self, revision: int) -> bool:
+        """Return whether a revision is of a later era than the known ones."""
+        return self.listed and store.era_of(revision) > store.era_of(self.revision)
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call a function after new changes and whenever `confirmed_ms` is updated."""
         self._listeners.append(listener)
@@ -62,8 +66,17 @@
 
     def apply(self, changes: Iterable[store.Change], revision: int) -> bool:
         """Apply changes up to a revision; return whether any of them was new."""
+        previous = self.revision
         new_changes = [change for change in changes if self._change_log.add(change)]
         self._change_log.advance(revision)
+        if self.listed and store.era_of(revision) > store.era_of(previous):
+            self._handle_event(
+                events.StoreRestored(
+                    store.era_of(revision),
+                    store.number_of(previous),
+                    store.number_of(revision),
+                )
+            )
         for change in new_changes:
             event = self._event_of(change)
             if event is not None:
@@ -105,6 +118,19 @@
         """Apply a full listing; known keys that are not in it have been deleted."""
         keys = [change.key for change in listing.changes]
         deleted = self._change_log.missing_from(keys, listing.revision)
-        self.apply((*listing.changes, *deleted), listing.revision)
+        self._finish_listing((*listing.changes, *deleted), listing.revision)
+
+    def apply_restored_listing(self, listing: Listing) -> None:
+        """Apply the first listing of a store that has come back from a copy.
+
+        It deletes nothing, and items that were written before the known ones are left
+        out: what the store has lost is written again soon. The next listing counts as
+        it is.
+        """
+        changes = self._change_log.without_superseded(listing.changes)
+        self._finish_listing(changes, listing.revision)
+
+    def _finish_listing(self, changes: Iterable[store.Change], revision: int) -> None:
+        self.apply(changes, revision)
         self.listed = True
         self._handle_event(events.DirectoryListed())
--- a/amaranthpulley/transport/http_connections.py
+++ b/amaranthpulley/transport/http_connections.py
@@ -30,10 +30,13 @@
         HTTP status.
     body : bytes
         The body without chunk framing.
+    headers : mapping
+        The headers; names are compared without their case.
     """
 
     status: int
     body: bytes
+    headers: Mapping[str, str]
 
 
 class OversizedAnswerError(urllib3.exceptions.HTTPError):
@@ -95,7 +98,12 @@
             retries=False,
             preload_content=False,
         )
-        return Answer(response.status, _read_body(response, maximum_bytes))
+        return _read_answer(response, maximum_bytes)
+
+
+def _read_answer(response: urllib3.BaseHTTPResponse, maximum_bytes: int) -> Answer:
+    body = _read_body(response, maximum_bytes)
+    return Answer(response.status, body, response.headers)
 
 
 def _read_body(response: urllib3.BaseHTTPResponse, maximum_bytes: int) -> bytes:
--- a/amaranthpulley/transport/tests/test_http_connections.py
+++ b/amaranthpulley/transport/tests/test_http_connections.py
@@ -111,7 +111,8 @@
 
     def test_whole_answer_is_returned(self) -> None:
         self.first = self.HEAD + b"ok"
-        self.assertEqual(self._call(), http_connections.Answer(200, b"ok"))
+        answer = self._call()
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
 
     def test_answer_cut_at_any_byte_is_an_error(self) -> None:
         whole = self.HEAD + b"ok"
