Recognise a request that crashes leaves with another query

Cause: the fingerprint covers the query, so that losses under different queries of a path were counted apart. They now count under two fingerprints, with the query and without it; an answer to any of them clears the path.

Evidence: test_losses_under_different_queries_of_a_path_count; with the first fingerprint alone, as before, each of its requests is sent.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -57,7 +57,7 @@
     if (
         not retry_budget.may_run_again(request, call)
         or call.sends >= MAXIMUM_SENDS
-        or crash_attribution.refuses(gateway, request.incoming.fingerprint)
+        or crash_attribution.refuses(gateway, request.incoming)
     ):
         stop_waiting(gateway, call)
         close_if_idle(request, call)
@@ -80,7 +80,7 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call = request.calls[shard]
     call.hedge_due_ms = None
-    if crash_attribution.refuses(gateway, request.incoming.fingerprint):
+    if crash_attribution.refuses(gateway, request.incoming):
         return []
     if not request.route.idempotent or not retry_budget.may_use_another_leaf(
         request, call
--- a/amaranthpulley/coordination/forwarding/crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/crash_attribution.py
@@ -1,10 +1,11 @@
 """Refuses requests that crash the leaves that run them.
 
-A request that comes again, at any daemon, has the fingerprint of the first. A leaf
-that is lost while it runs a request is a loss under that fingerprint; each start of a
-leaf counts once. Losses are published in the store, so that all daemons count the same
-ones, also after a restart. After `CRASH_LIMIT` losses, requests with the fingerprint
-are refused until the published losses lapse.
+A request that comes again, at any daemon, has the fingerprints of the first: one with
+its query and one without, since a repeat may have another query. A leaf that is lost
+while it runs a request is a loss under them; each start of a leaf counts once. Losses
+are published in the store, so that all daemons count the same ones, also after a
+restart. After `CRASH_LIMIT` losses under one of its fingerprints, a request is refused
+until the published losses lapse.
 
 A request that any leaf answers does not crash leaves, so an answer withdraws its
 losses. A sharded request has losses only if no shard answers it: when many leaves are
@@ -34,9 +35,9 @@
 _DIGEST_BYTES: Final = 8
 
 
-def refuses(gateway: gateway_state.Gateway, fingerprint: int) -> bool:
-    """Return whether requests with a fingerprint have crashed too many leaves."""
-    return gateway.losses.count(fingerprint) >= CRASH_LIMIT
+def refuses(gateway: gateway_state.Gateway, incoming: requests.IncomingRequest) -> bool:
+    """Return whether a request has crashed too many leaves."""
+    return _count(gateway, incoming) >= CRASH_LIMIT
 
 
 def handle_loss(
@@ -57,7 +58,11 @@
     gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
 ) -> list[commands.Command]:
     """Withdraw the losses under a request that a leaf has answered."""
-    losses = gateway.losses.clear(incoming.fingerprint)
+    losses = tuple(
+        loss
+        for fingerprint in incoming.fingerprints
+        for loss in gateway.losses.clear(fingerprint)
+    )
     if not losses:
         return []
     lines = tracing.cleared_lines(gateway, incoming, len(losses), now_ms)
@@ -112,15 +117,20 @@
     decided: list[commands.Command] = []
     published: list[crashes.Loss] = []
     for start in starts:
-        loss = crashes.Loss(incoming.fingerprint, start_digest(start))
-        if not gateway.losses.add(loss):
+        new_losses = [
+            loss
+            for fingerprint in incoming.fingerprints
+            if gateway.losses.add(
+                loss := crashes.Loss(fingerprint, start_digest(start))
+            )
+        ]
+        if not new_losses:
             continue
-        count = gateway.losses.count(incoming.fingerprint)
         decided += tracing.lost_leaf_lines(
-            gateway, incoming, start.leaf_id, count, now_ms
+            gateway, incoming, start.leaf_id, _count(gateway, incoming), now_ms
         )
         if _takes_token(gateway, now_ms):
-            published.append(loss)
+            published += new_losses
         else:
             gateway.counters.add("forward_losses_unpublished_total")
     if published:
@@ -129,6 +139,10 @@
     return decided
 
 
+def _count(gateway: gateway_state.Gateway, incoming: requests.IncomingRequest) -> int:
+    return max(gateway.losses.count(found) for found in incoming.fingerprints)
+
+
 def _takes_token(gateway: gateway_state.Gateway, now_ms: int) -> bool:
     tokens = gateway.publication_tokens
     if tokens.refill(PUBLICATIONS_PER_S, PUBLICATION_BURST, now_ms) < 1.0:
--- a/amaranthpulley/coordination/forwarding/tests/fleet_site.py
+++ b/amaranthpulley/coordination/forwarding/tests/fleet_site.py
@@ -143,7 +143,7 @@
             key = site._next_key
             origin = delegations.Origin(1, 0)
             incoming = requests.IncomingRequest(
-                key, f"r{key}", gateway_site.HOST, path, key, DEADLINE_MS, origin
+                key, f"r{key}", gateway_site.HOST, path, (key,), DEADLINE_MS, origin
             )
             self._asked_ms[number, key] = self.now_ms
             site.feed(events.RequestArrived(incoming))
--- a/amaranthpulley/coordination/forwarding/tests/gateway_site.py
+++ b/amaranthpulley/coordination/forwarding/tests/gateway_site.py
@@ -120,13 +120,16 @@
         self.feed(events.MemberChanged(name, member))
 
     def request(
-        self, path: str = "/wide/1", deadline_ms: int | None = 800, fingerprint: int = 0
+        self,
+        path: str = "/wide/1",
+        deadline_ms: int | None = 800,
+        fingerprints: tuple[int, ...] = (),
     ) -> int:
         """Feed a request and return its key."""
         self._next_key += 1
         key = self._next_key
         incoming = requests.IncomingRequest(
-            key, f"r{key}", HOST, path, fingerprint or key, deadline_ms
+            key, f"r{key}", HOST, path, fingerprints or (key,), deadline_ms
         )
         self.feed(events.RequestArrived(incoming))
         return key
--- a/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
@@ -26,7 +26,7 @@
 
 def _lose_all(site: gateway_site.GatewaySite) -> list[str]:
     """Send the same request and lose every leaf that runs it; return the leaves."""
-    key = site.request("/visit/1", fingerprint=7)
+    key = site.request("/visit/1", fingerprints=(7,))
     lost = 0
     while lost < len(site.sends_of(key)):
         site.fail(site.sends_of(key)[lost], requests.AttemptEnd.LOST)
@@ -41,7 +41,7 @@
         site = _site()
         for _ in range(2):
             _lose_all(site)
-        key = site.request("/visit/1", fingerprint=7)
+        key = site.request("/visit/1", fingerprints=(7,))
         self.assertEqual(site.sends_of(key), [])
         self.assertIs(site.answers[key].reason, commands.Refusal.CRASHES_LEAVES)
         lost = site.logs_of(log_events.REQUEST_LOST_LEAF)
@@ -62,7 +62,7 @@
 
     def test_a_running_request_gets_no_hedge_once_it_is_refused(self) -> None:
         site = _site()
-        site.request("/visit/1", fingerprint=7)
+        site.request("/visit/1", fingerprints=(7,))
         for start in range(crash_attribution.CRASH_LIMIT):
             site.feed(events.LossPublished(crashes.Loss(7, start)))
         site.advance(700)
@@ -74,8 +74,8 @@
         entry = gateway_site.entry("l0", "visits", slots=1)
         site.begin(gateway_site.configuration(route), entry)
         while not site.gateway.waiting.of_service("visits"):
-            key = site.request("/visit/1", fingerprint=len(site.sent) + 100)
-        fingerprint = site.gateway.requests[key].incoming.fingerprint
+            key = site.request("/visit/1", fingerprints=(len(site.sent) + 100,))
+        fingerprint = site.gateway.requests[key].incoming.fingerprints[0]
         for start in range(crash_attribution.CRASH_LIMIT):
             loss = crashes.Loss(fingerprint, start)
             site.feed(events.LossPublished(loss))
@@ -84,6 +84,25 @@
         self.assertTrue(site.answers[key].not_run)
         self.assertEqual(site.answers[key].retry_after_ms, 0)
 
+    def test_losses_under_different_queries_of_a_path_count(self) -> None:
+        site = _site()
+        for query in range(3):
+            self.assertFalse(_is_refused(site, (100 + query, 7)))
+            site.fail(site.sent[-1], requests.AttemptEnd.LOST)
+            site.advance(1_000)
+        self.assertTrue(_is_refused(site, (200, 7)))
+
+    def test_an_answer_to_another_query_clears_the_path_alone(self) -> None:
+        site = _site()
+        for start in range(crash_attribution.CRASH_LIMIT):
+            for fingerprint in (100, 7):
+                site.feed(events.LossPublished(crashes.Loss(fingerprint, start)))
+        site.feed(events.LossWithdrawn(crashes.Loss(7, 0)))
+        self.assertFalse(_is_refused(site, (200, 7)))
+        site.reply(site.sent[-1], gateway_site.answer())
+        self.assertEqual(len(_withdrawn(site)), 2)
+        self.assertTrue(_is_refused(site, (100, 7)))
+
     def test_each_start_of_a_leaf_counts(self) -> None:
         site = gateway_site.GatewaySite()
         entry = gateway_site.entry("l0", "visits")
@@ -98,13 +117,13 @@
     def test_a_request_with_occasional_answers_is_not_refused(self) -> None:
         site = _site()
         for number in range(8):
-            key = site.request("/visit/1", fingerprint=7)
+            key = site.request("/visit/1", fingerprints=(7,))
             sent = site.sends_of(key)[0]
             if number % 2:
                 site.reply(sent, gateway_site.answer())
             else:
                 site.fail(sent, requests.AttemptEnd.LOST)
-        key = site.request("/visit/1", fingerprint=7)
+        key = site.request("/visit/1", fingerprints=(7,))
         self.assertEqual(len(site.sends_of(key)), 1)
         self.assertEqual(len(site.logs_of(log_events.REQUEST_CLEARED)), 4)
 
@@ -127,8 +146,10 @@
     ]
 
 
-def _is_refused(site: gateway_site.GatewaySite) -> bool:
-    key = site.request("/visit/1", fingerprint=7)
+def _is_refused(
+    site: gateway_site.GatewaySite, fingerprints: tuple[int, ...] = (7,)
+) -> bool:
+    key = site.request("/visit/1", fingerprints=fingerprints)
     return not site.sends_of(key)
 
 
@@ -164,7 +185,7 @@
     def test_an_answer_withdraws_the_losses(self) -> None:
         site = _site()
         site.feed(events.LossPublished(crashes.Loss(7, 5)))
-        key = site.request("/visit/1", fingerprint=7)
+        key = site.request("/visit/1", fingerprints=(7,))
         site.fail(site.sends_of(key)[0], requests.AttemptEnd.LOST)
         site.reply(site.sends_of(key)[1], gateway_site.answer())
         self.assertEqual(set(_withdrawn(site)), {*_published(site), (7, 5)})
@@ -173,13 +194,13 @@
     def test_the_rate_of_publications_is_bounded(self) -> None:
         site = _site()
         for fingerprint in range(1, 101):
-            key = site.request("/visit/1", fingerprint=fingerprint)
+            key = site.request("/visit/1", fingerprints=(fingerprint,))
             site.fail(site.sends_of(key)[0], requests.AttemptEnd.LOST)
         burst = crash_attribution.PUBLICATION_BURST
         self.assertLessEqual(len(_published(site)), burst)
         before = len(_published(site))
         site.advance(10_000)
-        key = site.request("/visit/1", fingerprint=200)
+        key = site.request("/visit/1", fingerprints=(200,))
         site.fail(site.sends_of(key)[0], requests.AttemptEnd.LOST)
         self.assertEqual(len(_published(site)), before + 1)
 
@@ -199,7 +220,7 @@
 
     def _lose(self, answered: int) -> None:
         """Answer some shards of a request and lose the leaves of the others."""
-        key = self.site.request(fingerprint=7)
+        key = self.site.request(fingerprints=(7,))
         for sent in self.site.sends_of(key)[:answered]:
             self.site.reply(sent, gateway_site.answer(signature=b"%d" % answered))
         number = answered
@@ -213,13 +234,13 @@
         for _ in range(4):
             self._lose(answered=1)
         self.assertEqual(_published(self.site), [])
-        key = self.site.request(fingerprint=7)
+        key = self.site.request(fingerprints=(7,))
         self.assertTrue(self.site.sends_of(key))
 
     def test_a_request_that_no_shard_answers_has(self) -> None:
         self._lose(answered=0)
         self.assertEqual(len(_published(self.site)), crash_attribution.CRASH_LIMIT)
-        key = self.site.request(fingerprint=7)
+        key = self.site.request(fingerprints=(7,))
         self.assertEqual(self.site.sends_of(key), [])
 
 
--- a/amaranthpulley/coordination/forwarding/tests/test_delegation.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_delegation.py
@@ -53,7 +53,7 @@
     def receive(self, origin: delegations.Origin) -> int:
         """Feed a request of another daemon and return its key."""
         incoming = requests.IncomingRequest(
-            99, "r99", gateway_site.HOST, "/wide/1", 99, 800, origin
+            99, "r99", gateway_site.HOST, "/wide/1", (99,), 800, origin
         )
         self.site.feed(events.RequestArrived(incoming))
         return 99
--- a/amaranthpulley/coordination/forwarding/tracing.py
+++ b/amaranthpulley/coordination/forwarding/tracing.py
@@ -87,7 +87,7 @@
             request_id=incoming.request_id,
             host=incoming.host,
             reason=reason,
-            fingerprint=fingerprint_text(incoming.fingerprint),
+            fingerprint=fingerprint_text(incoming),
             version=configuration.version if configuration is not None else 0,
         )
     ]
@@ -113,7 +113,7 @@
         commands.log(
             log_events.REQUEST_LOST_LEAF,
             request_id=incoming.request_id,
-            fingerprint=fingerprint_text(incoming.fingerprint),
+            fingerprint=fingerprint_text(incoming),
             target=leaf_id,
             leaves=lost,
         )
@@ -133,15 +133,15 @@
         commands.log(
             log_events.REQUEST_CLEARED,
             request_id=incoming.request_id,
-            fingerprint=fingerprint_text(incoming.fingerprint),
+            fingerprint=fingerprint_text(incoming),
             leaves=lost,
         )
     ]
 
 
-def fingerprint_text(fingerprint: int) -> str:
-    """Return a fingerprint as it stands in log lines."""
-    return f"{fingerprint:016x}"
+def fingerprint_text(incoming: requests.IncomingRequest) -> str:
+    """Return the fingerprint of a request, without its query, for log lines."""
+    return f"{incoming.fingerprints[-1]:016x}"
 
 
 def oversized_lines(
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -49,15 +49,22 @@
     return host.partition(":")[0]
 
 
-def fingerprint_of(request: ClientRequest) -> int:
-    """Return a hash of what a request asks for, the same at every daemon.
+def fingerprints_of(request: ClientRequest) -> tuple[int, ...]:
+    """Return hashes of what a request asks for, the same at every daemon.
 
-    It covers the method, host, path, query and body, but no identifier, so that a
-    repeated request has the fingerprint of the first.
+    The first one covers the method, host, path, query and body, the second one all but
+    the query, if there is one. No identifier is covered, so that a repeated request has
+    the fingerprints of the first.
     """
+    path, _, query = request.target.partition(b"?")
+    whole = _fingerprint(request, path, query)
+    return (whole, _fingerprint(request, path, b"")) if query else (whole,)
+
+
+def _fingerprint(request: ClientRequest, path: bytes, query: bytes) -> int:
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
     host = host_of(request).encode("latin-1")
-    for part in (request.method, host, request.target, request.body):
+    for part in (request.method, host, path, query, request.body):
         digest.update(b"%d:" % len(part))
         digest.update(part)
     return int.from_bytes(digest.digest())
--- a/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -79,9 +79,9 @@
 class FingerprintTest(unittest.TestCase):
     """What makes two requests the same one, sent again."""
 
-    def _fingerprint(self, text: bytes) -> int:
+    def _fingerprints(self, text: bytes) -> tuple[int, ...]:
         (request,) = _reader().feed(text)
-        return client_requests.fingerprint_of(request)
+        return client_requests.fingerprints_of(request)
 
     def test_a_repeat_has_the_fingerprint_of_the_first(self) -> None:
         first = HEAD + b"X-Request-Id: 1\r\nContent-Length: 1\r\n\r\nx"
@@ -89,11 +89,12 @@
             b"POST /a/1?x=%20 HTTP/1.1\r\nhost: H:80\r\nX-Request-Id: 2\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
         )
-        self.assertEqual(self._fingerprint(first), self._fingerprint(repeat))
+        self.assertEqual(self._fingerprints(first), self._fingerprints(repeat))
 
     def test_it_is_the_same_in_every_process(self) -> None:
         first = HEAD + b"Content-Length: 1\r\n\r\nx"
-        self.assertEqual(self._fingerprint(first), 8078881132502875524)
+        expected = (7629747431312452807, 4840904960698436945)
+        self.assertEqual(self._fingerprints(first), expected)
 
     def test_other_requests_have_other_fingerprints(self) -> None:
         others = (
@@ -105,5 +106,13 @@
             HEAD.replace(b"x=%20", b"x=%21") + b"\r\n",
             HEAD.replace(b"Host: h", b"Host: g") + b"\r\n",
         )
-        found = {self._fingerprint(other) for other in others}
+        found = {self._fingerprints(other)[0] for other in others}
         self.assertEqual(len(found), len(others))
+
+    def test_requests_that_differ_in_their_query_share_the_second_one(self) -> None:
+        first = self._fingerprints(HEAD + b"\r\n")
+        other = self._fingerprints(HEAD.replace(b"?x=%20", b"?y=2") + b"\r\n")
+        plain = self._fingerprints(HEAD.replace(b"?x=%20", b"") + b"\r\n")
+        self.assertNotEqual(first[0], other[0])
+        self.assertEqual(first[1], other[1])
+        self.assertEqual(plain, first[1:])
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -17,8 +17,9 @@
         The client's identifier of the request.
     host, path : str
         Select the route.
-    fingerprint : int
-        Hash of what the request asks for, the same at every daemon.
+    fingerprints : tuple of int
+        Hashes of what the request asks for, the same at every daemon: of all of it
+        first, and of a part.
     deadline_ms : int or None
         Time that the client waits, from the arrival of the request.
     origin : Origin or None
@@ -29,7 +30,7 @@
     request_id: str
     host: str
     path: str
-    fingerprint: int
+    fingerprints: tuple[int, ...]
     deadline_ms: int | None
     origin: delegations.Origin | None = None
 
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -189,7 +189,7 @@
             request_id.decode("latin-1"),
             client_requests.host_of(request),
             path,
-            client_requests.fingerprint_of(request),
+            client_requests.fingerprints_of(request),
             int(deadline) if deadline is not None and deadline.isdigit() else None,
             origin,
         )
