End a search at once when its coverage is out of reach

Cause: an answer was due when all shards were closed or answered, however many were missing already.

Evidence: two tests of MergedAnswerTest fail before (no answer while a shard runs, or waits in its queue) and pass after.

159 tests of the decisions pass.

--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -106,11 +106,11 @@
     parts = [call.answer for call in request.calls if call.answer is not None]
     if request.delegation is not None and now_ms < request.give_up_ms:
         return []
-    has_coverage = bool(parts) and len(parts) >= request.route.minimum_coverage * len(
-        request.calls
-    )
+    needed = request.route.minimum_coverage * len(request.calls)
+    has_coverage = bool(parts) and len(parts) >= needed
+    is_reachable = len(parts) + request.open_calls >= needed
     is_objective_due = now_ms >= answer_by_ms(request)
-    if request.open_calls and not (has_coverage and is_objective_due):
+    if request.open_calls and is_reachable and not (has_coverage and is_objective_due):
         if now_ms < request.give_up_ms:
             return []
     if not has_coverage:
--- a/amaranthpulley/coordination/forwarding/tests/test_merged_answers.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_merged_answers.py
@@ -56,6 +56,34 @@
         key = site.request()
         self.assertEqual(len(site.sends_of(key)), len(gateway_site.SHARDS))
 
+    def test_a_request_that_cannot_have_its_coverage_ends_at_once(self) -> None:
+        site = _site()
+        key = site.request()
+        lost = 0
+        while key not in site.answers:
+            sent = [
+                sent
+                for sent in site.sends_of(key)
+                if not sent.command.leaf_id.startswith("shard-0")
+            ]
+            site.fail(sent[lost], requests.AttemptEnd.FAILED)
+            lost += 1
+        self.assertIs(site.answers[key].reason, commands.Refusal.TOO_FEW_SHARDS)
+        self.assertEqual(site.answers[key].not_run, False)
+
+    def test_it_frees_its_places_in_the_queues(self) -> None:
+        site = _site()
+        for number in range(3):
+            leaf = site.gateway.directory.get(f"shard-0-{number}")
+            leaf.full_until_ms = site.now_ms + 400
+        key = site.request()
+        self.assertEqual(site.gateway.waiting.services, ["shard-0"])
+        lost = 0
+        while key not in site.answers:
+            site.fail(site.sends_of(key)[lost], requests.AttemptEnd.FAILED)
+            lost += 1
+        self.assertEqual(site.gateway.waiting.services, [])
+
     def test_a_late_shard_is_missing_when_the_objective_ends(self) -> None:
         site = _site()
         key = site.request()
