--- a/amaranthpulley/platform/tests/standin_store.py
+++ b/amaranthpulley/platform/tests/standin_store.py
@@ -54,6 +54,7 @@
         self._watches: list[tuple[Any, Any, int]] = []
         # Rises by one whenever the store comes back from a copy.
         self._era = 1
+        self._kept_copy: StoreCopy | None = None
         self.calls: collections.Counter[str] = collections.Counter()
         # Status of every answer; 0 for no answers, None for normal operation.
         self.failing: int | None = None
@@ -160,6 +161,10 @@
             self.failing = command["failing"]
         if command.get("drop_history"):
             self.drop_history()
+        if command.get("copy"):
+            self._kept_copy = self.copy()
+        if command.get("restore") and self._kept_copy is not None:
+            self.restore(self._kept_copy)
         return 200, {"keys": self.keys()}
 
     def _handle(self, path: str, fields: dict[str, str], body: Any) -> Reply:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -88,6 +88,18 @@
     return f"store {failing}"
 
 
+def store_is_restored(site: soak_site.SoakSite, rng: random.Random) -> str:
+    """Let the store come back from a copy some time after it fell silent."""
+    site.control_store(copy=True)
+    time.sleep(rng.uniform(0.3, MAXIMUM_FAULT_S))
+    site.control_store(failing=0)
+    time.sleep(rng.uniform(0.1, 1.0))
+    site.control_store(failing=None, restore=True)
+    time.sleep(rng.uniform(0.0, 1.5))
+    site.write_again()
+    return "store restored"
+
+
 def configuration_changes(site: soak_site.SoakSite, rng: random.Random) -> str:
     """Write configurations in quick succession."""
     for _ in range(rng.randint(1, 4)):
@@ -130,6 +142,8 @@
     daemon_pauses,
     daemon_restarts,
 )
+# Apart, so that the draws of the other seeds stay as they are.
+WITH_RESTORES: Final = (*ALL_FAULTS, store_is_restored, store_is_restored)
 # Faults that control, pause or end a process are injected one at a time: a paused
 # process takes no control commands and does not shut down cleanly.
 EXCLUSIVE_FAULTS: Final = (
@@ -139,6 +153,7 @@
     leaf_restarts,
     daemon_pauses,
     daemon_restarts,
+    store_is_restored,
 )
 
 
@@ -158,6 +173,7 @@
     seconds: float,
     thread_count: int,
     history: list[str],
+    kinds: tuple[Fault, ...] = ALL_FAULTS,
 ) -> list[threading.Thread]:
     """Start threads that inject faults and append them to `history`; return them."""
     end = time.monotonic() + seconds
@@ -166,7 +182,7 @@
     def inject(number: int) -> None:
         rng = random.Random(f"{seed} {number}")
         while time.monotonic() < end:
-            fault = rng.choice(ALL_FAULTS)
+            fault = rng.choice(kinds)
             if fault in EXCLUSIVE_FAULTS:
                 with lock:
                     history.append(fault(site, rng))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,12 +1,13 @@
 """Run soaks by seed.
 
-Usage: run [--seeds RANGE] [--seconds N] [--daemons N] [--copies N]
+Usage: run [--seeds RANGE] [--seconds N] [--daemons N] [--copies N] [--restores]
 
 Options:
   --seeds RANGE  First and last seed [default: 1-1].
   --seconds N    How long faults come, for each seed [default: 10].
   --daemons N    Daemons [default: 3].
   --copies N     Leaves of each service [default: 2].
+  --restores     Let the store come back from copies as well.
 
 Exit status 1 when a promise was broken; the seed and what was seen are printed.
 """
@@ -41,16 +42,24 @@
     faults: list[str]
 
 
-def soak(seed: int, seconds: float, daemons: int, copies: int) -> Result:
+def soak(
+    seed: int, seconds: float, daemons: int, copies: int, restores: bool = False
+) -> Result:
     """Run the soak of one seed."""
     site = soak_site.SoakSite(daemons, copies)
     try:
-        return _soak(site, seed, seconds)
+        kinds = faults.WITH_RESTORES if restores else faults.ALL_FAULTS
+        return _soak(site, seed, seconds, kinds)
     finally:
         site.close()
 
 
-def _soak(site: soak_site.SoakSite, seed: int, seconds: float) -> Result:
+def _soak(
+    site: soak_site.SoakSite,
+    seed: int,
+    seconds: float,
+    kinds: tuple[faults.Fault, ...],
+) -> Result:
     checker = answer_checks.AnswerChecker(
         {leaf.leaf_id: leaf.service for leaf in site.leaves}
     )
@@ -65,7 +74,9 @@
     ]
     for client in clients:
         client.start()
-    for thread in faults.start_faults(site, seed, seconds, FAULT_THREADS, history):
+    for thread in faults.start_faults(
+        site, seed, seconds, FAULT_THREADS, history, kinds
+    ):
         thread.join()
     for daemon in site.daemons:
         site.wait_until_ready(daemon)
@@ -142,6 +153,7 @@
             float(arguments["--seconds"]),
             int(arguments["--daemons"]),
             int(arguments["--copies"]),
+            arguments["--restores"],
         )
         failed += bool(result.violations)
         print(
--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -94,6 +94,8 @@
         self._folder = tempfile.TemporaryDirectory()
         self._http = urllib3.PoolManager(num_pools=200, retries=False)
         self._started: list[subprocess.Popen] = []
+        # Latest value of every key that operators and leaves have written.
+        self._written: dict[str, object] = {}
         self.proxies = proxy.ProxyLoop()
         try:
             self._start_all(daemons, copies)
@@ -188,8 +190,15 @@
 
     def control_store(self, **command: object) -> None:
         """Send a control command to the store, bypassing the proxies."""
+        if "put" in command:
+            self._written[str(command["put"])] = command["value"]
         self._control(self.store_address, command)
 
+    def write_again(self) -> None:
+        """Write all that operators and leaves have written to a restored store."""
+        for key, value in list(self._written.items()):
+            self.control_store(put=key, value=value)
+
     def control_leaf(self, leaf: Leaf, **command: object) -> dict[str, int]:
         """Send a control command to a leaf; return its runs since its start."""
         return self._control(leaf.address, command)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,8 @@
 # 38, 42: a watch that was sent to a silent store kept the daemon from reading the next
 # configuration for 6 s.
 SEEDS: Final = (1, 38, 42)
+# Seeds with a store that comes back from copies.
+RESTORES_SEEDS: Final = (501,)
 
 
 class SoakTest(unittest.TestCase):
@@ -20,3 +22,9 @@
             with self.subTest(seed=seed):
                 result = run.soak(seed, SECONDS, daemons=3, copies=2)
                 self.assertEqual(result.violations, [], result.faults)
+
+    def test_promises_hold_on_a_restored_store(self) -> None:
+        for seed in RESTORES_SEEDS:
+            with self.subTest(seed=seed):
+                result = run.soak(seed, SECONDS, daemons=3, copies=2, restores=True)
+                self.assertEqual(result.violations, [], result.faults)
