Keep the lease of losses in their publisher

Found by reading: the adapter to the platform decided how long a lease of losses serves. The publisher decides it now, and the adapter has the calls alone; the hashes of earlier writes of a key take a tuple in place of a deque.

--- a/amaranthpulley/platform/command.py
+++ b/amaranthpulley/platform/command.py
@@ -16,15 +16,13 @@
     """
     setup, store_address = settings.read()
     place = setup.place
-    clock = system_clock.system_clock()
     client = store_client.StoreClient(
         store_address,
         names.DAEMON_PREFIX + place.name,
         entries.encode_daemon(process.member_of(setup)),
-        clock,
     )
     gateway_process = process.GatewayProcess(
-        setup, clock, client.as_store_calls(), _check_settings
+        setup, system_clock.system_clock(), client.as_store_calls(), _check_settings
     )
     gateway_process.start()
     return gateway_process.wait()
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -10,20 +10,16 @@
 from amaranthpulley.platform import entries, names
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import json_codec
-from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import store
 from amaranthpulley.state.forwarding import crashes
 from amaranthpulley.transport import errors, http_connections
-from amaranthpulley.transport.forwarding import store_feed, store_view
+from amaranthpulley.transport.forwarding import loss_publisher, store_feed, store_view
 
 # A call takes 4 ms, or 240 ms when the store is 60 times slower.
 CALL_TIMEOUT_MS: Final = 1_000
 MAXIMUM_IDLE_CONNECTIONS: Final = 2
 # A page of a listing holds about a megabyte, and more if a single value is larger.
 MAXIMUM_ANSWER_BYTES: Final = 16_777_216
-# Published losses lapse after this time at the latest, and after half of it at the
-# earliest, so that a request is tried again some time.
-LOSS_LIFETIME_MS: Final = 600_000
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
@@ -86,8 +82,6 @@
         Key of this daemon's registration.
     registration : bytes
         Value of that key.
-    clock : Clock
-        Source of time.
     """
 
     def __init__(
@@ -95,7 +89,6 @@
         address: str,
         registration_key: str,
         registration: bytes,
-        clock: clock_state.Clock,
     ) -> None:
         self._pool = http_connections.connection_pool(address, MAXIMUM_IDLE_CONNECTIONS)
         self._key = registration_key
@@ -103,10 +96,6 @@
         # Latest era that the store has named.
         self._era = 0
         self._lease: int | None = None
-        self._losses_lease: int | None = None
-        # When losses get another lease, by the monotonic clock.
-        self._losses_lease_until_ms = 0
-        self._now_ms = clock.monotonic_ms
 
     def as_store_calls(self) -> store_feed.StoreCalls:
         """Return the calls that `StoreFeed` uses."""
@@ -116,7 +105,7 @@
             self.register,
             self.renew,
             self.unregister,
-            self.write_losses,
+            loss_publisher.LossCalls(self.grant_lease, self.write_losses),
             entries.decode,
         )
 
@@ -168,8 +157,7 @@
 
     def register(self, life_ms: int) -> None:
         """Register this daemon under a new lease."""
-        body = self._post(names.LEASE_PATH, {"TtlMs": life_ms})
-        self._lease = _decode(body, _Lease)["Lease"]
+        self._lease = self.grant_lease(life_ms)
         put = {"Key": self._key, "Value": self._value, "Lease": self._lease}
         change = {"Expect": [], "Puts": [put], "Deletes": []}
         self._post(names.TRANSACTION_PATH, change)
@@ -190,13 +178,19 @@
             path = f"{names.END_LEASE_PATH}{self._lease}"
             self._send("DELETE", path, {}, None, CALL_TIMEOUT_MS)
 
+    def grant_lease(self, life_ms: int) -> int:
+        """Return a new lease."""
+        return _decode(self._post(names.LEASE_PATH, {"TtlMs": life_ms}), _Lease)[
+            "Lease"
+        ]
+
     def write_losses(
         self,
         published: tuple[crashes.Loss, ...],
         withdrawn: tuple[crashes.Loss, ...],
-    ) -> None:
-        """Publish losses for a time, and remove others."""
-        lease = self._lease_for_losses() if published else 0
+        lease: int,
+    ) -> bool:
+        """Publish losses under a lease, and remove others; False if it has ended."""
         value = base64.b64encode(self._key.encode()).decode()
         puts = [
             {"Key": entries.loss_key(loss), "Value": value, "Lease": lease}
@@ -206,20 +200,9 @@
         change = {"Expect": [], "Puts": puts, "Deletes": deletes}
         path = names.TRANSACTION_PATH
         status = self._send("POST", path, {}, change, CALL_TIMEOUT_MS).status
-        if status == _NOT_FOUND:
-            # The lease has ended; the next call gets another one.
-            self._losses_lease = None
-        if status != _OK:
+        if status not in (_OK, _NOT_FOUND):
             raise errors.PlatformUnreachableError(f"losses: status {status}")
-
-    def _lease_for_losses(self) -> int:
-        """Return a lease that does not end for half of its time."""
-        now_ms = self._now_ms()
-        if self._losses_lease is None or now_ms >= self._losses_lease_until_ms:
-            self._losses_lease_until_ms = now_ms + LOSS_LIFETIME_MS // 2
-            body = self._post(names.LEASE_PATH, {"TtlMs": LOSS_LIFETIME_MS})
-            self._losses_lease = _decode(body, _Lease)["Lease"]
-        return self._losses_lease
+        return status == _OK
 
     def _post(self, path: str, body: object) -> bytes:
         answer = self._send("POST", path, {}, body, CALL_TIMEOUT_MS)
@@ -254,9 +237,9 @@
         text = answer.headers.get(names.ERA_HEADER, "")
         era = int(text) if text.isascii() and text.isdigit() else 0
         if era > self._era:
-            # The store may have lost the leases of an earlier era.
+            # The store may have lost the lease, or have given it to another daemon.
             self._era = era
-            self._lease = self._losses_lease = None
+            self._lease = None
         return _Answer(answer.status, answer.body, era)
 
 
--- a/amaranthpulley/platform/tests/platform_site.py
+++ b/amaranthpulley/platform/tests/platform_site.py
@@ -49,7 +49,7 @@
         setup = setup._replace(metrics_address="127.0.0.1:0")
         registration = entries.encode_daemon(process.member_of(setup))
         calls = store_client.StoreClient(
-            address, names.DAEMON_PREFIX + name, registration, self._clock
+            address, names.DAEMON_PREFIX + name, registration
         )
         daemon = process.GatewayProcess(
             setup, self._clock, calls.as_store_calls(), lambda: "checked"
--- a/amaranthpulley/platform/tests/test_registration.py
+++ b/amaranthpulley/platform/tests/test_registration.py
@@ -20,14 +20,13 @@
     """A daemon's registration and the lease that it hangs on."""
 
     def setUp(self) -> None:
-        self.clock = system_clock.system_clock()
-        self.store = standin_store.StandInStore(self.clock)
+        self.store = standin_store.StandInStore(system_clock.system_clock())
         self.first = self._client(MEMBER)
         self.first.register(LIFE_MS)
 
     def _client(self, member: gateway.Member) -> store_client.StoreClient:
         value = entries.encode_daemon(member)
-        return store_client.StoreClient(self.store.address, KEY, value, self.clock)
+        return store_client.StoreClient(self.store.address, KEY, value)
 
     def test_the_next_life_continues_it(self) -> None:
         following = self._client(MEMBER)
--- a/amaranthpulley/state/forwarding/change_log.py
+++ b/amaranthpulley/state/forwarding/change_log.py
@@ -1,6 +1,5 @@
 """Log of the latest change of every known key of the store."""
 
-import collections
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -39,8 +38,8 @@
         # Deletions up to this revision may have been discarded.
         self._horizon = 0
         self._deletions = 0
-        # By key, revision and content of the writes before the latest change.
-        self._past: dict[str, collections.deque[tuple[int, int]]] = {}
+        # By key, hashes of the writes before the latest change.
+        self._past: dict[str, tuple[int, ...]] = {}
 
     @property
     def revision(self) -> int:
@@ -98,15 +97,13 @@
         known = self._changes.get(change.key)
         if known is None or _is_copy(change, known):
             return False
-        number = store.number_of(change.revision)
-        past = self._past.get(change.key, ())
-        return number <= copied or (number, hash(change.value)) in past
+        if store.number_of(change.revision) <= copied:
+            return True
+        return _hash_of(change) in self._past.get(change.key, ())
 
     def _remember(self, change: store.Change) -> None:
-        past = self._past.setdefault(
-            change.key, collections.deque(maxlen=MAXIMUM_PAST_WRITES)
-        )
-        past.append((store.number_of(change.revision), hash(change.value)))
+        past = (*self._past.get(change.key, ()), _hash_of(change))
+        self._past[change.key] = past[-MAXIMUM_PAST_WRITES:]
 
     def missing_from(self, keys: Iterable[str], revision: int) -> list[store.Change]:
         """Return deletions of the known keys that are missing from a listing.
@@ -156,6 +153,10 @@
         self._deletions = 0
 
 
+def _hash_of(change: store.Change) -> int:
+    return hash((store.number_of(change.revision), change.value))
+
+
 def _is_copy(change: store.Change, known: store.Change | None) -> bool:
     """Return whether a change is the known one, or what the store restored of it."""
     return (
--- a/amaranthpulley/transport/forwarding/loss_publisher.py
+++ b/amaranthpulley/transport/forwarding/loss_publisher.py
@@ -1,7 +1,7 @@
 """Writes the losses of leaves under requests to the store, and removes them."""
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 import eventlet
 import eventlet.event
@@ -17,11 +17,31 @@
 RETRY_MS: Final = 1_000
 # Entries of one call to the store.
 MAXIMUM_ENTRIES: Final = 32
-# Losses that wait for a store that cannot be reached, and for how long they wait.
+# Losses that wait for a store that cannot be reached, and for how long they wait; and
+# how long published ones are remembered for a store that loses them.
 MAXIMUM_WAITING: Final = 1_000
 LONGEST_WAIT_MS: Final = 300_000
+# Published losses lapse after this time at the latest, and after half of it at the
+# earliest, so that a request is tried again some time.
+LIFETIME_MS: Final = 600_000
 
-WriteLosses = Callable[[tuple[crashes.Loss, ...], tuple[crashes.Loss, ...]], None]
+Losses = tuple[crashes.Loss, ...]
+
+
+class LossCalls(NamedTuple):
+    """Calls to the store; each raises `PlatformUnreachableError` when it fails.
+
+    Attributes
+    ----------
+    grant_lease : callable
+        Takes a lifetime in milliseconds; returns a lease.
+    write : callable
+        Takes the losses to publish, those to withdraw and a lease for the former, 0 if
+        there are none; returns False, and writes nothing, when the lease has ended.
+    """
+
+    grant_lease: Callable[[int], int]
+    write: Callable[[Losses, Losses, int], bool]
 
 
 class LossPublisher:
@@ -29,8 +49,8 @@
 
     Parameters
     ----------
-    write : callable
-        Publishes and withdraws losses in the store; raises `PlatformUnreachableError`.
+    calls : LossCalls
+        Calls to the store.
     handle_event : callable
         Called with the event of a failed call.
     clock : Clock
@@ -39,11 +59,14 @@
 
     def __init__(
         self,
-        write: WriteLosses,
+        calls: LossCalls,
         handle_event: Callable[[events.Event], None],
         clock: clock_state.Clock,
     ) -> None:
-        self._write = write
+        self._calls = calls
+        self._lease: int | None = None
+        # When losses get another lease.
+        self._lease_until_ms = 0
         self._handle_event = handle_event
         self._now_ms = clock.monotonic_ms
         # By loss, whether it is published or withdrawn, and since when it waits.
@@ -73,6 +96,8 @@
             if at_ms > oldest_ms
         }
         self._published_ms = recent
+        # The store may have lost the lease, or have given it to another daemon.
+        self._lease = None
         self._add(tuple(recent), True)
 
     def _add(self, losses: tuple[crashes.Loss, ...], published: bool) -> None:
@@ -101,12 +126,7 @@
                 continue
             started_ms = self._now_ms()
             try:
-                self._write(
-                    tuple(loss for loss, (published, _) in batch.items() if published),
-                    tuple(
-                        loss for loss, (published, _) in batch.items() if not published
-                    ),
-                )
+                self._write(batch)
             except errors.PlatformUnreachableError as error:
                 waited_ms = self._now_ms() - started_ms
                 self._handle_event(
@@ -118,6 +138,22 @@
                 if self._waiting.get(loss) == entry:
                     del self._waiting[loss]
 
+    def _write(self, batch: dict[crashes.Loss, tuple[bool, int]]) -> None:
+        published = tuple(loss for loss, (present, _) in batch.items() if present)
+        withdrawn = tuple(loss for loss, (present, _) in batch.items() if not present)
+        lease = self._usable_lease() if published else 0
+        if not self._calls.write(published, withdrawn, lease):
+            self._lease = None
+            raise errors.PlatformUnreachableError("the lease of the losses has ended")
+
+    def _usable_lease(self) -> int:
+        """Return a lease that does not end for half of its time."""
+        now_ms = self._now_ms()
+        if self._lease is None or now_ms >= self._lease_until_ms:
+            self._lease = self._calls.grant_lease(LIFETIME_MS)
+            self._lease_until_ms = now_ms + LIFETIME_MS // 2
+        return self._lease
+
     def _drop_expired(self) -> None:
         oldest_ms = self._now_ms() - LONGEST_WAIT_MS
         self._waiting = {
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -135,7 +135,7 @@
         self._relay = relay.Relay(setup.peer_address, self._view, clock)
         self._datagrams = datagrams.DatagramSocket(self._relay.address, self._handle)
         self._losses = loss_publisher.LossPublisher(
-            store_calls.write_losses, self._handle, clock
+            store_calls.losses, self._handle, clock
         )
         self.runtime = self._open_runtime(setup.names)
         self._front = client_connections.HttpServer(
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -53,8 +53,8 @@
         returns False when there is none or it has expired.
     unregister : callable
         Ends the registration.
-    write_losses : callable
-        Takes the losses to publish and those to withdraw.
+    losses : LossCalls
+        Calls that publish and withdraw losses.
     decode : callable
         Turns a change into an event; None when the change is not used.
     """
@@ -64,7 +64,7 @@
     register: Callable[[int], None]
     renew: Callable[[], bool]
     unregister: Callable[[], None]
-    write_losses: loss_publisher.WriteLosses
+    losses: loss_publisher.LossCalls
     decode: store_view.DecodeChange
 
 
--- a/amaranthpulley/transport/forwarding/tests/test_loss_publisher.py
+++ b/amaranthpulley/transport/forwarding/tests/test_loss_publisher.py
@@ -10,8 +10,9 @@
 import eventlet  # noqa: E402
 
 from amaranthpulley.coordination.forwarding import commands, events  # noqa: E402
+from amaranthpulley.state import clock  # noqa: E402
 from amaranthpulley.state.forwarding import crashes  # noqa: E402
-from amaranthpulley.transport import errors, system_clock  # noqa: E402
+from amaranthpulley.transport import errors  # noqa: E402
 from amaranthpulley.transport.forwarding import loss_publisher  # noqa: E402
 
 WAIT_S = 5.0
@@ -24,17 +25,30 @@
 
     def setUp(self) -> None:
         self.calls: list[tuple] = []
+        self.clock = clock.VirtualClock(1_000_000)
+        # Leases that have been granted, and the ones that have ended.
+        self.leases = 0
+        self.ended: set[int] = set()
         self.down = False
         self.received_events: list[events.Event] = []
         self.publisher = loss_publisher.LossPublisher(
-            self._write, self.received_events.append, system_clock.system_clock()
+            loss_publisher.LossCalls(self._grant, self._write),
+            self.received_events.append,
+            self.clock.as_clock(),
         )
         self.publisher.start()
 
-    def _write(self, published: tuple, withdrawn: tuple) -> None:
+    def _grant(self, life_ms: int) -> int:
+        self.leases += 1
+        return self.leases
+
+    def _write(self, published: tuple, withdrawn: tuple, lease: int) -> bool:
         if self.down:
             raise errors.PlatformUnreachableError("status 503")
+        if lease in self.ended:
+            return False
         self.calls.append((published, withdrawn))
+        return True
 
     def _wait_for_calls(self, count: int) -> None:
         with eventlet.Timeout(WAIT_S):
@@ -74,3 +88,25 @@
         self.down = False
         self._wait_for_calls(1)
         self.assertEqual(self.calls, [((), (LOSS,))])
+
+    def test_a_lease_serves_for_half_of_its_time(self) -> None:
+        for number, passed_ms in enumerate((0, 1_000, loss_publisher.LIFETIME_MS // 2)):
+            self.clock.advance_to(self.clock.now_ms + passed_ms)
+            self.publisher.publish(commands.PublishLosses((crashes.Loss(7, number),)))
+            self._wait_for_calls(number + 1)
+        self.assertEqual(self.leases, 2)
+
+    def test_a_lease_that_has_ended_is_replaced(self) -> None:
+        self.ended = {1}
+        self.publisher.publish(commands.PublishLosses((LOSS,)))
+        self._wait_for_calls(1)
+        self.assertEqual((self.leases, self.calls), (2, [((LOSS,), ())]))
+
+    def test_a_restored_store_gets_them_again_under_another_lease(self) -> None:
+        self.publisher.publish(commands.PublishLosses((LOSS, crashes.Loss(8, 1))))
+        self._wait_for_calls(1)
+        self.publisher.withdraw(commands.WithdrawLosses((crashes.Loss(8, 1),)))
+        self._wait_for_calls(2)
+        self.publisher.publish_again()
+        self._wait_for_calls(3)
+        self.assertEqual((self.leases, self.calls[2]), (2, ((LOSS,), ())))
--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -14,7 +14,11 @@
 from amaranthpulley.state import store  # noqa: E402
 from amaranthpulley.state.forwarding import gateway  # noqa: E402
 from amaranthpulley.transport import errors, system_clock  # noqa: E402
-from amaranthpulley.transport.forwarding import store_feed, store_view  # noqa: E402
+from amaranthpulley.transport.forwarding import (  # noqa: E402
+    loss_publisher,
+    store_feed,
+    store_view,
+)
 
 WATCHER = store_watchers.WatchTiming(2_500, 0, 100, 800, 2_700)
 FOLLOWER = store_watchers.WatchTiming(
@@ -55,7 +59,9 @@
             self._call("register", self._register),
             self._call("renew", lambda: self.registered),
             self._call("unregister", lambda: None),
-            lambda published, withdrawn: None,
+            loss_publisher.LossCalls(
+                lambda life_ms: 1, lambda published, withdrawn, lease: True
+            ),
             lambda change: None,
         )
         self.feed = store_feed.StoreFeed(
