--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -92,6 +92,9 @@
     """Let the store come back from a copy some time after it fell silent."""
     site.control_store(copy=True)
     time.sleep(rng.uniform(0.3, MAXIMUM_FAULT_S))
+    site.raise_revision(rng.choice((5, 100)))
+    site.configure()
+    time.sleep(rng.uniform(0.0, 1.0))
     site.control_store(failing=0)
     time.sleep(rng.uniform(0.1, 1.0))
     site.control_store(failing=None, restore=True)
--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -194,6 +194,12 @@
             self._written[str(command["put"])] = command["value"]
         self._control(self.store_address, command)
 
+    def raise_revision(self, count: int) -> None:
+        """Write keys that nobody uses."""
+        for number in range(count):
+            command = {"put": f"unused/{number}", "value": {}}
+            self._control(self.store_address, command)
+
     def write_again(self) -> None:
         """Write all that operators and leaves have written to a restored store."""
         for key, value in list(self._written.items()):
