--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -85,10 +85,7 @@
     """
 
     def __init__(
-        self,
-        address: str,
-        registration_key: str,
-        registration: bytes,
+        self, address: str, registration_key: str, registration: bytes
     ) -> None:
         self._pool = http_connections.connection_pool(address, MAXIMUM_IDLE_CONNECTIONS)
         self._key = registration_key
@@ -180,9 +177,8 @@
 
     def grant_lease(self, life_ms: int) -> int:
         """Return a new lease."""
-        return _decode(self._post(names.LEASE_PATH, {"TtlMs": life_ms}), _Lease)[
-            "Lease"
-        ]
+        body = self._post(names.LEASE_PATH, {"TtlMs": life_ms})
+        return _decode(body, _Lease)["Lease"]
 
     def write_losses(
         self,
