Count leaves that are lost together under a request as one (RECOVER)

Cause: each start of a leaf that was lost under a request counted as a crash that the request caused, also when requests in flight together lost their leaves at one moment. Three of them reach the limit, and a refused request is not sent, so that no answer can withdraw the losses. Sharded requests without an answer went the same way. Losses without a token for their publication never ended.

Change: a loss counts by itself only if the request was sent when an earlier loss under it was known; the others count as one. The store's key says which it is. Until a leaf answers, the request gets new connections, since a kept one may belong to a leaf that is gone. A daemon ends its own losses after ten minutes. CrashingRequestTest now asks for the counts 1, 2, 3 exactly; the tests that feed three published losses say that they are later ones, and the property takes its expectation from the losses in the store.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -116,7 +116,8 @@
     gateway.next_attempt += 1
     leaf_id = leaf.entry.leaf_id
     key = request.incoming.key
-    attempt = requests.Attempt(number, key, shard, leaf.start, now_ms)
+    after_loss = crash_attribution.is_suspected(gateway, request)
+    attempt = requests.Attempt(number, key, shard, leaf.start, now_ms, after_loss)
     gateway.attempts[number] = attempt
     call.attempts[number] = attempt
     call.tried.add(leaf_id)
@@ -135,9 +136,11 @@
         call.hedge_due_ms = now_ms + int(late_ms)
     tracing.record_decision(request, now_ms, "sent", call.service, leaf_id)
     budget_ms = max(MINIMUM_LEAF_BUDGET_MS, request.give_up_ms - now_ms)
-    fresh = not request.route.idempotent
+    reuse = commands.Reuse.ANY if request.route.idempotent else commands.Reuse.RECENT
+    if after_loss:
+        reuse = commands.Reuse.NONE
     address = leaf.entry.address
-    return commands.SendAttempt(number, key, leaf_id, address, budget_ms, fresh, keep)
+    return commands.SendAttempt(number, key, leaf_id, address, budget_ms, reuse, keep)
 
 
 def stop_waiting(gateway: gateway_state.Gateway, call: requests.ShardCall) -> None:
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -250,6 +250,7 @@
 ) -> list[commands.Command]:
     """Do the periodic work on leaves, attempts and connections."""
     decided: list[commands.Command] = []
+    gateway.losses.discard_ended(now_ms)
     for leaf in gateway.directory.all():
         if leaf.deleted_ms is not None:
             if now_ms - leaf.deleted_ms >= DELETED_GRACE_MS:
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -7,6 +7,18 @@
 from amaranthpulley.state.forwarding import crashes, delegations, requests
 
 
+class Reuse(enum.Enum):
+    """Which open connection to a leaf may be used for a request.
+
+    With `RECENT`, it was used a moment ago, so that the leaf has not dropped it since.
+    With `NONE`, a new connection is opened, which shows that the leaf runs.
+    """
+
+    ANY = "any"
+    RECENT = "recent"
+    NONE = "none"
+
+
 class SendAttempt(NamedTuple):
     """Send a request to a leaf.
 
@@ -20,9 +32,8 @@
         The leaf.
     budget_ms : int
         Time that the leaf may take.
-    fresh : bool
-        Requires a new connection, or one that was used a moment ago and cannot have
-        become stale.
+    reuse : Reuse
+        Which open connection may be used.
     keep : bool
         Whether the connection may stay open after the answer.
     """
@@ -32,7 +43,7 @@
     leaf_id: str
     address: str
     budget_ms: int
-    fresh: bool
+    reuse: Reuse
     keep: bool
 
 
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -55,7 +55,7 @@
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
     if _is_usable(request, answer):
-        cleared = crash_attribution.handle_answer(gateway, request.incoming, now_ms)
+        cleared = crash_attribution.handle_answer(gateway, request, now_ms)
         _trace_late_answer(request, call, attempt, now_ms)
         return [
             *report,
@@ -109,7 +109,7 @@
     call.attempts.pop(attempt.number, None)
     crash: list[commands.Command] = []
     if event.end is requests.AttemptEnd.LOST:
-        crash = crash_attribution.handle_loss(gateway, request, attempt.start, now_ms)
+        crash = crash_attribution.handle_loss(gateway, request, attempt, now_ms)
     return [
         *crash,
         *tracing.oversized_lines(gateway, request, attempt, event.end, now_ms),
--- a/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
@@ -17,9 +17,11 @@
 LEAVES = 6
 
 
-def _site() -> gateway_site.GatewaySite:
+def _site(slots: int = 40) -> gateway_site.GatewaySite:
     site = gateway_site.GatewaySite()
-    entries = [gateway_site.entry(f"l{n}", "visits", slots=40) for n in range(LEAVES)]
+    entries = [
+        gateway_site.entry(f"l{n}", "visits", slots=slots) for n in range(LEAVES)
+    ]
     site.begin(gateway_site.configuration(gateway_site.single()), *entries)
     return site
 
@@ -45,15 +47,13 @@
         self.assertEqual(site.sends_of(key), [])
         self.assertIs(site.answers[key].reason, commands.Refusal.CRASHES_LEAVES)
         lost = site.logs_of(log_events.REQUEST_LOST_LEAF)
-        self.assertEqual(
-            {line["leaves"] for line in lost if line["leaves"] <= 3}, {1, 2, 3}
-        )
+        self.assertEqual([line["leaves"] for line in lost], [1, 2, 3])
         self.assertEqual({line["fingerprint"] for line in lost}, {f"{7:016x}"})
 
     def test_it_is_not_sent_again_once_it_is_refused(self) -> None:
         site = _site()
         for start in range(crash_attribution.CRASH_LIMIT - 1):
-            site.feed(events.LossPublished(crashes.Loss(7, start)))
+            site.feed(events.LossPublished(crashes.Loss(7, start, later=True)))
         self.assertEqual(len(_lose_all(site)), 1)
         site.advance(1_000)
         self.assertEqual(len(site.sent), 1)
@@ -64,7 +64,7 @@
         site = _site()
         site.request("/visit/1", fingerprints=(7,))
         for start in range(crash_attribution.CRASH_LIMIT):
-            site.feed(events.LossPublished(crashes.Loss(7, start)))
+            site.feed(events.LossPublished(crashes.Loss(7, start, later=True)))
         site.advance(700)
         self.assertEqual(len(site.sent), 1)
 
@@ -77,7 +77,7 @@
             key = site.request("/visit/1", fingerprints=(len(site.sent) + 100,))
         fingerprint = site.gateway.requests[key].incoming.fingerprints[0]
         for start in range(crash_attribution.CRASH_LIMIT):
-            loss = crashes.Loss(fingerprint, start)
+            loss = crashes.Loss(fingerprint, start, later=True)
             site.feed(events.LossPublished(loss))
         site.advance(100)
         self.assertIs(site.answers[key].reason, commands.Refusal.CRASHES_LEAVES)
@@ -96,8 +96,9 @@
         site = _site()
         for start in range(crash_attribution.CRASH_LIMIT):
             for fingerprint in (100, 7):
-                site.feed(events.LossPublished(crashes.Loss(fingerprint, start)))
-        site.feed(events.LossWithdrawn(crashes.Loss(7, 0)))
+                loss = crashes.Loss(fingerprint, start, later=True)
+                site.feed(events.LossPublished(loss))
+        site.feed(events.LossWithdrawn(crashes.Loss(7, 0, later=True)))
         self.assertFalse(_is_refused(site, (200, 7)))
         site.reply(site.sent[-1], gateway_site.answer())
         self.assertEqual(len(_withdrawn(site)), 2)
@@ -160,15 +161,15 @@
         site = _site()
         for start in range(crash_attribution.CRASH_LIMIT):
             self.assertFalse(_is_refused(site))
-            site.feed(events.LossPublished(crashes.Loss(7, start)))
-            site.feed(events.LossPublished(crashes.Loss(8, start)))
+            site.feed(events.LossPublished(crashes.Loss(7, start, later=True)))
+            site.feed(events.LossPublished(crashes.Loss(8, start, later=True)))
         self.assertTrue(_is_refused(site))
 
     def test_lapsed_losses_no_longer_count(self) -> None:
         site = _site()
         for start in range(crash_attribution.CRASH_LIMIT):
-            site.feed(events.LossPublished(crashes.Loss(7, start)))
-        site.feed(events.LossWithdrawn(crashes.Loss(7, 0)))
+            site.feed(events.LossPublished(crashes.Loss(7, start, later=True)))
+        site.feed(events.LossWithdrawn(crashes.Loss(7, 0, later=True)))
         self.assertFalse(_is_refused(site))
 
     def test_each_loss_is_published_once(self) -> None:
@@ -188,7 +189,7 @@
         key = site.request("/visit/1", fingerprints=(7,))
         site.fail(site.sends_of(key)[0], requests.AttemptEnd.LOST)
         site.reply(site.sends_of(key)[1], gateway_site.answer())
-        self.assertEqual(set(_withdrawn(site)), {*_published(site), (7, 5)})
+        self.assertEqual(set(_withdrawn(site)), {*_published(site), crashes.Loss(7, 5)})
         self.assertFalse(_is_refused(site))
 
     def test_the_rate_of_publications_is_bounded(self) -> None:
@@ -244,6 +245,66 @@
         self.assertEqual(self.site.sends_of(key), [])
 
 
+class JointLossTest(unittest.TestCase):
+    """Leaves that are lost together, for a reason that is not the request.
+
+    Guards against a page that is refused for minutes after all leaves of its service
+    have crashed at once, though no request is the cause (RECOVER).
+    """
+
+    def setUp(self) -> None:
+        self.site = _site(slots=2)
+
+    def _lose_together(self) -> None:
+        """Lose every leaf of the service while it runs the same request."""
+        keys = [
+            self.site.request("/visit/1", fingerprints=(7,)) for _ in range(2 * LEAVES)
+        ]
+        running = list(self.site.sent)
+        lost = {sent.command.leaf_id for sent in running}
+        self.assertGreaterEqual(len(lost), crash_attribution.CRASH_LIMIT)
+        for sent in running:
+            self.site.fail(sent, requests.AttemptEnd.LOST)
+        for sent in self.site.sent[len(running) :]:
+            self.site.fail(sent, requests.AttemptEnd.UNREACHABLE)
+        for number in range(LEAVES):
+            self.site.feed(events.LeafDeleted(f"l{number}"))
+        self.site.advance(3_000)
+        self.assertEqual(len(self.site.answers), len(keys))
+        for number in range(LEAVES):
+            entry = gateway_site.entry(f"again-{number}", "visits")
+            self.site.feed(events.LeafWritten(entry))
+
+    def test_the_request_is_served_when_leaves_are_back(self) -> None:
+        self._lose_together()
+        self.assertFalse(_is_refused(self.site))
+
+    def test_losses_that_several_daemons_saw_count_as_one(self) -> None:
+        for start in range(LEAVES):
+            self.site.feed(events.LossPublished(crashes.Loss(7, start)))
+        self.assertFalse(_is_refused(self.site))
+
+    def test_one_of_the_losses_is_published(self) -> None:
+        self._lose_together()
+        self.assertEqual(len(_published(self.site)), 1)
+
+    def test_a_request_under_which_a_leaf_was_lost_gets_a_new_connection(self) -> None:
+        key = self.site.request("/visit/1", fingerprints=(7,))
+        self.site.fail(self.site.sends_of(key)[0], requests.AttemptEnd.LOST)
+        reuses = [sent.command.reuse for sent in self.site.sends_of(key)]
+        self.assertEqual(reuses, [commands.Reuse.ANY, commands.Reuse.NONE])
+
+    def test_losses_lapse_that_were_never_published(self) -> None:
+        tokens = self.site.gateway.publication_tokens
+        while tokens.refill(0.0, 100.0, self.site.now_ms) >= 1.0:
+            tokens.take()
+        for _ in range(2):
+            _lose_all(self.site)
+        self.assertTrue(_is_refused(self.site))
+        self.site.advance(crash_attribution.LIFETIME_MS)
+        self.assertFalse(_is_refused(self.site))
+
+
 class CrashAttributionPropertiesTest(unittest.TestCase):
     """Daemons whose changes of the store come late, and that restart."""
 
@@ -286,7 +347,10 @@
             else:
                 _lose_all(sites[number])
                 publish(number)
-        known = len(set(stored)) >= crash_attribution.CRASH_LIMIT
+        table = crashes.LossTable()
+        for loss in stored:
+            table.add(loss)
+        known = table.count(7) >= crash_attribution.CRASH_LIMIT
         for number, site in enumerate(sites):
             deliver(number)
             self.assertEqual(_is_refused(site), known)
--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -15,7 +15,9 @@
 # Identities are sent in a header: visible ASCII characters only.
 _IDENTITY: Final = re.compile("[!-~]+")
 _PORT: Final = re.compile("[0-9]{1,5}")
-_LOSS: Final = re.compile("([0-9a-f]{16})/([0-9a-f]{16})")
+# The suffix marks a loss of a request that was sent after an earlier one.
+_LATER_SUFFIX: Final = "/later"
+_LOSS: Final = re.compile(f"([0-9a-f]{{16}})/([0-9a-f]{{16}})({_LATER_SUFFIX})?")
 LARGEST_PORT: Final = 65_535
 MOST_SLOTS: Final = 1_000_000
 LONGEST_COLD_MS: Final = 86_400_000
@@ -90,7 +92,8 @@
 
 def loss_key(loss: crashes.Loss) -> str:
     """Return the key under which a loss is published."""
-    return f"{names.LOSS_PREFIX}{loss.fingerprint:016x}/{loss.start:016x}"
+    suffix = _LATER_SUFFIX if loss.later else ""
+    return f"{names.LOSS_PREFIX}{loss.fingerprint:016x}/{loss.start:016x}{suffix}"
 
 
 def encode_daemon(member: gateway.Member) -> bytes:
@@ -102,7 +105,8 @@
     matched = _LOSS.fullmatch(text)
     if matched is None:
         raise errors.MalformedMessageError(f"loss: {text[:50]!r}")
-    return crashes.Loss(int(matched[1], 16), int(matched[2], 16))
+    later = matched[3] is not None
+    return crashes.Loss(int(matched[1], 16), int(matched[2], 16), later)
 
 
 def _leaf(leaf_id: str, value: bytes) -> leaves.LeafEntry:
--- a/amaranthpulley/state/forwarding/crashes.py
+++ b/amaranthpulley/state/forwarding/crashes.py
@@ -1,9 +1,12 @@
 """Leaves that were lost while they ran a request, by the request's fingerprint."""
 
+import collections
 from typing import Final, NamedTuple
 
 # Fingerprints that are kept; the oldest is dropped.
 MAXIMUM_FINGERPRINTS: Final = 2_000
+# Losses whose end is kept; the oldest ends at once.
+MAXIMUM_ENDS: Final = 4_000
 
 
 class Loss(NamedTuple):
@@ -15,43 +18,69 @@
         Fingerprint of the request.
     start : int
         Hash of the leaf's start, the same at every daemon.
+    later : bool
+        Whether the request was sent when an earlier loss under it was known.
     """
 
     fingerprint: int
     start: int
+    later: bool = False
 
 
 class LossTable:
     """Losses that this daemon has seen or learned from other daemons."""
 
     def __init__(self) -> None:
-        self._starts: dict[int, set[int]] = {}
+        self._losses: dict[int, dict[int, Loss]] = {}
+        # Ends of the losses that this daemon has seen, in their order.
+        self._ends_ms: collections.deque[tuple[int, Loss]] = collections.deque()
 
     def add(self, loss: Loss) -> bool:
-        """Add a loss; return whether it is new."""
-        starts = self._starts.get(loss.fingerprint)
-        if starts is None:
-            if len(self._starts) >= MAXIMUM_FINGERPRINTS:
-                self._starts.pop(next(iter(self._starts)))
-            starts = self._starts[loss.fingerprint] = set()
-        if loss.start in starts:
+        """Add a loss, or replace one that was not `later`; return whether it is new."""
+        losses = self._losses.get(loss.fingerprint)
+        if losses is None:
+            if len(self._losses) >= MAXIMUM_FINGERPRINTS:
+                self._losses.pop(next(iter(self._losses)))
+            losses = self._losses[loss.fingerprint] = {}
+        known = losses.get(loss.start)
+        if known is not None and known.later >= loss.later:
             return False
-        starts.add(loss.start)
+        losses[loss.start] = loss
         return True
 
+    def has(self, fingerprint: int, start: int) -> bool:
+        """Return whether a start of a leaf was lost under a fingerprint."""
+        return start in self._losses.get(fingerprint, {})
+
+    def end_at(self, loss: Loss, end_ms: int) -> None:
+        """Let a loss end, whatever becomes known of it from other daemons."""
+        if len(self._ends_ms) >= MAXIMUM_ENDS:
+            self.discard(self._ends_ms.popleft()[1])
+        self._ends_ms.append((end_ms, loss))
+
+    def discard_ended(self, now_ms: int) -> None:
+        """Remove the losses that have ended."""
+        while self._ends_ms and self._ends_ms[0][0] <= now_ms:
+            self.discard(self._ends_ms.popleft()[1])
+
     def discard(self, loss: Loss) -> None:
         """Remove a loss, if it is known."""
-        starts = self._starts.get(loss.fingerprint)
-        if starts is not None:
-            starts.discard(loss.start)
-            if not starts:
-                del self._starts[loss.fingerprint]
+        losses = self._losses.get(loss.fingerprint)
+        if losses is not None and losses.get(loss.start) == loss:
+            del losses[loss.start]
+            if not losses:
+                del self._losses[loss.fingerprint]
 
     def clear(self, fingerprint: int) -> tuple[Loss, ...]:
         """Remove and return the losses under a fingerprint."""
-        starts = self._starts.pop(fingerprint, set())
-        return tuple(Loss(fingerprint, start) for start in sorted(starts))
+        return tuple(sorted(self._losses.pop(fingerprint, {}).values()))
 
     def count(self, fingerprint: int) -> int:
-        """Return the number of losses under a fingerprint."""
-        return len(self._starts.get(fingerprint, ()))
+        """Return the number of losses that happened one after the other.
+
+        Leaves that were lost before any loss was known may have been lost together,
+        for a reason that has nothing to do with the request. They count as one.
+        """
+        losses = self._losses.get(fingerprint, {}).values()
+        later_count = sum(loss.later for loss in losses)
+        return later_count + (later_count < len(losses))
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -143,6 +143,8 @@
         The start of the leaf to which it was sent.
     sent_ms : int
         Time of the send, by the monotonic clock.
+    after_loss : bool
+        Whether a leaf was known to have been lost under the request.
     """
 
     number: int
@@ -150,6 +152,7 @@
     shard: int
     start: leaves.LeafStart
     sent_ms: int
+    after_loss: bool
 
     @property
     def leaf_id(self) -> str:
@@ -250,8 +253,9 @@
         self.tried_delegates: set[str] = set()
         # Whether leaves may have run it on behalf of a delegate.
         self.ran_elsewhere = False
-        # Leaves that were lost while they ran a shard's part.
-        self.lost_starts: list[leaves.LeafStart] = []
+        # Attempts at leaves that were lost while no shard had answered, until they are
+        # recorded as losses.
+        self.lost_attempts: list[Attempt] = []
         self.answered = False
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -5,6 +5,7 @@
 
 import eventlet.hubs
 
+from amaranthpulley.coordination.forwarding import commands
 from amaranthpulley.protocol.forwarding import header_names, leaf_messages
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state.forwarding import requests
@@ -24,7 +25,7 @@
 DEFAULT_IDLE_LIMIT_MS: Final = 30_000
 # A request that must not run twice is sent only on a connection that was idle for at
 # most this long: a leaf may have dropped an older one without a notification.
-MAXIMUM_FRESH_IDLE_MS: Final = 400
+MAXIMUM_RECENT_IDLE_MS: Final = 400
 # Bytes of all incomplete answers together; the smallest VM has 200 MB.
 BUFFER_LIMIT_BYTES: Final = 33_554_432
 
@@ -254,23 +255,23 @@
         """Return whether the incomplete answers together take too much memory."""
         return self.buffered_bytes > self.buffer_limit_bytes
 
-    def acquire(self, address: str, fresh: bool) -> LeafConnection:
+    def acquire(self, address: str, reuse: commands.Reuse) -> LeafConnection:
         """Return an idle connection to a leaf, or a new one.
 
         Parameters
         ----------
-        fresh : bool
-            Reuse only a connection idle for at most `MAXIMUM_FRESH_IDLE_MS`.
+        reuse : Reuse
+            Which idle connection may be returned.
         """
         now_ms = self._now_ms()
         idle = self._idle.get(address)
-        while idle:
+        while idle and reuse is not commands.Reuse.NONE:
             connection = idle.pop()
             if connection.closed:
                 continue
             maximum_idle_ms = connection.idle_limit_ms - IDLE_MARGIN_MS
-            if fresh:
-                maximum_idle_ms = min(MAXIMUM_FRESH_IDLE_MS, maximum_idle_ms)
+            if reuse is commands.Reuse.RECENT:
+                maximum_idle_ms = min(MAXIMUM_RECENT_IDLE_MS, maximum_idle_ms)
             if now_ms - connection.idle_since_ms <= maximum_idle_ms:
                 return connection
             connection.close()
--- a/amaranthpulley/transport/forwarding/loss_publisher.py
+++ b/amaranthpulley/transport/forwarding/loss_publisher.py
@@ -6,7 +6,11 @@
 import eventlet
 import eventlet.event
 
-from amaranthpulley.coordination.forwarding import commands, events
+from amaranthpulley.coordination.forwarding import (
+    commands,
+    crash_attribution,
+    events,
+)
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state.forwarding import crashes
 from amaranthpulley.transport import errors
@@ -21,9 +25,6 @@
 # how long published ones are remembered for a store that loses them.
 MAXIMUM_WAITING: Final = 1_000
 LONGEST_WAIT_MS: Final = 300_000
-# Published losses lapse after this time at the latest, and after half of it at the
-# earliest, so that a request is tried again some time.
-LIFETIME_MS: Final = 600_000
 
 Losses = tuple[crashes.Loss, ...]
 
@@ -150,8 +151,9 @@
         """Return a lease that does not end for half of its time."""
         now_ms = self._now_ms()
         if self._lease is None or now_ms >= self._lease_until_ms:
-            self._lease = self._calls.grant_lease(LIFETIME_MS)
-            self._lease_until_ms = now_ms + LIFETIME_MS // 2
+            lifetime_ms = crash_attribution.LIFETIME_MS
+            self._lease = self._calls.grant_lease(lifetime_ms)
+            self._lease_until_ms = now_ms + lifetime_ms // 2
         return self._lease
 
     def _drop_expired(self) -> None:
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -206,7 +206,7 @@
             head, request.body, self.names, command.leaf_id, command.budget_ms
         )
         number = command.attempt
-        connection = self.leaves.acquire(command.address, command.fresh)
+        connection = self.leaves.acquire(command.address, command.reuse)
         self._attempts[number] = connection
         opened = not connection.used
         connection.keep = command.keep
@@ -309,7 +309,7 @@
         self.leaves.preconnect(command.address)
 
     def _probe(self, command: commands.ProbeLeaf) -> None:
-        connection = self.leaves.acquire(command.address, True)
+        connection = self.leaves.acquire(command.address, commands.Reuse.RECENT)
         timer = None
 
         def end(
--- a/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
@@ -10,6 +10,7 @@
 
 import eventlet  # noqa: E402
 
+from amaranthpulley.coordination.forwarding import commands  # noqa: E402
 from amaranthpulley.protocol.forwarding import header_names  # noqa: E402
 from amaranthpulley.state.forwarding import requests  # noqa: E402
 from amaranthpulley.transport import system_clock  # noqa: E402
@@ -53,8 +54,10 @@
         if self.replies:
             self.accepted[-1].write(self.replies.pop(0))
 
-    def _exchange(self, request_id: bytes = b"r1", fresh: bool = False) -> object:
-        connection = self.pool.acquire(self.listener.address, fresh)
+    def _exchange(
+        self, request_id: bytes = b"r1", reuse: commands.Reuse = commands.Reuse.ANY
+    ) -> object:
+        connection = self.pool.acquire(self.listener.address, reuse)
         count = len(self.ended)
         connection.exchange(
             b"request", request_id, False, self.ended.append, self.ended.append
@@ -92,7 +95,7 @@
         with socket.socket() as closed:
             closed.bind(("127.0.0.1", 0))
             host, port = closed.getsockname()
-        connection = self.pool.acquire(f"{host}:{port}", False)
+        connection = self.pool.acquire(f"{host}:{port}", commands.Reuse.ANY)
         connection.exchange(b"x", b"r", False, self.ended.append, self.ended.append)
         with eventlet.Timeout(WAIT_S):
             while not self.ended:
@@ -113,7 +116,7 @@
     def test_fresh_request_does_not_reuse_an_old_connection(self) -> None:
         self.replies.append(ANSWER % b"r1")
         self._exchange()
-        eventlet.sleep(leaf_connections.MAXIMUM_FRESH_IDLE_MS / 1000 + 0.1)
+        eventlet.sleep(leaf_connections.MAXIMUM_RECENT_IDLE_MS / 1000 + 0.1)
         self.replies.append(ANSWER % b"r1")
-        self._exchange(fresh=True)
+        self._exchange(reuse=commands.Reuse.RECENT)
         self.assertEqual(self.pool.opened, 2)
--- a/amaranthpulley/transport/forwarding/tests/test_leaf_faults.py
+++ b/amaranthpulley/transport/forwarding/tests/test_leaf_faults.py
@@ -12,6 +12,7 @@
 import eventlet  # noqa: E402
 import eventlet.patcher  # noqa: E402
 
+from amaranthpulley.coordination.forwarding import commands  # noqa: E402
 from amaranthpulley.protocol.forwarding import (  # noqa: E402
     header_names,
 )
@@ -90,7 +91,7 @@
 
     def begin(self, request_id: bytes = b"r1", is_head: bool = False) -> None:
         """Send a request without waiting for its end."""
-        connection = self.pool.acquire(self.listener.address, False)
+        connection = self.pool.acquire(self.listener.address, commands.Reuse.ANY)
         connection.exchange(
             b"request", request_id, is_head, self.ended.append, self.ended.append
         )
--- a/amaranthpulley/transport/forwarding/tests/test_loss_publisher.py
+++ b/amaranthpulley/transport/forwarding/tests/test_loss_publisher.py
@@ -9,7 +9,11 @@
 
 import eventlet  # noqa: E402
 
-from amaranthpulley.coordination.forwarding import commands, events  # noqa: E402
+from amaranthpulley.coordination.forwarding import (  # noqa: E402
+    commands,
+    crash_attribution,
+    events,
+)
 from amaranthpulley.state import clock  # noqa: E402
 from amaranthpulley.state.forwarding import crashes  # noqa: E402
 from amaranthpulley.transport import errors  # noqa: E402
@@ -90,7 +94,9 @@
         self.assertEqual(self.calls, [((), (LOSS,))])
 
     def test_a_lease_serves_for_half_of_its_time(self) -> None:
-        for number, passed_ms in enumerate((0, 1_000, loss_publisher.LIFETIME_MS // 2)):
+        for number, passed_ms in enumerate(
+            (0, 1_000, crash_attribution.LIFETIME_MS // 2)
+        ):
             self.clock.advance_to(self.clock.now_ms + passed_ms)
             self.publisher.publish(commands.PublishLosses((crashes.Loss(7, number),)))
             self._wait_for_calls(number + 1)
