Send a request once on a connection to a leaf (TWICE, REFUSED)

Cause: an answer counts if it has the request's id. A request that a full leaf rejects is sent to the leaf again, often on the same connection, so that a late copy of the rejection has the id of the second send.

Evidence: test_late_copies_of_rejections_are_no_answers has no time-out, no hedge and no other request on the connection, and counted two runs before.

Change: the pool does not return a connection on which the request was sent before, and keeps it for others. Health checks have no id at all; their connections are closed after the answer.

--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -63,11 +63,15 @@
         self.crash_prefix: bytes | None = None
         self.on_crash: Callable[[StandInLeaf], None] = lambda _leaf: None
         # How it answers each request: "answer", "silent", "reset", "reject", "fail",
-        # "cut", "head", "endless", "extra", "garble", "unframed" or "late".
+        # "cut", "head", "endless", "extra", "garble", "unframed", "late" or
+        # "reject once": each request is rejected when it first comes, and a copy of the
+        # rejection comes late, when the request is sent on that connection again.
         self.mode = "answer"
         handler = client_connections.Handler(self._receive, lambda _connection: None)
         self._server = client_connections.HttpServer(address, clock, handler)
         self._last_answer = b""
+        # By request, the connection on which it was rejected, and the rejection.
+        self._rejections: dict[str, tuple[object, bytes]] = {}
 
     @property
     def address(self) -> str:
@@ -110,14 +114,23 @@
             self._send(connection, 421, request_id, b"", {})
         elif self.mode == "reject":
             self.pauses_asked_s.append(self._now_ms() / 1000)
-            rejected = {names.HEADERS.not_run: "1"}
-            self._send(connection, 503, request_id, b"", rejected)
+            self._reject(connection, request_id)
+        elif self.mode == "reject once" and request_id not in self._rejections:
+            self._reject(connection, request_id)
+            self._rejections[request_id] = (connection, self._last_answer)
         elif self.mode != "silent":
+            rejected_on, rejection = self._rejections.get(request_id, (None, b""))
+            if rejected_on is connection:
+                connection.write_interim(rejection)
             self.runs[request_id] += 1
             eventlet.hubs.get_hub().schedule_call_global(
                 self.work_ms / 1000, self._finish, connection, request, request_id
             )
 
+    def _reject(self, connection: Any, request_id: str) -> None:
+        rejected = {names.HEADERS.not_run: "1"}
+        self._send(connection, 503, request_id, b"", rejected)
+
     def _control(self, connection: Any, settings: dict[str, Any]) -> None:
         mode, self.mode = settings.get("mode", self.mode), "answer"
         self.work_ms = settings.get("work_ms", self.work_ms)
--- a/amaranthpulley/platform/tests/test_whole_path.py
+++ b/amaranthpulley/platform/tests/test_whole_path.py
@@ -18,6 +18,8 @@
 )
 
 TARGET_LATENCY_MS = 900
+# Requests that both leaves reject at first.
+COPIED_REJECTIONS = 20
 
 
 class MergedPathTest(unittest.TestCase):
@@ -132,6 +134,19 @@
                     self.assertEqual(runs, 0)
         self.assertIsNotNone(answer)
 
+    def test_late_copies_of_rejections_are_no_answers(self) -> None:
+        # Guards against a late copy of a leaf's rejection that counts as the answer to
+        # the second send of the same request, so that it runs twice (TWICE, REFUSED).
+        visit = wire_samples.visit_route(RouteType="non_idempotent")
+        site = platform_site.PlatformSite(visit)
+        for leaf in site.leaves:
+            leaf.mode = "reject once"
+        for _ in range(COPIED_REJECTIONS):
+            answer = site.request("/visit/1", "POST", b"oven")
+            request_id = f"r{site._requests}"
+            runs = sum(leaf.runs[request_id] for leaf in site.leaves)
+            self.assertEqual((answer.status, runs), (200, 1))
+
     def test_unknown_routes_and_bad_requests_are_refused(self) -> None:
         site = platform_site.PlatformSite()
         self.assertEqual(site.request("/none/1").status, 404)
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -1,6 +1,6 @@
 """Pool of persistent HTTP connections to leaves, each with one request at a time."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 import eventlet.hubs
@@ -97,7 +97,7 @@
         request_id : bytes
             Answers with a different request id are skipped. One without an id is
             accepted only on a new connection: on another it may be a late copy of an
-            earlier answer.
+            earlier answer. An id is used once on a connection.
         without_body : bool
             The answer has no body, whatever its headers say (``HEAD``).
         """
@@ -255,18 +255,31 @@
         """Return whether the incomplete answers together take too much memory."""
         return self.buffered_bytes > self.buffer_limit_bytes
 
-    def acquire(self, address: str, reuse: commands.Reuse) -> LeafConnection:
+    def acquire(
+        self,
+        address: str,
+        reuse: commands.Reuse,
+        excluded: Collection[LeafConnection] = (),
+    ) -> LeafConnection:
         """Return an idle connection to a leaf, or a new one.
 
         Parameters
         ----------
         reuse : Reuse
             Which idle connection may be returned.
+        excluded : collection of LeafConnection
+            Connections that may not be returned: those on which the same request was
+            sent before. A late copy of its answer there has the request's id as well.
         """
         now_ms = self._now_ms()
-        idle = self._idle.get(address)
-        while idle and reuse is not commands.Reuse.NONE:
-            connection = idle.pop()
+        idle = self._idle.get(address, [])
+        position = 0 if reuse is commands.Reuse.NONE else len(idle)
+        while position:
+            position -= 1
+            connection = idle[position]
+            if connection in excluded:
+                continue
+            del idle[position]
             if connection.closed:
                 continue
             maximum_idle_ms = connection.idle_limit_ms - IDLE_MARGIN_MS
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -2,7 +2,7 @@
 
 import collections
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 import eventlet.hubs
 
@@ -32,6 +32,27 @@
 _HEAD: Final = b"HEAD"
 
 
+class _PendingRequest(NamedTuple):
+    """A request that has not been answered yet.
+
+    Attributes
+    ----------
+    request : ClientRequest
+        The request.
+    head : bytes
+        The part of its head that does not depend on the recipient.
+    request_id : bytes
+        The client's identifier of it.
+    connections : set of LeafConnection
+        Connections on which it was sent to leaves.
+    """
+
+    request: client_requests.ClientRequest
+    head: bytes
+    request_id: bytes
+    connections: set[leaf_connections.LeafConnection]
+
+
 class Runtime:
     """The forwarding engine of one daemon on the event loop.
 
@@ -76,9 +97,7 @@
         self._processing = False
         self._next_key = 1
         self._clients: dict[int, client_connections.ClientConnection] = {}
-        self._pending_requests: dict[
-            int, tuple[client_requests.ClientRequest, bytes, bytes]
-        ] = {}
+        self._pending_requests: dict[int, _PendingRequest] = {}
         self._attempts: dict[int, leaf_connections.LeafConnection] = {}
         self._wake_timers: dict[int, object] = {}
         # Connections to delegates by request.
@@ -181,7 +200,7 @@
         self._clients[key] = connection
         head = leaf_messages.encode_request_head(request, self.names)
         request_id = request.first(self.names.request_id) or b""
-        self._pending_requests[key] = (request, head, request_id)
+        self._pending_requests[key] = _PendingRequest(request, head, request_id, set())
         path = request.target.partition(b"?")[0].decode("latin-1")
         deadline = request.first(self.names.deadline_ms)
         incoming = requests.IncomingRequest(
@@ -201,12 +220,13 @@
         self.feed(events.ClientLeft(connection.key))
 
     def _send(self, command: commands.SendAttempt) -> None:
-        request, head, request_id = self._pending_requests[command.request_key]
+        request, head, request_id, used = self._pending_requests[command.request_key]
         data = leaf_messages.encode_request(
             head, request.body, self.names, command.leaf_id, command.budget_ms
         )
         number = command.attempt
-        connection = self.leaves.acquire(command.address, command.reuse)
+        connection = self.leaves.acquire(command.address, command.reuse, used)
+        used.add(connection)
         self._attempts[number] = connection
         opened = not connection.used
         connection.keep = command.keep
@@ -223,7 +243,7 @@
         connection.exchange(data, request_id, is_head, on_answer, on_failure)
 
     def _send_to_delegate(self, command: commands.SendToDelegate) -> None:
-        request, head, request_id = self._pending_requests[command.request_key]
+        request, head, request_id, _ = self._pending_requests[command.request_key]
         number = command.delegation
         key = command.request_key
 
@@ -247,7 +267,7 @@
         self._answer(command.request_key, encode)
 
     def _send_merged(self, command: commands.SendMerged) -> None:
-        request_id = self._pending_requests[command.request_key][2]
+        request_id = self._pending_requests[command.request_key].request_id
         self._answer(
             command.request_key,
             lambda _, closes: client_answers.encode_merged(
@@ -256,7 +276,7 @@
         )
 
     def _refuse(self, command: commands.Refuse) -> None:
-        request_id = self._pending_requests[command.request_key][2]
+        request_id = self._pending_requests[command.request_key].request_id
         self._answer(
             command.request_key,
             lambda _, closes: client_answers.encode_refusal(
@@ -270,12 +290,11 @@
         encode: Callable[[client_requests.ClientRequest, bool], bytes],
     ) -> None:
         connection = self._clients.pop(key, None)
-        request = (
-            self._pending_requests[key][0] if key in self._pending_requests else None
-        )
+        pending = self._pending_requests.get(key)
         self._end_request(key)
-        if connection is None or request is None:
+        if connection is None or pending is None:
             return
+        request = pending.request
         draining = self.gateway.draining_since_ms is not None
         closes = draining or not request.keep_alive
         connection.answer(encode(request, closes), closes)
@@ -310,6 +329,8 @@
 
     def _probe(self, command: commands.ProbeLeaf) -> None:
         connection = self.leaves.acquire(command.address, commands.Reuse.RECENT)
+        # Health checks have no id that tells a late copy of their answer from others.
+        connection.keep = False
         timer = None
 
         def end(
--- a/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
@@ -77,6 +77,18 @@
         self.replies.append(ANSWER % b"r0" + ANSWER % b"r1")
         self.assertEqual(self._exchange().body, b"ok")
 
+    def test_an_excluded_connection_stays_in_the_pool(self) -> None:
+        for _ in range(2):
+            self.replies.append(ANSWER % b"r1")
+            self._exchange()
+        idle = self.pool.acquire(self.listener.address, commands.Reuse.ANY)
+        self.pool.release(idle)
+        other = self.pool.acquire(self.listener.address, commands.Reuse.ANY, {idle})
+        self.addCleanup(other.close)
+        self.assertIsNot(other, idle)
+        again = self.pool.acquire(self.listener.address, commands.Reuse.ANY)
+        self.assertIs(again, idle)
+
     def test_unsolicited_bytes_close_the_connection(self) -> None:
         self.replies.append(ANSWER % b"r1")
         self._exchange()
