Send no body to HEAD requests (MIXED)

Cause: the daemon's own answers had a body whatever the method; only the encoder of forwarded answers knew of HEAD.

Evidence: the bytes that the client finds are the refusal's own code. Three tests failed before: test_refused_head_requests_have_no_body (404), test_answers_to_head_requests_have_no_body (5 of 5 cases) and HeadRequestTest.

Change: a client connection drops the body of whatever answers HEAD, refusals, merged answers and 400, 408, 413, 431 alike; so do the ports of the product's own interface. A merged answer to HEAD states no length.

--- a/amaranthpulley/platform/tests/test_whole_path.py
+++ b/amaranthpulley/platform/tests/test_whole_path.py
@@ -5,6 +5,7 @@
 loop.prepare_loop()
 
 import json  # noqa: E402
+import socket  # noqa: E402
 import unittest  # noqa: E402
 
 import eventlet  # noqa: E402
@@ -147,6 +148,40 @@
             runs = sum(leaf.runs[request_id] for leaf in site.leaves)
             self.assertEqual((answer.status, runs), (200, 1))
 
+    def test_refused_head_requests_have_no_body(self) -> None:
+        # Guards against a refused HEAD request that leaves a body on the connection,
+        # where the client expects its next answer (MIXED).
+        site = platform_site.PlatformSite()
+        host, port = site.daemon.front_address.rsplit(":", 1)
+        kept = socket.create_connection((host, int(port)))
+        self.addCleanup(kept.close)
+
+        def ask(method: str, path: str) -> int:
+            lines = (
+                f"{method} {path} HTTP/1.1",
+                f"Host: {wire_samples.HOST}",
+                f"X-Request-Id: {path}",
+                "X-Deadline-Ms: 300",
+            )
+            kept.sendall("\r\n".join((*lines, "", "")).encode())
+            received = b""
+            while b"\r\n\r\n" not in received:
+                received += kept.recv(65_536)
+            if method == "HEAD":
+                self.assertTrue(received.endswith(b"\r\n\r\n"), received)
+            return int(received.split()[1])
+
+        self.assertEqual(ask("HEAD", "/visit/1"), 200)
+        self.assertEqual(ask("HEAD", "/wide/1"), 200)
+        self.assertEqual(ask("HEAD", "/none/1"), 404)
+        for leaf in site.leaves:
+            leaf.mode = "reject"
+        self.assertEqual(ask("HEAD", "/visit/2"), 503)
+        self.assertEqual(ask("HEAD", "/wide/2"), 503)
+        for leaf in site.leaves:
+            leaf.mode = "answer"
+        self.assertEqual(ask("GET", "/visit/3"), 200)
+
     def test_unknown_routes_and_bad_requests_are_refused(self) -> None:
         site = platform_site.PlatformSite()
         self.assertEqual(site.request("/none/1").status, 404)
--- a/amaranthpulley/protocol/forwarding/client_answers.py
+++ b/amaranthpulley/protocol/forwarding/client_answers.py
@@ -29,8 +29,17 @@
 _BAD_GATEWAY: Final = 502
 
 
+def without_body(answer: bytes) -> bytes:
+    """Return an encoded answer as it is sent to a HEAD request."""
+    head, end, _ = answer.partition(b"\r\n\r\n")
+    return head + end
+
+
 def encode_forwarded(answer: requests.LeafAnswer, closes: bool, is_head: bool) -> bytes:
-    """Return a leaf's answer as it is sent to the client."""
+    """Return a leaf's answer as it is sent to the client.
+
+    The length of the body that a HEAD request asks about is not known.
+    """
     lines = [_status_line(answer.status)]
     forwarded = header_names.end_to_end(answer.headers)
     lines += [b"%b: %b\r\n" % header for header in forwarded]
@@ -38,9 +47,7 @@
         lines.append(b"Content-Length: %d\r\n" % len(answer.body))
     if closes:
         lines.append(b"Connection: close\r\n")
-    lines.append(b"\r\n")
-    if not is_head:
-        lines.append(answer.body)
+    lines += [b"\r\n", answer.body]
     return b"".join(lines)
 
 
@@ -49,11 +56,11 @@
     request_id: bytes,
     names: header_names.HeaderNames,
     closes: bool,
+    is_head: bool,
 ) -> bytes:
     """Return the answer that merges the records of several shards."""
-    head = (
-        b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: %b\r\n%b: %d\r\nContent-Length: %d\r\n%b\r\n"
-    )
+    length = b"" if is_head else b"Content-Length: %d\r\n" % len(merged.body)
+    head = b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: %b\r\n%b: %d\r\n%b%b\r\n"
     return (
         head
         % (
@@ -63,7 +70,7 @@
             b", ".join(merged.signatures),
             names.missing_parts,
             merged.missing,
-            len(merged.body),
+            length,
             b"Connection: close\r\n" if closes else b"",
         )
         + merged.body
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -9,6 +9,7 @@
 from amaranthpulley.protocol.forwarding import errors, header_names
 
 MAXIMUM_PIPELINED_REQUESTS: Final = 16
+HEAD: Final = b"HEAD"
 _FINGERPRINT_BYTES: Final = 8
 
 
@@ -94,6 +95,11 @@
         """Whether a request has been received in part."""
         return self._started
 
+    @property
+    def method(self) -> bytes:
+        """Method of the request that is being received; empty until it is known."""
+        return self._method
+
     @property
     def error(self) -> errors.BadRequestError | None:
         """The error in the bytes after the last complete request, if there is one."""
@@ -136,6 +142,7 @@
 
     def on_url(self, part: bytes) -> None:
         """Handle the parser's callback."""
+        self._method = self._parser.get_method()
         self._target += part
         self._count_head(len(part))
 
@@ -181,6 +188,7 @@
             self._fail(http.HTTPStatus.BAD_REQUEST)
 
     def _reset(self) -> None:
+        self._method = b""
         self._target = b""
         self._headers: header_names.Headers = []
         self._body: list[bytes] = []
--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -108,10 +108,11 @@
         return self.current is None and self._reader.in_request
 
     def answer(self, data: bytes, closes: bool) -> None:
-        """Send the answer to the current request."""
+        """Send the answer to the current request, without its body to HEAD."""
+        method = self.current.method if self.current is not None else b""
         self.current = None
         self.since_ms = self._server.now_ms()
-        self._stream.write(data)
+        self._write(data, method)
         self._closing = closes
         if closes:
             self._stream.when_sent(self.close)
@@ -142,7 +143,7 @@
     def time_out(self) -> None:
         """Answer 408 Request Timeout and close the connection."""
         data = client_answers.encode_status(_TIMEOUT_STATUS, "request_timeout", True)
-        self._stream.write(data)
+        self._write(data, self._reader.method)
         self.close()
 
     def _on_data(self, data: bytes) -> None:
@@ -185,9 +186,14 @@
     def _refuse(self, error: errors.BadRequestError) -> None:
         status = error.status
         data = client_answers.encode_status(status.value, error.code, True)
-        self._stream.write(data)
+        self._write(data, self._reader.method)
         self._stream.when_sent(self.close)
 
+    def _write(self, data: bytes, method: bytes) -> None:
+        if method == client_requests.HEAD:
+            data = client_answers.without_body(data)
+        self._stream.write(data)
+
     def _on_end(self, was_reset: bool) -> None:
         self._server.forget(self)
         if self.current is not None:
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -29,7 +29,7 @@
 # A health check without an answer after this time has failed.
 PROBE_TIMEOUT_MS: Final = 400
 TICK_INTERVAL_MS: Final = 100
-_HEAD: Final = b"HEAD"
+_HEAD: Final = client_requests.HEAD
 
 
 class _PendingRequest(NamedTuple):
@@ -270,8 +270,8 @@
         request_id = self._pending_requests[command.request_key].request_id
         self._answer(
             command.request_key,
-            lambda _, closes: client_answers.encode_merged(
-                command, request_id, self.names, closes
+            lambda request, closes: client_answers.encode_merged(
+                command, request_id, self.names, closes, request.method == _HEAD
             ),
         )
 
--- a/amaranthpulley/transport/forwarding/tests/test_client_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_client_connections.py
@@ -102,6 +102,31 @@
         self.assertLessEqual(answered, 3 * client_requests.MAXIMUM_PIPELINED_REQUESTS)
         self.assertEqual(received.count(b"HTTP/1.1 400 "), 1)
 
+    def test_answers_to_head_requests_have_no_body(self) -> None:
+        head = REQUEST.replace(b"GET", b"HEAD")
+        limits = routes.ClientLimits(
+            header_bytes=100, body_bytes=5, header_timeout_ms=300
+        )
+        cases = {
+            "answered": (
+                head.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"),
+                200,
+            ),
+            "no host": (b"HEAD /a HTTP/1.1\r\n\r\n", 400),
+            "large head": (head[:-2] + b"X: " + b"x" * 200 + b"\r\n\r\n", 431),
+            "large body": (head[:-2] + b"Content-Length: 9\r\n\r\n", 413),
+            "unfinished": (head[:-2], 408),
+        }
+        self.server.limits = limits
+        for name, (data, status) in cases.items():
+            with self.subTest(name):
+                self.client = socket.create_connection(self.client.getpeername())
+                self.addCleanup(self.client.close)
+                self.client.sendall(data)
+                received = self._read_until_closed()
+                self.assertTrue(received.startswith(b"HTTP/1.1 %d " % status))
+                self.assertEqual(received.partition(b"\r\n\r\n")[2], b"")
+
     def test_invalid_bytes_after_a_request_are_refused_at_once(self) -> None:
         self.client.sendall(REQUEST + b"\x00 no request\r\n\r\n")
         received = self._read_until_closed()
--- a/amaranthpulley/transport/tests/test_web.py
+++ b/amaranthpulley/transport/tests/test_web.py
@@ -5,6 +5,7 @@
 loop.prepare_loop()
 
 import http  # noqa: E402
+import socket  # noqa: E402
 import unittest  # noqa: E402
 
 import eventlet  # noqa: E402
@@ -14,6 +15,28 @@
 from amaranthpulley.transport import http_connections, web  # noqa: E402
 
 _LONG_GRACE_MS = 30_000
+_ANSWER_TIME_S = 0.1
+
+
+class HeadRequestTest(unittest.TestCase):
+    """HEAD requests on a connection that is kept open."""
+
+    def test_the_answer_has_no_body(self) -> None:
+        # Guards against a body that the client finds in front of its next answer.
+        routes = {("GET", "/"): lambda _: web.Reply(http.HTTPStatus.OK, b"whole")}
+        listener = web.listen("127.0.0.1:0")
+        server = web.WebServer(listener, web.application(routes))
+        self.addCleanup(server.stop)
+        host, port = server.address.rsplit(":", 1)
+        kept = socket.create_connection((host, int(port)))
+        self.addCleanup(kept.close)
+        received = []
+        for method in ("HEAD", "GET"):
+            kept.sendall(f"{method} / HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+            eventlet.sleep(_ANSWER_TIME_S)
+            received.append(kept.recv(65_536).partition(b"\r\n\r\n"))
+        self.assertTrue(received[0][0].startswith(b"HTTP/1.1 404 "))
+        self.assertEqual([body for _, _, body in received], [b"", b"whole"])
 
 
 class WebServerTest(unittest.TestCase):
--- a/amaranthpulley/transport/web.py
+++ b/amaranthpulley/transport/web.py
@@ -128,7 +128,7 @@
             ("Content-Length", str(len(reply.body))),
         ]
         start_response(status, headers)
-        return [reply.body]
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [reply.body]
 
     return serve
 
