Try a search without an answer one part at a time

Cause: hedges and retries of such a search went to all shards at once; losses of a sharded request counted only when it had ended; other daemons learned them after the pause between two reads of the store; and retries to leaves that refuse connections spent the budget of repeats within milliseconds.

Change: without an answer, a sharded request is hedged one part at a time, and after a loss it goes on with one part, on the shard that can bear it. Losses are recorded while it runs and told to up to 16 daemons by datagrams. After a later loss all searches start with one part for 5 s, and two losses suffice to refuse one. A leaf to which no connection can be opened is held for 300 ms; if a service has no other, requests are refused at once as not run.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -1,5 +1,6 @@
 """Sends attempts of a request's shards: first sends, retries and hedges."""
 
+import math
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import (
@@ -19,6 +20,10 @@
 # A waiting call looks for a leaf after this time at the latest: other daemons free
 # leaves without notice. Events of its own service wake it sooner.
 LONGEST_WAIT_CHECK_MS: Final = 50
+# A part that waits for another one is looked at after this time at the latest.
+HELD_CHECK_MS: Final = 50
+# A shard with so many leaves can bear the loss of one.
+BEARABLE_LEAVES: Final = 2
 # Delay before the retry budget is checked again after it was spent.
 BUDGET_RETRY_MS: Final = 20
 # Sends of one shard, rejected ones included. Services with more leaves are not tried
@@ -54,14 +59,18 @@
     """Send a shard's request again after a failed attempt, if the limits allow it."""
     call = request.calls[shard]
     call.retry_due_ms = None
+    was_held, call.held = call.held, False
     if (
         not retry_budget.may_run_again(request, call)
         or call.sends >= MAXIMUM_SENDS
-        or crash_attribution.refuses(gateway, request.incoming)
+        or crash_attribution.refuses(gateway, request.incoming, now_ms)
     ):
         stop_waiting(gateway, call)
         close_if_idle(request, call)
         return []
+    if crash_attribution.must_wait(gateway, request, call, now_ms):
+        _hold(request, call, was_held, now_ms)
+        return []
     if not retry_budget.allows_send(gateway, call, now_ms):
         # New requests and the sliding window give the budget back.
         call.retry_due_ms = now_ms + BUDGET_RETRY_MS
@@ -70,6 +79,70 @@
     return send_to_best_leaf(gateway, request, shard, now_ms, random)
 
 
+def retry_after_failure(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    shard: int,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Send a shard's request again, or another shard's if parts go one at a time."""
+    if not crash_attribution.goes_alone(gateway, request):
+        return retry(gateway, request, shard, now_ms, random)
+    call = request.calls[shard]
+    _hold(request, call, call.held, now_ms)
+    return send_held(gateway, request, now_ms, random)
+
+
+def send_held(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Send what waited for another part, as far as it may be sent now."""
+    if not request.held or request.answered:
+        return []
+    request.held = False
+    decided: list[commands.Command] = []
+    for shard in by_leaves(gateway, request, now_ms):
+        call = request.calls[shard]
+        if call.answer is not None or call.closed:
+            continue
+        if call.held:
+            decided += retry(gateway, request, shard, now_ms, random)
+        elif call.hedge_held:
+            call.hedge_held = False
+            decided += hedge(gateway, request, shard, now_ms, random)
+    return decided
+
+
+def by_leaves(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
+) -> list[int]:
+    """Return the shards of a request in the order in which they are sent one at a time.
+
+    Those that can bear the loss of a leaf come first, and of these the one that is
+    expected to be answered soonest.
+    """
+    ranks: list[tuple[bool, float, int]] = []
+    for shard, call in enumerate(request.calls):
+        sound = [
+            leaf
+            for leaf in gateway.directory.of_service(call.service)
+            if leaf_selection.is_sound(leaf, now_ms)
+        ]
+        soonest_ms = min(
+            (
+                leaf_selection.expected_answer_ms(gateway, leaf, request.route, now_ms)
+                for leaf in sound
+            ),
+            default=math.inf,
+        )
+        ranks.append((len(sound) < BEARABLE_LEAVES, soonest_ms, shard))
+    return [shard for _, _, shard in sorted(ranks)]
+
+
 def hedge(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
@@ -80,7 +153,11 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call = request.calls[shard]
     call.hedge_due_ms = None
-    if crash_attribution.refuses(gateway, request.incoming):
+    if crash_attribution.refuses(gateway, request.incoming, now_ms):
+        return []
+    if crash_attribution.must_not_hedge(gateway, request, now_ms):
+        request.held = call.hedge_held = True
+        call.hedge_due_ms = now_ms + HELD_CHECK_MS
         return []
     if not request.route.idempotent or not retry_budget.may_use_another_leaf(
         request, call
@@ -150,6 +227,18 @@
         call.waiting = call.retry_due_ms = None
 
 
+def _hold(
+    request: requests.ForwardedRequest,
+    call: requests.ShardCall,
+    was_held: bool,
+    now_ms: int,
+) -> None:
+    if not was_held:
+        tracing.record_decision(request, now_ms, "held", call.service, "")
+    request.held = call.held = True
+    call.retry_due_ms = now_ms + HELD_CHECK_MS
+
+
 def _wait_or_close(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -173,9 +173,18 @@
 
 
 class PublishLosses(NamedTuple):
-    """Write losses of leaves under requests to the store."""
+    """Write losses of leaves under requests to the store, and tell some daemons.
+
+    Attributes
+    ----------
+    losses : tuple of Loss
+        The losses.
+    addresses : tuple of str
+        ``IP:port`` of the daemons that are told at once.
+    """
 
     losses: tuple[crashes.Loss, ...]
+    addresses: tuple[str, ...] = ()
 
 
 class WithdrawLosses(NamedTuple):
--- a/amaranthpulley/coordination/forwarding/crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/crash_attribution.py
@@ -12,6 +12,12 @@
 known count as one. Afterwards a request is sent on a new connection, which shows that
 the leaf runs: a further loss then tells more than the first.
 
+A request under which a leaf was lost is sent to one leaf at a time until one answers.
+So a sharded request that crashes its leaves costs those of its first sends, and then
+one at a time. Once that has happened, other sharded requests are sent to one leaf first
+for a while, and fewer losses suffice to refuse them: another such request would take
+the rest of the leaves.
+
 A request that any leaf answers does not crash leaves, so an answer withdraws its
 losses. A sharded request has losses only if no shard has answered it: when many leaves
 are lost at once, those of other shards still answer the requests that are not the
@@ -27,7 +33,8 @@
     leaf_selection,
     tracing,
 )
-from amaranthpulley.state.forwarding import crashes, leaves, requests
+from amaranthpulley.state import rendezvous
+from amaranthpulley.state.forwarding import crashes, leaves, requests, routes
 from amaranthpulley.state.forwarding import gateway as gateway_state
 
 # Losses after which a request is refused. Leaves also end by themselves, and a popular
@@ -38,6 +45,21 @@
 # Losses of a sharded request that are recorded before it has ended: with one of them,
 # other shards usually answer soon.
 SHARDED_LOSSES: Final = 2
+# A sharded request that no leaf has answered is not sent to a second leaf before this
+# share of its objective has passed. Then two more round trips fit in.
+UNANSWERED_SHARE: Final = 1 / 3
+# A leaf that has neither answered nor been lost after this time may be silent. The next
+# one is not kept waiting for it.
+TRIAL_MS: Final = 200
+# A client repeats a request before all daemons know its losses from the store. So they
+# are told directly to at most this many daemons, and count there for this time unless
+# the store confirms them.
+MAXIMUM_TOLD: Final = 16
+TOLD_MS: Final = 5_000
+# After a sharded request that seems to crash leaves, requests are refused sooner and
+# sent to one leaf first for this time. The leaves are back then.
+CAUTION_MS: Final = 5_000
+CAUTIOUS_CRASH_LIMIT: Final = 2
 # Bounds of the losses that a daemon publishes. When a failure domain fails, many leaves
 # are lost at once, and the requests that they ran are not the cause.
 PUBLICATIONS_PER_S: Final = 2.0
@@ -45,16 +67,86 @@
 _DIGEST_BYTES: Final = 8
 
 
-def refuses(gateway: gateway_state.Gateway, incoming: requests.IncomingRequest) -> bool:
+def refuses(
+    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
+) -> bool:
     """Return whether a request has crashed too many leaves."""
-    return _count(gateway, incoming) >= CRASH_LIMIT
+    is_cautious = now_ms < gateway.cautious_until_ms
+    limit = CAUTIOUS_CRASH_LIMIT if is_cautious else CRASH_LIMIT
+    return _count(gateway, incoming) >= limit
 
 
 def is_suspected(
     gateway: gateway_state.Gateway, request: requests.ForwardedRequest
 ) -> bool:
     """Return whether a leaf was lost under a request and none has answered it since."""
-    return bool(request.lost_attempts) or _count(gateway, request.incoming) > 0
+    if not request.lost_attempts and not _count(gateway, request.incoming):
+        return False
+    return all(call.answer is None for call in request.calls)
+
+
+def starts_with_one(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
+) -> bool:
+    """Return whether an arriving request is sent to one leaf first."""
+    if is_suspected(gateway, request):
+        return True
+    return bool(request.route.shards) and now_ms < gateway.cautious_until_ms
+
+
+def goes_alone(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest
+) -> bool:
+    """Return whether the parts of a request are sent one at a time."""
+    if any(call.answer is not None for call in request.calls):
+        return False
+    return request.cautious or is_suspected(gateway, request)
+
+
+def must_wait(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    call: requests.ShardCall,
+    now_ms: int,
+) -> bool:
+    """Return whether a part has to wait until another one shows what its leaf does."""
+    if not goes_alone(gateway, request):
+        return False
+    return any(
+        attempt.after_loss or request.cautious or other is call
+        for other in request.calls
+        for attempt in _recent_attempts(other, now_ms)
+    )
+
+
+def must_not_hedge(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
+) -> bool:
+    """Return whether a late request may not be sent to a second leaf now.
+
+    When no leaf has answered a request, it may be the cause. Then one of its parts is
+    sent to a second leaf at a time, and none while a leaf may still show what it does.
+    """
+    if any(call.answer is not None for call in request.calls):
+        return False
+    recent = [_recent_attempts(call, now_ms) for call in request.calls]
+    if goes_alone(gateway, request):
+        return any(recent)
+    if not request.route.shards:
+        return False
+    is_early = now_ms - request.arrived_ms < UNANSWERED_SHARE * (
+        request.route.objective_ms
+    )
+    return is_early or any(len(found) > 1 for found in recent)
+
+
+def _recent_attempts(call: requests.ShardCall, now_ms: int) -> list[requests.Attempt]:
+    """Return the running attempts whose leaves may still show what they do."""
+    return [
+        attempt
+        for attempt in call.attempts.values()
+        if now_ms - attempt.sent_ms < TRIAL_MS
+    ]
 
 
 def handle_loss(
@@ -106,7 +198,22 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Count a loss that a daemon has published."""
-    gateway.losses.add(event.loss)
+    gateway.losses.set_stored(event.loss, True)
+    if gateway.losses.add(event.loss):
+        _grow_cautious(gateway, event.loss, now_ms)
+    return []
+
+
+def handle_told(
+    gateway: gateway_state.Gateway,
+    event: events.LossTold,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Count a loss that a daemon has told, until the store has it."""
+    if gateway.losses.add(event.loss):
+        gateway.losses.end_at(event.loss, now_ms + TOLD_MS)
+        _grow_cautious(gateway, event.loss, now_ms)
     return []
 
 
@@ -117,6 +224,7 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Forget a loss that was withdrawn or has lapsed."""
+    gateway.losses.set_stored(event.loss, False)
     gateway.losses.discard(event.loss)
     return []
 
@@ -136,7 +244,7 @@
     decided: list[commands.Command] = []
     published: list[crashes.Loss] = []
     for attempt in attempts:
-        losses = _add_losses(gateway, incoming, attempt, now_ms)
+        losses = _add_losses(gateway, incoming, request.route, attempt, now_ms)
         if not losses:
             continue
         decided += tracing.lost_leaf_lines(
@@ -148,13 +256,15 @@
             gateway.counters.add("forward_losses_unpublished_total")
     if published:
         gateway.counters.add("forward_losses_published_total", len(published))
-        decided.append(commands.PublishLosses(tuple(published)))
+        addresses = _told_addresses(gateway, published[0])
+        decided.append(commands.PublishLosses(tuple(published), addresses))
     return decided
 
 
 def _add_losses(
     gateway: gateway_state.Gateway,
     incoming: requests.IncomingRequest,
+    route: routes.Route,
     attempt: requests.Attempt,
     now_ms: int,
 ) -> list[crashes.Loss]:
@@ -166,13 +276,30 @@
         counts = attempt.after_loss or not count
         if not counts or count >= CRASH_LIMIT or table.has(fingerprint, start):
             continue
-        loss = crashes.Loss(fingerprint, start, attempt.after_loss)
+        sharded = bool(route.shards)
+        loss = crashes.Loss(fingerprint, start, attempt.after_loss, sharded)
         table.add(loss)
+        _grow_cautious(gateway, loss, now_ms)
         table.end_at(loss, now_ms + LIFETIME_MS)
         added.append(loss)
     return added
 
 
+def _told_addresses(
+    gateway: gateway_state.Gateway, loss: crashes.Loss
+) -> tuple[str, ...]:
+    others = [name for name in gateway.members if name != gateway.place.name]
+    told = rendezvous.ranking(others, str(loss.start))[:MAXIMUM_TOLD]
+    return tuple(gateway.members[name].address for name in told)
+
+
+def _grow_cautious(
+    gateway: gateway_state.Gateway, loss: crashes.Loss, now_ms: int
+) -> None:
+    if loss.sharded and loss.later:
+        gateway.cautious_until_ms = now_ms + CAUTION_MS
+
+
 def _count(gateway: gateway_state.Gateway, incoming: requests.IncomingRequest) -> int:
     return max(gateway.losses.count(found) for found in incoming.fingerprints)
 
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -42,6 +42,7 @@
     events.ProbeEnded: cluster_updates.handle_probe_end,
     events.SlownessReported: slowness_reports.handle_report,
     events.LossPublished: crash_attribution.handle_published,
+    events.LossTold: crash_attribution.handle_told,
     events.LossWithdrawn: crash_attribution.handle_withdrawn,
     events.LossWriteFailed: cluster_updates.log_failed_loss_write,
     events.DelegateHeard: delegation.handle_sign_of_life,
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -185,6 +185,12 @@
     loss: crashes.Loss
 
 
+class LossTold(NamedTuple):
+    """Another daemon has told this one a loss that it publishes."""
+
+    loss: crashes.Loss
+
+
 class LossWithdrawn(NamedTuple):
     """A published loss was withdrawn or has lapsed."""
 
@@ -265,6 +271,7 @@
     | ProbeEnded
     | SlownessReported
     | LossPublished
+    | LossTold
     | LossWithdrawn
     | LossWriteFailed
     | DelegateHeard
--- a/amaranthpulley/coordination/forwarding/fan_out.py
+++ b/amaranthpulley/coordination/forwarding/fan_out.py
@@ -5,6 +5,7 @@
 from amaranthpulley.coordination.forwarding import (
     attempt_dispatch,
     commands,
+    crash_attribution,
     leaf_selection,
     request_completion,
 )
@@ -26,7 +27,12 @@
     request.calls = [requests.ShardCall(service) for service in services]
     request.open_calls = len(services)
     decided: list[commands.Command] = []
-    for shard, call in enumerate(request.calls):
+    shards = list(range(len(request.calls)))
+    request.cautious = crash_attribution.starts_with_one(gateway, request, now_ms)
+    if request.cautious:
+        shards = attempt_dispatch.by_leaves(gateway, request, now_ms)
+    for shard in shards:
+        call = request.calls[shard]
         if request.ran_elsewhere:
             call.sends = call.runs_elsewhere = 1
         else:
--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -30,6 +30,9 @@
 # A leaf at its connection limit closes a new connection unused. It gets no requests
 # for this time.
 CONNECTION_LIMIT_PAUSE_MS: Final = 40
+# A leaf to which no connection can be opened gets no requests for this time, unless it
+# answers meanwhile.
+UNREACHABLE_PAUSE_MS: Final = 300
 
 
 def record_answer(
@@ -77,9 +80,14 @@
     leaf.overdue_at_ms.pop(attempt.number, None)
     if end is requests.AttemptEnd.TURNED_AWAY:
         leaf.full_until_ms = now_ms + CONNECTION_LIMIT_PAUSE_MS
-    elif end in (requests.AttemptEnd.UNREACHABLE, requests.AttemptEnd.TIMED_OUT):
+    elif end is requests.AttemptEnd.UNREACHABLE:
+        leaf.unreachable_until_ms = now_ms + UNREACHABLE_PAUSE_MS
+        suspect(leaf, now_ms)
+    elif end is requests.AttemptEnd.TIMED_OUT:
         suspect(leaf, now_ms)
     else:
+        if end is requests.AttemptEnd.LOST:
+            leaf.lost_ms = now_ms
         _record_outcome(leaf, True, now_ms)
 
 
@@ -123,7 +131,7 @@
 def record_probe(leaf: leaves.Leaf, healthy: bool, now_ms: int) -> None:
     """Record the result of a health check."""
     if healthy:
-        leaf.suspected = False
+        _clear(leaf)
         leaf.last_response_ms = now_ms
         return
     leaf.probe_delay_ms = min(
@@ -135,7 +143,13 @@
 def _mark_responsive(leaf: leaves.Leaf, attempt: requests.Attempt, now_ms: int) -> None:
     leaf.overdue_at_ms.pop(attempt.number, None)
     leaf.last_response_ms = now_ms
+    _clear(leaf)
+
+
+def _clear(leaf: leaves.Leaf) -> None:
     leaf.suspected = False
+    leaf.unreachable_until_ms = 0
+    leaf.lost_ms = None
 
 
 def _record_outcome(leaf: leaves.Leaf, failed: bool, now_ms: int) -> None:
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -5,7 +5,8 @@
 waited for; the others end by themselves.
 
 Suspicion is no hold: a suspected leaf is selected last, since it may be the only one
-that can answer. See `leaf_selection`.
+that can answer. See `leaf_selection`. A leaf to which no connection can be opened is
+held for a moment, so that requests are refused at once when a service has no other.
 """
 
 import enum
@@ -44,6 +45,7 @@
     LIMIT = "limit"
     FULL = "full"
     CONNECTIONS = "connections"
+    UNREACHABLE = "unreachable"
 
 
 class Hold(NamedTuple):
@@ -93,6 +95,8 @@
         hold = _demanded_hold(gateway, leaf, leaf.backpressure, now_ms)
         if hold is not None:
             return hold
+    if leaf.unreachable_until_ms > now_ms:
+        return Hold(HoldReason.UNREACHABLE, leaf.unreachable_until_ms, lasting=True)
     if leaf.full_until_ms > now_ms:
         return Hold(HoldReason.FULL, leaf.full_until_ms)
     if leaf.in_flight >= connection_shares.maximum_concurrency(gateway, leaf):
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -49,6 +49,9 @@
 # A leaf may run a request a second time when its first answer was lost.
 MAXIMUM_RUNS_PER_LEAF: Final = 2
 
+# A lost connection tells nothing about a leaf after this time.
+LOST_VALID_MS: Final = 3_000
+
 RandomSource = Callable[[], float]
 
 
@@ -116,6 +119,13 @@
     )
 
 
+def is_sound(leaf: leaves.Leaf, now_ms: int) -> bool:
+    """Return whether nothing speaks against a leaf's being up."""
+    if leaf.suspected:
+        return False
+    return leaf.lost_ms is None or now_ms - leaf.lost_ms > LOST_VALID_MS
+
+
 def expected_answer_ms(
     gateway: gateway_state.Gateway,
     leaf: leaves.Leaf,
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -61,6 +61,7 @@
             *report,
             *cleared,
             *_accept(gateway, request, call, answer, now_ms),
+            *attempt_dispatch.send_held(gateway, request, now_ms, random),
             *waiting.send_next(gateway, call.service, now_ms, random),
         ]
     return [
@@ -262,7 +263,7 @@
         return []
     decided: list[commands.Command] = []
     if now_ms < request.give_up_ms:
-        decided = attempt_dispatch.retry(
+        decided = attempt_dispatch.retry_after_failure(
             gateway, request, attempt.shard, now_ms, random
         )
     return decided + request_completion.answer_if_due(gateway, request, now_ms)
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_selection.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from amaranthpulley.coordination.forwarding import events
+from amaranthpulley.coordination.forwarding import events, leaf_health
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import gateway, requests
 
@@ -147,3 +147,47 @@
         self.assertEqual(len(probes), 1)
         site.feed(events.ProbeEnded("l", True))
         self.assertFalse(site.gateway.directory.get("l").suspected)
+
+
+class UnreachableLeafTest(unittest.TestCase):
+    """Leaves to which no connection can be opened."""
+
+    def setUp(self) -> None:
+        self.site = gateway_site.GatewaySite()
+        found = gateway_site.configuration(gateway_site.single())
+        entries = [gateway_site.entry(f"l{n}", "visits") for n in range(2)]
+        self.site.begin(found, *entries)
+
+    def _fail_all(self, key: int) -> list[str]:
+        """Let no leaf be reached; return the leaves that the request was sent to."""
+        tried = 0
+        while tried < len(self.site.sends_of(key)):
+            sent = self.site.sends_of(key)[tried]
+            self.site.fail(sent, requests.AttemptEnd.UNREACHABLE)
+            tried += 1
+        return [sent.command.leaf_id for sent in self.site.sends_of(key)]
+
+    def test_a_request_tries_each_leaf_once_and_ends_at_once(self) -> None:
+        key = self.site.request("/visit/1")
+        self.assertEqual(sorted(self._fail_all(key)), ["l0", "l1"])
+        self.assertTrue(self.site.answers[key].not_run)
+
+    def test_the_next_request_is_refused_unsent_with_a_time(self) -> None:
+        self._fail_all(self.site.request("/visit/1"))
+        key = self.site.request("/visit/2")
+        self.assertEqual(self.site.sends_of(key), [])
+        self.assertTrue(self.site.answers[key].not_run)
+        self.assertGreater(self.site.answers[key].retry_after_ms, 0)
+
+    def test_a_leaf_is_tried_again_after_a_moment(self) -> None:
+        self._fail_all(self.site.request("/visit/1"))
+        self.site.advance(leaf_health.UNREACHABLE_PAUSE_MS)
+        key = self.site.request("/visit/2")
+        self.site.reply(self.site.sends_of(key)[0], gateway_site.answer())
+        self.assertEqual(self.site.answers[key].answer.status, 200)
+
+    def test_a_healthy_leaf_is_used_at_once(self) -> None:
+        self._fail_all(self.site.request("/visit/1"))
+        self.site.feed(events.ProbeEnded("l1", True))
+        key = self.site.request("/visit/2")
+        self.assertEqual(self.site.sends_of(key)[0].command.leaf_id, "l1")
--- a/amaranthpulley/coordination/forwarding/waiting.py
+++ b/amaranthpulley/coordination/forwarding/waiting.py
@@ -91,13 +91,15 @@
         return []
     call = request.calls[waiting_call.shard]
     fastest_ms = leaf_selection.fastest_answer_ms(gateway, request.route)
-    is_refused = crash_attribution.refuses(gateway, request.incoming)
+    is_refused = crash_attribution.refuses(gateway, request.incoming, now_ms)
     if is_refused or now_ms + fastest_ms > request.give_up_ms:
         attempt_dispatch.stop_waiting(gateway, call)
         attempt_dispatch.close_if_idle(request, call)
         decision = "crashes_leaves" if is_refused else "too_late"
         tracing.record_decision(request, now_ms, decision, service, "")
         return request_completion.answer_if_due(gateway, request, now_ms)
+    if crash_attribution.must_wait(gateway, request, call, now_ms):
+        return None
     if not retry_budget.allows_send(gateway, call, now_ms):
         return None
     leaf = leaf_selection.choose_leaf(gateway, call, request.route, now_ms, random)
--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -15,9 +15,11 @@
 # Identities are sent in a header: visible ASCII characters only.
 _IDENTITY: Final = re.compile("[!-~]+")
 _PORT: Final = re.compile("[0-9]{1,5}")
-# The suffix marks a loss of a request that was sent after an earlier one.
 _LATER_SUFFIX: Final = "/later"
-_LOSS: Final = re.compile(f"([0-9a-f]{{16}})/([0-9a-f]{{16}})({_LATER_SUFFIX})?")
+_SHARDED_SUFFIX: Final = "/sharded"
+_LOSS: Final = re.compile(
+    f"([0-9a-f]{{16}})/([0-9a-f]{{16}})({_LATER_SUFFIX})?({_SHARDED_SUFFIX})?"
+)
 LARGEST_PORT: Final = 65_535
 MOST_SLOTS: Final = 1_000_000
 LONGEST_COLD_MS: Final = 86_400_000
@@ -93,6 +95,7 @@
 def loss_key(loss: crashes.Loss) -> str:
     """Return the key under which a loss is published."""
     suffix = _LATER_SUFFIX if loss.later else ""
+    suffix += _SHARDED_SUFFIX if loss.sharded else ""
     return f"{names.LOSS_PREFIX}{loss.fingerprint:016x}/{loss.start:016x}{suffix}"
 
 
@@ -105,8 +108,8 @@
     matched = _LOSS.fullmatch(text)
     if matched is None:
         raise errors.MalformedMessageError(f"loss: {text[:50]!r}")
-    later = matched[3] is not None
-    return crashes.Loss(int(matched[1], 16), int(matched[2], 16), later)
+    later, sharded = matched[3] is not None, matched[4] is not None
+    return crashes.Loss(int(matched[1], 16), int(matched[2], 16), later, sharded)
 
 
 def _leaf(leaf_id: str, value: bytes) -> leaves.LeafEntry:
--- a/amaranthpulley/state/forwarding/crashes.py
+++ b/amaranthpulley/state/forwarding/crashes.py
@@ -20,11 +20,14 @@
         Hash of the leaf's start, the same at every daemon.
     later : bool
         Whether the request was sent when an earlier loss under it was known.
+    sharded : bool
+        Whether the request goes to a leaf of each shard.
     """
 
     fingerprint: int
     start: int
     later: bool = False
+    sharded: bool = False
 
 
 class LossTable:
@@ -32,8 +35,10 @@
 
     def __init__(self) -> None:
         self._losses: dict[int, dict[int, Loss]] = {}
-        # Ends of the losses that this daemon has seen, in their order.
+        # Ends of losses, in the order in which they were set.
         self._ends_ms: collections.deque[tuple[int, Loss]] = collections.deque()
+        # Losses that the store has.
+        self._stored: set[Loss] = set()
 
     def add(self, loss: Loss) -> bool:
         """Add a loss, or replace one that was not `later`; return whether it is new."""
@@ -53,15 +58,26 @@
         return start in self._losses.get(fingerprint, {})
 
     def end_at(self, loss: Loss, end_ms: int) -> None:
-        """Let a loss end, whatever becomes known of it from other daemons."""
+        """Let a loss end at a time, unless the store has it then."""
         if len(self._ends_ms) >= MAXIMUM_ENDS:
             self.discard(self._ends_ms.popleft()[1])
         self._ends_ms.append((end_ms, loss))
 
     def discard_ended(self, now_ms: int) -> None:
-        """Remove the losses that have ended."""
-        while self._ends_ms and self._ends_ms[0][0] <= now_ms:
-            self.discard(self._ends_ms.popleft()[1])
+        """Remove the losses that have ended and are not in the store."""
+        for _ in range(len(self._ends_ms)):
+            end_ms, loss = self._ends_ms.popleft()
+            if end_ms > now_ms:
+                self._ends_ms.append((end_ms, loss))
+            elif loss not in self._stored:
+                self.discard(loss)
+
+    def set_stored(self, loss: Loss, stored: bool) -> None:
+        """Record whether the store has a loss."""
+        if stored:
+            self._stored.add(loss)
+        else:
+            self._stored.discard(loss)
 
     def discard(self, loss: Loss) -> None:
         """Remove a loss, if it is known."""
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -131,6 +131,8 @@
         Leaves that were lost while running a request.
     publication_tokens : TokenBucket
         Losses that this daemon may publish.
+    cautious_until_ms : int
+        Until when sharded requests are sent to one leaf first.
     warmup_index : int
         Position of the sharded service whose connections were warmed last.
     draining_since_ms : int or None
@@ -169,6 +171,7 @@
         self.turns: dict[str, dict[str, float]] = {}
         self.losses = crashes.LossTable()
         self.publication_tokens = token_bucket.TokenBucket(1.0, started_ms)
+        self.cautious_until_ms = started_ms
         self.counters = counters_state.Counters()
         self.latency_by_kind: dict[str, latency.LatencyHistogram] = {}
         self.warmup_index = 0
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -106,6 +106,9 @@
         self.probe_due_ms = 0
         self.probe_delay_ms = 0
         self.full_until_ms = 0
+        self.unreachable_until_ms = 0
+        # When its connection was last lost in a request; None if it has answered since.
+        self.lost_ms: int | None = None
         self.cold_until_ms = now_ms + entry.cold_ms
         self.cold_tokens = token_bucket.TokenBucket(0.0, now_ms)
         self.leaving_since_ms: int | None = now_ms if entry.draining else None
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -201,6 +201,10 @@
         # A leaf's error response, passed on if no leaf succeeds.
         self.failure: LeafAnswer | None = None
         self.closed = False
+        # Whether it, or its send to a second leaf, waits until another part shows what
+        # its leaf does.
+        self.held = False
+        self.hedge_held = False
         self.hedge_due_ms: int | None = None
         self.retry_due_ms: int | None = None
         # Its entry in the queue of its service.
@@ -256,6 +260,10 @@
         # Attempts at leaves that were lost while no shard had answered, until they are
         # recorded as losses.
         self.lost_attempts: list[Attempt] = []
+        # Whether it is sent to one leaf until a leaf answers.
+        self.cautious = False
+        # Whether one of its parts is held.
+        self.held = False
         self.answered = False
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
--- a/amaranthpulley/transport/forwarding/datagrams.py
+++ b/amaranthpulley/transport/forwarding/datagrams.py
@@ -1,6 +1,7 @@
 """UDP datagrams between daemons, on the same port as their TCP connections.
 
-Lost datagrams are not sent again: each is one sample of a leaf's slowness.
+Lost datagrams are not sent again: one is a sample of a leaf's slowness, or tells losses
+that come through the store as well.
 """
 
 import logging
@@ -12,7 +13,7 @@
 
 from amaranthpulley.coordination.forwarding import commands, events
 from amaranthpulley.protocol import errors as protocol_errors
-from amaranthpulley.protocol.forwarding import slowness_codec
+from amaranthpulley.protocol.forwarding import loss_codec, slowness_codec
 from amaranthpulley.transport.forwarding import streams
 
 _plain_socket: Final = eventlet.patcher.original("socket")
@@ -64,8 +65,14 @@
     def send_slowness(self, command: commands.ReportSlowness) -> None:
         """Send a leaf's slowness to each address of the command."""
         message = slowness_codec.SlownessMessage(command.leaf_id, command.slowness)
-        data = slowness_codec.encode(message)
-        for address in command.addresses:
+        self._send(slowness_codec.encode(message), command.addresses)
+
+    def send_losses(self, command: commands.PublishLosses) -> None:
+        """Send losses to each address of the command."""
+        self._send(loss_codec.encode(command.losses), command.addresses)
+
+    def _send(self, data: bytes, addresses: tuple[str, ...]) -> None:
+        for address in addresses:
             host, port = address.rsplit(":", 1)
             try:
                 self._socket.sendto(data, (host, int(port)))
@@ -82,10 +89,16 @@
                     _LOGGER.warning("cannot receive datagrams: %s", error)
                 return
             try:
-                message = slowness_codec.decode(data)
+                received = _events_of(data)
             except protocol_errors.MalformedMessageError as error:
                 _LOGGER.warning("malformed datagram from %s: %s", sender, error)
                 continue
-            self._handle_event(
-                events.SlownessReported(message.leaf_id, message.slowness)
-            )
+            for event in received:
+                self._handle_event(event)
+
+
+def _events_of(data: bytes) -> list[events.Event]:
+    if data.startswith(loss_codec.PREFIX):
+        return [events.LossTold(loss) for loss in loss_codec.decode(data)]
+    message = slowness_codec.decode(data)
+    return [events.SlownessReported(message.leaf_id, message.slowness)]
--- a/amaranthpulley/transport/forwarding/loss_publisher.py
+++ b/amaranthpulley/transport/forwarding/loss_publisher.py
@@ -15,8 +15,8 @@
 from amaranthpulley.state.forwarding import crashes
 from amaranthpulley.transport import errors
 
-# Time in which further losses are collected for one call.
-COLLECTION_MS: Final = 100
+# Time after a call in which further losses are collected for the next one.
+COLLECTION_MS: Final = 20
 # Pause after a failed call. Losses of an outage are known to all daemons soon after it.
 RETRY_MS: Final = 1_000
 # Entries of one call to the store.
@@ -119,7 +119,6 @@
     def _run(self) -> None:
         while True:
             self._added.wait()
-            eventlet.sleep(COLLECTION_MS / 1000)
             self._drop_expired()
             batch = dict(list(self._waiting.items())[:MAXIMUM_ENTRIES])
             if not batch:
@@ -138,6 +137,7 @@
             for loss, entry in batch.items():
                 if self._waiting.get(loss) == entry:
                     del self._waiting[loss]
+            eventlet.sleep(COLLECTION_MS / 1000)
 
     def _write(self, batch: dict[crashes.Loss, tuple[bool, int]]) -> None:
         published = tuple(loss for loss, (present, _) in batch.items() if present)
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -154,7 +154,7 @@
     def _open_runtime(self, names: header_names.HeaderNames) -> runtime.Runtime:
         message_handlers = {
             forwarding_commands.ReportSlowness: self._datagrams.send_slowness,
-            forwarding_commands.PublishLosses: self._losses.publish,
+            forwarding_commands.PublishLosses: self._publish_losses,
             forwarding_commands.WithdrawLosses: self._losses.withdraw,
         }
         return runtime.Runtime(
@@ -166,6 +166,10 @@
             message_handlers,
         )
 
+    def _publish_losses(self, command: forwarding_commands.PublishLosses) -> None:
+        self._datagrams.send_losses(command)
+        self._losses.publish(command)
+
     def _peer_feed(self) -> peer_feed.PeerFeed:
         return peer_feed.PeerFeed(
             self._view,
