Refuse as not run what was never sent

They promise nothing, so that an unsafe request cannot be repeated after them.

Cause: an attempt counts as a possible run from the moment at which its connection is opened, though nothing has been sent yet.

Evidence: of 13 traced searches that ended so, each had 22 attempts `unreachable` and the others still in progress, on new connections. Two tests fail without the change: a request whose connections were never open ended as "may have run".

Change: the transport says when an attempt waits for its connection and when it is sent. When a request ends and all that could have run it is still waiting, these attempts are cancelled first, and it is refused as not run (503) with a time to return. This holds for single routes too. ForwardingPropertiesTest opens connections at random now: what is refused as not run has no attempt left.

--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -26,6 +26,8 @@
     events.RequestArrived: request_arrival.receive,
     events.ClientLeft: request_progress.handle_client_left,
     events.AttemptAnswered: request_progress.handle_answer,
+    events.AttemptOpening: request_progress.handle_opening,
+    events.AttemptSent: request_progress.handle_sent,
     events.AttemptFailed: request_progress.handle_failure,
     events.WakeDue: request_progress.handle_wake,
     events.ConfigurationRead: cluster_updates.apply_configuration,
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -31,6 +31,30 @@
     opened: bool = False
 
 
+class AttemptOpening(NamedTuple):
+    """A connection is being opened for an attempt; nothing has been sent on it.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the attempt.
+    """
+
+    attempt: int
+
+
+class AttemptSent(NamedTuple):
+    """An attempt has been sent on the connection that was opened for it.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the attempt.
+    """
+
+    attempt: int
+
+
 class AttemptFailed(NamedTuple):
     """An attempt has ended without an answer."""
 
@@ -255,6 +279,8 @@
     RequestArrived
     | ClientLeft
     | AttemptAnswered
+    | AttemptOpening
+    | AttemptSent
     | AttemptFailed
     | WakeDue
     | ConfigurationRead
--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -169,7 +169,10 @@
     request.answered = True
     # A leaf that may have run the request, or may still run it, rules out "not run".
     not_run = not request.ran_elsewhere and request.delegation is None
-    not_run = not_run and not any(call.runs for call in request.calls)
+    not_run = not_run and all(
+        sum(call.runs.values()) == len(call.unsent) for call in request.calls
+    )
+    cancelled = _cancel_unsent(gateway, request) if not_run else []
     if not_run and reason is commands.Refusal.TIMED_OUT:
         reason = commands.Refusal.OVERLOADED
     key, route = request.incoming.key, request.route
@@ -181,7 +184,26 @@
         reason, after_ms = commands.Refusal.CRASHES_LEAVES, 0
     refused = commands.Refuse(key, reason, not_run, after_ms)
     missing = sum(call.answer is None for call in request.calls)
-    return [refused, *_finish(gateway, request, reason.value, missing, now_ms)]
+    ended = _finish(gateway, request, reason.value, missing, now_ms)
+    return [*cancelled, refused, *ended]
+
+
+def _cancel_unsent(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest
+) -> list[commands.Command]:
+    """Cancel the attempts that wait for their connections; nothing has been sent."""
+    decided: list[commands.Command] = []
+    for call in request.calls:
+        for number in sorted(call.unsent):
+            attempt = call.attempts.pop(number)
+            call.uncount_run(attempt.leaf_id)
+            gateway.attempts.pop(number, None)
+            leaf = gateway.directory.get(attempt.leaf_id)
+            if leaf is not None:
+                leaf.overdue_at_ms.pop(number, None)
+            decided.append(commands.CancelAttempt(number))
+        call.unsent.clear()
+    return decided
 
 
 def _finish(
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -92,6 +92,40 @@
     return decided + _retry_or_finish(gateway, request, attempt, end, now_ms, random)
 
 
+def handle_opening(
+    gateway: gateway_state.Gateway,
+    event: events.AttemptOpening,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Record that an attempt waits for its connection."""
+    call = _call_of(gateway, event.attempt)
+    if call is not None:
+        call.unsent.add(event.attempt)
+    return []
+
+
+def handle_sent(
+    gateway: gateway_state.Gateway,
+    event: events.AttemptSent,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Record that the leaf of an attempt may run it from now on."""
+    call = _call_of(gateway, event.attempt)
+    if call is not None:
+        call.unsent.discard(event.attempt)
+    return []
+
+
+def _call_of(gateway: gateway_state.Gateway, number: int) -> requests.ShardCall | None:
+    attempt = gateway.attempts.get(number)
+    if attempt is None:
+        return None
+    request = gateway.requests.get(attempt.request_key)
+    return None if request is None else request.calls[attempt.shard]
+
+
 def handle_failure(
     gateway: gateway_state.Gateway,
     event: events.AttemptFailed,
@@ -108,6 +142,7 @@
         return []
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
+    call.unsent.discard(attempt.number)
     crash: list[commands.Command] = []
     if event.end is requests.AttemptEnd.LOST:
         crash = crash_attribution.handle_loss(gateway, request, attempt, now_ms)
--- a/amaranthpulley/coordination/forwarding/tests/test_forwarding_properties.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_forwarding_properties.py
@@ -32,6 +32,7 @@
         ),
         strategies.tuples(strategies.just("lose"), strategies.integers(0, 50)),
         strategies.tuples(strategies.just("unreachable"), strategies.integers(0, 50)),
+        strategies.tuples(strategies.just("opening"), strategies.integers(0, 50)),
         strategies.tuples(strategies.just("wait"), strategies.integers(1, 300)),
         strategies.tuples(strategies.just("leave"), strategies.integers(0, 20)),
         strategies.tuples(strategies.just("drain"), strategies.integers(0, 11)),
@@ -62,6 +63,8 @@
         self.site.begin(found, *self.entries)
         # Number of runs by request, service and leaf.
         self.runs: collections.Counter[tuple[int, str, str]] = collections.Counter()
+        # Attempts that wait for their connection.
+        self.opening: set[int] = set()
         self.leaving_ms: dict[str, int] = {}
         self.evacuated_ms: int | None = None
 
@@ -90,9 +93,21 @@
     def _ask(self, path: str) -> None:
         self.site.request(path)
 
+    def _opening(self, drawn: int) -> None:
+        sent = self._running(drawn)
+        if sent is not None:
+            self.opening.add(sent.command.attempt)
+            self.site.feed(events.AttemptOpening(sent.command.attempt))
+
+    def _send(self, sent: gateway_site.Sent) -> None:
+        if sent.command.attempt in self.opening:
+            self.opening.remove(sent.command.attempt)
+            self.site.feed(events.AttemptSent(sent.command.attempt))
+
     def _end(self, drawn: int, given: requests.LeafAnswer, ran: bool) -> None:
         sent = self._running(drawn)
         if sent is not None:
+            self._send(sent)
             if ran:
                 self._count_run(sent)
             self.site.reply(sent, given)
@@ -112,6 +127,7 @@
     def _lose(self, drawn: int) -> None:
         sent = self._running(drawn)
         if sent is not None:
+            self._send(sent)
             self._count_run(sent)
             self.site.fail(sent, requests.AttemptEnd.LOST)
 
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_selection.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from amaranthpulley.coordination.forwarding import events, leaf_health
+from amaranthpulley.coordination.forwarding import commands, events, leaf_health
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import gateway, requests
 
@@ -186,6 +186,26 @@
         self.site.reply(self.site.sends_of(key)[0], gateway_site.answer())
         self.assertEqual(self.site.answers[key].answer.status, 200)
 
+    def test_a_request_that_was_never_sent_ends_as_not_run(self) -> None:
+        # Guards against a 502 or 504 for a request that has reached no leaf.
+        key = self.site.request("/visit/1", deadline_ms=300)
+        while key not in self.site.answers:
+            for sent in self.site.sends_of(key):
+                self.site.feed(events.AttemptOpening(sent.command.attempt))
+            self.site.advance(1)
+        self.assertTrue(self.site.answers[key].not_run)
+        for sent in self.site.sends_of(key):
+            cancelled = commands.CancelAttempt(sent.command.attempt)
+            self.assertIn(cancelled, self.site.others)
+
+    def test_a_request_that_was_sent_may_have_run(self) -> None:
+        key = self.site.request("/visit/1", deadline_ms=300)
+        for sent in self.site.sends_of(key):
+            self.site.feed(events.AttemptOpening(sent.command.attempt))
+            self.site.feed(events.AttemptSent(sent.command.attempt))
+        self.site.advance(300)
+        self.assertFalse(self.site.answers[key].not_run)
+
     def test_a_healthy_leaf_is_used_at_once(self) -> None:
         self._fail_all(self.site.request("/visit/1"))
         self.site.feed(events.ProbeEnded("l1", True))
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -191,6 +191,8 @@
     def __init__(self, service: str) -> None:
         self.service = service
         self.attempts: dict[int, Attempt] = {}
+        # Numbers of the attempts whose connection is still being opened.
+        self.unsent: set[int] = set()
         self.tried: set[str] = set()
         # Number of times that each leaf may have run the request.
         self.runs: dict[str, int] = {}
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -59,6 +59,8 @@
         self.idle_since_ms = 0
         self.idle_limit_ms = pool.idle_limits_ms.get(address, pool.idle_limit_ms)
         self._pool = pool
+        # Called when the first request is sent, if it had to wait for the connection.
+        self.on_sent: Callable[[], None] = streams.ignore
         # Called after an interim answer.
         self.on_interim: Callable[[], None] | None = None
         self._reader = leaf_messages.AnswerReader(names, pool.answer_limits)
@@ -80,6 +82,11 @@
         """Whether either side has closed the connection."""
         return self._stream.closed
 
+    @property
+    def opening(self) -> bool:
+        """Whether a request waits for the connection and nothing has been sent."""
+        return bool(self._unsent)
+
     def exchange(
         self,
         data: bytes,
@@ -134,6 +141,7 @@
         if self._unsent:
             unsent, self._unsent = self._unsent, b""
             self._stream.write(unsent)
+            self.on_sent()
 
     def _time_out_connecting(self) -> None:
         if not self._connected:
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -241,6 +241,9 @@
 
         is_head = request.method == _HEAD
         connection.exchange(data, request_id, is_head, on_answer, on_failure)
+        if connection.opening:
+            connection.on_sent = lambda: self.feed(events.AttemptSent(number))
+            self.feed(events.AttemptOpening(number))
 
     def _send_to_delegate(self, command: commands.SendToDelegate) -> None:
         request, head, request_id, _ = self._pending_requests[command.request_key]
--- a/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_leaf_connections.py
@@ -103,6 +103,27 @@
         self.assertIs(self._exchange(), requests.AttemptEnd.TURNED_AWAY)
         self.assertEqual(self.received, [])
 
+    def test_nothing_is_sent_on_a_connection_that_is_closed_while_it_opens(
+        self,
+    ) -> None:
+        connection = self.pool.acquire(self.listener.address, commands.Reuse.NONE)
+        connection.exchange(b"x", b"r", False, self.ended.append, self.ended.append)
+        self.assertTrue(connection.opening)
+        connection.close()
+        eventlet.sleep(0.1)
+        self.assertEqual((self.received, self.ended), ([], []))
+
+    def test_a_request_that_waited_for_its_connection_is_reported_as_sent(self) -> None:
+        sent: list[bool] = []
+        self.replies.append(ANSWER % b"r1")
+        connection = self.pool.acquire(self.listener.address, commands.Reuse.NONE)
+        connection.on_sent = lambda: sent.append(connection.opening)
+        connection.exchange(b"x", b"r1", False, self.ended.append, self.ended.append)
+        with eventlet.Timeout(WAIT_S):
+            while not self.ended:
+                eventlet.sleep(0.005)
+        self.assertEqual(sent, [False])
+
     def test_leaf_that_does_not_listen_is_unreachable(self) -> None:
         with socket.socket() as closed:
             closed.bind(("127.0.0.1", 0))
