Apply the limits in force on kept connections (DENIED)

Cause: a connection kept the limits of the moment at which it was accepted. Related: heads (431), a daemon that knows no configuration yet and denied by limits of its own, and delegates, which applied their version's limits to what another daemon had accepted.

Evidence: new connections took the same bodies. Three tests failed before: 413 and 431 on a kept connection, and 413 for 503 at a starting daemon.

Change: a connection reads the limits in force; the one of a body is taken when its head is complete. Before the first configuration, and between daemons, only limits against exhaustion hold.

--- a/amaranthpulley/platform/tests/test_whole_path.py
+++ b/amaranthpulley/platform/tests/test_whole_path.py
@@ -17,6 +17,7 @@
     standin_leaf,
     wire_samples,
 )
+from amaranthpulley.transport import http_connections  # noqa: E402
 
 TARGET_LATENCY_MS = 900
 # Requests that both leaves reject at first.
@@ -182,6 +183,16 @@
             leaf.mode = "answer"
         self.assertEqual(ask("GET", "/visit/3"), 200)
 
+    def test_a_starting_daemon_does_not_deny_what_it_cannot_judge(self) -> None:
+        # Guards against 413 for a proper body before the first configuration is known.
+        site = platform_site.PlatformSite()
+        site.store.failing = 503
+        starting = site.start_daemon("vm-2")
+        pool = http_connections.connection_pool(starting.front_address, 1)
+        self.addCleanup(pool.close)
+        answer = site._request(pool, "/visit/1", "POST", b"x" * 1_000_000, 1_000)
+        self.assertEqual(answer.status, 503)
+
     def test_unknown_routes_and_bad_requests_are_refused(self) -> None:
         site = platform_site.PlatformSite()
         self.assertEqual(site.request("/none/1").status, 404)
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -2,11 +2,13 @@
 
 import hashlib
 import http
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import httptools
 
 from amaranthpulley.protocol.forwarding import errors, header_names
+from amaranthpulley.state.forwarding import routes
 
 MAXIMUM_PIPELINED_REQUESTS: Final = 16
 HEAD: Final = b"HEAD"
@@ -76,13 +78,14 @@
 
     Parameters
     ----------
-    header_bytes, body_bytes : int
-        Maximum size of a request's head and body.
+    limits : callable
+        Returns the limits in force. The limit of a body is taken when its head is
+        complete, so that a change does not end a body that is being received.
     """
 
-    def __init__(self, header_bytes: int, body_bytes: int) -> None:
-        self._header_bytes = header_bytes
-        self._body_bytes = body_bytes
+    def __init__(self, limits: Callable[[], routes.ClientLimits]) -> None:
+        self._limits = limits
+        self._body_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self._requests: list[ClientRequest] = []
         self._error: errors.BadRequestError | None = None
@@ -153,6 +156,7 @@
 
     def on_headers_complete(self) -> None:
         """Handle the parser's callback."""
+        self._body_bytes = self._limits().body_bytes
         host_count = 0
         for name, value in self._headers:
             lowered = name.lower()
@@ -197,7 +201,7 @@
 
     def _count_head(self, size: int) -> None:
         self._head_size += size
-        if self._head_size > self._header_bytes:
+        if self._head_size > self._limits().header_bytes:
             self._fail(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _fail(self, status: http.HTTPStatus) -> None:
--- a/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -3,12 +3,14 @@
 import unittest
 
 from amaranthpulley.protocol.forwarding import client_requests, errors
+from amaranthpulley.state.forwarding import routes
 
 HEAD = b"POST /a/1?x=%20 HTTP/1.1\r\nHost: h\r\n"
 
 
 def _reader() -> client_requests.RequestReader:
-    return client_requests.RequestReader(1_000, 100)
+    limits = routes.ClientLimits(header_bytes=1_000, body_bytes=100)
+    return client_requests.RequestReader(lambda: limits)
 
 
 class RequestReaderTest(unittest.TestCase):
--- a/amaranthpulley/protocol/forwarding/tests/test_delegation_codec.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_delegation_codec.py
@@ -7,7 +7,7 @@
     delegation_codec,
     header_names,
 )
-from amaranthpulley.state.forwarding import delegations, requests
+from amaranthpulley.state.forwarding import delegations, requests, routes
 
 NAMES = header_names.HeaderNames(
     *(b"x-id", b"x-left", b"x-signed", b"x-wanted", b"x-load", b"x-not-run"),
@@ -20,7 +20,7 @@
     """Requests with an origin, and the missing parts of answers."""
 
     def _parse(self, data: bytes) -> client_requests.ClientRequest:
-        (request,) = client_requests.RequestReader(4_096, 4_096).feed(data)
+        (request,) = client_requests.RequestReader(routes.ClientLimits).feed(data)
         return request
 
     def test_origin_round_trip(self) -> None:
--- a/amaranthpulley/state/forwarding/routes.py
+++ b/amaranthpulley/state/forwarding/routes.py
@@ -1,6 +1,6 @@
 """Routes of forwarded requests, from one version of the operators' configuration."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 
 class WeightedService(NamedTuple):
@@ -89,6 +89,12 @@
     idle_timeout_ms: int = 15_000
 
 
+DEFAULT_LIMITS: Final = ClientLimits()
+# Limits of a daemon that knows no configuration yet. It must not deny what the
+# configuration may allow; it answers that it cannot serve.
+STARTING_LIMITS: Final = ClientLimits(header_bytes=131_072, body_bytes=16_777_216)
+
+
 class Configuration(NamedTuple):
     """One version of the configuration.
 
--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -60,10 +60,7 @@
 
     def __init__(self, connection: socket.socket, server: "HttpServer") -> None:
         self._server = server
-        limits = server.limits
-        self._reader = client_requests.RequestReader(
-            limits.header_bytes, limits.body_bytes
-        )
+        self._reader = client_requests.RequestReader(lambda: server.limits)
         self._queued: collections.deque[client_requests.ClientRequest] = (
             collections.deque()
         )
@@ -211,13 +208,24 @@
         Source of time.
     handler : Handler
         Callbacks for requests and disconnects.
+    limits : ClientLimits
+        Limits of requests and connections.
+
+    Attributes
+    ----------
+    limits : ClientLimits
+        Limits in force, also on connections that are open.
     """
 
     def __init__(
-        self, address: str, clock: clock_state.Clock, handler: Handler
+        self,
+        address: str,
+        clock: clock_state.Clock,
+        handler: Handler,
+        limits: routes.ClientLimits = routes.DEFAULT_LIMITS,
     ) -> None:
         self.handler = handler
-        self.limits = routes.ClientLimits()
+        self.limits = limits
         self.now_ms = clock.monotonic_ms
         self._connections: set[ClientConnection] = set()
         self._listener: streams.Listener | None = streams.listen(address, self._accept)
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -24,7 +24,7 @@
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import hybrid_clock, log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import requests
+from amaranthpulley.state.forwarding import requests, routes
 from amaranthpulley.transport import line_writer, log_sink, process_signals
 from amaranthpulley.transport.forwarding import (
     client_connections,
@@ -44,8 +44,12 @@
 # Interval between checks for whether a draining daemon can exit.
 DRAIN_CHECK_INTERVAL_MS: Final = 100
 LOG_FLUSH_INTERVAL_MS: Final = 200
-# Headers that other daemons add to a client's request.
+# Other daemons have checked their clients' requests, perhaps by another version of the
+# configuration, and add headers to them.
 DELEGATION_HEADER_BYTES: Final = 256
+DELEGATED_LIMITS: Final = routes.STARTING_LIMITS._replace(
+    header_bytes=routes.STARTING_LIMITS.header_bytes + DELEGATION_HEADER_BYTES
+)
 METRICS_HEADERS: Final = (
     (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),
 )
@@ -139,10 +143,13 @@
         )
         self.runtime = self._open_runtime(setup.names)
         self._front = client_connections.HttpServer(
-            setup.front_address, clock, self.runtime.handler
+            setup.front_address, clock, self.runtime.handler, routes.STARTING_LIMITS
         )
         self._delegated = client_connections.HttpServer(
-            setup.delegate_address, clock, self.runtime.delegated_handler
+            setup.delegate_address,
+            clock,
+            self.runtime.delegated_handler,
+            DELEGATED_LIMITS,
         )
         self._ready = self._open_server(setup.ready_address, self._answer_ready)
         self._metrics = self._open_server(setup.metrics_address, self._answer_metrics)
@@ -247,11 +254,7 @@
         if isinstance(event, events.ConfigurationRead):
             configuration = self.gateway.configuration
             if configuration is not None:
-                limits = configuration.client_limits
-                self._front.limits = limits
-                self._delegated.limits = limits._replace(
-                    header_bytes=limits.header_bytes + DELEGATION_HEADER_BYTES
-                )
+                self._front.limits = configuration.client_limits
 
     def _flush_log_lines(self) -> None:
         reported = 0
--- a/amaranthpulley/transport/forwarding/tests/test_client_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_client_connections.py
@@ -127,6 +127,54 @@
                 self.assertTrue(received.startswith(b"HTTP/1.1 %d " % status))
                 self.assertEqual(received.partition(b"\r\n\r\n")[2], b"")
 
+    def _ask(self, data: bytes) -> bytes:
+        """Send bytes on the kept connection; return the head of the answer."""
+        self.client.sendall(data)
+        return self.client.recv(65_536).partition(b"\r\n")[0]
+
+    def test_a_kept_connection_has_the_limits_in_force(self) -> None:
+        # Guards against a proper request that is denied because its connection was
+        # accepted under lower limits (DENIED).
+        large_head = REQUEST[:-2] + b"X: " + b"x" * 200 + b"\r\n\r\n"
+        large_body = REQUEST[:-2] + b"Content-Length: 90\r\n\r\n" + b"x" * 90
+        narrow = routes.ClientLimits(header_bytes=100, body_bytes=50)
+        cases = (
+            (large_head, narrow._replace(header_bytes=1_000), b"431"),
+            (large_body, narrow._replace(body_bytes=100), b"413"),
+        )
+        for data, wide, refusal in cases:
+            with self.subTest(refusal):
+                self.server.limits = narrow
+                self.client = socket.create_connection(self.client.getpeername())
+                self.addCleanup(self.client.close)
+                self.assertIn(b" 200 ", self._ask(REQUEST))
+                self.server.limits = wide
+                self.assertIn(b" 200 ", self._ask(data))
+                self.server.limits = narrow
+                self.assertIn(b" %b " % refusal, self._ask(data))
+
+    def test_a_lower_limit_does_not_end_a_body_that_is_being_received(self) -> None:
+        self.assertIn(b" 200 ", self._ask(REQUEST))
+        self.client.sendall(REQUEST[:-2] + b"Content-Length: 90\r\n\r\n" + b"x" * 40)
+        eventlet.sleep(0.05)
+        self.server.limits = routes.ClientLimits(body_bytes=50)
+        self.assertIn(b" 200 ", self._ask(b"x" * 50))
+
+    def test_time_limits_in_force_hold_for_open_connections(self) -> None:
+        self.server.limits = routes.ClientLimits(
+            header_timeout_ms=200, idle_timeout_ms=200
+        )
+        eventlet.sleep(0.1)
+        self.server.limits = routes.ClientLimits()
+        grace_ms = client_connections.IDLE_GRACE_MS
+        sweep_ms = client_connections.SWEEP_INTERVAL_MS
+        self.client.sendall(REQUEST[:-2])
+        eventlet.sleep((200 + grace_ms + 2 * sweep_ms) / 1000)
+        self.assertIn(b" 200 ", self._ask(b"\r\n"))
+        self.server.limits = routes.ClientLimits(idle_timeout_ms=200)
+        with eventlet.Timeout((200 + grace_ms + 2 * sweep_ms) / 1000):
+            self.assertEqual(self.client.recv(100), b"")
+
     def test_invalid_bytes_after_a_request_are_refused_at_once(self) -> None:
         self.client.sendall(REQUEST + b"\x00 no request\r\n\r\n")
         received = self._read_until_closed()
