Decline offers to upgrade without a second answer

What callers saw: a request with `Upgrade: h2c` got its answer and then another, 400, that nobody had asked for, and its connection was closed. With a body it was forwarded without it.

Cause: the parser stops after a request that offers another protocol, and the reader took that for an error in what follows.

Change: the offer is declined, and the bytes after the request are read as the next one. CONNECT, and an offer with a body, which the parser does not read, are refused with 400 in place of an answer and a 400.

Evidence: test_an_offer_to_upgrade_is_declined failed before (all 6 cases).

--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -12,6 +12,7 @@
 
 MAXIMUM_PIPELINED_REQUESTS: Final = 16
 HEAD: Final = b"HEAD"
+_CONNECT: Final = b"CONNECT"
 _FINGERPRINT_BYTES: Final = 8
 
 
@@ -123,20 +124,27 @@
         BadRequestError
             When the bytes are not a valid request, or a request is too large.
         """
-        if not self._started:
+        while data:
             self._started = True
+            data = self._parse(data)
+        completed, self._requests = self._requests, []
+        if self._error is not None and not completed:
+            raise self._error
+        return completed
+
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes; return those after a request that offers another protocol."""
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._error = errors.BadRequestError(http.HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserUpgrade as offer:
+            # The offer is declined: the client goes on with the same protocol.
+            self._parser = httptools.HttpRequestParser(self)
+            return data[offer.args[0] :]
         except httptools.HttpParserError as error:
             if self._error is None:
                 self._error = errors.BadRequestError(http.HTTPStatus.BAD_REQUEST)
                 self._error.__cause__ = error
-        completed, self._requests = self._requests, []
-        if self._error is not None and not completed:
-            raise self._error
-        return completed
+        return b""
 
     def on_message_begin(self) -> None:
         """Handle the parser's callback."""
@@ -158,16 +166,23 @@
         """Handle the parser's callback."""
         self._body_bytes = self._limits().body_bytes
         host_count = 0
+        has_body = False
         for name, value in self._headers:
             lowered = name.lower()
             if lowered == header_names.HOST:
                 host_count += 1
             elif lowered == b"expect" and value.lower() == b"100-continue":
                 self._expects_continue = True
+            elif lowered == header_names.TRANSFER_ENCODING:
+                has_body = True
             elif lowered == header_names.CONTENT_LENGTH:
+                has_body = int(value) > 0
                 if int(value) > self._body_bytes:
                     self._fail(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if host_count != 1:
+        if host_count != 1 or self._method == _CONNECT:
+            self._fail(http.HTTPStatus.BAD_REQUEST)
+        if has_body and self._parser.should_upgrade():
+            # The parser ends such a request after its head.
             self._fail(http.HTTPStatus.BAD_REQUEST)
 
     def on_body(self, part: bytes) -> None:
--- a/amaranthpulley/protocol/forwarding/header_names.py
+++ b/amaranthpulley/protocol/forwarding/header_names.py
@@ -18,6 +18,7 @@
     }
 )
 CONTENT_LENGTH: Final = b"content-length"
+TRANSFER_ENCODING: Final = b"transfer-encoding"
 CONTENT_ENCODING: Final = b"content-encoding"
 HOST: Final = b"host"
 
--- a/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -42,6 +42,38 @@
         data = (HEAD + b"Content-Length: 1\r\n\r\nx") * 3
         self.assertEqual([r.body for r in _reader().feed(data)], [b"x"] * 3)
 
+    def test_an_offer_to_upgrade_is_declined(self) -> None:
+        # Guards against a second answer, 400, after the answer to such a request.
+        offer = (
+            b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+            b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAAP__\r\n\r\n"
+        )
+        plain = b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+        for data, count in ((offer, 1), (offer + plain, 2)):
+            for size in (1, 50, 1_000):
+                with self.subTest(data=data, size=size):
+                    reader = _reader()
+                    found: list[client_requests.ClientRequest] = []
+                    for start in range(0, len(data), size):
+                        found += reader.feed(data[start : start + size])
+                    self.assertEqual(len(found), count)
+                    self.assertTrue(found[0].keep_alive)
+                    self.assertIsNone(reader.error)
+                    self.assertFalse(reader.in_request)
+
+    def test_tunnels_and_offers_with_a_body_are_refused(self) -> None:
+        offer = (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+        )
+        cases = (
+            b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n",
+            offer + b"Content-Length: 2\r\n\r\nxy",
+            offer + b"Transfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
+        )
+        for data in cases:
+            with self.subTest(data), self.assertRaises(errors.BadRequestError):
+                _reader().feed(data)
+
     def test_ambiguous_and_oversized_requests_are_refused(self) -> None:
         cases = {
             "two lengths": (b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nx", 400),
