Do not register again while stopping

A daemon that stops ends its registration, so that others stop relying on it. Its watch shows the deletion, and it registered itself again for 30 s: followers went on to poll a process that had gone.

Change: once a daemon has ended its registration it neither renews it nor makes a new one.

--- a/amaranthpulley/platform/tests/test_registration.py
+++ b/amaranthpulley/platform/tests/test_registration.py
@@ -6,6 +6,8 @@
 
 import unittest  # noqa: E402
 
+import eventlet  # noqa: E402
+
 from amaranthpulley.platform import entries, names, store_client  # noqa: E402
 from amaranthpulley.platform.tests import platform_site, standin_store  # noqa: E402
 from amaranthpulley.state.forwarding import gateway  # noqa: E402
@@ -60,6 +62,22 @@
         site.daemon.wait()
         self.assertNotIn(KEY, site.store.keys())
 
+    def test_it_does_not_register_again_while_it_answers_the_last_requests(
+        self,
+    ) -> None:
+        # Guards against a daemon that sees its registration end and renews it, so that
+        # others rely on it after it has gone.
+        site = platform_site.PlatformSite()
+        for leaf in site.leaves:
+            leaf.work_ms = 1_600
+        site.daemon.drain()
+        eventlet.sleep(0.1)
+        last = eventlet.spawn(site.request, "/visit/1", deadline_ms=2_000)
+        site.wait_for(lambda: KEY not in site.store.keys(), "it is not registered")
+        site.daemon.wait()
+        self.assertNotIn(KEY, site.store.keys())
+        last.wait()
+
     def test_a_follower_leaves_it_to_its_next_life(self) -> None:
         site = platform_site.PlatformSite()
         for number in range(20):
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -108,6 +108,8 @@
         self._needs_listing = True
         # When a restored store is listed again.
         self._relisting_ms: int | None = None
+        # Whether the registration has ended for good.
+        self._stopped = False
         self._first_listing = eventlet.event.Event()
         self._renewal_due = eventlet.event.Event()
         self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
@@ -119,6 +121,7 @@
 
     def stop(self) -> None:
         """End the registration, so that other daemons stop relying on this one."""
+        self._stopped = True
         try:
             self._calls.unregister()
         except errors.PlatformUnreachableError as error:
@@ -188,13 +191,13 @@
 
     def renew_registration(self) -> None:
         """Renew the registration now, because it is missing in the store."""
-        if not self._renewal_due.ready():
+        if not self._stopped and not self._renewal_due.ready():
             self._renewal_due.send()
 
     def _keep_registered(self) -> None:
         # The listing finds the registration of the previous life, which is renewed.
         self._first_listing.wait()
-        while True:
+        while not self._stopped:
             until_ms = self._now_ms() + REGISTRATION_LIFETIME_MS
             try:
                 if not self._calls.renew():
