Try a request that is refused for its crashes again (RECOVER)

Cause: a proxy accepts connections for a leaf that is gone, so that retries on new connections are lost as well, one after the other, and each counts. Nothing tested the refusal before its losses lapsed, 5 to 10 minutes later.

Change: 6 s after its latest loss a refused request is sent to one leaf by one daemon, chosen by rendezvous and the time; an answer withdraws the losses. A lost trial is a loss more, and the second and last one comes 48 s later. With the two of them, fewer than the three later retries that are allowed reach leaves.

--- a/amaranthpulley/coordination/forwarding/crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/crash_attribution.py
@@ -5,7 +5,7 @@
 while it runs a request is a loss under them; each start of a leaf counts once. Losses
 are published in the store, so that all daemons count the same ones, also after a
 restart. After `CRASH_LIMIT` losses under one of its fingerprints, a request is refused
-until the published losses lapse.
+until the published losses lapse, but for a few trials.
 
 Leaves that are lost together, as in a power failure, take many requests with them that
 are not the cause. So the losses of requests that were sent before a loss under them was
@@ -40,6 +40,11 @@
 # Losses after which a request is refused. Leaves also end by themselves, and a popular
 # request may be running on one that does.
 CRASH_LIMIT: Final = 3
+# Times after the latest loss at which a refused request is sent once more. There are
+# few, because each may cost a leaf.
+TRIAL_DELAYS_MS: Final = (6_000, 48_000)
+# Time that a daemon has to try it before it is another's turn.
+TRIAL_TURN_MS: Final = 1_000
 # A loss lapses after this time at the latest, so that a request is tried again.
 LIFETIME_MS: Final = 600_000
 # Losses of a sharded request that are recorded before it has ended: with one of them,
@@ -73,7 +78,35 @@
     """Return whether a request has crashed too many leaves."""
     is_cautious = now_ms < gateway.cautious_until_ms
     limit = CAUTIOUS_CRASH_LIMIT if is_cautious else CRASH_LIMIT
-    return _count(gateway, incoming) >= limit
+    if _count(gateway, incoming) < limit:
+        return False
+    return gateway.losses.trials.get(_worst(gateway, incoming)) != incoming.key
+
+
+def begin_trial(
+    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
+) -> bool:
+    """Return whether a refused request is sent once more, to one leaf.
+
+    Its leaves may have been lost by chance, one after the other. One daemon at a time
+    tries it, the next one if nothing has become known in its turn.
+    """
+    fingerprint = _worst(gateway, incoming)
+    trial = gateway.losses.count(fingerprint) - CRASH_LIMIT
+    if fingerprint in gateway.losses.trials or not 0 <= trial < len(TRIAL_DELAYS_MS):
+        return False
+    due_ms = gateway.losses.latest_ms(fingerprint) + TRIAL_DELAYS_MS[trial]
+    if now_ms < due_ms:
+        return False
+    daemons = rendezvous.ranking(
+        {*gateway.members, gateway.place.name}, str(fingerprint)
+    )
+    turn = (now_ms - due_ms) // TRIAL_TURN_MS
+    if daemons[turn % len(daemons)] != gateway.place.name:
+        return False
+    gateway.losses.trials[fingerprint] = incoming.key
+    gateway.counters.add("forward_crash_trials_total")
+    return True
 
 
 def is_suspected(
@@ -188,7 +221,9 @@
     gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
 ) -> list[commands.Command]:
     """Record the losses of an ended request that no leaf has answered."""
-    return _record(gateway, request, now_ms)
+    decided = _record(gateway, request, now_ms)
+    _end_trial(gateway, request.incoming)
+    return decided
 
 
 def handle_published(
@@ -199,7 +234,7 @@
 ) -> list[commands.Command]:
     """Count a loss that a daemon has published."""
     gateway.losses.set_stored(event.loss, True)
-    if gateway.losses.add(event.loss):
+    if gateway.losses.add(event.loss, now_ms):
         _grow_cautious(gateway, event.loss, now_ms)
     return []
 
@@ -211,7 +246,7 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Count a loss that a daemon has told, until the store has it."""
-    if gateway.losses.add(event.loss):
+    if gateway.losses.add(event.loss, now_ms):
         gateway.losses.end_at(event.loss, now_ms + TOLD_MS)
         _grow_cautious(gateway, event.loss, now_ms)
     return []
@@ -254,6 +289,8 @@
             published += losses
         else:
             gateway.counters.add("forward_losses_unpublished_total")
+        # A trial shows nothing more than this loss.
+        _end_trial(gateway, incoming)
     if published:
         gateway.counters.add("forward_losses_published_total", len(published))
         addresses = _told_addresses(gateway, published[0])
@@ -274,11 +311,12 @@
     for fingerprint in incoming.fingerprints:
         count = table.count(fingerprint)
         counts = attempt.after_loss or not count
-        if not counts or count >= CRASH_LIMIT or table.has(fingerprint, start):
+        is_decided = count >= CRASH_LIMIT and fingerprint not in table.trials
+        if not counts or is_decided or table.has(fingerprint, start):
             continue
         sharded = bool(route.shards)
         loss = crashes.Loss(fingerprint, start, attempt.after_loss, sharded)
-        table.add(loss)
+        table.add(loss, now_ms)
         _grow_cautious(gateway, loss, now_ms)
         table.end_at(loss, now_ms + LIFETIME_MS)
         added.append(loss)
@@ -301,7 +339,20 @@
 
 
 def _count(gateway: gateway_state.Gateway, incoming: requests.IncomingRequest) -> int:
-    return max(gateway.losses.count(found) for found in incoming.fingerprints)
+    return gateway.losses.count(_worst(gateway, incoming))
+
+
+def _worst(gateway: gateway_state.Gateway, incoming: requests.IncomingRequest) -> int:
+    """Return the fingerprint of a request with the most losses."""
+    return max(incoming.fingerprints, key=gateway.losses.count)
+
+
+def _end_trial(
+    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest
+) -> None:
+    for fingerprint in incoming.fingerprints:
+        if gateway.losses.trials.get(fingerprint) == incoming.key:
+            del gateway.losses.trials[fingerprint]
 
 
 def _takes_token(gateway: gateway_state.Gateway, now_ms: int) -> bool:
--- a/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
@@ -203,6 +203,33 @@
             self.site.feed(events.LossPublished(crashes.Loss(7, start)))
         self.assertFalse(crash_site.is_refused(self.site))
 
+    def test_a_page_that_lost_its_leaves_one_by_one_is_served_again(self) -> None:
+        crash_site.lose_all(self.site)
+        crash_site.lose_all(self.site)
+        self.assertTrue(crash_site.is_refused(self.site))
+        self.site.advance(crash_attribution.TRIAL_DELAYS_MS[0])
+        key = self.site.request("/visit/1", fingerprints=(7,))
+        (trial,) = self.site.sends_of(key)
+        self.assertTrue(crash_site.is_refused(self.site))
+        self.site.reply(trial, gateway_site.answer())
+        self.assertFalse(crash_site.is_refused(self.site))
+
+    def test_a_request_that_goes_on_crashing_leaves_is_tried_few_times(self) -> None:
+        crash_site.lose_all(self.site)
+        crash_site.lose_all(self.site)
+        before = len(self.site.sent)
+        end_ms = self.site.now_ms + crash_attribution.LIFETIME_MS
+        while self.site.now_ms < end_ms - 10_000:
+            for number in range(len(self.site.sent) - before):
+                entry = gateway_site.entry(
+                    f"l{number}", "visits", born_ms=self.site.now_ms
+                )
+                self.site.feed(events.LeafWritten(entry))
+            crash_site.lose_all(self.site)
+            self.site.advance(1_000)
+        trials = len(self.site.sent) - before
+        self.assertEqual(trials, len(crash_attribution.TRIAL_DELAYS_MS))
+
     def test_one_of_the_losses_is_published(self) -> None:
         self._lose_together()
         self.assertEqual(len(crash_site.published(self.site)), 1)
--- a/amaranthpulley/coordination/forwarding/tests/test_losses_between_daemons.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_losses_between_daemons.py
@@ -141,7 +141,7 @@
                 publish(number)
         table = crashes.LossTable()
         for loss in stored:
-            table.add(loss)
+            table.add(loss, 0)
         known = table.count(7) >= crash_attribution.CRASH_LIMIT
         for number, site in enumerate(sites):
             deliver(number)
--- a/amaranthpulley/state/forwarding/crashes.py
+++ b/amaranthpulley/state/forwarding/crashes.py
@@ -35,24 +35,33 @@
 
     def __init__(self) -> None:
         self._losses: dict[int, dict[int, Loss]] = {}
+        # By fingerprint, when the latest loss became known.
+        self._latest_ms: dict[int, int] = {}
+        # By fingerprint, the key of the request that tests a refused one.
+        self.trials: dict[int, int] = {}
         # Ends of losses, in the order in which they were set.
         self._ends_ms: collections.deque[tuple[int, Loss]] = collections.deque()
         # Losses that the store has.
         self._stored: set[Loss] = set()
 
-    def add(self, loss: Loss) -> bool:
+    def add(self, loss: Loss, now_ms: int) -> bool:
         """Add a loss, or replace one that was not `later`; return whether it is new."""
         losses = self._losses.get(loss.fingerprint)
         if losses is None:
             if len(self._losses) >= MAXIMUM_FINGERPRINTS:
-                self._losses.pop(next(iter(self._losses)))
+                self.clear(next(iter(self._losses)))
             losses = self._losses[loss.fingerprint] = {}
         known = losses.get(loss.start)
         if known is not None and known.later >= loss.later:
             return False
         losses[loss.start] = loss
+        self._latest_ms[loss.fingerprint] = now_ms
         return True
 
+    def latest_ms(self, fingerprint: int) -> int:
+        """Return when the latest loss under a fingerprint became known."""
+        return self._latest_ms[fingerprint]
+
     def has(self, fingerprint: int, start: int) -> bool:
         """Return whether a start of a leaf was lost under a fingerprint."""
         return start in self._losses.get(fingerprint, {})
@@ -85,10 +94,12 @@
         if losses is not None and losses.get(loss.start) == loss:
             del losses[loss.start]
             if not losses:
-                del self._losses[loss.fingerprint]
+                self.clear(loss.fingerprint)
 
     def clear(self, fingerprint: int) -> tuple[Loss, ...]:
         """Remove and return the losses under a fingerprint."""
+        self._latest_ms.pop(fingerprint, None)
+        self.trials.pop(fingerprint, None)
         return tuple(sorted(self._losses.pop(fingerprint, {}).values()))
 
     def count(self, fingerprint: int) -> int:
