Refuse a sharded request after two losses

Change: a sharded request is refused after two losses, the first of which stands for several leaves, whether or not the daemons are cautious; the trial takes the place of the third.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -63,7 +63,7 @@
     if (
         not retry_budget.may_run_again(request, call)
         or call.sends >= MAXIMUM_SENDS
-        or crash_attribution.refuses(gateway, request.incoming, now_ms)
+        or crash_attribution.refuses(gateway, request.incoming)
     ):
         stop_waiting(gateway, call)
         close_if_idle(request, call)
@@ -153,7 +153,7 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call = request.calls[shard]
     call.hedge_due_ms = None
-    if crash_attribution.refuses(gateway, request.incoming, now_ms):
+    if crash_attribution.refuses(gateway, request.incoming):
         return []
     if crash_attribution.must_not_hedge(gateway, request, now_ms):
         request.held = call.hedge_held = True
--- a/amaranthpulley/coordination/forwarding/crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/crash_attribution.py
@@ -4,8 +4,9 @@
 its query and one without, since a repeat may have another query. A leaf that is lost
 while it runs a request is a loss under them; each start of a leaf counts once. Losses
 are published in the store, so that all daemons count the same ones, also after a
-restart. After `CRASH_LIMIT` losses under one of its fingerprints, a request is refused
-until the published losses lapse, but for a few trials.
+restart. After `CRASH_LIMIT` losses under one of its fingerprints, or the
+`SHARDED_CRASH_LIMIT` of a sharded request, a request is refused until the
+published losses lapse, but for a few trials.
 
 Leaves that are lost together, as in a power failure, take many requests with them that
 are not the cause. So the losses of requests that were sent before a loss under them was
@@ -15,8 +16,7 @@
 A request under which a leaf was lost is sent to one leaf at a time until one answers.
 So a sharded request that crashes its leaves costs those of its first sends, and then
 one at a time. Once that has happened, other sharded requests are sent to one leaf first
-for a while, and fewer losses suffice to refuse them: another such request would take
-the rest of the leaves.
+for a while: another such request would take the rest of the leaves.
 
 A request that any leaf answers does not crash leaves, so an answer withdraws its
 losses. A sharded request has losses only if no shard has answered it: when many leaves
@@ -40,6 +40,8 @@
 # Losses after which a request is refused. Leaves also end by themselves, and a popular
 # request may be running on one that does.
 CRASH_LIMIT: Final = 3
+# The first loss of a sharded request stands for several leaves.
+SHARDED_CRASH_LIMIT: Final = 2
 # Times after the latest loss at which a refused request is sent once more. There are
 # few, because each may cost a leaf.
 TRIAL_DELAYS_MS: Final = (6_000, 48_000)
@@ -61,10 +63,9 @@
 # the store confirms them.
 MAXIMUM_TOLD: Final = 16
 TOLD_MS: Final = 5_000
-# After a sharded request that seems to crash leaves, requests are refused sooner and
-# sent to one leaf first for this time. The leaves are back then.
+# After a sharded request that seems to crash leaves, others are sent to one leaf first
+# for this time. The leaves are back then.
 CAUTION_MS: Final = 5_000
-CAUTIOUS_CRASH_LIMIT: Final = 2
 # Bounds of the losses that a daemon publishes. When a failure domain fails, many leaves
 # are lost at once, and the requests that they ran are not the cause.
 PUBLICATIONS_PER_S: Final = 2.0
@@ -72,15 +73,12 @@
 _DIGEST_BYTES: Final = 8
 
 
-def refuses(
-    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
-) -> bool:
+def refuses(gateway: gateway_state.Gateway, incoming: requests.IncomingRequest) -> bool:
     """Return whether a request has crashed too many leaves."""
-    is_cautious = now_ms < gateway.cautious_until_ms
-    limit = CAUTIOUS_CRASH_LIMIT if is_cautious else CRASH_LIMIT
-    if _count(gateway, incoming) < limit:
+    fingerprint = _worst(gateway, incoming)
+    if gateway.losses.count(fingerprint) < _limit(gateway, fingerprint):
         return False
-    return gateway.losses.trials.get(_worst(gateway, incoming)) != incoming.key
+    return gateway.losses.trials.get(fingerprint) != incoming.key
 
 
 def begin_trial(
@@ -92,7 +90,7 @@
     tries it, the next one if nothing has become known in its turn.
     """
     fingerprint = _worst(gateway, incoming)
-    trial = gateway.losses.count(fingerprint) - CRASH_LIMIT
+    trial = gateway.losses.count(fingerprint) - _limit(gateway, fingerprint)
     if fingerprint in gateway.losses.trials or not 0 <= trial < len(TRIAL_DELAYS_MS):
         return False
     due_ms = gateway.losses.latest_ms(fingerprint) + TRIAL_DELAYS_MS[trial]
@@ -311,7 +309,8 @@
     for fingerprint in incoming.fingerprints:
         count = table.count(fingerprint)
         counts = attempt.after_loss or not count
-        is_decided = count >= CRASH_LIMIT and fingerprint not in table.trials
+        is_decided = count >= _limit(gateway, fingerprint)
+        is_decided = is_decided and fingerprint not in table.trials
         if not counts or is_decided or table.has(fingerprint, start):
             continue
         sharded = bool(route.shards)
@@ -347,6 +346,12 @@
     return max(incoming.fingerprints, key=gateway.losses.count)
 
 
+def _limit(gateway: gateway_state.Gateway, fingerprint: int) -> int:
+    """Return how many losses refuse a request."""
+    is_sharded = gateway.losses.all_sharded(fingerprint)
+    return SHARDED_CRASH_LIMIT if is_sharded else CRASH_LIMIT
+
+
 def _end_trial(
     gateway: gateway_state.Gateway, incoming: requests.IncomingRequest
 ) -> None:
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -45,9 +45,9 @@
     route = routes.find_route(configuration, incoming.host, incoming.path)
     if route is None:
         return _refuse(gateway, incoming, commands.Refusal.NO_ROUTE, 0, now_ms)
-    if crash_attribution.refuses(
-        gateway, incoming, now_ms
-    ) and not crash_attribution.begin_trial(gateway, incoming, now_ms):
+    if crash_attribution.refuses(gateway, incoming) and not (
+        crash_attribution.begin_trial(gateway, incoming, now_ms)
+    ):
         return _refuse(gateway, incoming, commands.Refusal.CRASHES_LEAVES, 0, now_ms)
     request = _create_request(gateway, incoming, route, now_ms)
     if route.shards and incoming.origin is None:
--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -180,7 +180,7 @@
     room_ms = admission.expected_answer_ms(gateway, route, service, now_ms)
     left_ms = request.give_up_ms - now_ms
     after_ms = admission.return_after_ms(route.priority, room_ms, left_ms, key)
-    if not_run and crash_attribution.refuses(gateway, request.incoming, now_ms):
+    if not_run and crash_attribution.refuses(gateway, request.incoming):
         reason, after_ms = commands.Refusal.CRASHES_LEAVES, 0
     refused = commands.Refuse(key, reason, not_run, after_ms)
     missing = sum(call.answer is None for call in request.calls)
--- a/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
@@ -139,19 +139,19 @@
 
     def test_a_request_that_no_shard_answers_has(self) -> None:
         self._lose(answered=0)
-        limit = crash_attribution.CAUTIOUS_CRASH_LIMIT
+        limit = crash_attribution.SHARDED_CRASH_LIMIT
         self.assertEqual(len(crash_site.published(self.site)), limit)
         key = self.site.request(fingerprints=(7,))
         self.assertEqual(self.site.sends_of(key), [])
 
     def test_it_is_tried_once_more_after_a_while_on_one_leaf(self) -> None:
         self._lose(answered=0)
-        self.site.advance(crash_attribution.CAUTION_MS)
+        self.site.advance(crash_attribution.TRIAL_DELAYS_MS[0])
         key = self.site.request(fingerprints=(7,))
         (sent,) = self.site.sends_of(key)
         self.assertIs(sent.command.reuse, commands.Reuse.NONE)
         self.site.fail(sent, requests.AttemptEnd.LOST)
-        self.site.advance(crash_attribution.CAUTION_MS)
+        self.site.advance(crash_attribution.TRIAL_DELAYS_MS[0])
         key = self.site.request(fingerprints=(7,))
         self.assertEqual(self.site.sends_of(key), [])
 
--- a/amaranthpulley/coordination/forwarding/waiting.py
+++ b/amaranthpulley/coordination/forwarding/waiting.py
@@ -91,7 +91,7 @@
         return []
     call = request.calls[waiting_call.shard]
     fastest_ms = leaf_selection.fastest_answer_ms(gateway, request.route)
-    is_refused = crash_attribution.refuses(gateway, request.incoming, now_ms)
+    is_refused = crash_attribution.refuses(gateway, request.incoming)
     if is_refused or now_ms + fastest_ms > request.give_up_ms:
         attempt_dispatch.stop_waiting(gateway, call)
         attempt_dispatch.close_if_idle(request, call)
--- a/amaranthpulley/state/forwarding/crashes.py
+++ b/amaranthpulley/state/forwarding/crashes.py
@@ -66,6 +66,11 @@
         """Return whether a start of a leaf was lost under a fingerprint."""
         return start in self._losses.get(fingerprint, {})
 
+    def all_sharded(self, fingerprint: int) -> bool:
+        """Return whether all losses under a fingerprint are of sharded requests."""
+        losses = self._losses.get(fingerprint, {}).values()
+        return all(loss.sharded for loss in losses)
+
     def end_at(self, loss: Loss, end_ms: int) -> None:
         """Let a loss end at a time, unless the store has it then."""
         if len(self._ends_ms) >= MAXIMUM_ENDS:
