--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -17,6 +17,8 @@
 # Sent again and again by a leaf whose answer has no end.
 ENDLESS_PART: Final = b"x" * 60_000
 ENDLESS_INTERVAL_MS: Final = 1
+# Time after which the copy of an answer comes.
+COPY_DELAY_MS: Final = 4
 # Path on which a test configures the stand-in and reads its runs.
 CONTROL_PATH: Final = b"/control"
 
@@ -65,7 +67,8 @@
         # How it answers each request: "answer", "silent", "reset", "reject", "fail",
         # "cut", "head", "endless", "extra", "garble", "unframed", "late" or
         # "reject once": each request is rejected when it first comes, and a copy of the
-        # rejection comes late, when the request is sent on that connection again.
+        # rejection comes late, when the request is sent on that connection again. Or
+        # "copies": a copy of each answer comes late.
         self.mode = "answer"
         handler = client_connections.Handler(self._receive, lambda _connection: None)
         self._server = client_connections.HttpServer(address, clock, handler)
@@ -195,6 +198,10 @@
             connection.answer(self._last_answer + whole, False)
         else:
             connection.answer(whole, unframed)
+        if self.mode == "copies":
+            eventlet.hubs.get_hub().schedule_call_global(
+                COPY_DELAY_MS / 1000, connection.write_interim, whole
+            )
         self._last_answer = whole
 
     def _send_endlessly(self, connection: Any, data: bytes) -> None:
