Let the soak see lost connections and changing limits

The soak with requests of every kind now counts connections that are closed while an answer is due (LOST), sends bodies over every limit, which have to get 413, and changes the limit in series.

--- a/tests/soak/mixed.py
+++ b/tests/soak/mixed.py
@@ -47,14 +47,18 @@
         self._connection: wire_client.WireClient | None = None
         self._sent = 0
 
-    def ask(self, checker: mixed_requests.MixedChecker, body_bytes: int) -> None:
+    def ask(self, checker: mixed_requests.MixedChecker) -> None:
         """Send one request, or two at once."""
         if self._connection is not None:
             if self._rng.random() < NEW_CONNECTION_SHARE:
                 self._drop()
         count = 2 if self._rng.random() < PIPELINED_SHARE else 1
-        asked = [self._draw(body_bytes) for _ in range(count)]
-        self._exchange(checker, asked)
+        asked = [self._draw() for _ in range(count)]
+        # The answer to such a request closes the connection.
+        oversized = [request for request in asked if request.kind == "oversized"]
+        self._exchange(checker, oversized[:1] or asked)
+        if oversized:
+            self._drop()
 
     def ask_kind(
         self, checker: mixed_requests.MixedChecker, kind: tuple, body: bytes
@@ -65,10 +69,10 @@
         request = mixed_requests.MixedRequest(name, *kind, body, False)
         return self._exchange(checker, [request])
 
-    def _draw(self, body_bytes: int) -> mixed_requests.MixedRequest:
+    def _draw(self) -> mixed_requests.MixedRequest:
         self._sent += 1
         name = f"{self._name}-{self._sent}"
-        return mixed_requests.draw(self._rng, name, body_bytes)
+        return mixed_requests.draw(self._rng, name, mixed_site.LIMITS)
 
     def _exchange(
         self, checker: mixed_requests.MixedChecker, asked: list
@@ -132,7 +136,7 @@
 
     def _play(self, client: _Client) -> None:
         while not self._stop.is_set():
-            client.ask(self.checker, mixed_site.LIMITS[0])
+            client.ask(self.checker)
             time.sleep(self.think_s)
 
     def _keep(self, client: _Client) -> None:
@@ -175,7 +179,7 @@
         served = statuses.count(expected) / len(statuses)
         if served < mixed_requests.SERVED_SHARE:
             checker.add_violation(f"RECOVER: {kind}: {statuses}")
-    checker.check_denials()
+    checker.check_counts()
 
 
 def _check_runs(
--- a/tests/soak/mixed_requests.py
+++ b/tests/soak/mixed_requests.py
@@ -31,6 +31,10 @@
     ("GET", "/nowhere/1", "none"),
     ("HEAD", "/nowhere/1", "none"),
 )
+# Of all requests, this share has a body that no configuration allows.
+OVERSIZED_SHARE: Final = 0.02
+# A daemon may close so many connections while an answer is due.
+LOSSES: Final = 3
 
 
 class MixedRequest(NamedTuple):
@@ -41,7 +45,8 @@
     name : str
         Its identifier.
     kind : str
-        "sharded", "idempotent", "once" (may run once) or "none" (no route).
+        "sharded", "idempotent", "once" (may run once), "none" (no route) or
+        "oversized".
     body : bytes
         The body of a POST request.
     """
@@ -68,8 +73,12 @@
         return "\r\n".join((*lines, "", "")).encode() + self.body
 
 
-def draw(rng: random.Random, name: str, body_bytes: int) -> MixedRequest:
-    """Return a request whose body is at most as large as the limit."""
+def draw(rng: random.Random, name: str, limits: tuple[int, ...]) -> MixedRequest:
+    """Return a request whose body is within the lowest limit or over the highest."""
+    if rng.random() < OVERSIZED_SHARE:
+        body = b"x" * (max(limits) + 1)
+        return MixedRequest(name, "POST", "/visit/order", "oversized", body, False)
+    body_bytes = min(limits)
     method, path, kind = rng.choice(KINDS)
     size = rng.choice((1, 200, body_bytes - 1, body_bytes)) if method == "POST" else 0
     upgrades = method != "POST" and rng.random() < 0.1
@@ -92,6 +101,8 @@
         self.statuses: collections.Counter[str] = collections.Counter()
         # Statuses with which proper requests were denied.
         self.denied: collections.Counter[int] = collections.Counter()
+        # Connections that were closed while an answer was due.
+        self.lost = 0
         # Status of each request that may run once, None without an answer.
         self.once: dict[str, int | None] = {}
 
@@ -111,6 +122,10 @@
                 raise wire_client.WireError(f"{surplus[:60]!r} though nothing is due")
             client.send(b"".join(request.encode() for request in asked))
             return [self._read(client, request) for request in asked]
+        except wire_client.LostError:
+            with self._lock:
+                self.lost += 1
+            raise
         except wire_client.WireError as error:
             self.add_violation(f"MIXED: {asked[0].name}: {error}")
             raise wire_client.EndedError("broken") from error
@@ -134,8 +149,10 @@
             if request.kind == "once":
                 self.once[request.name] = answer.status
             if 300 <= answer.status < 500 and answer.status not in NOT_RUN_STATUSES:
-                if request.kind != "none":
+                if request.kind not in ("none", "oversized"):
                     self.denied[answer.status] += 1
+        if request.kind == "oversized" and answer.status != 413:
+            self.add_violation(f"LIMIT: {request.name} got {answer.status}")
         named = answer.headers.get("x-request-id", request.name)
         if named != request.name:
             self.add_violation(f"MIXED: {request.name} got the answer to {named}")
@@ -159,8 +176,10 @@
             if status in NOT_RUN_STATUSES and runs[name]:
                 self.add_violation(f"REFUSED: {name} ran and got {status}")
 
-    def check_denials(self) -> None:
-        """Check how many proper requests were denied."""
+    def check_counts(self) -> None:
+        """Check how many proper requests were denied or lost."""
+        if self.lost > LOSSES:
+            self.add_violation(f"LOST: {self.lost} times")
         allowed = DENIALS + sum(self.statuses.values()) / REQUESTS_PER_DENIAL
         if self.denied.total() > allowed:
             self.add_violation(f"DENIED: {dict(self.denied)}, allowed {allowed:.1f}")
--- a/tests/soak/mixed_site.py
+++ b/tests/soak/mixed_site.py
@@ -81,6 +81,7 @@
     def change_routes(self, rng: random.Random) -> str:
         """Write configurations in series."""
         for _ in range(rng.randint(1, 3)):
+            self.body_bytes = rng.choice(LIMITS)
             self.configure(TimeoutMs=rng.choice((700, 800, 900)))
             time.sleep(0.1)
         return f"configuration {self.version}"
--- a/tests/soak/wire_client.py
+++ b/tests/soak/wire_client.py
@@ -18,6 +18,10 @@
     """The connection ended, or nothing came in time, before the answer was whole."""
 
 
+class LostError(EndedError):
+    """The server closed the connection while an answer was due."""
+
+
 class Answer(NamedTuple):
     """An answer.
 
@@ -117,5 +121,5 @@
         except OSError as error:
             raise EndedError(repr(error)) from error
         if not data:
-            raise EndedError("closed before the answer was whole")
+            raise LostError("closed before the answer was whole")
         self._received += data
