End a trial of a refused request that finds no leaf

A request that was let through as a trial, and then refused on arrival for want of a leaf, left its trial open for ever: the daemon made no other, and a page stayed refused until its losses lapsed. Found by reading.

Evidence: test_a_trial_that_finds_no_leaf_does_not_stand_for_a_later_one failed before. Change: a refusal on arrival ends the request's trial.

--- a/amaranthpulley/coordination/forwarding/crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/crash_attribution.py
@@ -107,6 +107,15 @@
     return True
 
 
+def end_trial(
+    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest
+) -> None:
+    """End the trial that a request was, if it was one: it has ended."""
+    for fingerprint in incoming.fingerprints:
+        if gateway.losses.trials.get(fingerprint) == incoming.key:
+            del gateway.losses.trials[fingerprint]
+
+
 def is_suspected(
     gateway: gateway_state.Gateway, request: requests.ForwardedRequest
 ) -> bool:
@@ -220,7 +229,7 @@
 ) -> list[commands.Command]:
     """Record the losses of an ended request that no leaf has answered."""
     decided = _record(gateway, request, now_ms)
-    _end_trial(gateway, request.incoming)
+    end_trial(gateway, request.incoming)
     return decided
 
 
@@ -288,7 +297,7 @@
         else:
             gateway.counters.add("forward_losses_unpublished_total")
         # A trial shows nothing more than this loss.
-        _end_trial(gateway, incoming)
+        end_trial(gateway, incoming)
     if published:
         gateway.counters.add("forward_losses_published_total", len(published))
         addresses = _told_addresses(gateway, published[0])
@@ -352,14 +361,6 @@
     return SHARDED_CRASH_LIMIT if is_sharded else CRASH_LIMIT
 
 
-def _end_trial(
-    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest
-) -> None:
-    for fingerprint in incoming.fingerprints:
-        if gateway.losses.trials.get(fingerprint) == incoming.key:
-            del gateway.losses.trials[fingerprint]
-
-
 def _takes_token(gateway: gateway_state.Gateway, now_ms: int) -> bool:
     tokens = gateway.publication_tokens
     if tokens.refill(PUBLICATIONS_PER_S, PUBLICATION_BURST, now_ms) < 1.0:
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -142,6 +142,7 @@
     now_ms: int,
 ) -> list[commands.Command]:
     request_completion.count_outcome(gateway, incoming, reason.value)
+    crash_attribution.end_trial(gateway, incoming)
     return [
         commands.Refuse(incoming.key, reason, True, retry_after_ms),
         *tracing.refusal_lines(gateway, incoming, reason.value, now_ms),
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -54,6 +54,7 @@
     )
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
+    call.unsent.discard(attempt.number)
     if _is_usable(request, answer):
         cleared = crash_attribution.handle_answer(gateway, request, now_ms)
         _trace_late_answer(request, call, attempt, now_ms)
--- a/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_crash_attribution.py
@@ -214,6 +214,16 @@
         self.site.reply(trial, gateway_site.answer())
         self.assertFalse(crash_site.is_refused(self.site))
 
+    def test_a_trial_that_finds_no_leaf_does_not_stand_for_a_later_one(self) -> None:
+        crash_site.lose_all(self.site)
+        crash_site.lose_all(self.site)
+        for number in range(crash_site.LEAVES):
+            self.site.feed(events.LeafDeleted(f"l{number}"))
+        self.site.advance(crash_attribution.TRIAL_DELAYS_MS[0])
+        self.assertTrue(crash_site.is_refused(self.site))
+        self.site.feed(events.LeafWritten(gateway_site.entry("again", "visits")))
+        self.assertFalse(crash_site.is_refused(self.site))
+
     def test_a_request_that_goes_on_crashing_leaves_is_tried_few_times(self) -> None:
         crash_site.lose_all(self.site)
         crash_site.lose_all(self.site)
