Set down the types of client accounts and of messages between daemons

Accounts, the version of a leaf and the digest of a client's key get their types. Messages between daemons share one codec with a number for each kind; losses and late answers keep theirs. Waiting and admission move to a folder of their own.

--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/client_accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Who may send requests, and how many: keys and quotas of client accounts."""
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about client accounts."""
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -14,8 +14,8 @@
     request_completion,
     request_progress,
     tracing,
-    waiting,
 )
+from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, routes
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -4,7 +4,12 @@
 from typing import NamedTuple
 
 from amaranthpulley.coordination import commands
-from amaranthpulley.state.forwarding import crashes, delegations, requests
+from amaranthpulley.state.forwarding import (
+    crashes,
+    delegations,
+    peer_messages,
+    requests,
+)
 
 
 class Reuse(enum.Enum):
@@ -172,6 +177,19 @@
     addresses: tuple[str, ...]
 
 
+class SendToPeers(NamedTuple):
+    """Send a message to other daemons by a datagram, which may be lost.
+
+    Attributes
+    ----------
+    addresses : tuple of str
+        ``IP:port`` of each recipient.
+    """
+
+    message: peer_messages.PeerMessage
+    addresses: tuple[str, ...]
+
+
 class PublishLosses(NamedTuple):
     """Write losses of leaves under requests to the store, and tell some daemons.
 
@@ -204,6 +222,7 @@
     | OpenConnection
     | ProbeLeaf
     | ReportSlowness
+    | SendToPeers
     | PublishLosses
     | WithdrawLosses
     | commands.Log
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -22,6 +22,21 @@
     list[commands.Command],
 ]
 
+# Handlers of `PeerMessageReceived`, by the type of its message.
+_MESSAGE_HANDLERS: Final[dict[type, Handler]] = {}
+
+
+def _handle_peer_message(
+    gateway: gateway_state.Gateway,
+    event: events.PeerMessageReceived,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Handle a message of another daemon; one that no handler takes is dropped."""
+    handler = _MESSAGE_HANDLERS.get(type(event.message))
+    return [] if handler is None else handler(gateway, event, now_ms, random)
+
+
 _HANDLERS: Final[dict[type, Handler]] = {
     events.RequestArrived: request_arrival.receive,
     events.ClientLeft: request_progress.handle_client_left,
@@ -43,6 +58,7 @@
     events.Registered: cluster_updates.record_registration,
     events.ProbeEnded: cluster_updates.handle_probe_end,
     events.SlownessReported: slowness_reports.handle_report,
+    events.PeerMessageReceived: _handle_peer_message,
     events.LossPublished: crash_attribution.handle_published,
     events.LossTold: crash_attribution.handle_told,
     events.LossWithdrawn: crash_attribution.handle_withdrawn,
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -2,7 +2,14 @@
 
 from typing import NamedTuple
 
-from amaranthpulley.state.forwarding import crashes, gateway, leaves, requests, routes
+from amaranthpulley.state.forwarding import (
+    crashes,
+    gateway,
+    leaves,
+    peer_messages,
+    requests,
+    routes,
+)
 
 
 class RequestArrived(NamedTuple):
@@ -203,6 +210,19 @@
     slowness: float
 
 
+class PeerMessageReceived(NamedTuple):
+    """Another daemon has sent a message.
+
+    Attributes
+    ----------
+    sender : str
+        ``IP:port`` of that daemon.
+    """
+
+    message: peer_messages.PeerMessage
+    sender: str
+
+
 class LossPublished(NamedTuple):
     """A daemon has published that a leaf was lost while it ran a request."""
 
@@ -296,6 +316,7 @@
     | Registered
     | ProbeEnded
     | SlownessReported
+    | PeerMessageReceived
     | LossPublished
     | LossTold
     | LossWithdrawn
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests are accepted, wait and are refused while room is short."""
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/overload/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under overload."""
--- a/amaranthpulley/coordination/forwarding/tests/test_waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/tests/test_waiting.py
@@ -3,13 +3,14 @@
 import unittest
 
 from amaranthpulley.coordination.forwarding import (
-    admission,
     attempt_dispatch,
     commands,
     connection_shares,
     events,
 )
-from amaranthpulley.coordination.forwarding.tests import gateway_site, overloaded_site
+from amaranthpulley.coordination.forwarding.overload import admission
+from amaranthpulley.coordination.forwarding.overload.tests import overloaded_site
+from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import requests
 
 LEAVES = 3
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import (
-    admission,
     commands,
     crash_attribution,
     delegation,
@@ -14,6 +13,7 @@
     request_completion,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.overload import admission
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
 
--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -3,12 +3,12 @@
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import (
-    admission,
     commands,
     crash_attribution,
     record_merge,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.overload import admission
 from amaranthpulley.state import latency
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -15,8 +15,8 @@
     request_completion,
     slowness_reports,
     tracing,
-    waiting,
 )
+from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
 
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Moves a service's requests to the leaves of another version, and back."""
--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -126,6 +126,7 @@
         draining=raw["State"] == names.DRAINING,
         cold_ms=raw["WarmupLeftMs"],
         born_ms=raw.get("born", 0),
+        version=raw["Version"],
     )
 
 
--- /dev/null
+++ b/amaranthpulley/state/forwarding/client_accounts/__init__.py
@@ -0,0 +1,1 @@
+"""The tables of client accounts."""
--- /dev/null
+++ b/amaranthpulley/state/forwarding/client_accounts/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tables of client accounts."""
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -31,6 +31,8 @@
         Remaining time for which it stays cold.
     born_ms : int
         Unix time of its start, in milliseconds.
+    version : str
+        Version of its software.
     """
 
     leaf_id: str
@@ -41,6 +43,7 @@
     draining: bool
     cold_ms: int
     born_ms: int
+    version: str = ""
 
 
 class LeafStart(NamedTuple):
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -24,6 +24,8 @@
         Time that the client waits, from the arrival of the request.
     origin : Origin or None
         Set when another daemon accepted the request and this one runs it.
+    key_digest : bytes or None
+        Digest of the client's key; None if the client sent none, or several.
     """
 
     key: int
@@ -33,6 +35,7 @@
     fingerprints: tuple[int, ...]
     deadline_ms: int | None
     origin: delegations.Origin | None = None
+    key_digest: bytes | None = None
 
 
 class AttemptEnd(enum.Enum):
--- a/amaranthpulley/state/forwarding/routes.py
+++ b/amaranthpulley/state/forwarding/routes.py
@@ -2,6 +2,8 @@
 
 from typing import Final, NamedTuple
 
+from amaranthpulley.state.forwarding.client_accounts import accounts as accounts_state
+
 
 class WeightedService(NamedTuple):
     """A service that takes a share of a route's requests.
@@ -45,6 +47,8 @@
         Smallest share of the shards in a successful answer.
     regions : frozenset of str
         Regions in which the request may be served; empty for all.
+    anonymous : bool
+        Whether requests need no key of a client account.
     """
 
     name: str
@@ -60,6 +64,7 @@
     top_records: int
     minimum_coverage: float
     regions: frozenset[str]
+    anonymous: bool = False
 
 
 class ServiceLimits(NamedTuple):
@@ -108,12 +113,15 @@
         Limits by service name.
     client_limits : ClientLimits
         Limits of client requests.
+    accounts : AccountTable or None
+        Client accounts; None if requests need no key.
     """
 
     version: int
     routes: dict[str, dict[str, Route]]
     services: dict[str, ServiceLimits]
     client_limits: ClientLimits
+    accounts: accounts_state.AccountTable | None = None
 
 
 DEFAULT_SERVICE_LIMITS = ServiceLimits("/", 16, 0.0)
--- a/amaranthpulley/transport/forwarding/datagrams.py
+++ b/amaranthpulley/transport/forwarding/datagrams.py
@@ -13,7 +13,11 @@
 
 from amaranthpulley.coordination.forwarding import commands, events
 from amaranthpulley.protocol import errors as protocol_errors
-from amaranthpulley.protocol.forwarding import loss_codec, slowness_codec
+from amaranthpulley.protocol.forwarding import (
+    loss_codec,
+    peer_message_codec,
+    slowness_codec,
+)
 from amaranthpulley.transport.forwarding import streams
 
 _plain_socket: Final = eventlet.patcher.original("socket")
@@ -71,6 +75,10 @@
         """Send losses to each address of the command."""
         self._send(loss_codec.encode(command.losses), command.addresses)
 
+    def send_message(self, command: commands.SendToPeers) -> None:
+        """Send a message to each address of the command."""
+        self._send(peer_message_codec.encode(command.message), command.addresses)
+
     def _send(self, data: bytes, addresses: tuple[str, ...]) -> None:
         for address in addresses:
             host, port = address.rsplit(":", 1)
@@ -89,7 +97,7 @@
                     _LOGGER.warning("cannot receive datagrams: %s", error)
                 return
             try:
-                received = _events_of(data)
+                received = _events_of(data, sender)
             except protocol_errors.MalformedMessageError as error:
                 _LOGGER.warning("malformed datagram from %s: %s", sender, error)
                 continue
@@ -97,7 +105,12 @@
                 self._handle_event(event)
 
 
-def _events_of(data: bytes) -> list[events.Event]:
+def _events_of(data: bytes, sender: tuple[str, int]) -> list[events.Event]:
+    if data.startswith(peer_message_codec.PREFIX):
+        message = peer_message_codec.decode(data)
+        if message is None:
+            return []
+        return [events.PeerMessageReceived(message, f"{sender[0]}:{sender[1]}")]
     if data.startswith(loss_codec.PREFIX):
         return [events.LossTold(loss) for loss in loss_codec.decode(data)]
     message = slowness_codec.decode(data)
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -161,6 +161,7 @@
     def _open_runtime(self, names: header_names.HeaderNames) -> runtime.Runtime:
         message_handlers = {
             forwarding_commands.ReportSlowness: self._datagrams.send_slowness,
+            forwarding_commands.SendToPeers: self._datagrams.send_message,
             forwarding_commands.PublishLosses: self._publish_losses,
             forwarding_commands.WithdrawLosses: self._losses.withdraw,
         }
--- a/amaranthpulley/transport/forwarding/tests/test_datagrams.py
+++ b/amaranthpulley/transport/forwarding/tests/test_datagrams.py
@@ -10,7 +10,7 @@
 import eventlet  # noqa: E402
 
 from amaranthpulley.coordination.forwarding import commands, events  # noqa: E402
-from amaranthpulley.state.forwarding import crashes  # noqa: E402
+from amaranthpulley.state.forwarding import crashes, peer_messages  # noqa: E402
 from amaranthpulley.transport import errors  # noqa: E402
 from amaranthpulley.transport.forwarding import datagrams  # noqa: E402
 
@@ -44,6 +44,14 @@
         expected = [events.LossTold(loss) for loss in losses]
         self.assertEqual(self.received_events, expected)
 
+    def test_messages_are_received_with_their_sender(self) -> None:
+        message = peer_messages.TokenRequest(1, "front-desk", 2)
+        addresses = (self.receiver.address,)
+        self.sender.send_message(commands.SendToPeers(message, addresses))
+        self._wait()
+        expected = events.PeerMessageReceived(message, self.sender.address)
+        self.assertEqual(self.received_events, [expected])
+
     def test_malformed_datagrams_are_skipped(self) -> None:
         host, port = self.receiver.address.split(":")
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other_socket:
