Authenticate clients by the keys of their accounts

The configuration may name client accounts with keys. A request finds its account by the digest of its key and gets 401 without a valid one; leaves get the account's name in place of the key. Keys are replaced by digests when the configuration is read from the store, so that no copy of it holds a key. Trailers are no headers where there are accounts.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -63,6 +63,7 @@
     if (
         not retry_budget.may_run_again(request, call)
         or call.sends >= MAXIMUM_SENDS
+        or request.withdrawn
         or crash_attribution.refuses(gateway, request.incoming)
     ):
         stop_waiting(gateway, call)
@@ -153,7 +154,7 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call = request.calls[shard]
     call.hedge_due_ms = None
-    if crash_attribution.refuses(gateway, request.incoming):
+    if request.withdrawn or crash_attribution.refuses(gateway, request.incoming):
         return []
     if crash_attribution.must_not_hedge(gateway, request, now_ms):
         request.held = call.hedge_held = True
@@ -191,8 +192,7 @@
     stop_waiting(gateway, call)
     number = gateway.next_attempt
     gateway.next_attempt += 1
-    leaf_id = leaf.entry.leaf_id
-    key = request.incoming.key
+    leaf_id, key = leaf.entry.leaf_id, request.incoming.key
     after_loss = crash_attribution.is_suspected(gateway, request)
     attempt = requests.Attempt(number, key, shard, leaf.start, now_ms, after_loss)
     gateway.attempts[number] = attempt
@@ -216,8 +216,10 @@
     reuse = commands.Reuse.ANY if request.route.idempotent else commands.Reuse.RECENT
     if after_loss:
         reuse = commands.Reuse.NONE
-    address = leaf.entry.address
-    return commands.SendAttempt(number, key, leaf_id, address, budget_ms, reuse, keep)
+    address, account = leaf.entry.address, request.leaf_account
+    return commands.SendAttempt(
+        number, key, leaf_id, address, budget_ms, reuse, keep, account
+    )
 
 
 def stop_waiting(gateway: gateway_state.Gateway, call: requests.ShardCall) -> None:
@@ -269,7 +271,7 @@
     call.retry_due_ms = min([at_ms for at_ms in due_ms if at_ms > now_ms])
     if call.waiting is None:
         call.waiting = waiting.WaitingCall(
-            request.route.priority, request.arrived_ms, request.incoming.key, shard
+            request.route.rank, request.arrived_ms, request.incoming.key, shard
         )
         gateway.waiting.add(call.service, call.waiting)
         tracing.record_decision(request, now_ms, "leaves_busy", call.service, detail)
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -41,6 +41,9 @@
         Which open connection may be used.
     keep : bool
         Whether the connection may stay open after the answer.
+    account : str or None
+        Name of the client account for the leaf, in place of the client's headers with
+        its key and account; None: these as the client sent them; empty: neither.
     """
 
     attempt: int
@@ -50,6 +53,7 @@
     budget_ms: int
     reuse: Reuse
     keep: bool
+    account: str | None = None
 
 
 class SendToDelegate(NamedTuple):
@@ -67,6 +71,8 @@
         Time until the answer is needed.
     origin : Origin
         What the delegate must know about the request.
+    hides_key : bool
+        Whether the client's headers with its key and account are left out.
     """
 
     delegation: int
@@ -74,6 +80,7 @@
     address: str
     budget_ms: int
     origin: delegations.Origin
+    hides_key: bool = False
 
 
 class CancelAttempt(NamedTuple):
@@ -114,6 +121,8 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_LEAF = "no_leaf"
+    NO_REGION = "no_region"
+    UNAUTHORIZED = "unauthorized"
     OVERLOADED = "overloaded"
     CRASHES_LEAVES = "crashes_leaves"
     TIMED_OUT = "timed_out"
--- a/amaranthpulley/coordination/forwarding/delegation.py
+++ b/amaranthpulley/coordination/forwarding/delegation.py
@@ -67,7 +67,10 @@
         key,
         gateway.members[daemon].delegate_address,
         max(1, request.give_up_ms - now_ms),
-        delegations.Origin(request.version, now_ms - request.arrived_ms),
+        delegations.Origin(
+            request.version, now_ms - request.arrived_ms, request.leaf_account or ""
+        ),
+        request.leaf_account is not None,
     )
     return [sent, *request_completion.answer_if_due(gateway, request, now_ms)]
 
@@ -221,6 +224,8 @@
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
+    if request.withdrawn:
+        return request_completion.end_unknown(gateway, request, now_ms)
     handed_over = hand_over(gateway, request, now_ms)
     if handed_over:
         return handed_over
--- a/amaranthpulley/coordination/forwarding/overload/admission.py
+++ b/amaranthpulley/coordination/forwarding/overload/admission.py
@@ -64,7 +64,7 @@
     ]
     if not usable:
         return float(route.timeout_ms)
-    ahead = gateway.waiting.count_ahead(service, route.priority)
+    ahead = gateway.waiting.count_ahead(service, route.rank)
     mean_ms = gateway.latency_of(route).mean_ms
     per_ms = sum(_throughput_per_ms(gateway, leaf, mean_ms) for leaf in usable)
     soonest_ms = min(
--- a/amaranthpulley/coordination/forwarding/overload/waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/waiting.py
@@ -63,7 +63,7 @@
 
 def _order(
     gateway: gateway_state.Gateway, waiting_call: waiting.WaitingCall, now_ms: int
-) -> tuple[int, bool, int]:
+) -> tuple[tuple[int, int], bool, int]:
     request = gateway.requests.get(waiting_call.request_key)
     is_late = request is None or _is_late(gateway, request, now_ms)
     return waiting_call.rank, is_late, waiting_call.arrived_ms
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -13,9 +13,11 @@
     request_completion,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import authentication
 from amaranthpulley.coordination.forwarding.overload import admission
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
+from amaranthpulley.state.forwarding.client_accounts import accounts
 
 # Subtracted from the client's deadline, so that the answer reaches it in time.
 DEADLINE_MARGIN_MS: Final = 20
@@ -35,21 +37,22 @@
     incoming = event.request
     configuration = gateway.configuration
     if configuration is None or not gateway.listed:
-        reason = commands.Refusal.NO_CONFIGURATION
-        left_ms = incoming.deadline_ms or DEFAULT_DEADLINE_MS
-        after_ms = admission.return_after_ms(0, START_MS, left_ms, incoming.key)
-        return _refuse(gateway, incoming, reason, after_ms, now_ms)
+        return _refuse_until_configured(gateway, incoming, now_ms)
     reason = delegation.refusal_of(gateway, incoming.origin)
     if reason is not None:
         return _refuse(gateway, incoming, reason, 0, now_ms)
     route = routes.find_route(configuration, incoming.host, incoming.path)
     if route is None:
         return _refuse(gateway, incoming, commands.Refusal.NO_ROUTE, 0, now_ms)
+    account = authentication.identify(configuration, route, incoming)
+    if isinstance(account, commands.Refusal):
+        authentication.count_refused(gateway, incoming)
+        return _refuse(gateway, incoming, account, 0, now_ms)
     if crash_attribution.refuses(gateway, incoming) and not (
         crash_attribution.begin_trial(gateway, incoming, now_ms)
     ):
         return _refuse(gateway, incoming, commands.Refusal.CRASHES_LEAVES, 0, now_ms)
-    request = _create_request(gateway, incoming, route, now_ms)
+    request = _create_request(gateway, incoming, route, account, now_ms)
     if route.shards and incoming.origin is None:
         gateway.own_searches.add_request(now_ms)
     handed_over = delegation.hand_over(gateway, request, now_ms)
@@ -73,7 +76,10 @@
     """Return the refusal of a request that cannot be served; empty if it can."""
     route, incoming = request.route, request.incoming
     left_ms = request.give_up_ms - now_ms
-    if not admission.has_enough_leaves(gateway, route, services, left_ms, now_ms):
+    if route.regions is routes.NO_REGIONS:
+        # Only another version changes this, so that a repeat is of no use.
+        reason, room_ms = commands.Refusal.NO_REGION, float(admission.LONGEST_RETURN_MS)
+    elif not admission.has_enough_leaves(gateway, route, services, left_ms, now_ms):
         has_any = admission.has_enough_leaves(
             gateway, route, services, math.inf, now_ms
         )
@@ -98,6 +104,7 @@
     gateway: gateway_state.Gateway,
     incoming: requests.IncomingRequest,
     route: routes.Route,
+    account: accounts.Account | None,
     now_ms: int,
 ) -> requests.ForwardedRequest:
     origin = incoming.origin
@@ -109,9 +116,12 @@
         wait_ms = min(wait_ms, gateway.drain_end_ms - now_ms)
     configuration = gateway.configuration
     version = configuration.version if configuration is not None else 0
-    return requests.ForwardedRequest(
+    request = requests.ForwardedRequest(
         incoming, route, version, now_ms - elapsed_ms, now_ms + max(1, wait_ms)
     )
+    if configuration is not None and configuration.accounts is not None:
+        request.set_account(account, authentication.leaf_name(account))
+    return request
 
 
 def _next_service(
@@ -134,6 +144,15 @@
     return name
 
 
+def _refuse_until_configured(
+    gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
+) -> list[commands.Command]:
+    left_ms = incoming.deadline_ms or DEFAULT_DEADLINE_MS
+    after_ms = admission.return_after_ms(0, START_MS, left_ms, incoming.key)
+    reason = commands.Refusal.NO_CONFIGURATION
+    return _refuse(gateway, incoming, reason, after_ms, now_ms)
+
+
 def _refuse(
     gateway: gateway_state.Gateway,
     incoming: requests.IncomingRequest,
--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -66,6 +66,16 @@
     return _refuse(gateway, request, commands.Refusal.OUTCOME_UNKNOWN, now_ms)
 
 
+def is_not_run(request: requests.ForwardedRequest) -> bool:
+    """Return whether no leaf has run a request or may still run it.
+
+    Attempts that wait for their connection do not count, since they can be cancelled.
+    """
+    if request.ran_elsewhere or request.delegation is not None:
+        return False
+    return all(sum(call.runs.values()) == len(call.unsent) for call in request.calls)
+
+
 def pass_delegated(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
@@ -167,28 +177,37 @@
     now_ms: int,
 ) -> list[commands.Command]:
     request.answered = True
-    # A leaf that may have run the request, or may still run it, rules out "not run".
-    not_run = not request.ran_elsewhere and request.delegation is None
-    not_run = not_run and all(
-        sum(call.runs.values()) == len(call.unsent) for call in request.calls
-    )
-    cancelled = _cancel_unsent(gateway, request) if not_run else []
+    not_run = is_not_run(request)
+    cancelled = cancel_unsent(gateway, request) if not_run else []
     if not_run and reason is commands.Refusal.TIMED_OUT:
         reason = commands.Refusal.OVERLOADED
     key, route = request.incoming.key, request.route
-    service = route.shards[0] if route.shards else request.calls[0].service
+    services = route.shards or [call.service for call in request.calls]
+    service = services[0] if services else route.services[0].name
     room_ms = admission.expected_answer_ms(gateway, route, service, now_ms)
     left_ms = request.give_up_ms - now_ms
     after_ms = admission.return_after_ms(route.priority, room_ms, left_ms, key)
     if not_run and crash_attribution.refuses(gateway, request.incoming):
         reason, after_ms = commands.Refusal.CRASHES_LEAVES, 0
+    if not_run and request.withdrawn:
+        reason, after_ms = _withdrawn_reason(request), 0
     refused = commands.Refuse(key, reason, not_run, after_ms)
     missing = sum(call.answer is None for call in request.calls)
     ended = _finish(gateway, request, reason.value, missing, now_ms)
     return [*cancelled, refused, *ended]
 
 
-def _cancel_unsent(
+def _withdrawn_reason(request: requests.ForwardedRequest) -> commands.Refusal:
+    """Return why a request whose key was withdrawn is refused.
+
+    A delegate hands it back, since the daemon that accepted it decides.
+    """
+    if request.incoming.origin is not None:
+        return commands.Refusal.OTHER_VERSION
+    return commands.Refusal.UNAUTHORIZED
+
+
+def cancel_unsent(
     gateway: gateway_state.Gateway, request: requests.ForwardedRequest
 ) -> list[commands.Command]:
     """Cancel the attempts that wait for their connections; nothing has been sent."""
--- a/amaranthpulley/platform/configuration.py
+++ b/amaranthpulley/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from typing import Literal, NotRequired, TypedDict
 
-from amaranthpulley.platform import names
+from amaranthpulley.platform import client_accounts, names
 from amaranthpulley.protocol import json_codec
 from amaranthpulley.state.forwarding import routes
 
@@ -31,6 +31,7 @@
     TopK: NotRequired[int | None]
     MinCoverage: NotRequired[float | None]
     AllowedRegions: NotRequired[list[str] | None]
+    Anonymous: NotRequired[bool | None]
 
 
 class _Service(TypedDict):
@@ -58,6 +59,7 @@
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits
+    Tenants: NotRequired[list[client_accounts.Tenant] | None]
 
 
 def decode(text: bytes) -> routes.Configuration:
@@ -73,6 +75,7 @@
     for route in raw["Routes"]:
         table.setdefault(route["Host"].lower(), {})[route["PathPrefix"]] = _route(route)
     limits = raw["Limits"]
+    tenants = raw.get("Tenants")
     return routes.Configuration(
         raw["Version"],
         table,
@@ -83,6 +86,7 @@
             limits["HeaderTimeoutMs"],
             limits["IdleTimeoutMs"],
         ),
+        None if tenants is None else client_accounts.table_of(tenants),
     )
 
 
@@ -108,6 +112,7 @@
         top_records=raw.get("TopK") or 0,
         minimum_coverage=raw.get("MinCoverage") or 0.0,
         regions=frozenset(raw.get("AllowedRegions") or ()),
+        anonymous=raw.get("Anonymous") or False,
     )
 
 
--- a/amaranthpulley/platform/names.py
+++ b/amaranthpulley/platform/names.py
@@ -20,6 +20,8 @@
     retry_after=b"retry-after",
     limit=b"server-limit",
     leaving=b"server-leaving",
+    key=b"x-key",
+    account=b"x-tenant",
 )
 
 READY_PATH: Final = b"/api/ready"
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -7,7 +7,7 @@
 import urllib3
 
 from amaranthpulley.coordination.forwarding import store_watchers
-from amaranthpulley.platform import entries, names
+from amaranthpulley.platform import client_accounts, entries, names
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import json_codec
 from amaranthpulley.state import store
@@ -248,6 +248,8 @@
 
 def _change_of(era: int, item: _Item) -> store.Change:
     value = None if item.get("Deleted") else _bytes_of(item)
+    if value is not None and item["Key"] == names.CONFIGURATION_KEY:
+        value = client_accounts.without_keys(value)
     revision = store.revision_in(era, item["Revision"])
     return store.Change(item["Key"], revision, value)
 
--- a/amaranthpulley/protocol/forwarding/client_answers.py
+++ b/amaranthpulley/protocol/forwarding/client_answers.py
@@ -18,6 +18,8 @@
     commands.Refusal.NO_CONFIGURATION: 503,
     commands.Refusal.NO_ROUTE: 404,
     commands.Refusal.NO_LEAF: 503,
+    commands.Refusal.NO_REGION: 503,
+    commands.Refusal.UNAUTHORIZED: 401,
     commands.Refusal.OVERLOADED: 503,
     commands.Refusal.CRASHES_LEAVES: 503,
     commands.Refusal.TIMED_OUT: 504,
@@ -27,6 +29,7 @@
     commands.Refusal.DRAINING: 503,
 }
 _BAD_GATEWAY: Final = 502
+_UNAUTHORIZED: Final = 401
 
 
 def without_body(answer: bytes) -> bytes:
@@ -105,6 +108,9 @@
     if refusal.retry_after_ms and status == 503:
         seconds = refusal.retry_after_ms / 1000
         extra += b"%b: %.3f\r\n" % (names.retry_after, seconds)
+    if status == _UNAUTHORIZED:
+        # HTTP asks for a challenge; the scheme is our own, since the key has a header.
+        extra += b'WWW-Authenticate: ApiKey header="%b"\r\n' % names.key
     if refusal.reason is commands.Refusal.DRAINING:
         # Only other daemons get this refusal.
         extra += b"%b: 1\r\n" % names.leaving
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -7,8 +7,8 @@
 
 import httptools
 
-from amaranthpulley.protocol.forwarding import errors, header_names
-from amaranthpulley.state.forwarding import routes
+from amaranthpulley.protocol.forwarding import errors, header_names, key_digests
+from amaranthpulley.state.forwarding import delegations, requests, routes
 
 MAXIMUM_PIPELINED_REQUESTS: Final = 16
 HEAD: Final = b"HEAD"
@@ -26,11 +26,13 @@
     target : bytes
         Path and query, not decoded.
     headers : list of (bytes, bytes)
-        All headers in the order received.
+        All headers in the order received, without trailers.
     body : bytes
         The body without chunk framing.
     keep_alive : bool
         Whether the connection may be reused.
+    trailers : tuple of (bytes, bytes)
+        Fields after a chunked body.
     """
 
     method: bytes
@@ -38,6 +40,7 @@
     headers: header_names.Headers
     body: bytes
     keep_alive: bool
+    trailers: tuple[tuple[bytes, bytes], ...] = ()
 
     def first(self, name: bytes) -> bytes | None:
         """Return the first value of a header, whose name is given in lower case."""
@@ -53,6 +56,59 @@
     return host.partition(":")[0]
 
 
+def incoming_of(
+    request: ClientRequest,
+    names: header_names.HeaderNames,
+    key: int,
+    origin: delegations.Origin | None,
+) -> requests.IncomingRequest:
+    """Return the parts of a request that decisions depend on.
+
+    Parameters
+    ----------
+    key : int
+        Number of the request, unique in this process.
+    origin : Origin or None
+        Set when another daemon accepted the request.
+    """
+    deadline = request.first(names.deadline_ms)
+    return requests.IncomingRequest(
+        key,
+        (request.first(names.request_id) or b"").decode("latin-1"),
+        host_of(request),
+        request.target.partition(b"?")[0].decode("latin-1"),
+        fingerprints_of(request),
+        int(deadline) if deadline is not None and deadline.isdigit() else None,
+        origin,
+        key_digest_of(request, names.key),
+    )
+
+
+def with_trailers(request: ClientRequest) -> ClientRequest:
+    """Return a request whose trailers are headers.
+
+    They are forwarded like this where there are no client accounts.
+    """
+    if not request.trailers:
+        return request
+    return request._replace(headers=[*request.headers, *request.trailers])
+
+
+def key_digest_of(request: ClientRequest, name: bytes) -> bytes | None:
+    """Return the digest of a request's key; None for no key, or several ones.
+
+    Parameters
+    ----------
+    name : bytes
+        Name of the header with the key, in lower case.
+    """
+    keys = {value.strip() for key, value in request.headers if key.lower() == name}
+    if len(keys) != 1:
+        return None
+    key = keys.pop()
+    return key_digests.digest_of(key) if key else None
+
+
 def fingerprints_of(request: ClientRequest) -> tuple[int, ...]:
     """Return hashes of what a request asks for, the same at every daemon.
 
@@ -159,11 +215,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle the parser's callback."""
-        self._headers.append((name, value))
+        fields = self._trailers if self._has_head else self._headers
+        fields.append((name, value))
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Handle the parser's callback."""
+        self._has_head = True
         self._body_bytes = self._limits().body_bytes
         host_count = 0
         has_body = False
@@ -200,6 +258,7 @@
             self._headers,
             b"".join(self._body),
             self._parser.should_keep_alive(),
+            tuple(self._trailers),
         )
         self._requests.append(request)
         self._started = False
@@ -210,6 +269,8 @@
         self._method = b""
         self._target = b""
         self._headers: header_names.Headers = []
+        self._trailers: header_names.Headers = []
+        self._has_head = False
         self._body: list[bytes] = []
         self._body_size = 0
         self._head_size = 0
--- a/amaranthpulley/protocol/forwarding/delegation_codec.py
+++ b/amaranthpulley/protocol/forwarding/delegation_codec.py
@@ -4,6 +4,7 @@
 """
 
 from typing import Final
+from urllib import parse
 
 from amaranthpulley.protocol.forwarding import client_requests, header_names
 from amaranthpulley.state.forwarding import delegations, requests
@@ -21,12 +22,16 @@
     origin: delegations.Origin,
 ) -> bytes:
     """Return a complete request to a delegate."""
-    return b"%b%b: %d\r\n%b: %d,%d\r\n\r\n%b" % (
+    # A daemon without client accounts also reads the form without a name.
+    account = b"," + parse.quote(origin.account).encode() if origin.account else b""
+    return b"%b%b: %d\r\n%b: %d,%d%b\r\n\r\n%b" % (
         head,
         names.deadline_ms,
         budget_ms,
         ORIGIN_HEADER,
-        *origin,
+        origin.version,
+        origin.elapsed_ms,
+        account,
         body,
     )
 
@@ -41,10 +46,11 @@
     values = [v for name, v in request.headers if name.lower() == ORIGIN_HEADER]
     kept = [pair for pair in request.headers if pair[0].lower() != ORIGIN_HEADER]
     forwarded = request._replace(headers=kept)
-    version, _, elapsed_ms = (values or [b""])[-1].partition(b",")
+    version, elapsed_ms, account, *_ = (*(values or [b""])[-1].split(b","), b"", b"")
     if not version.isdigit() or not elapsed_ms.isdigit():
         return forwarded, None
-    return forwarded, delegations.Origin(int(version), int(elapsed_ms))
+    name = parse.unquote(account.decode("latin-1"))
+    return forwarded, delegations.Origin(int(version), int(elapsed_ms), name)
 
 
 def missing_parts(
--- a/amaranthpulley/protocol/forwarding/header_names.py
+++ b/amaranthpulley/protocol/forwarding/header_names.py
@@ -54,6 +54,10 @@
         Requests a second that a leaf takes from all daemons together.
     leaving : bytes
         Whether a leaf is about to stop.
+    key : bytes
+        Key of a client account; empty for no such header.
+    account : bytes
+        Name of a client account, for leaves; empty for no such header.
     """
 
     request_id: bytes
@@ -68,6 +72,8 @@
     retry_after: bytes
     limit: bytes
     leaving: bytes
+    key: bytes = b""
+    account: bytes = b""
 
 
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/amaranthpulley/protocol/forwarding/leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -69,10 +69,20 @@
 
 
 def encode_request_head(
-    request: client_requests.ClientRequest, names: header_names.HeaderNames
+    request: client_requests.ClientRequest,
+    names: header_names.HeaderNames,
+    hides_key: bool = False,
 ) -> bytes:
-    """Return the part of a request's head that does not depend on the leaf."""
-    replaced = (names.deadline_ms, names.wanted_leaf)
+    """Return the part of a request's head that does not depend on the leaf.
+
+    Parameters
+    ----------
+    hides_key : bool
+        Whether the client's headers with its key and account are left out.
+    """
+    replaced = {names.deadline_ms, names.wanted_leaf}
+    if hides_key:
+        replaced |= _spellings(names.key) | _spellings(names.account)
     lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
     for name, value in header_names.end_to_end(request.headers):
         lowered = name.lower()
@@ -89,18 +99,32 @@
     names: header_names.HeaderNames,
     leaf_id: str,
     budget_ms: int,
+    account: str | None = None,
 ) -> bytes:
-    """Return a complete request to one leaf."""
-    return b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
+    """Return a complete request to one leaf.
+
+    Parameters
+    ----------
+    account : str or None
+        Name of the client account, which the leaf is told; may be empty.
+    """
+    line = b"%b: %b\r\n" % (names.account, account.encode()) if account else b""
+    return b"%b%b: %d\r\n%b: %b\r\n%b\r\n%b" % (
         head,
         names.deadline_ms,
         budget_ms,
         names.wanted_leaf,
         leaf_id.encode(),
+        line,
         body,
     )
 
 
+def _spellings(name: bytes) -> set[bytes]:
+    """Return a header's name and the one that WSGI and CGI programs take for it."""
+    return {name, name.replace(b"-", b"_")}
+
+
 def encode_health_request(address: str, path: str) -> bytes:
     """Return a health check request."""
     return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
--- a/amaranthpulley/state/forwarding/client_accounts/accounts.py
+++ b/amaranthpulley/state/forwarding/client_accounts/accounts.py
@@ -27,19 +27,40 @@
     burst: float
 
 
+class SharedKeys(NamedTuple):
+    """Keys that the configuration lists at two accounts.
+
+    Attributes
+    ----------
+    holder : str
+        Name of the account to which they belong, the first one in the list.
+    other : str
+        Name of the later account.
+    keys : int
+        Number of such keys.
+    """
+
+    holder: str
+    other: str
+    keys: int
+
+
 class AccountTable(NamedTuple):
     """The accounts of a configuration.
 
     Attributes
     ----------
     by_name : dict
-        Accounts by name.
+        Accounts by name; accounts that no key identifies are left out.
     names_by_key : dict
         Names of accounts by the digest of each of their keys.
+    shared_keys : tuple of SharedKeys
+        Keys that are listed at several accounts.
     """
 
     by_name: dict[str, Account]
     names_by_key: dict[bytes, str]
+    shared_keys: tuple[SharedKeys, ...] = ()
 
     def holder_of(self, key_digest: bytes | None) -> Account | None:
         """Return the account that holds a key, or None for an unknown one."""
--- a/amaranthpulley/state/forwarding/delegations.py
+++ b/amaranthpulley/state/forwarding/delegations.py
@@ -33,10 +33,13 @@
         Version of the configuration that the request was routed by.
     elapsed_ms : int
         Time since it arrived there.
+    account : str
+        Name of the client account; empty for a request without one.
     """
 
     version: int
     elapsed_ms: int
+    account: str = ""
 
 
 class Delegation(NamedTuple):
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.state.forwarding import delegations, leaves, routes, waiting
+from amaranthpulley.state.forwarding.client_accounts import accounts
 
 
 class IncomingRequest(NamedTuple):
@@ -252,7 +253,15 @@
         give_up_ms: int,
     ) -> None:
         self.incoming = incoming
+        # As the configuration states it; `route` has the account's limits applied.
+        self.own_route = route
         self.route = route
+        self.account: accounts.Account | None = None
+        # Account name for the leaves: None if they get the client's headers as they
+        # are, empty if the request has no account.
+        self.leaf_account: str | None = None
+        # Whether its key has been withdrawn: it is sent to no further leaf.
+        self.withdrawn = False
         self.version = version
         self.arrived_ms = arrived_ms
         self.give_up_ms = give_up_ms
@@ -273,3 +282,11 @@
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
         self.trace: list[TracedDecision] = []
+
+    def set_account(
+        self, account: accounts.Account | None, leaf_account: str | None
+    ) -> None:
+        """Set the account, and apply its priority and regions to the route."""
+        self.account = account
+        self.leaf_account = leaf_account
+        self.route = routes.with_account(self.own_route, account)
--- a/amaranthpulley/state/forwarding/routes.py
+++ b/amaranthpulley/state/forwarding/routes.py
@@ -49,6 +49,9 @@
         Regions in which the request may be served; empty for all.
     anonymous : bool
         Whether requests need no key of a client account.
+    second_priority : int
+        Rank among the requests of the same priority: the route's own where the
+        priority is an account's.
     """
 
     name: str
@@ -65,6 +68,16 @@
     minimum_coverage: float
     regions: frozenset[str]
     anonymous: bool = False
+    second_priority: int = 0
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Order under overload; the smallest is the most urgent."""
+        return self.priority, self.second_priority
+
+
+# In place of a route's regions when no region is left: no region has this name.
+NO_REGIONS: Final = frozenset({"\0"})
 
 
 class ServiceLimits(NamedTuple):
@@ -144,6 +157,25 @@
     return None
 
 
+def with_account(route: Route, account: accounts_state.Account | None) -> Route:
+    """Return a route with the priority and the regions that an account's requests get.
+
+    The account's priority comes first, then the route's. Both must allow a region.
+    """
+    if account is None:
+        return route
+    if account.priority is not None:
+        route = route._replace(
+            priority=account.priority, second_priority=route.priority
+        )
+    if account.regions:
+        regions = account.regions
+        if route.regions:
+            regions = (account.regions & route.regions) or NO_REGIONS
+        route = route._replace(regions=regions)
+    return route
+
+
 def sharded_services(configuration: Configuration) -> tuple[str, ...]:
     """Return the services of all sharded routes in alphabetical order."""
     found = {
--- a/amaranthpulley/state/forwarding/waiting.py
+++ b/amaranthpulley/state/forwarding/waiting.py
@@ -9,15 +9,15 @@
 
     Attributes
     ----------
-    rank : int
-        Priority of the route; 0 is the most urgent.
+    rank : tuple of int
+        Rank of the request, see `routes.Route.rank`; the smallest is the most urgent.
     arrived_ms : int
         Arrival of the request, by the monotonic clock.
     request_key, shard : int
         The request, and the index of the shard in its calls.
     """
 
-    rank: int
+    rank: tuple[int, int]
     arrived_ms: int
     request_key: int
     shard: int
@@ -52,6 +52,6 @@
         """Return the calls that wait for a service."""
         return list(self._by_service.get(service, ()))
 
-    def count_ahead(self, service: str, rank: int) -> int:
+    def count_ahead(self, service: str, rank: tuple[int, int]) -> int:
         """Return the number of calls that a new one of this rank would wait behind."""
         return sum(call.rank <= rank for call in self._by_service.get(service, ()))
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -39,8 +39,9 @@
     ----------
     request : ClientRequest
         The request.
-    head : bytes
-        The part of its head that does not depend on the recipient.
+    heads : dict
+        The part of its head that does not depend on the recipient, without and with
+        the client's headers with its key and account, by whether they are left out.
     request_id : bytes
         The client's identifier of it.
     connections : set of LeafConnection
@@ -48,7 +49,7 @@
     """
 
     request: client_requests.ClientRequest
-    head: bytes
+    heads: dict[bool, bytes]
     request_id: bytes
     connections: set[leaf_connections.LeafConnection]
 
@@ -198,20 +199,12 @@
         self._next_key += 1
         connection.key = key
         self._clients[key] = connection
-        head = leaf_messages.encode_request_head(request, self.names)
+        configuration = self.gateway.configuration
+        if configuration is None or configuration.accounts is None:
+            request = client_requests.with_trailers(request)
         request_id = request.first(self.names.request_id) or b""
-        self._pending_requests[key] = _PendingRequest(request, head, request_id, set())
-        path = request.target.partition(b"?")[0].decode("latin-1")
-        deadline = request.first(self.names.deadline_ms)
-        incoming = requests.IncomingRequest(
-            key,
-            request_id.decode("latin-1"),
-            client_requests.host_of(request),
-            path,
-            client_requests.fingerprints_of(request),
-            int(deadline) if deadline is not None and deadline.isdigit() else None,
-            origin,
-        )
+        self._pending_requests[key] = _PendingRequest(request, {}, request_id, set())
+        incoming = client_requests.incoming_of(request, self.names, key, origin)
         self.feed(events.RequestArrived(incoming))
 
     def _on_disconnect(self, connection: client_connections.ClientConnection) -> None:
@@ -220,9 +213,15 @@
         self.feed(events.ClientLeft(connection.key))
 
     def _send(self, command: commands.SendAttempt) -> None:
-        request, head, request_id, used = self._pending_requests[command.request_key]
+        pending = self._pending_requests[command.request_key]
+        request, _, request_id, used = pending
         data = leaf_messages.encode_request(
-            head, request.body, self.names, command.leaf_id, command.budget_ms
+            self._head_of(pending, command.account is not None),
+            request.body,
+            self.names,
+            command.leaf_id,
+            command.budget_ms,
+            command.account,
         )
         number = command.attempt
         connection = self.leaves.acquire(command.address, command.reuse, used)
@@ -245,8 +244,19 @@
             connection.on_sent = lambda: self.feed(events.AttemptSent(number))
             self.feed(events.AttemptOpening(number))
 
+    def _head_of(self, pending: _PendingRequest, hides_key: bool) -> bytes:
+        head = pending.heads.get(hides_key)
+        if head is None:
+            head = leaf_messages.encode_request_head(
+                pending.request, self.names, hides_key
+            )
+            pending.heads[hides_key] = head
+        return head
+
     def _send_to_delegate(self, command: commands.SendToDelegate) -> None:
-        request, head, request_id, _ = self._pending_requests[command.request_key]
+        pending = self._pending_requests[command.request_key]
+        request, request_id = pending.request, pending.request_id
+        head = self._head_of(pending, command.hides_key)
         number = command.delegation
         key = command.request_key
 
