Hold the quotas of client accounts over all daemons

Up to three owners of an account grant tokens from equal parts of its bucket. A daemon that accepts a request spends a token that it holds, one of its own part, or asks an owner and lets the request wait for at most 80 ms. A request beyond the quota gets 429 with Retry-After. A daemon grants only after every registered daemon has confirmed that it counts it, so that a fourth owner cannot exist while views of the store differ.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -12,6 +12,7 @@
     retry_budget,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import quota_tokens
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, waiting
 
@@ -65,6 +66,7 @@
         or call.sends >= MAXIMUM_SENDS
         or request.withdrawn
         or crash_attribution.refuses(gateway, request.incoming)
+        or not quota_tokens.may_send(gateway, request, now_ms)
     ):
         stop_waiting(gateway, call)
         close_if_idle(request, call)
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -15,6 +15,10 @@
     request_progress,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import (
+    quota_owners,
+    quota_waits,
+)
 from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -39,6 +43,7 @@
     known = current.version if current is not None else -1
     if event.configuration.version <= known:
         return []
+    quota_owners.settle_changed(gateway, event.configuration.accounts, now_ms)
     gateway.configuration = event.configuration
     gateway.sharded_services = routes.sharded_services(event.configuration)
     gateway.connection_plans.clear()
@@ -159,7 +164,9 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Add or remove a daemon that shares connections and budgets."""
+    quota_owners.settle(gateway, now_ms)
     gateway.set_member(event.name, event.member)
+    quota_owners.note_member(gateway, event.name, event.member, now_ms)
     return []
 
 
@@ -170,6 +177,7 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Record until when the other daemons count this one."""
+    quota_owners.note_registration(gateway, event.until_ms, now_ms)
     gateway.registered_until_ms = event.until_ms
     return []
 
@@ -262,6 +270,7 @@
             decided += _probe(gateway, leaf, now_ms)
     decided += request_progress.sweep_attempts(gateway, now_ms)
     decided += waiting.send_all(gateway, now_ms, random)
+    decided += quota_waits.tick(gateway, now_ms, random)
     return decided + connection_warmup.open_connections(gateway, now_ms)
 
 
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -130,6 +130,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     OTHER_VERSION = "other_version"
     DRAINING = "draining"
+    OVER_QUOTA = "over_quota"
 
 
 class Refuse(NamedTuple):
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -15,7 +15,12 @@
     request_progress,
     slowness_reports,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import (
+    quota_owners,
+    quota_waits,
+)
 from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import peer_messages
 
 Handler = Callable[
     [gateway_state.Gateway, events.Event, int, leaf_selection.RandomSource],
@@ -23,7 +28,12 @@
 ]
 
 # Handlers of `PeerMessageReceived`, by the type of its message.
-_MESSAGE_HANDLERS: Final[dict[type, Handler]] = {}
+_MESSAGE_HANDLERS: Final[dict[type, Handler]] = {
+    peer_messages.TokenRequest: quota_owners.handle_token_request,
+    peer_messages.TokenGrant: quota_waits.handle_grant,
+    peer_messages.MembershipQuery: quota_owners.handle_query,
+    peer_messages.MembershipConfirmation: quota_owners.handle_confirmation,
+}
 
 
 def _handle_peer_message(
--- a/amaranthpulley/coordination/forwarding/overload/waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/waiting.py
@@ -19,6 +19,7 @@
     retry_budget,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import quota_tokens
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, waiting
 
@@ -105,5 +106,10 @@
     leaf = leaf_selection.choose_leaf(gateway, call, request.route, now_ms, random)
     if leaf is None:
         return None
+    if not quota_tokens.may_send(gateway, request, now_ms):
+        attempt_dispatch.stop_waiting(gateway, call)
+        attempt_dispatch.close_if_idle(request, call)
+        tracing.record_decision(request, now_ms, "over_quota", service, "")
+        return request_completion.answer_if_due(gateway, request, now_ms)
     sent = attempt_dispatch.send(gateway, request, waiting_call.shard, leaf, now_ms)
     return [sent, *request_completion.answer_if_due(gateway, request, now_ms)]
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -13,7 +13,10 @@
     request_completion,
     tracing,
 )
-from amaranthpulley.coordination.forwarding.client_accounts import authentication
+from amaranthpulley.coordination.forwarding.client_accounts import (
+    authentication,
+    quota_tokens,
+)
 from amaranthpulley.coordination.forwarding.overload import admission
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
@@ -55,6 +58,26 @@
     request = _create_request(gateway, incoming, route, account, now_ms)
     if route.shards and incoming.origin is None:
         gateway.own_searches.add_request(now_ms)
+    taking = quota_tokens.take(gateway, request, now_ms)
+    if taking.outcome is quota_tokens.Outcome.TAKEN:
+        return taking.commands + resume(gateway, request, now_ms, random)
+    if taking.outcome is quota_tokens.Outcome.WAITING:
+        return taking.commands
+    after_ms = taking.retry_after_ms
+    return taking.commands + refuse_over_quota(gateway, request, after_ms, now_ms)
+
+
+def resume(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Send the first attempts of a request that its account's quota allows."""
+    incoming, route = request.incoming, request.route
+    if gateway.drain_end_ms is not None:
+        # The drain may have started while it waited for a token.
+        request.give_up_ms = min(request.give_up_ms, gateway.drain_end_ms)
     handed_over = delegation.hand_over(gateway, request, now_ms)
     if handed_over:
         gateway.requests[incoming.key] = request
@@ -62,11 +85,26 @@
     services = route.shards or (_next_service(gateway, route, random),)
     refused = _admit(gateway, request, services, now_ms)
     if refused:
+        quota_tokens.give_back(gateway, request, now_ms)
         return refused
     gateway.requests[incoming.key] = request
     return fan_out.start(gateway, request, services, now_ms, random)
 
 
+def refuse_over_quota(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    retry_after_ms: int,
+    now_ms: int,
+) -> list[commands.Command]:
+    """Refuse a request for which its account's quota has no token."""
+    incoming = request.incoming
+    after_ms = admission.return_after_ms(
+        0, retry_after_ms, max(1, request.give_up_ms - now_ms), incoming.key
+    )
+    return _refuse(gateway, incoming, commands.Refusal.OVER_QUOTA, after_ms, now_ms)
+
+
 def _admit(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -8,6 +8,7 @@
     record_merge,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import quota_tokens
 from amaranthpulley.coordination.forwarding.overload import admission
 from amaranthpulley.state import latency
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -216,6 +217,7 @@
         for number in sorted(call.unsent):
             attempt = call.attempts.pop(number)
             call.uncount_run(attempt.leaf_id)
+            call.sends -= 1
             gateway.attempts.pop(number, None)
             leaf = gateway.directory.get(attempt.leaf_id)
             if leaf is not None:
@@ -233,6 +235,7 @@
     now_ms: int,
 ) -> list[commands.Command]:
     request.ended_ms = now_ms
+    quota_tokens.give_back(gateway, request, now_ms)
     for call in request.calls:
         if call.waiting is not None:
             gateway.waiting.remove(call.service, call.waiting)
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -16,6 +16,7 @@
     slowness_reports,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import quota_waits
 from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
@@ -163,7 +164,9 @@
 ) -> list[commands.Command]:
     """Send the retries and hedges of a request that are due, then its answer."""
     request = gateway.requests.get(event.request_key)
-    if request is None or request.answered:
+    if request is None:
+        return quota_waits.handle_wake(gateway, event.request_key, now_ms, random)
+    if request.answered:
         return []
     request.wake_ms = None
     decided: list[commands.Command] = []
@@ -194,7 +197,9 @@
 ) -> list[commands.Command]:
     """End a request whose client has disconnected; its attempts are cancelled later."""
     request = gateway.requests.get(event.request_key)
-    if request is None or request.answered:
+    if request is None:
+        return quota_waits.handle_client_left(gateway, event.request_key, now_ms)
+    if request.answered:
         return []
     return request_completion.abandon(gateway, request, now_ms)
 
--- a/amaranthpulley/platform/settings.py
+++ b/amaranthpulley/platform/settings.py
@@ -117,4 +117,7 @@
         cold_slack=number("WarmupSlack", defaults.cold_slack),
         contact_ms=int(number("ContactMs", defaults.contact_ms)),
         configuration_ms=int(number("ConfigApplyMs", defaults.configuration_ms)),
+        quota_window_ms=int(1000 * number("QuotaWindowS", 5)),
+        quota_overage=number("QuotaOverage", defaults.quota_overage),
+        quota_slack=number("QuotaSlack", defaults.quota_slack),
     )
--- a/amaranthpulley/protocol/forwarding/client_answers.py
+++ b/amaranthpulley/protocol/forwarding/client_answers.py
@@ -27,8 +27,10 @@
     commands.Refusal.OUTCOME_UNKNOWN: 502,
     commands.Refusal.OTHER_VERSION: 503,
     commands.Refusal.DRAINING: 503,
+    commands.Refusal.OVER_QUOTA: 429,
 }
 _BAD_GATEWAY: Final = 502
+_STATUSES_WITH_RETURN: Final = frozenset({429, 503})
 _UNAUTHORIZED: Final = 401
 
 
@@ -105,7 +107,7 @@
     extra = b""
     if request_id:
         extra = b"%b: %b\r\n" % (names.request_id, request_id)
-    if refusal.retry_after_ms and status == 503:
+    if refusal.retry_after_ms and status in _STATUSES_WITH_RETURN:
         seconds = refusal.retry_after_ms / 1000
         extra += b"%b: %.3f\r\n" % (names.retry_after, seconds)
     if status == _UNAUTHORIZED:
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -15,6 +15,7 @@
     waiting,
 )
 from amaranthpulley.state.forwarding import routes as routes_state
+from amaranthpulley.state.forwarding.client_accounts import quotas
 
 
 class Limits(NamedTuple):
@@ -39,6 +40,12 @@
         that changed meanwhile must be in force.
     configuration_ms : int
         Time within which a change must be in force where there was no outage.
+    quota_window_ms : int
+        Length of the sliding windows in which quotas of client accounts are judged.
+    quota_overage : float
+        Share by which an account's requests may exceed its quota in a window.
+    quota_slack : float
+        Further requests of an account in a window.
     """
 
     retry_ratio: float = 0.2
@@ -49,6 +56,9 @@
     cold_slack: float = 5.0
     contact_ms: int = 5_000
     configuration_ms: int = 3_000
+    quota_window_ms: int = 5_000
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 class Place(NamedTuple):
@@ -131,6 +141,8 @@
         Leaves that were lost while running a request.
     publication_tokens : TokenBucket
         Losses that this daemon may publish.
+    quotas : Quotas
+        Tokens of client accounts that this daemon spends and grants.
     cautious_until_ms : int
         Until when sharded requests are sent to one leaf first.
     warmup_index : int
@@ -172,6 +184,7 @@
         self.losses = crashes.LossTable()
         self.publication_tokens = token_bucket.TokenBucket(1.0, started_ms)
         self.cautious_until_ms = started_ms
+        self.quotas = quotas.Quotas(started_ms)
         self.counters = counters_state.Counters()
         self.latency_by_kind: dict[str, latency.LatencyHistogram] = {}
         self.warmup_index = 0
@@ -191,6 +204,7 @@
         self.connection_plans.clear()
         self.fleet = None
         self.watchers = None
+        self.quotas.owners.clear()
 
     def window_of(self, service: str) -> retry_window.RetryWindow:
         """Return the sliding window of a service's requests and repeats."""
--- a/amaranthpulley/state/forwarding/peer_messages.py
+++ b/amaranthpulley/state/forwarding/peer_messages.py
@@ -39,4 +39,34 @@
     retry_after_ms: int
 
 
-PeerMessage = TokenRequest | TokenGrant
+class MembershipQuery(NamedTuple):
+    """Asks whether the recipient counts the sender among the registered daemons.
+
+    Attributes
+    ----------
+    number : int
+        Number of the sender's claim, repeated in the confirmation.
+    name : str
+        Name of the sender.
+    """
+
+    number: int
+    name: str
+
+
+class MembershipConfirmation(NamedTuple):
+    """Says that its sender counts the recipient of it among the registered daemons.
+
+    Attributes
+    ----------
+    number : int
+        Number of the claim.
+    name : str
+        Name of the daemon that confirms it.
+    """
+
+    number: int
+    name: str
+
+
+PeerMessage = TokenRequest | TokenGrant | MembershipQuery | MembershipConfirmation
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.state.forwarding import delegations, leaves, routes, waiting
-from amaranthpulley.state.forwarding.client_accounts import accounts
+from amaranthpulley.state.forwarding.client_accounts import accounts, tokens
 
 
 class IncomingRequest(NamedTuple):
@@ -278,6 +278,8 @@
         self.cautious = False
         # Whether one of its parts is held.
         self.held = False
+        # The token of its account's quota, if it needed one.
+        self.token: tokens.Token | None = None
         self.answered = False
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
