Apply withdrawn keys to requests in progress

A version that removes a key ends the requests of that key that no leaf may have run, and stops retries, hedges and hand-overs of the others. A delegate does not know the key, so its time is limited. Changed regions and names apply to waiting requests too.

--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -15,6 +15,7 @@
     request_progress,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import version_changes
 from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -47,7 +48,8 @@
             log_events.CONFIGURATION_IN_FORCE,
             version=event.configuration.version,
             previous=known,
-        )
+        ),
+        *version_changes.apply(gateway, event.configuration, now_ms),
     ]
 
 
--- a/amaranthpulley/coordination/forwarding/tests/gateway_site.py
+++ b/amaranthpulley/coordination/forwarding/tests/gateway_site.py
@@ -124,13 +124,14 @@
         path: str = "/wide/1",
         deadline_ms: int | None = 800,
         fingerprints: tuple[int, ...] = (),
+        key_digest: bytes | None = None,
     ) -> int:
         """Feed a request and return its key."""
         self._next_key += 1
         key = self._next_key
         incoming = requests.IncomingRequest(
             key, f"r{key}", HOST, path, fingerprints or (key,), deadline_ms
-        )
+        )._replace(key_digest=key_digest)
         self.feed(events.RequestArrived(incoming))
         return key
 
--- a/amaranthpulley/coordination/forwarding/tracing.py
+++ b/amaranthpulley/coordination/forwarding/tracing.py
@@ -56,6 +56,8 @@
         return []
     configuration = gateway.configuration
     version = configuration.version if configuration is not None else 0
+    account = request.account
+    named = {} if account is None else {"account": account.name}
     lines = [_decision_line(request, *decision) for decision in decisions]
     lines.append(
         commands.log(
@@ -66,6 +68,7 @@
             elapsed_ms=elapsed_ms,
             missing=missing,
             version=version,
+            **named,
         )
     )
     return lines
