--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/account_site.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/account_site.py
@@ -1,6 +1,6 @@
 """A daemon under virtual time with client accounts."""
 
-from amaranthpulley.coordination.forwarding import events
+from amaranthpulley.coordination.forwarding import commands, events
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import gateway, leaves, routes
 from amaranthpulley.state.forwarding.client_accounts import accounts
@@ -28,6 +28,14 @@
 RED = account("Red & Sons")
 BLUE = account("blue")
 RED_AND_BLUE = table(red=RED, blue=BLUE)
+# After a version in which red has lost its only key.
+WITHOUT_RED = table(blue=BLUE)
+
+
+def cancelled(site: gateway_site.GatewaySite) -> set[int]:
+    """Return the numbers of the cancelled attempts and delegations."""
+    found = site.others
+    return {c.attempt for c in found if isinstance(c, commands.CancelAttempt)}
 
 
 class AccountSite:
