--- a/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from amaranthpulley.protocol.forwarding import client_requests, errors
+from amaranthpulley.protocol.forwarding import client_requests, errors, key_digests
 from amaranthpulley.state.forwarding import routes
 
 HEAD = b"POST /a/1?x=%20 HTTP/1.1\r\nHost: h\r\n"
@@ -110,6 +110,73 @@
             reader.feed(b"GET / HTTP/1.1\r\n")
 
 
+class TrailerTest(unittest.TestCase):
+    """Fields after a chunked body."""
+
+    def test_trailers_are_no_headers(self) -> None:
+        # Guards against an account or a key that a client sends after the body, past
+        # the place where headers are replaced.
+        body = b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        trailers = b"X-Key: forged\r\nX-Other: 1\r\n\r\n"
+        whole = HEAD + b"X-Key: k\r\n" + body + trailers
+        for size in (1, 7, len(whole)):
+            with self.subTest(size):
+                reader = _reader()
+                found: list[client_requests.ClientRequest] = []
+                for start in range(0, len(whole), size):
+                    found += reader.feed(whole[start : start + size])
+                (request,) = found
+                names = [name for name, _ in request.headers]
+                self.assertEqual(names, [b"Host", b"X-Key", b"Transfer-Encoding"])
+                fields = ((b"X-Key", b"forged"), (b"X-Other", b"1"))
+                self.assertEqual(request.trailers, fields)
+                merged = client_requests.with_trailers(request)
+                self.assertEqual(merged.headers, [*request.headers, *fields])
+
+    def test_trailers_of_one_request_are_not_those_of_the_next(self) -> None:
+        body = b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+        first, second = _reader().feed(
+            HEAD + body + b"X-T: 1\r\n\r\n" + HEAD + b"X-H: 2\r\n\r\n"
+        )
+        self.assertEqual(first.trailers, ((b"X-T", b"1"),))
+        self.assertEqual(second.headers, [(b"Host", b"h"), (b"X-H", b"2")])
+        self.assertEqual(second.trailers, ())
+
+    def test_trailers_count_as_part_of_the_head(self) -> None:
+        body = b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-T: "
+        with self.assertRaises(errors.BadRequestError):
+            _reader().feed(HEAD + body + b"x" * 1_000 + b"\r\n\r\n")
+
+
+class KeyDigestTest(unittest.TestCase):
+    """The key in a request."""
+
+    def test_one_key_has_its_digest_and_others_have_none(self) -> None:
+        digest = key_digests.digest_of(b"secret")
+        cases: tuple[tuple[bytes, bytes | None], ...] = (
+            (b"", None),
+            (b"X-Key:\r\n", None),
+            (b"X-Key:  \t \r\n", None),
+            (b"X-Key: secret\r\n", digest),
+            (b"x-KEY:\t secret \t\r\n", digest),
+            (b"X-Key: secret\r\nx-key: secret\r\n", digest),
+            (b"X-Key: secret\r\nx-key: other\r\n", None),
+            (b"X-Key: secret\r\nX-Key:\r\n", None),
+            (b"X-Keys: secret\r\n", None),
+            (b"X-Key: Secret\r\n", key_digests.digest_of(b"Secret")),
+            (b"X-Key: secret, secret\r\n", key_digests.digest_of(b"secret, secret")),
+        )
+        for lines, expected in cases:
+            with self.subTest(lines):
+                (request,) = _reader().feed(HEAD + lines + b"\r\n")
+                found = client_requests.key_digest_of(request, b"x-key")
+                self.assertEqual(found, expected)
+
+    def test_the_digest_does_not_show_the_key(self) -> None:
+        self.assertNotIn(b"secret", key_digests.digest_of(b"secret"))
+        self.assertNotEqual(key_digests.digest_of(b"a"), key_digests.digest_of(b"b"))
+
+
 class FingerprintTest(unittest.TestCase):
     """What makes two requests the same one, sent again."""
 
--- a/amaranthpulley/protocol/forwarding/tests/test_delegation_codec.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_delegation_codec.py
@@ -31,6 +31,20 @@
         self.assertEqual(request.first(NAMES.deadline_ms), b"400")
         self.assertIsNone(request.first(delegation_codec.ORIGIN_HEADER))
 
+    def test_account_round_trip(self) -> None:
+        for account in ("red", "red, blue", "r\u00f6t & co", "a%2Cb", "7,8"):
+            with self.subTest(account):
+                origin = delegations.Origin(7, 25, account)
+                data = delegation_codec.encode_request(HEAD, b"", NAMES, 400, origin)
+                found = delegation_codec.split_origin(self._parse(data))[1]
+                self.assertEqual(found, origin)
+
+    def test_without_an_account_the_form_is_that_of_earlier_daemons(self) -> None:
+        origin = delegations.Origin(7, 25)
+        data = delegation_codec.encode_request(HEAD, b"", NAMES, 400, origin)
+        line = delegation_codec.ORIGIN_HEADER + b": 7,25\r\n"
+        self.assertIn(line, data)
+
     def test_malformed_origins(self) -> None:
         for value in (b"", b"7", b"7,", b",7", b"-1,7", b"7,x", b"7;8"):
             with self.subTest(value):
--- a/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -21,6 +21,8 @@
     retry_after=b"retry-after",
     limit=b"x-limit",
     leaving=b"x-leaving",
+    key=b"x-key",
+    account=b"x-account",
 )
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s1\r\n"
@@ -59,6 +61,49 @@
         self.assertEqual(whole, expected)
 
 
+class AccountHeaderTest(unittest.TestCase):
+    """The key and the account in requests to a leaf."""
+
+    def _lines(self, sent: list[tuple[bytes, bytes]], account: str | None) -> list:
+        headers = [(b"Host", b"h"), *sent, (b"X-Kept", b"2")]
+        request = client_requests.ClientRequest(b"GET", b"/a", headers, b"", True)
+        head = leaf_messages.encode_request_head(request, NAMES, account is not None)
+        whole = leaf_messages.encode_request(head, b"", NAMES, "leaf-1", 9, account)
+        lines = whole.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+        own = (b"x-left", b"x-wanted")
+        return [line for line in lines if not line.startswith(own)]
+
+    def test_the_account_is_ours_whatever_the_client_sent(self) -> None:
+        # Guards against a leaf that takes a client's word for its account, or sees a
+        # key. Some leaves read underscores in names as hyphens.
+        sent = [
+            (b"X-Key", b"secret"),
+            (b"x-account", b"forged"),
+            (b"X-ACCOUNT", b"forged"),
+            (b"X_Account", b"forged"),
+            (b"x_KEY", b"secret"),
+            (b"Connection", b"X-Account, X-Key"),
+        ]
+        kept = [b"Host: h", b"X-Kept: 2"]
+        for forged in (sent, sent[:2], []):
+            with self.subTest(forged):
+                named = [*kept, b"x-account: red, blue"]
+                self.assertEqual(self._lines(forged, "red, blue"), named)
+                self.assertEqual(self._lines(forged, ""), kept)
+
+    def test_a_name_beyond_ascii_is_sent_as_utf_8(self) -> None:
+        lines = self._lines([], "r\u00f6t")
+        self.assertIn(b"x-account: r\xc3\xb6t", lines)
+
+    def test_without_accounts_headers_are_passed_on_as_they_are(self) -> None:
+        sent = [(b"X-Key", b"a"), (b"X-Account", b"b"), (b"x_key", b"c")]
+        expected = [
+            *(b"Host: h", b"X-Key: a", b"X-Account: b", b"x_key: c"),
+            b"X-Kept: 2",
+        ]
+        self.assertEqual(self._lines(sent, None), expected)
+
+
 class AnswerReaderTest(unittest.TestCase):
     """Complete, incomplete and invalid answers."""
 
--- a/amaranthpulley/state/forwarding/tests/test_routes.py
+++ b/amaranthpulley/state/forwarding/tests/test_routes.py
@@ -3,6 +3,7 @@
 import unittest
 
 from amaranthpulley.state.forwarding import routes
+from amaranthpulley.state.forwarding.client_accounts import accounts
 
 HOST = "search.example"
 
@@ -19,6 +20,45 @@
     return routes.Configuration(1, {HOST: table}, {}, routes.ClientLimits())
 
 
+class WithAccountTest(unittest.TestCase):
+    """A route with the priority and the regions of an account."""
+
+    def _route(self, **changes: object) -> routes.Route:
+        route = _configuration(a="/a/").routes[HOST]["/a/"]
+        return route._replace(priority=2)._replace(**changes)
+
+    def _account(self, **changes: object) -> accounts.Account:
+        usual = accounts.Account("red", None, frozenset(), 0.0, 0.0)
+        return usual._replace(**changes)
+
+    def test_ranks(self) -> None:
+        cases = {(None, 2): (2, 0), (0, 2): (0, 2), (3, 0): (3, 0), (5, 1): (5, 1)}
+        for (of_account, of_route), expected in cases.items():
+            with self.subTest(account=of_account, route=of_route):
+                route = self._route(priority=of_route)
+                account = self._account(priority=of_account)
+                found = routes.with_account(route, account)
+                self.assertEqual(found.rank, expected)
+
+    def test_regions(self) -> None:
+        a, b, both = frozenset("a"), frozenset("b"), frozenset("ab")
+        none: frozenset[str] = frozenset()
+        cases = (
+            *((none, none, none), (a, none, a), (none, a, a), (both, a, a)),
+            *((a, both, a), (a, b, routes.NO_REGIONS)),
+        )
+        for of_account, of_route, expected in cases:
+            with self.subTest(account=of_account, route=of_route):
+                route = self._route(regions=of_route)
+                account = self._account(regions=of_account)
+                found = routes.with_account(route, account)
+                self.assertEqual(found.regions, expected)
+
+    def test_without_an_account_a_route_is_as_it_is(self) -> None:
+        route = self._route()
+        self.assertIs(routes.with_account(route, None), route)
+
+
 class FindRouteTest(unittest.TestCase):
     """Lookup by host and longest prefix."""
 
