--- a/amaranthpulley/platform/tests/platform_site.py
+++ b/amaranthpulley/platform/tests/platform_site.py
@@ -67,9 +67,10 @@
         method: str = "GET",
         body: bytes | None = None,
         deadline_ms: int = 1_000,
+        headers: dict[str, str] | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Send a request as a client and return its answer."""
-        return self._request(self.pool, path, method, body, deadline_ms)
+        return self._request(self.pool, path, method, body, deadline_ms, headers)
 
     def request_at(
         self, address: str, path: str, deadline_ms: int = 1_000
@@ -88,9 +89,11 @@
         method: str,
         body: bytes | None,
         deadline_ms: int,
+        added: dict[str, str] | None = None,
     ) -> urllib3.BaseHTTPResponse:
         self._requests += 1
         headers = {
+            **(added or {}),
             "Host": wire_samples.HOST,
             "X-Request-Id": f"r{self._requests}",
             "X-Deadline-Ms": str(deadline_ms),
--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -19,6 +19,8 @@
 ENDLESS_INTERVAL_MS: Final = 1
 # Time after which the copy of an answer comes.
 COPY_DELAY_MS: Final = 4
+# Requests whose headers are kept.
+KEPT_REQUESTS: Final = 200
 # Path on which a test configures the stand-in and reads its runs.
 CONTROL_PATH: Final = b"/control"
 
@@ -58,6 +60,10 @@
         # Headers of all answers.
         self.headers: dict[bytes, str] = {}
         self.received_names: set[bytes] = set()
+        # Headers and trailers of the latest requests but health checks.
+        self.received: collections.deque[list[tuple[bytes, bytes]]] = collections.deque(
+            maxlen=KEPT_REQUESTS
+        )
         self.work_ms = 5
         # Unix time of its start in milliseconds.
         self.born_ms = 1_000
@@ -110,6 +116,7 @@
             return
         self.arrivals_s.append(self._now_ms() / 1000)
         self.received_names.update(name.lower() for name, _ in request.headers)
+        self.received.append([*request.headers, *request.trailers])
         request_id = (request.first(names.HEADERS.request_id) or b"").decode()
         addressed = (request.first(names.HEADERS.wanted_leaf) or b"").decode()
         if addressed and addressed != self.leaf_id:
