--- a/amaranthpulley/platform/tests/standin_leaf.py
+++ b/amaranthpulley/platform/tests/standin_leaf.py
@@ -23,6 +23,7 @@
 KEPT_REQUESTS: Final = 200
 # Path on which a test configures the stand-in and reads its runs.
 CONTROL_PATH: Final = b"/control"
+_Received = collections.deque[list[tuple[bytes, bytes]]]
 
 
 class StandInLeaf:
@@ -61,12 +62,9 @@
         self.headers: dict[bytes, str] = {}
         self.received_names: set[bytes] = set()
         # Headers and trailers of the latest requests but health checks.
-        self.received: collections.deque[list[tuple[bytes, bytes]]] = collections.deque(
-            maxlen=KEPT_REQUESTS
-        )
+        self.received: _Received = collections.deque(maxlen=KEPT_REQUESTS)
         self.work_ms = 5
-        # Unix time of its start in milliseconds.
-        self.born_ms = 1_000
+        self.born_ms = 1_000  # Unix time of its start.
         # Requests whose path starts with this end the leaf; it starts again at once.
         self.crash_prefix: bytes | None = None
         self.on_crash: Callable[[StandInLeaf], None] = lambda _leaf: None
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -102,7 +102,12 @@
     name : bytes
         Name of the header with the key, in lower case.
     """
-    keys = {value.strip() for key, value in request.headers if key.lower() == name}
+    size = len(name)
+    keys = {
+        value.strip()
+        for key, value in request.headers
+        if len(key) == size and key.lower() == name
+    }
     if len(keys) != 1:
         return None
     key = keys.pop()
--- a/amaranthpulley/protocol/forwarding/tests/test_client_answers.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_answers.py
@@ -8,7 +8,7 @@
 NAMES = header_names.HeaderNames(
     *(b"x-id", b"x-left", b"x-signed", b"x-wanted", b"x-load", b"x-not-run"),
     *(b"x-leaf", b"x-parts", b"x-missing", b"retry-after", b"x-limit", b"x-leaving"),
-    key=b"x-key",
+    key=b"x-client",
 )
 PROMISING = (408, 421, 429, 503)
 
@@ -23,7 +23,7 @@
     def test_an_unauthorized_client_is_challenged(self) -> None:
         answer = self._answer(commands.Refusal.UNAUTHORIZED)
         self.assertTrue(answer.startswith(b"HTTP/1.1 401 Unauthorized\r\n"))
-        self.assertIn(b'\r\nWWW-Authenticate: ApiKey header="x-key"\r\n', answer)
+        self.assertIn(b'\r\nWWW-Authenticate: ApiKey header="x-client"\r\n', answer)
         self.assertIn(b"\r\nx-id: r1\r\n", answer)
         # The client does not repeat the request, so no time is named.
         self.assertNotIn(b"retry-after", answer)
--- a/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -117,8 +117,8 @@
         # Guards against an account or a key that a client sends after the body, past
         # the place where headers are replaced.
         body = b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
-        trailers = b"X-Key: forged\r\nX-Other: 1\r\n\r\n"
-        whole = HEAD + b"X-Key: k\r\n" + body + trailers
+        trailers = b"X-Client: forged\r\nX-Other: 1\r\n\r\n"
+        whole = HEAD + b"X-Client: k\r\n" + body + trailers
         for size in (1, 7, len(whole)):
             with self.subTest(size):
                 reader = _reader()
@@ -127,8 +127,8 @@
                     found += reader.feed(whole[start : start + size])
                 (request,) = found
                 names = [name for name, _ in request.headers]
-                self.assertEqual(names, [b"Host", b"X-Key", b"Transfer-Encoding"])
-                fields = ((b"X-Key", b"forged"), (b"X-Other", b"1"))
+                self.assertEqual(names, [b"Host", b"X-Client", b"Transfer-Encoding"])
+                fields = ((b"X-Client", b"forged"), (b"X-Other", b"1"))
                 self.assertEqual(request.trailers, fields)
                 merged = client_requests.with_trailers(request)
                 self.assertEqual(merged.headers, [*request.headers, *fields])
@@ -155,21 +155,21 @@
         digest = key_digests.digest_of(b"secret")
         cases: tuple[tuple[bytes, bytes | None], ...] = (
             (b"", None),
-            (b"X-Key:\r\n", None),
-            (b"X-Key:  \t \r\n", None),
-            (b"X-Key: secret\r\n", digest),
-            (b"x-KEY:\t secret \t\r\n", digest),
-            (b"X-Key: secret\r\nx-key: secret\r\n", digest),
-            (b"X-Key: secret\r\nx-key: other\r\n", None),
-            (b"X-Key: secret\r\nX-Key:\r\n", None),
-            (b"X-Keys: secret\r\n", None),
-            (b"X-Key: Secret\r\n", key_digests.digest_of(b"Secret")),
-            (b"X-Key: secret, secret\r\n", key_digests.digest_of(b"secret, secret")),
+            (b"X-Client:\r\n", None),
+            (b"X-Client:  \t \r\n", None),
+            (b"X-Client: secret\r\n", digest),
+            (b"x-CLIENT:\t secret \t\r\n", digest),
+            (b"X-Client: secret\r\nx-client: secret\r\n", digest),
+            (b"X-Client: secret\r\nx-client: other\r\n", None),
+            (b"X-Client: secret\r\nX-Client:\r\n", None),
+            (b"X-Clients: secret\r\n", None),
+            (b"X-Client: Secret\r\n", key_digests.digest_of(b"Secret")),
+            (b"X-Client: secret, secret\r\n", key_digests.digest_of(b"secret, secret")),
         )
         for lines, expected in cases:
             with self.subTest(lines):
                 (request,) = _reader().feed(HEAD + lines + b"\r\n")
-                found = client_requests.key_digest_of(request, b"x-key")
+                found = client_requests.key_digest_of(request, b"x-client")
                 self.assertEqual(found, expected)
 
     def test_the_digest_does_not_show_the_key(self) -> None:
--- a/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -21,7 +21,7 @@
     retry_after=b"retry-after",
     limit=b"x-limit",
     leaving=b"x-leaving",
-    key=b"x-key",
+    key=b"x-client",
     account=b"x-account",
 )
 
@@ -77,12 +77,12 @@
         # Guards against a leaf that takes a client's word for its account, or sees a
         # key. Some leaves read underscores in names as hyphens.
         sent = [
-            (b"X-Key", b"secret"),
+            (b"X-Client", b"secret"),
             (b"x-account", b"forged"),
             (b"X-ACCOUNT", b"forged"),
             (b"X_Account", b"forged"),
-            (b"x_KEY", b"secret"),
-            (b"Connection", b"X-Account, X-Key"),
+            (b"x_CLIENT", b"secret"),
+            (b"Connection", b"X-Account, X-Client"),
         ]
         kept = [b"Host: h", b"X-Kept: 2"]
         for forged in (sent, sent[:2], []):
@@ -96,9 +96,9 @@
         self.assertIn(b"x-account: r\xc3\xb6t", lines)
 
     def test_without_accounts_headers_are_passed_on_as_they_are(self) -> None:
-        sent = [(b"X-Key", b"a"), (b"X-Account", b"b"), (b"x_key", b"c")]
+        sent = [(b"X-Client", b"a"), (b"X-Account", b"b"), (b"x_client", b"c")]
         expected = [
-            *(b"Host: h", b"X-Key: a", b"X-Account: b", b"x_key: c"),
+            *(b"Host: h", b"X-Client: a", b"X-Account: b", b"x_client: c"),
             b"X-Kept: 2",
         ]
         self.assertEqual(self._lines(sent, None), expected)
--- a/amaranthpulley/state/forwarding/routes.py
+++ b/amaranthpulley/state/forwarding/routes.py
@@ -162,18 +162,15 @@
 
     The account's priority comes first, then the route's. Both must allow a region.
     """
-    if account is None:
+    if account is None or (account.priority is None and not account.regions):
         return route
+    priority, second = route.priority, route.second_priority
     if account.priority is not None:
-        route = route._replace(
-            priority=account.priority, second_priority=route.priority
-        )
-    if account.regions:
-        regions = account.regions
-        if route.regions:
-            regions = (account.regions & route.regions) or NO_REGIONS
-        route = route._replace(regions=regions)
-    return route
+        priority, second = account.priority, route.priority
+    regions = account.regions or route.regions
+    if account.regions and route.regions:
+        regions = (account.regions & route.regions) or NO_REGIONS
+    return route._replace(priority=priority, second_priority=second, regions=regions)
 
 
 def sharded_services(configuration: Configuration) -> tuple[str, ...]:
