--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/test_authentication.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/test_authentication.py
@@ -46,6 +46,17 @@
                     (line,) = found.site.logs_of(log_events.FORWARD_REFUSED)
                     self.assertEqual(line["reason"], "unauthorized")
 
+    def test_unknown_clients_leave_log_lines_to_others(self) -> None:
+        # Guards against a flood of requests without a key that hides all other
+        # refusals from the operators.
+        found = account_site.AccountSite()
+        for _ in range(1_000):
+            found.ask(key_digest=UNKNOWN_KEY)
+        found.ask("/none/1")
+        lines = found.site.logs_of(log_events.FORWARD_REFUSED)
+        self.assertLess(len(lines), 200)
+        self.assertEqual(lines[-1]["reason"], "no_route")
+
     def test_an_anonymous_route_needs_no_key_and_names_no_account(self) -> None:
         route = gateway_site.single(anonymous=True)
         for digest in (None, UNKNOWN_KEY, account_site.RED_KEY):
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -162,7 +162,10 @@
 ) -> list[commands.Command]:
     request_completion.count_outcome(gateway, incoming, reason.value)
     crash_attribution.end_trial(gateway, incoming)
+    # Clients without a valid key may come in any number, and leave room in the log.
+    is_unknown = reason is commands.Refusal.UNAUTHORIZED
+    reserved = tracing.RESERVED_LINES if is_unknown else 0
     return [
         commands.Refuse(incoming.key, reason, True, retry_after_ms),
-        *tracing.refusal_lines(gateway, incoming, reason.value, now_ms),
+        *tracing.refusal_lines(gateway, incoming, reason.value, now_ms, reserved),
     ]
--- a/amaranthpulley/coordination/forwarding/tracing.py
+++ b/amaranthpulley/coordination/forwarding/tracing.py
@@ -79,9 +79,16 @@
     incoming: requests.IncomingRequest,
     reason: str,
     now_ms: int,
+    reserved: int = 0,
 ) -> list[commands.Log]:
-    """Return the log line of a request that was refused on arrival."""
-    if not _spend_lines(gateway, 1, 0, now_ms):
+    """Return the log line of a request that was refused on arrival.
+
+    Parameters
+    ----------
+    reserved : int
+        Lines of the budget that it must leave to other requests.
+    """
+    if not _spend_lines(gateway, 1, reserved, now_ms):
         return []
     configuration = gateway.configuration
     return [
