--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/test_version_changes.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/test_version_changes.py
@@ -171,6 +171,24 @@
         }
         self.assertEqual(line, expected)
 
+    def test_the_trace_shows_what_ended_a_waiting_request(self) -> None:
+        found = account_site.AccountSite()
+        for leaf in found.site.gateway.directory.all():
+            leaf.full_until_ms = found.site.now_ms + 200
+        found.ask()
+        found.change(account_site.WITHOUT_RED)
+        decisions = [
+            (line["decision"], line["service"])
+            for line in found.site.logs_of(log_events.FORWARD_DECIDED)
+        ]
+        expected = [
+            (what, "visits") for what in ("leaves_busy", "withdrawn", "unanswered")
+        ]
+        self.assertEqual(decisions, expected)
+        (ended,) = found.site.logs_of(log_events.FORWARD_ENDED)
+        self.assertEqual(ended["outcome"], "unauthorized")
+        self.assertEqual(ended["account"], account_site.RED.name)
+
     def test_shared_keys_are_logged(self) -> None:
         found = account_site.AccountSite(accounts=None)
         shared = tuple(accounts.SharedKeys("red", f"b{n}", 2) for n in range(30))
--- a/amaranthpulley/coordination/forwarding/client_accounts/version_changes.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/version_changes.py
@@ -58,7 +58,9 @@
     if request.leaf_account is None:
         # It came before there were accounts, with headers that leaves may not get.
         request.set_account(None, "")
-    tracing.record_decision(request, now_ms, "withdrawn", "", "")
+    unanswered = [call.service for call in request.calls if call.answer is None]
+    for service in unanswered or [""]:
+        tracing.record_decision(request, now_ms, "withdrawn", service, "")
     gateway.counters.add("forward_unauthorized_total", cause="withdrawn")
     if request_completion.is_not_run(request):
         return request_completion.end_unknown(gateway, request, now_ms)
--- a/amaranthpulley/transport/tests/test_failure_traces.py
+++ b/amaranthpulley/transport/tests/test_failure_traces.py
@@ -51,6 +51,7 @@
             ),
             (("leaves_busy", "unanswered"), "timed_out: leaves_busy"),
             (("sent", "rejected", "sent", "unanswered"), "timed_out: rejected"),
+            (("leaves_busy", "withdrawn", "unanswered"), "timed_out: withdrawn"),
         )
         for decisions, cause in cases:
             with self.subTest(decisions):
