--- a/amaranthpulley/platform/client_accounts.py
+++ b/amaranthpulley/platform/client_accounts.py
@@ -15,6 +15,8 @@
 _TENANTS: Final = "Tenants"
 # Fields that are kept when the keys are removed; another one might hold keys.
 _KEPT_FIELDS: Final = ("Name", "Priority", "RatePerS", "Burst", "AllowedRegions")
+# Without these, a text that is no JSON has no keys. A backslash may hide the others.
+_KEY_MARKS: Final = (b"Tenants", b"ApiKeys", b"\\")
 # In place of what is not of the right type: reported as unreadable, without its value.
 _UNREADABLE: Final = 0
 
@@ -50,7 +52,7 @@
     try:
         fields = json_codec.decode(text, dict[str, msgspec.Raw])
     except errors.MalformedMessageError:
-        return b""
+        return b"" if any(mark in text for mark in _KEY_MARKS) else text
     if _TENANTS not in fields:
         return text
     tenants = json_codec.decode(bytes(fields[_TENANTS]), Any)
