--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_asks.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_asks.py
@@ -47,6 +47,8 @@
     Owners grant at most the rate times a window and this time, and a full bucket. The
     overage and a quarter of the slack pay for this time.
     """
+    if account.rate_per_s <= 0:
+        return LONGEST_LAG_MS
     window_s = limits.quota_window_ms / 1000
     spare = limits.quota_overage * (account.rate_per_s * window_s + account.burst)
     spare += LAG_SLACK_SHARE * limits.quota_slack
--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/test_quota_tokens.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/test_quota_tokens.py
@@ -14,6 +14,7 @@
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway, peer_messages
+from amaranthpulley.state.forwarding.client_accounts import accounts
 
 # vm-1, the daemon itself, has two owners in other regions and is one itself.
 OWNERS = {"vm-2": "b1", "vm-3": "c1"}
@@ -198,6 +199,18 @@
         self.site.site.advance(100)
         self.assertEqual(len(self.site.site.sends_of(key)), 1)
 
+    def test_key_withdrawn_while_a_request_waits(self) -> None:
+        # A version must be in force for waiting requests too.
+        key = self.site.request()
+        found = quota_site.configuration(quota_site.ACME, version=2)
+        found = found._replace(
+            accounts=accounts.AccountTable({"acme": quota_site.ACME}, {})
+        )
+        self.site.site.feed(events.ConfigurationRead(found))
+        self.site.grant(0, 1)
+        self.assertEqual(self.site.refusal(key).reason, commands.Refusal.UNAUTHORIZED)
+        self.assertEqual(self.site.site.sends_of(key), [])
+
     def test_account_over_its_quota_is_logged_once(self) -> None:
         for _ in range(3):
             self.site.request()
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -18,6 +18,7 @@
 from amaranthpulley.coordination.forwarding.client_accounts import (
     quota_owners,
     quota_waits,
+    version_changes,
 )
 from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state import log_events
@@ -52,7 +53,8 @@
             log_events.CONFIGURATION_IN_FORCE,
             version=event.configuration.version,
             previous=known,
-        )
+        ),
+        *version_changes.apply(gateway, event.configuration, now_ms),
     ]
 
 
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -74,7 +74,12 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Send the first attempts of a request that its account's quota allows."""
-    incoming, route = request.incoming, request.route
+    incoming = request.incoming
+    refusal = _apply_version(gateway, request)
+    if refusal is not None:
+        quota_tokens.give_back(gateway, request, now_ms)
+        return _refuse(gateway, incoming, refusal, 0, now_ms)
+    route = request.route
     if gateway.drain_end_ms is not None:
         # The drain may have started while it waited for a token.
         request.give_up_ms = min(request.give_up_ms, gateway.drain_end_ms)
@@ -91,6 +96,27 @@
     return fan_out.start(gateway, request, services, now_ms, random)
 
 
+def _apply_version(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest
+) -> commands.Refusal | None:
+    """Apply a version that came into force while a request waited for its token.
+
+    Returns why the request is refused, if its key is no longer valid.
+    """
+    configuration = gateway.configuration
+    if configuration is None or configuration.version == request.version:
+        return None
+    if configuration.accounts is None:
+        return None
+    account = authentication.identify(
+        configuration, request.own_route, request.incoming
+    )
+    if isinstance(account, commands.Refusal):
+        return account
+    request.set_account(account, authentication.leaf_name(account))
+    return None
+
+
 def refuse_over_quota(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
@@ -200,7 +226,10 @@
 ) -> list[commands.Command]:
     request_completion.count_outcome(gateway, incoming, reason.value)
     crash_attribution.end_trial(gateway, incoming)
+    # Clients without a valid key may come in any number, and leave room in the log.
+    is_unknown = reason is commands.Refusal.UNAUTHORIZED
+    reserved = tracing.RESERVED_LINES if is_unknown else 0
     return [
         commands.Refuse(incoming.key, reason, True, retry_after_ms),
-        *tracing.refusal_lines(gateway, incoming, reason.value, now_ms),
+        *tracing.refusal_lines(gateway, incoming, reason.value, now_ms, reserved),
     ]
--- a/amaranthpulley/coordination/forwarding/tracing.py
+++ b/amaranthpulley/coordination/forwarding/tracing.py
@@ -56,6 +56,8 @@
         return []
     configuration = gateway.configuration
     version = configuration.version if configuration is not None else 0
+    account = request.account
+    named = {} if account is None else {"account": account.name}
     lines = [_decision_line(request, *decision) for decision in decisions]
     lines.append(
         commands.log(
@@ -66,6 +68,7 @@
             elapsed_ms=elapsed_ms,
             missing=missing,
             version=version,
+            **named,
         )
     )
     return lines
@@ -76,9 +79,16 @@
     incoming: requests.IncomingRequest,
     reason: str,
     now_ms: int,
+    reserved: int = 0,
 ) -> list[commands.Log]:
-    """Return the log line of a request that was refused on arrival."""
-    if not _spend_lines(gateway, 1, 0, now_ms):
+    """Return the log line of a request that was refused on arrival.
+
+    Parameters
+    ----------
+    reserved : int
+        Lines of the budget that it must leave to other requests.
+    """
+    if not _spend_lines(gateway, 1, reserved, now_ms):
         return []
     configuration = gateway.configuration
     return [
--- a/amaranthpulley/protocol/forwarding/client_answers.py
+++ b/amaranthpulley/protocol/forwarding/client_answers.py
@@ -85,11 +85,11 @@
 def status_of(refusal: commands.Refuse) -> int:
     """Return the HTTP status of a refusal.
 
-    A 503, which means "not run", becomes 502 when that is not certain; a 502 becomes
-    503 when it is.
+    A 429 or 503, which means "not run", becomes 502 when that is not certain; a 502
+    becomes 503 when it is.
     """
     status = _STATUSES[refusal.reason]
-    if status == 503 and not refusal.not_run:
+    if status in _STATUSES_WITH_RETURN and not refusal.not_run:
         return _BAD_GATEWAY
     if refusal.not_run and status == _BAD_GATEWAY:
         return 503
