Let clients return later while a daemon waits for its configuration

A daemon that starts while the store is away refused each client for 200 to 300 ms, so that a client with one repeat was refused twice. The time grows with the wait so far, as far as clients honour it.

--- a/amaranthpulley/coordination/forwarding/overload/tests/test_waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/tests/test_waiting.py
@@ -202,6 +202,7 @@
 
     def test_clients_return_within_the_time_that_they_have(self) -> None:
         site = gateway_site.GatewaySite()
+        site.gateway.started_ms = site.now_ms
         for deadline_ms, most_ms in ((300, 100), (3_000, 350), (None, 350)):
             with self.subTest(deadline_ms=deadline_ms):
                 refused = site.answers[site.request("/visit/1", deadline_ms)]
@@ -209,6 +210,16 @@
                 self.assertLessEqual(refused.retry_after_ms, most_ms)
                 self.assertGreater(refused.retry_after_ms, 0)
 
+    def test_clients_return_later_while_the_store_is_away(self) -> None:
+        # A client that repeats once must not return before the store does.
+        for waited_ms, least_ms in ((50, 200), (600, 600), (5_000, 1_000)):
+            with self.subTest(waited_ms=waited_ms):
+                site = gateway_site.GatewaySite()
+                site.gateway.started_ms = site.now_ms - waited_ms
+                refused = site.answers[site.request("/visit/1", 8_000)]
+                self.assertGreaterEqual(refused.retry_after_ms, least_ms)
+                self.assertLessEqual(refused.retry_after_ms, 8_000 / 3)
+
 
 class ShedTest(unittest.TestCase):
     """Leaves that reject requests."""
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -21,7 +21,7 @@
 
 # Subtracted from the client's deadline, so that the answer reaches it in time.
 DEADLINE_MARGIN_MS: Final = 20
-# A daemon has the configuration within this time of its start.
+# A daemon has the configuration within this time of its start, if the store answers.
 START_MS: Final = 200
 # Assumed for clients that do not say how long they wait.
 DEFAULT_DEADLINE_MS: Final = 1_000
@@ -148,7 +148,9 @@
     gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
 ) -> list[commands.Command]:
     left_ms = incoming.deadline_ms or DEFAULT_DEADLINE_MS
-    after_ms = admission.return_after_ms(0, START_MS, left_ms, incoming.key)
+    # While the store is away, the wait lasts about as long again as it has so far.
+    room_ms = max(START_MS, now_ms - gateway.started_ms)
+    after_ms = admission.return_after_ms(0, room_ms, left_ms, incoming.key)
     reason = commands.Refusal.NO_CONFIGURATION
     return _refuse(gateway, incoming, reason, after_ms, now_ms)
 
