Use the slowness of a leaf's machine that its load reports

A load has three or four figures, and an invalid one is ignored by itself. The test of the load header compares with leaves.Load, the type of the field now.

--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -11,6 +11,7 @@
     leaf_health,
     leaf_permits,
     leaf_selection,
+    machine_slowness,
     request_completion,
     request_progress,
     tracing,
@@ -237,6 +238,7 @@
         return leaf_health.remove_replaced(gateway, event.leaf_id)
     decided = leaf_demands.apply(gateway, leaf.start, event.demands, False, now_ms)
     leaf_health.record_probe(leaf, event.healthy, now_ms)
+    machine_slowness.record_of_probe(leaf, event.load, now_ms)
     if event.healthy:
         decided.append(tracing.leaf_line(leaf, "healthy", 0))
     return decided
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -189,12 +189,15 @@
         Whether another leaf has answered at the address.
     demands : LeafDemands
         What the leaf asks for in its answer.
+    load : Load or None
+        The load that the leaf reports in its answer.
     """
 
     leaf_id: str
     healthy: bool
     replaced: bool = False
     demands: requests.LeafDemands = requests.NO_DEMANDS
+    load: leaves.Load | None = None
 
 
 class SlownessReported(NamedTuple):
--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -6,6 +6,7 @@
 from amaranthpulley.coordination.forwarding import (
     commands,
     leaf_selection,
+    machine_slowness,
     tracing,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -45,6 +46,8 @@
 ) -> float:
     """Record a leaf's answer and return its slowness: its time over the route's mean.
 
+    The part of its machine, as the leaf reports it, is left out.
+
     Parameters
     ----------
     opened : bool
@@ -54,16 +57,14 @@
     if leaf is None:
         return leaves.INITIAL_SLOWNESS
     _mark_responsive(leaf, attempt, now_ms)
-    if answer.load is not None:
-        leaf.load = leaves.Load(*answer.load)
-        leaf.load_reported_ms = now_ms
+    machine = machine_slowness.record(leaf, answer.load, now_ms)
     succeeded = not answer.not_run and answer.status < 500
     _record_outcome(leaf, not succeeded, now_ms)
     if answer.not_run:
         mean_ms = gateway.latency_of(route).mean_ms
         leaf.full_until_ms = now_ms + max(MINIMUM_FULL_MS, int(mean_ms))
     elif succeeded and not opened:
-        return _record_time(gateway, leaf, attempt, route, now_ms)
+        return _record_time(gateway, leaf, attempt, route, machine, now_ms)
     return leaves.INITIAL_SLOWNESS
 
 
@@ -163,13 +164,18 @@
     leaf: leaves.Leaf,
     attempt: requests.Attempt,
     route: routes.Route,
+    machine: float,
     now_ms: int,
 ) -> float:
+    """Record the time of an answer and return the leaf's own slowness in it.
+
+    The machine's part is left out, since it is known from what the leaf reports.
+    """
     elapsed_ms = now_ms - attempt.sent_ms
     gateway.distances.observe(leaf.entry.failure_domain, elapsed_ms)
     work_ms = max(1.0, elapsed_ms - leaf_selection.extra_round_trip_ms(gateway, leaf))
     latency = gateway.latency_of(route)
-    observed = work_ms / max(1.0, latency.mean_ms)
+    observed = work_ms / (max(1.0, latency.mean_ms) * machine)
     record_slowness(leaf, observed, now_ms)
     latency.observe(work_ms)
     return observed
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -1,7 +1,8 @@
 """Selects the leaf for a request: the one that is expected to answer first.
 
-The expected time adds up the network round trip, the mean time of the route and the
-requests already queued at the leaf. A leaf whose oldest attempt is overdue and that has
+The expected time adds up the network round trip, the mean time of the route, scaled by
+the slowness of the leaf and of its machine, and the requests already queued at the
+leaf. A leaf whose oldest attempt is overdue and that has
 answered nothing since counts as stalled. New requests then go to other leaves and need
 no hedge.
 """
@@ -10,7 +11,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from amaranthpulley.coordination.forwarding import leaf_permits
+from amaranthpulley.coordination.forwarding import leaf_permits, machine_slowness
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, routes
 
@@ -150,10 +151,12 @@
 ) -> float:
     """Return the time that a leaf takes for a request unless it fails or pauses."""
     work_ms = gateway.latency_of(route).mean_ms * current_slowness(leaf, now_ms)
+    if leaf.machine is not None:
+        work_ms *= machine_slowness.current(leaf, now_ms)
     slots = max(1, leaf.entry.slots)
     occupied = leaf.in_flight
     if leaf.load is not None and now_ms - leaf.load_reported_ms < LOAD_REPORT_VALID_MS:
-        occupied = max(occupied, leaf.load.running + leaf.load.waiting)
+        occupied = max(occupied, leaf.load.occupied)
     round_trip_ms = extra_round_trip_ms(gateway, leaf)
     total_ms = round_trip_ms + work_ms
     if occupied >= slots:
--- a/amaranthpulley/coordination/forwarding/overload/tests/overloaded_site.py
+++ b/amaranthpulley/coordination/forwarding/overload/tests/overloaded_site.py
@@ -5,7 +5,7 @@
 
 from amaranthpulley.coordination.forwarding import commands
 from amaranthpulley.coordination.forwarding.tests import gateway_site
-from amaranthpulley.state.forwarding import requests
+from amaranthpulley.state.forwarding import leaves, requests
 
 # Requests that a leaf queues beyond its slots before it sheds.
 QUEUE = 2
@@ -106,7 +106,7 @@
             b"s",
             False,
             False,
-            (leaf.running, len(leaf.queued), leaf.slots),
+            leaves.Load(leaf.running, len(leaf.queued), leaf.slots),
         )
         if leaf.queued:
             self._start(leaf, leaf.queued.popleft())
--- a/amaranthpulley/protocol/forwarding/leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/leaf_messages.py
@@ -7,7 +7,7 @@
 import httptools
 
 from amaranthpulley.protocol.forwarding import client_requests, header_names
-from amaranthpulley.state.forwarding import requests
+from amaranthpulley.state.forwarding import leaves, requests
 
 _FIRST_FINAL_STATUS: Final = 200
 _BODYLESS_STATUSES: Final = frozenset({204, 304})
@@ -21,6 +21,11 @@
 LONGEST_PAUSE_MS: Final = 3_600_000
 # The value with which a leaf says that it leaves; others are ignored.
 _LEAVING: Final = b"1"
+# Figures of a load; longer ones are invalid.
+_FIGURE: Final = re.compile(rb"\d{1,9}")
+# The fourth figure of a load for a machine on which work takes the usual time.
+USUAL_PERCENT: Final = 100
+_EMPTY_LOAD: Final = leaves.Load(None, None, None)
 # A decimal number without a sign, an exponent or a special value.
 _DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{0,12})?")
 
@@ -317,14 +322,24 @@
         self._has_framing = False
 
 
-def _parse_load(value: bytes | None) -> tuple[int, int, int] | None:
-    if value is None:
-        return None
-    numbers = value.split(b",")
-    if len(numbers) != 3 or not all(part.strip().isdigit() for part in numbers):
+def _parse_load(value: bytes | None) -> leaves.Load | None:
+    """Return the load of a header with three or four figures.
+
+    Invalid figures are ignored one by one. With another number of figures it is not
+    known which is which, so the whole header is ignored.
+    """
+    parts = [] if value is None else value.split(b",")
+    if len(parts) not in (3, 4):
         return None
-    running, waiting, slots = (int(part) for part in numbers)
-    return running, waiting, slots
+    running, waiting, slots, *rest = (_parse_figure(part) for part in parts)
+    percent = rest[0] if rest else None
+    slowness = percent / USUAL_PERCENT if percent else None
+    load = leaves.Load(running, waiting, slots or None, slowness)
+    return None if load == _EMPTY_LOAD else load
+
+
+def _parse_figure(part: bytes) -> int | None:
+    return int(part) if _FIGURE.fullmatch(part.strip()) else None
 
 
 def _parse_idle_timeout(value: bytes | None) -> int | None:
--- a/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_leaf_messages.py
@@ -7,6 +7,7 @@
     header_names,
     leaf_messages,
 )
+from amaranthpulley.state.forwarding import leaves
 
 NAMES = header_names.HeaderNames(
     request_id=b"x-id",
@@ -122,7 +123,7 @@
     def test_headers_are_interpreted(self) -> None:
         cases = {
             b"X-Not-Run: 1\r\n": ("not_run", True),
-            b"X-Load: 3,1,8\r\n": ("load", (3, 1, 8)),
+            b"X-Load: 3,1,8\r\n": ("load", leaves.Load(3, 1, 8)),
             b"X-Load: 3,x\r\n": ("load", None),
             b"Content-Encoding: gzip\r\n": ("encoded", True),
         }
@@ -133,6 +134,36 @@
                 self.assertEqual(getattr(raw.answer, field), value)
 
 
+class LoadHeaderTest(unittest.TestCase):
+    """One invalid figure hides the other three, or is taken for a load."""
+
+    CASES = {
+        b"3,1,8,250": leaves.Load(3, 1, 8, 2.5),
+        b" 3 , 1 , 8 , 100 ": leaves.Load(3, 1, 8, 1.0),
+        b"3,1,8,0": leaves.Load(3, 1, 8),
+        b"3,1,8,-5": leaves.Load(3, 1, 8),
+        b"3,1,8,fast": leaves.Load(3, 1, 8),
+        b"3,1,8,": leaves.Load(3, 1, 8),
+        b"x,1,8,250": leaves.Load(None, 1, 8, 2.5),
+        b"3,1,0,250": leaves.Load(3, 1, None, 2.5),
+        b"3,,8": leaves.Load(3, None, 8),
+        b"3," + b"9" * 5_000 + b",8,90": leaves.Load(3, None, 8, 0.9),
+        b"x,x,x,x": None,
+        b"x,x,0,0": None,
+        b"3,1": None,
+        b"3,1,8,250,1": None,
+        b"": None,
+    }
+
+    def test_figures_are_taken_one_by_one(self) -> None:
+        for value, expected in self.CASES.items():
+            with self.subTest(value[:20]):
+                data = HEAD + b"X-Load: " + value + b"\r\nContent-Length: 0\r\n\r\n"
+                (raw,), valid = _reader().feed(data)
+                self.assertTrue(valid)
+                self.assertEqual(raw.answer.load, expected)
+
+
 class LimitHeaderTest(unittest.TestCase):
     """The limit that a leaf names in an answer."""
 
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -61,11 +61,47 @@
 
 
 class Load(NamedTuple):
-    """The load that a leaf reported with an answer."""
+    """The load that a leaf reported with an answer; invalid figures are None.
 
-    running: int
-    waiting: int
-    slots: int
+    Attributes
+    ----------
+    running, waiting, slots : int or None
+        Requests that it runs, requests that wait there, and its slots.
+    slowness : float or None
+        Time that work takes on its machine now over the usual time, 1.0; None if it
+        did not report it.
+    """
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    slowness: float | None = None
+
+    @property
+    def has_counts(self) -> bool:
+        """Whether it tells how many requests the leaf has."""
+        return self.running is not None or self.waiting is not None
+
+    @property
+    def occupied(self) -> int:
+        """Requests that the leaf has, as far as they were told."""
+        return (self.running or 0) + (self.waiting or 0)
+
+
+class Machine(NamedTuple):
+    """Slowness of a leaf's machine, as the leaf reported it.
+
+    Attributes
+    ----------
+    latest, mean : float
+        The last figure, and the moving mean of the recent ones.
+    reported_ms : int
+        Time of the last figure.
+    """
+
+    latest: float
+    mean: float
+    reported_ms: int
 
 
 class Leaf:
@@ -103,6 +139,8 @@
         self.connection_used_ms = 0
         self.load: Load | None = None
         self.load_reported_ms = 0
+        # None until the leaf reports the slowness of its machine.
+        self.machine: Machine | None = None
         self.failure_share = 0.0
         self.failure_share_updated_ms = now_ms
         self.suspected = False
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -115,8 +115,8 @@
     encoded : bool
         Whether the body has a content encoding. Leaves send none, so such an answer is
         not the leaf's own and is not used.
-    load : tuple of int or None
-        Running and waiting requests and slots, if the leaf reports them.
+    load : Load or None
+        The leaf's load, if it reports one.
     demands : LeafDemands
         What the leaf asks of the daemon.
     """
@@ -127,7 +127,7 @@
     signature: bytes
     not_run: bool
     encoded: bool
-    load: tuple[int, int, int] | None
+    load: leaves.Load | None
     demands: LeafDemands = NO_DEMANDS
 
 
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -17,7 +17,7 @@
 )
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import log_events
-from amaranthpulley.state.forwarding import delegations, requests
+from amaranthpulley.state.forwarding import delegations, leaves, requests
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.transport import log_sink
 from amaranthpulley.transport.forwarding import (
@@ -340,15 +340,17 @@
             healthy: bool,
             replaced: bool = False,
             demands: requests.LeafDemands = requests.NO_DEMANDS,
+            load: leaves.Load | None = None,
         ) -> None:
             timer.cancel()
-            ended = events.ProbeEnded(command.leaf_id, healthy, replaced, demands)
-            self.feed(ended)
+            leaf_id = command.leaf_id
+            self.feed(events.ProbeEnded(leaf_id, healthy, replaced, demands, load))
 
         def on_answer(answer: requests.LeafAnswer) -> None:
             named = self._leaf_named_in(answer)
             replaced = named not in ("", command.leaf_id)
-            end(answer.status == 200 and not replaced, replaced, answer.demands)
+            healthy = answer.status == 200 and not replaced
+            end(healthy, replaced, answer.demands, answer.load)
 
         def give_up() -> None:
             connection.close()
