--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -12,6 +12,7 @@
     retry_budget,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.overload import fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, waiting
 
@@ -188,11 +189,11 @@
 ) -> commands.SendAttempt:
     """Record an attempt at a leaf and return the command that sends it."""
     call = request.calls[shard]
+    fair_queue.record_turn(gateway.waiting, call)
     stop_waiting(gateway, call)
     number = gateway.next_attempt
     gateway.next_attempt += 1
-    leaf_id = leaf.entry.leaf_id
-    key = request.incoming.key
+    leaf_id, key = leaf.entry.leaf_id, request.incoming.key
     after_loss = crash_attribution.is_suspected(gateway, request)
     attempt = requests.Attempt(number, key, shard, leaf.start, now_ms, after_loss)
     gateway.attempts[number] = attempt
@@ -269,7 +270,7 @@
     call.retry_due_ms = min([at_ms for at_ms in due_ms if at_ms > now_ms])
     if call.waiting is None:
         call.waiting = waiting.WaitingCall(
-            request.route.priority, request.arrived_ms, request.incoming.key, shard
+            fair_queue.rank_of(request), request.arrived_ms, request.incoming.key, shard
         )
         gateway.waiting.add(call.service, call.waiting)
         tracing.record_decision(request, now_ms, "leaves_busy", call.service, detail)
--- a/amaranthpulley/coordination/forwarding/overload/admission.py
+++ b/amaranthpulley/coordination/forwarding/overload/admission.py
@@ -16,6 +16,7 @@
     leaf_permits,
     leaf_selection,
 )
+from amaranthpulley.coordination.forwarding.overload import fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, routes
 
@@ -64,7 +65,7 @@
     ]
     if not usable:
         return float(route.timeout_ms)
-    ahead = gateway.waiting.count_ahead(service, route.priority)
+    ahead = gateway.waiting.count_ahead(service, fair_queue.rank_of_route(route))
     mean_ms = gateway.latency_of(route).mean_ms
     per_ms = sum(_throughput_per_ms(gateway, leaf, mean_ms) for leaf in usable)
     soonest_ms = min(
--- a/amaranthpulley/coordination/forwarding/overload/waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/waiting.py
@@ -3,9 +3,10 @@
 Load pattern: a burst, or a service that lost leaves, so that for a while more requests
 come than the leaves take. Each call then waits in the queue of its service. An answer
 of the service, a leaf that is back, or the end of a leaf's hold lets the next ones
-through: those of the most urgent routes first, of these the ones that can still meet
-their objective, and of these the oldest. A call that can no longer be answered in time
-leaves the queue at once, so that its client learns it.
+through: those of the most urgent ranks first. Of one rank the accounts share the room
+(`fair_queue`), and of one account those that can still meet their objective go first,
+and of these the oldest. A call that can no longer be answered in time leaves the queue
+at once, so that its client learns it.
 """
 
 from typing import Final
@@ -19,6 +20,7 @@
     retry_budget,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.overload import fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, waiting
 
@@ -38,6 +40,7 @@
     if not queued:
         return []
     queued.sort(key=lambda call: _order(gateway, call, now_ms))
+    queued = fair_queue.order(gateway.waiting.turns_of(service), queued)
     decided: list[commands.Command] = []
     failed = 0
     for call in queued:
@@ -63,7 +66,7 @@
 
 def _order(
     gateway: gateway_state.Gateway, waiting_call: waiting.WaitingCall, now_ms: int
-) -> tuple[int, bool, int]:
+) -> tuple[waiting.Rank, bool, int]:
     request = gateway.requests.get(waiting_call.request_key)
     is_late = request is None or _is_late(gateway, request, now_ms)
     return waiting_call.rank, is_late, waiting_call.arrived_ms
--- a/amaranthpulley/state/forwarding/waiting.py
+++ b/amaranthpulley/state/forwarding/waiting.py
@@ -3,24 +3,51 @@
 import bisect
 from typing import NamedTuple
 
+# The account's priority, then the route's.
+Rank = tuple[int, int]
+
 
 class WaitingCall(NamedTuple):
     """One shard's part of a request that waits for a leaf.
 
     Attributes
     ----------
-    rank : int
-        Priority of the route; 0 is the most urgent.
+    rank : tuple of int
+        Priority of the account, then of the route; 0 is the most urgent.
     arrived_ms : int
         Arrival of the request, by the monotonic clock.
     request_key, shard : int
         The request, and the index of the shard in its calls.
+    account : str
+        Name of the client account; empty without one.
     """
 
-    rank: int
+    rank: Rank
     arrived_ms: int
     request_key: int
     shard: int
+    account: str = ""
+
+
+class Turns:
+    """The turns that accounts have had at a service while calls wait for it."""
+
+    def __init__(self) -> None:
+        # By rank, the start tag that was served last.
+        self._served: dict[Rank, float] = {}
+        # By rank and account, the start tag of its next call.
+        self._next: dict[tuple[Rank, str], float] = {}
+
+    def start_of(self, rank: Rank, account: str) -> float:
+        """Return the start tag of the next call of an account."""
+        served = self._served.get(rank, 0.0)
+        return max(served, self._next.get((rank, account), served))
+
+    def charge(self, rank: Rank, account: str, cost: float) -> None:
+        """Record that a call of an account is sent."""
+        start = self.start_of(rank, account)
+        self._served[rank] = start
+        self._next[rank, account] = start + cost
 
 
 class WaitingCalls:
@@ -28,6 +55,8 @@
 
     def __init__(self) -> None:
         self._by_service: dict[str, list[WaitingCall]] = {}
+        # Kept while calls of the service wait.
+        self._turns: dict[str, Turns] = {}
 
     @property
     def services(self) -> list[str]:
@@ -47,11 +76,16 @@
             waiting.remove(call)
             if not waiting:
                 del self._by_service[service]
+                self._turns.pop(service, None)
 
     def of_service(self, service: str) -> list[WaitingCall]:
         """Return the calls that wait for a service."""
         return list(self._by_service.get(service, ()))
 
-    def count_ahead(self, service: str, rank: int) -> int:
+    def turns_of(self, service: str) -> Turns:
+        """Return the turns that accounts have had since calls wait for a service."""
+        return self._turns.setdefault(service, Turns())
+
+    def count_ahead(self, service: str, rank: Rank) -> int:
         """Return the number of calls that a new one of this rank would wait behind."""
         return sum(call.rank <= rank for call in self._by_service.get(service, ()))
