--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -14,7 +14,7 @@
 )
 from amaranthpulley.coordination.forwarding.overload import fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, requests, waiting
+from amaranthpulley.state.forwarding import leaves, requests
 
 # Delay before a hedge looks for a leaf again when all are busy.
 BUSY_HEDGE_RETRY_MS: Final = 8
@@ -64,6 +64,7 @@
     if (
         not retry_budget.may_run_again(request, call)
         or call.sends >= MAXIMUM_SENDS
+        or request.withdrawn
         or crash_attribution.refuses(gateway, request.incoming)
     ):
         stop_waiting(gateway, call)
@@ -154,7 +155,7 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call = request.calls[shard]
     call.hedge_due_ms = None
-    if crash_attribution.refuses(gateway, request.incoming):
+    if request.withdrawn or crash_attribution.refuses(gateway, request.incoming):
         return []
     if crash_attribution.must_not_hedge(gateway, request, now_ms):
         request.held = call.hedge_held = True
@@ -214,11 +215,17 @@
         call.hedge_due_ms = now_ms + int(late_ms)
     tracing.record_decision(request, now_ms, "sent", call.service, leaf_id)
     budget_ms = max(MINIMUM_LEAF_BUDGET_MS, request.give_up_ms - now_ms)
-    reuse = commands.Reuse.ANY if request.route.idempotent else commands.Reuse.RECENT
+    reuse = _reuse_of(request, after_loss)
+    address, account = leaf.entry.address, request.leaf_account
+    return commands.SendAttempt(
+        number, key, leaf_id, address, budget_ms, reuse, keep, account
+    )
+
+
+def _reuse_of(request: requests.ForwardedRequest, after_loss: bool) -> commands.Reuse:
     if after_loss:
-        reuse = commands.Reuse.NONE
-    address = leaf.entry.address
-    return commands.SendAttempt(number, key, leaf_id, address, budget_ms, reuse, keep)
+        return commands.Reuse.NONE
+    return commands.Reuse.ANY if request.route.idempotent else commands.Reuse.RECENT
 
 
 def stop_waiting(gateway: gateway_state.Gateway, call: requests.ShardCall) -> None:
@@ -269,9 +276,7 @@
     due_ms += [hold.until_ms or 0 for hold in holds if hold is not None]
     call.retry_due_ms = min([at_ms for at_ms in due_ms if at_ms > now_ms])
     if call.waiting is None:
-        call.waiting = waiting.WaitingCall(
-            fair_queue.rank_of(request), request.arrived_ms, request.incoming.key, shard
-        )
+        call.waiting = fair_queue.entry_of(request, shard)
         gateway.waiting.add(call.service, call.waiting)
         tracing.record_decision(request, now_ms, "leaves_busy", call.service, detail)
 
--- a/amaranthpulley/coordination/forwarding/overload/fair_queue.py
+++ b/amaranthpulley/coordination/forwarding/overload/fair_queue.py
@@ -16,7 +16,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from amaranthpulley.state.forwarding import requests, routes, waiting
+from amaranthpulley.state.forwarding import requests, waiting
 
 # An account with this multiple of the mean number of waiting calls begins to pay less
 # for a call. A quarter as often as all is promised, which 4 would just miss while the
@@ -24,14 +24,11 @@
 FULL_COST_MULTIPLE: Final = 3.0
 
 
-def rank_of(request: requests.ForwardedRequest) -> waiting.Rank:
-    """Return the rank of a request's calls."""
-    return rank_of_route(request.route)
-
-
-def rank_of_route(route: routes.Route) -> waiting.Rank:
-    """Return the rank of the calls of a route without an account's priority."""
-    return route.priority, route.priority
+def entry_of(request: requests.ForwardedRequest, shard: int) -> waiting.WaitingCall:
+    """Return the entry of a request's call in the queue of its service."""
+    account = "" if request.account is None else request.account.name
+    rank, key = request.route.rank, request.incoming.key
+    return waiting.WaitingCall(rank, request.arrived_ms, key, shard, account)
 
 
 def order(
--- a/amaranthpulley/state/forwarding/waiting.py
+++ b/amaranthpulley/state/forwarding/waiting.py
@@ -13,7 +13,7 @@
     Attributes
     ----------
     rank : tuple of int
-        Priority of the account, then of the route; 0 is the most urgent.
+        Rank of the request, see `routes.Route.rank`; the smallest is the most urgent.
     arrived_ms : int
         Arrival of the request, by the monotonic clock.
     request_key, shard : int
