--- a/amaranthpulley/coordination/forwarding/overload/admission.py
+++ b/amaranthpulley/coordination/forwarding/overload/admission.py
@@ -16,6 +16,7 @@
     leaf_permits,
     leaf_selection,
 )
+from amaranthpulley.coordination.forwarding.overload import fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, routes
 
@@ -54,9 +55,19 @@
 
 
 def expected_answer_ms(
-    gateway: gateway_state.Gateway, route: routes.Route, service: str, now_ms: int
+    gateway: gateway_state.Gateway,
+    route: routes.Route,
+    service: str,
+    now_ms: int,
+    account: str = "",
 ) -> float:
-    """Return the time until a new request of a route would be answered by a service."""
+    """Return the time until a new request of a route would be answered by a service.
+
+    Parameters
+    ----------
+    account : str
+        Name of its client account; empty without one.
+    """
     usable = [
         leaf
         for leaf in gateway.directory.of_service(service)
@@ -64,7 +75,7 @@
     ]
     if not usable:
         return float(route.timeout_ms)
-    ahead = gateway.waiting.count_ahead(service, route.rank)
+    ahead = fair_queue.count_ahead(gateway.waiting, service, route.rank, account)
     mean_ms = gateway.latency_of(route).mean_ms
     per_ms = sum(_throughput_per_ms(gateway, leaf, mean_ms) for leaf in usable)
     soonest_ms = min(
--- a/amaranthpulley/coordination/forwarding/overload/fair_queue.py
+++ b/amaranthpulley/coordination/forwarding/overload/fair_queue.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -24,13 +25,39 @@
 FULL_COST_MULTIPLE: Final = 3.0
 
 
+def account_of(request: requests.ForwardedRequest) -> str:
+    """Return the name of the account that a request's turns are charged to."""
+    return "" if request.account is None else request.account.name
+
+
 def entry_of(request: requests.ForwardedRequest, shard: int) -> waiting.WaitingCall:
     """Return the entry of a request's call in the queue of its service."""
-    account = "" if request.account is None else request.account.name
-    rank, key = request.route.rank, request.incoming.key
+    rank, key, account = request.route.rank, request.incoming.key, account_of(request)
     return waiting.WaitingCall(rank, request.arrived_ms, key, shard, account)
 
 
+def count_ahead(
+    calls: waiting.WaitingCalls, service: str, rank: waiting.Rank, account: str
+) -> int:
+    """Return the number of calls that a new one of an account would wait behind."""
+    queued = calls.of_service(service)
+    if not queued:
+        return 0
+    counts = _counts(queued)
+    urgent = sum(count for (other, _), count in counts.items() if other < rank)
+    own = counts[rank, account]
+    counts[rank, account] += 1
+    turns = calls.turns_of(service)
+    tag = turns.start_of(rank, account) + own * _cost(counts, rank, account)
+    ahead = urgent + own
+    for (other_rank, other), count in counts.items():
+        if other_rank == rank and other != account:
+            passed = tag - turns.start_of(rank, other)
+            sooner = math.floor(passed / _cost(counts, rank, other)) + 1
+            ahead += max(0, min(count, sooner))
+    return ahead
+
+
 def order(
     turns: waiting.Turns, queued: Sequence[waiting.WaitingCall]
 ) -> list[waiting.WaitingCall]:
--- a/amaranthpulley/coordination/forwarding/overload/tests/overloaded_site.py
+++ b/amaranthpulley/coordination/forwarding/overload/tests/overloaded_site.py
@@ -3,9 +3,10 @@
 import collections
 import heapq
 
-from amaranthpulley.coordination.forwarding import commands
+from amaranthpulley.coordination.forwarding import commands, events
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import leaves, requests
+from amaranthpulley.state.forwarding.client_accounts import accounts
 
 # Requests that a leaf queues beyond its slots before it sheds.
 QUEUE = 2
@@ -30,16 +31,21 @@
         Number of leaves, with two slots each.
     work_ms : int
         Time of one request.
+    table : AccountTable or None
+        Client accounts; the digest of an account's key is its name.
     """
 
-    def __init__(self, leaves: int, work_ms: int) -> None:
+    def __init__(
+        self, leaves: int, work_ms: int, table: accounts.AccountTable | None = None
+    ) -> None:
         self.site = gateway_site.GatewaySite()
         urgent = gateway_site.single(
             name="urgent", prefix="/urgent/", priority=0, objective_ms=300
         )
         usual = gateway_site.single(priority=2, objective_ms=300)
         entries = [gateway_site.entry(f"l{n}", "visits") for n in range(leaves)]
-        self.site.begin(gateway_site.configuration(urgent, usual), *entries)
+        found = gateway_site.configuration(urgent, usual)._replace(accounts=table)
+        self.site.begin(found, *entries)
         self.leaves = {entry.leaf_id: Leaf(entry.slots, work_ms) for entry in entries}
         self.asked_ms: dict[int, int] = {}
         self.answered_ms: dict[int, int] = {}
@@ -47,9 +53,9 @@
         self._ends: list[tuple[int, int, gateway_site.Sent]] = []
         self._delivered = 0
 
-    def ask(self, path: str = "/visit/1") -> int:
+    def ask(self, path: str = "/visit/1", account: str = "") -> int:
         """Send a request at the current time."""
-        key = self.site.request(path)
+        key = self._request_of(path, account) if account else self.site.request(path)
         self.asked_ms[key] = self.site.now_ms
         self._deliver()
         return key
@@ -77,6 +83,15 @@
         found = [self.site.answers.get(key) for key in keys]
         return [answer for answer in found if isinstance(answer, commands.Refuse)]
 
+    def _request_of(self, path: str, account: str) -> int:
+        self.site._next_key += 1
+        key = self.site._next_key
+        incoming = requests.IncomingRequest(
+            key, f"r{key}", gateway_site.HOST, path, (key,), 800, None, account.encode()
+        )
+        self.site.feed(events.RequestArrived(incoming))
+        return key
+
     def _deliver(self) -> None:
         while self._delivered < len(self.site.sent):
             sent = self.site.sent[self._delivered]
--- a/amaranthpulley/coordination/forwarding/overload/tests/test_fair_queue.py
+++ b/amaranthpulley/coordination/forwarding/overload/tests/test_fair_queue.py
@@ -4,9 +4,12 @@
 import random
 import unittest
 from typing import NamedTuple
+from unittest import mock
 
 from amaranthpulley.coordination.forwarding.overload import fair_queue
+from amaranthpulley.coordination.forwarding.overload.tests import overloaded_site
 from amaranthpulley.state.forwarding import requests, waiting
+from amaranthpulley.state.forwarding.client_accounts import accounts
 
 SERVICE = "visits"
 RANK = (1, 1)
@@ -130,6 +133,55 @@
             self.assertGreater(shares[kind], 0.98)
 
 
+class GreedyAccountReplayTest(unittest.TestCase):
+    """The same load at a daemon: the turns are not used, or not charged."""
+
+    LEAVES, WORK_MS = 3, 60
+    # What the leaves can run, divided among the accounts.
+    CAPACITY_PER_S = 100
+    COUNT = 8
+
+    def _play(self, greedy_factor: float) -> tuple[float, list[float]]:
+        """Return the answered shares of the greedy account and of the others."""
+        names = [f"a{n}" for n in range(self.COUNT)]
+        table = accounts.AccountTable(
+            {name: accounts.Account(name, 1, frozenset(), 0.0, 0.0) for name in names},
+            {name.encode(): name for name in names},
+        )
+        site = overloaded_site.OverloadedSite(self.LEAVES, self.WORK_MS, table)
+        random_source = random.Random(2)
+        usual_per_ms = self.CAPACITY_PER_S / self.COUNT / 1000
+        per_ms = dict.fromkeys(names, usual_per_ms)
+        per_ms[names[0]] *= greedy_factor
+        keys: dict[str, list[int]] = {name: [] for name in names}
+        due_ms = {name: random_source.expovariate(per_ms[name]) for name in names}
+        for passed_ms in range(BURST_MS):
+            for name in names:
+                while due_ms[name] <= passed_ms:
+                    due_ms[name] += random_source.expovariate(per_ms[name])
+                    keys[name].append(site.ask(account=name))
+            site.advance(1)
+        site.advance(1_000)
+        answered = {
+            name: sum(key in site.answered_ms for key in found) / len(found)
+            for name, found in keys.items()
+        }
+        return answered.pop(names[0]), list(answered.values())
+
+    def test_the_others_are_served_at_least_as_they_were(self) -> None:
+        with mock.patch.object(fair_queue, "order", _in_order_of_arrival):
+            _, before = self._play(7.5)
+        greedy, after = self._play(7.5)
+        self.assertGreater(min(after), max(before))
+        self.assertGreater(sum(after) / len(after), 0.85)
+        whole = (7.5 * greedy + sum(after)) / (7.5 + len(after))
+        self.assertGreater(greedy, whole / 4)
+
+    def test_without_a_greedy_account_all_are_served(self) -> None:
+        first, others = self._play(0.5)
+        self.assertGreater(min(first, *others), 0.95)
+
+
 class RankTest(unittest.TestCase):
     """A less urgent kind is served more often than a more urgent one."""
 
@@ -148,6 +200,22 @@
         self.assertLess(shares[usual], 0.5)
 
 
+class EstimateTest(unittest.TestCase):
+    """A call of an account with few is refused for the queue of another account."""
+
+    def test_only_calls_that_go_first_are_ahead(self) -> None:
+        calls = waiting.WaitingCalls()
+        for key in range(20):
+            calls.add(SERVICE, waiting.WaitingCall(RANK, key, key, 0, "greedy"))
+        urgent = waiting.WaitingCall((0, 0), 0, 30, 0, "other")
+        calls.add(SERVICE, urgent)
+        count = fair_queue.count_ahead
+        self.assertEqual(count(calls, SERVICE, RANK, "greedy"), 21)
+        self.assertLessEqual(count(calls, SERVICE, RANK, "other"), 3)
+        self.assertEqual(count(calls, SERVICE, (2, 0), "other"), 21)
+        self.assertEqual(count(calls, "idle", RANK, "other"), 0)
+
+
 class OrderTest(unittest.TestCase):
     """Without accounts the order changes, or an absent account saves turns up."""
 
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -14,7 +14,7 @@
     tracing,
 )
 from amaranthpulley.coordination.forwarding.client_accounts import authentication
-from amaranthpulley.coordination.forwarding.overload import admission
+from amaranthpulley.coordination.forwarding.overload import admission, fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
 from amaranthpulley.state.forwarding.client_accounts import accounts
@@ -89,7 +89,9 @@
         if route.shards:
             return []
         reason = commands.Refusal.OVERLOADED
-        room_ms = admission.expected_answer_ms(gateway, route, services[0], now_ms)
+        room_ms = admission.expected_answer_ms(
+            gateway, route, services[0], now_ms, fair_queue.account_of(request)
+        )
         spare_ms = 0.0
         if gateway.drain_end_ms is not None and not route.idempotent:
             # An answer that does not come before the end leaves the outcome unknown.
--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -8,7 +8,7 @@
     record_merge,
     tracing,
 )
-from amaranthpulley.coordination.forwarding.overload import admission
+from amaranthpulley.coordination.forwarding.overload import admission, fair_queue
 from amaranthpulley.state import latency
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests
@@ -184,7 +184,9 @@
     key, route = request.incoming.key, request.route
     services = route.shards or [call.service for call in request.calls]
     service = services[0] if services else route.services[0].name
-    room_ms = admission.expected_answer_ms(gateway, route, service, now_ms)
+    room_ms = admission.expected_answer_ms(
+        gateway, route, service, now_ms, fair_queue.account_of(request)
+    )
     left_ms = request.give_up_ms - now_ms
     after_ms = admission.return_after_ms(route.priority, room_ms, left_ms, key)
     if not_run and crash_attribution.refuses(gateway, request.incoming):
--- a/amaranthpulley/state/forwarding/waiting.py
+++ b/amaranthpulley/state/forwarding/waiting.py
@@ -85,7 +85,3 @@
     def turns_of(self, service: str) -> Turns:
         """Return the turns that accounts have had since calls wait for a service."""
         return self._turns.setdefault(service, Turns())
-
-    def count_ahead(self, service: str, rank: Rank) -> int:
-        """Return the number of calls that a new one of this rank would wait behind."""
-        return sum(call.rank <= rank for call in self._by_service.get(service, ()))
