--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -46,8 +46,6 @@
 ) -> float:
     """Record a leaf's answer and return its slowness: its time over the route's mean.
 
-    The part of its machine, as the leaf reports it, is left out.
-
     Parameters
     ----------
     opened : bool
@@ -167,15 +165,15 @@
     machine: float,
     now_ms: int,
 ) -> float:
-    """Record the time of an answer and return the leaf's own slowness in it.
+    """Record the time of an answer and return the slowness in it.
 
-    The machine's part is left out, since it is known from what the leaf reports.
+    The machine's part is not learned, since it is known from what the leaf reports.
     """
     elapsed_ms = now_ms - attempt.sent_ms
     gateway.distances.observe(leaf.entry.failure_domain, elapsed_ms)
     work_ms = max(1.0, elapsed_ms - leaf_selection.extra_round_trip_ms(gateway, leaf))
     latency = gateway.latency_of(route)
-    observed = work_ms / (max(1.0, latency.mean_ms) * machine)
-    record_slowness(leaf, observed, now_ms)
+    observed = work_ms / max(1.0, latency.mean_ms)
+    record_slowness(leaf, observed / machine, now_ms)
     latency.observe(work_ms)
     return observed
--- a/amaranthpulley/coordination/forwarding/slowness_reports.py
+++ b/amaranthpulley/coordination/forwarding/slowness_reports.py
@@ -3,6 +3,9 @@
 A daemon with few requests would need seconds to notice by itself that a leaf has become
 slow. One late answer is no proof, because leaves pause, so a received report weighs as
 much as one answer to the daemon itself.
+
+The reported slowness includes the part of the leaf's machine: other daemons have not
+heard the figure by which the leaf states it.
 """
 
 from typing import Final
