--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -13,8 +13,9 @@
     tracing,
 )
 from amaranthpulley.coordination.forwarding.client_accounts import quota_tokens
+from amaranthpulley.coordination.forwarding.overload import fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, requests, waiting
+from amaranthpulley.state.forwarding import leaves, requests
 
 # Delay before a hedge looks for a leaf again when all are busy.
 BUSY_HEDGE_RETRY_MS: Final = 8
@@ -191,6 +192,7 @@
 ) -> commands.SendAttempt:
     """Record an attempt at a leaf and return the command that sends it."""
     call = request.calls[shard]
+    fair_queue.record_turn(gateway.waiting, call)
     stop_waiting(gateway, call)
     number = gateway.next_attempt
     gateway.next_attempt += 1
@@ -215,15 +217,19 @@
         call.hedge_due_ms = now_ms + int(late_ms)
     tracing.record_decision(request, now_ms, "sent", call.service, leaf_id)
     budget_ms = max(MINIMUM_LEAF_BUDGET_MS, request.give_up_ms - now_ms)
-    reuse = commands.Reuse.ANY if request.route.idempotent else commands.Reuse.RECENT
-    if after_loss:
-        reuse = commands.Reuse.NONE
+    reuse = _reuse_of(request, after_loss)
     address, account = leaf.entry.address, request.leaf_account
     return commands.SendAttempt(
         number, key, leaf_id, address, budget_ms, reuse, keep, account
     )
 
 
+def _reuse_of(request: requests.ForwardedRequest, after_loss: bool) -> commands.Reuse:
+    if after_loss:
+        return commands.Reuse.NONE
+    return commands.Reuse.ANY if request.route.idempotent else commands.Reuse.RECENT
+
+
 def stop_waiting(gateway: gateway_state.Gateway, call: requests.ShardCall) -> None:
     """Remove a call from the queue of its service, if it waits there."""
     if call.waiting is not None:
@@ -272,9 +278,7 @@
     due_ms += [hold.until_ms or 0 for hold in holds if hold is not None]
     call.retry_due_ms = min([at_ms for at_ms in due_ms if at_ms > now_ms])
     if call.waiting is None:
-        call.waiting = waiting.WaitingCall(
-            request.route.rank, request.arrived_ms, request.incoming.key, shard
-        )
+        call.waiting = fair_queue.entry_of(request, shard)
         gateway.waiting.add(call.service, call.waiting)
         tracing.record_decision(request, now_ms, "leaves_busy", call.service, detail)
 
--- a/amaranthpulley/platform/tests/test_quota_path.py
+++ b/amaranthpulley/platform/tests/test_quota_path.py
@@ -6,6 +6,7 @@
 
 import itertools  # noqa: E402
 import json  # noqa: E402
+import os  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
 from collections.abc import Iterator  # noqa: E402
@@ -32,10 +33,15 @@
 
 
 def settings_with_ports(name: str, store_address: str) -> bytes:
-    """Return settings with a port that other daemons can send datagrams to."""
-    whole = json.loads(SETTINGS_TEXT(name, store_address))
-    with socket.socket(type=socket.SOCK_DGRAM) as free:
-        free.bind((whole["Ip"], 0))
+    """Return settings with ports that other daemons can use.
+
+    Each process has a loopback address of its own, on which nothing else listens.
+    """
+    process = os.getpid()
+    ip = f"127.{1 + process % 250}.{process // 250 % 250}.1"
+    whole = json.loads(SETTINGS_TEXT(name, store_address, ip=ip))
+    with socket.socket() as free:
+        free.bind((ip, 0))
         whole["InternalPorts"][0] = free.getsockname()[1]
     return json.dumps(whole).encode()
 
