--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_waits.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_waits.py
@@ -54,8 +54,9 @@
 ) -> list[commands.Command]:
     """Do the periodic work: the claim, overdue answers, idle accounts."""
     decided = quota_owners.maintain_claim(gateway, now_ms)
-    for name in list(gateway.quotas.accounts):
-        decided += _continue(gateway, name, now_ms, random)
+    for name, table in list(gateway.quotas.accounts.items()):
+        if table.asks or table.waiting:
+            decided += _continue(gateway, name, now_ms, random)
     quota_tokens.forget_idle(gateway, now_ms)
     return decided
 
