--- a/tests/run.py
+++ b/tests/run.py
@@ -33,6 +33,8 @@
 _BIN: Final = pathlib.Path(sys.executable).parent
 _JOB_TIMEOUT_S: Final = 600
 _INHERITED_VARIABLES: Final = ("HOME", "TMPDIR")
+# These jobs load the machine themselves; they run one at a time, after all others.
+_ALONE: Final = frozenset({"tests.test_untrusted_clients"})
 
 _Reader = Callable[[pathlib.Path, int], list[outcomes.Outcome]]
 
@@ -184,6 +186,12 @@
     ]
 
 
+def _run_all(jobs: list[_Job], parallel: int) -> Iterator[_Report]:
+    with futures.ThreadPoolExecutor(parallel) as pool:
+        yield from pool.map(_run, (job for job in jobs if job.name not in _ALONE))
+    yield from map(_run, (job for job in jobs if job.name in _ALONE))
+
+
 def main() -> int:
     """Run the jobs that the command line names and print the verdict."""
     arguments = docopt.docopt(__doc__)
@@ -193,10 +201,9 @@
         sys.exit(f"KNOWN-RED.txt: {error}")
     jobs = _select(_all_jobs(), arguments["JOB"], arguments["--only"])
     found: list[outcomes.Outcome] = []
-    with futures.ThreadPoolExecutor(int(arguments["--jobs"])) as pool:
-        for report in pool.map(_run, jobs):
-            _print_report(report)
-            found += report.outcomes
+    for report in _run_all(jobs, int(arguments["--jobs"])):
+        _print_report(report)
+        found += report.outcomes
     whole_run = not arguments["JOB"] and arguments["--only"] is None
     verdict = outcomes.compute_verdict(found, known_reds, whole_run)
     _print_verdict(verdict, {o.test: o.detail for o in found if not o.passed})
--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -24,7 +24,8 @@
 START_TIMEOUT_S: Final = 20.0
 
 
-def _start_module(arguments: list[str], **variables: str) -> subprocess.Popen:
+def start_module(arguments: list[str], **variables: str) -> subprocess.Popen:
+    """Start a module as a process whose output can be read."""
     return subprocess.Popen(
         [sys.executable, "-m", *arguments],
         cwd=_ROOT,
@@ -35,13 +36,13 @@
     )
 
 
-def _unused_ip(number: int) -> str:
+def unused_ip(number: int) -> str:
     """Return a loopback address that no other running site uses."""
     pid = os.getpid()
     return f"127.{1 + pid // 250 % 250}.{1 + pid % 250}.{number}"
 
 
-def _free_ports(ip: str, count: int) -> list[int]:
+def free_ports(ip: str, count: int) -> list[int]:
     """Return different ports that are free on an address."""
     with contextlib.ExitStack() as probes:
         ports = []
@@ -69,7 +70,7 @@
     def __init__(self, name: str, ip: str, zone: str) -> None:
         self.name, self.ip, self.zone = name, ip, zone
         roles = ("front", "ready", "peer", "delegate")
-        self.ports = dict(zip(roles, _free_ports(ip, len(roles)), strict=True))
+        self.ports = dict(zip(roles, free_ports(ip, len(roles)), strict=True))
         self.process: subprocess.Popen | None = None
         self.proxy: proxy.Proxy | None = None
 
@@ -117,7 +118,7 @@
         self.version = 0
         self.configure()
         self.daemons = [
-            Daemon(f"vm-{n}", _unused_ip(n), ZONES[n % len(ZONES)])
+            Daemon(f"vm-{n}", unused_ip(n), ZONES[n % len(ZONES)])
             for n in range(1, daemons + 1)
         ]
         for daemon in self.daemons:
@@ -238,7 +239,7 @@
         self._folder.cleanup()
 
     def _spawn(self, arguments: list[str]) -> subprocess.Popen:
-        process = _start_module(arguments)
+        process = start_module(arguments)
         self._started.append(process)
         return process
 
