Account for all bytes that a process holds for its clients

One accounting for the five servers: unfinished and queued requests, requests in progress, unsent answers, connections. The number of connections of each server comes from Limits.MaxFds.

A body is collected in one bytearray, and is not copied for each leaf. A line of a head, a trailer or a chunk's size without end is refused with 431; the parser kept it without bound. Reading stops while a request is in progress and 64 KiB of the next ones are held.

--- a/amaranthpulley/platform/settings.py
+++ b/amaranthpulley/platform/settings.py
@@ -7,7 +7,7 @@
 
 from amaranthpulley.platform import names
 from amaranthpulley.protocol import errors, json_codec
-from amaranthpulley.state.forwarding import gateway
+from amaranthpulley.state.forwarding import client_budget, gateway
 from amaranthpulley.transport.forwarding import process
 
 # Port of the metrics; must be the same as in deploy/system.toml.
@@ -33,6 +33,9 @@
     # Share of a core, and how many times faster that core is than the usual one.
     CpuQuota: float
     Cores: float
+    # Memory in millions of bytes, and open descriptors of the process.
+    MemoryMb: float
+    MaxFds: int
 
 
 class _Settings(TypedDict):
@@ -95,6 +98,10 @@
         f"{settings['Ip']}:{ports[1]}",
         machine.get("CpuQuota", 1.0) * machine.get("Cores", 1.0),
         names.HEADERS,
+        client_budget.budget_of(
+            machine.get("MemoryMb", client_budget.DEFAULT_MEMORY_MB),
+            machine.get("MaxFds", client_budget.DEFAULT_DESCRIPTORS),
+        ),
     )
     return setup, settings["platform"]["Address"]
 
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -14,6 +14,11 @@
 HEAD: Final = b"HEAD"
 _CONNECT: Final = b"CONNECT"
 _FINGERPRINT_BYTES: Final = 8
+# Memory of a header beside its text: a tuple and two objects.
+_HEADER_OVERHEAD_BYTES: Final = 160
+# Bytes of a request line or header line beside what counts as the head: the method, the
+# version, spaces and line ends.
+_LINE_MARGIN_BYTES: Final = 1_024
 
 
 class ClientRequest(NamedTuple):
@@ -47,6 +52,15 @@
         return None
 
 
+def size_of(request: ClientRequest) -> int:
+    """Return the memory that a request takes."""
+    head_bytes = len(request.target) + sum(
+        len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+        for name, value in request.headers
+    )
+    return head_bytes + len(request.body)
+
+
 def host_of(request: ClientRequest) -> str:
     """Return the host of a request in lower case, without its port."""
     host = (request.first(header_names.HOST) or b"").decode("latin-1").lower()
@@ -99,6 +113,12 @@
         """Whether a request has been received in part."""
         return self._started
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the incomplete request takes."""
+        overhead_bytes = _HEADER_OVERHEAD_BYTES * len(self._headers)
+        return self._head_size + overhead_bytes + len(self._body) + self._line_bytes
+
     @property
     def method(self) -> bytes:
         """Method of the request that is being received; empty until it is known."""
@@ -114,6 +134,14 @@
         expected, self._expects_continue = self._expects_continue, False
         return expected and self._started
 
+    def discard(self) -> None:
+        """Drop the incomplete request; nothing can be fed afterwards."""
+        self._reset()
+        self._started = False
+        self._requests = []
+        # The parser refers to this object, and holds a part of a line.
+        self._parser = None
+
     def feed(self, data: bytes) -> list[ClientRequest]:
         """Parse bytes and return the requests that they complete.
 
@@ -126,7 +154,9 @@
         """
         while data:
             self._started = True
+            received = data
             data = self._parse(data)
+            self._check_line(received)
         completed, self._requests = self._requests, []
         if self._error is not None and not completed:
             raise self._error
@@ -146,6 +176,25 @@
                 self._error.__cause__ = error
         return b""
 
+    def _check_line(self, data: bytes) -> None:
+        """Limit an incomplete line of a head, a chunk's size or a trailer.
+
+        The parser reports a header only with its last byte, and neither the text after
+        a chunk's size nor empty lines before a request.
+        """
+        if self._in_text:
+            self._line_bytes = 0
+            return
+        end = data.rfind(b"\n")
+        if end < 0 or not data.strip(b"\r\n"):
+            self._line_bytes += len(data)
+        else:
+            self._line_bytes = len(data) - end - 1
+        limit_bytes = self._limits().header_bytes + _LINE_MARGIN_BYTES
+        if self._line_bytes > limit_bytes and self._error is None:
+            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            self._error = errors.BadRequestError(status)
+
     def on_message_begin(self) -> None:
         """Handle the parser's callback."""
         self._reset()
@@ -187,21 +236,26 @@
 
     def on_body(self, part: bytes) -> None:
         """Handle the parser's callback."""
-        self._body.append(part)
-        self._body_size += len(part)
-        if self._body_size > self._body_bytes:
+        self._in_text = True
+        self._body += part
+        if len(self._body) > self._body_bytes:
             self._fail(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
+    def on_chunk_complete(self) -> None:
+        """Handle the parser's callback."""
+        self._in_text = False
+
     def on_message_complete(self) -> None:
         """Handle the parser's callback."""
         request = ClientRequest(
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             self._parser.should_keep_alive(),
         )
         self._requests.append(request)
+        self._reset()
         self._started = False
         if len(self._requests) > MAXIMUM_PIPELINED_REQUESTS:
             self._fail(http.HTTPStatus.BAD_REQUEST)
@@ -210,9 +264,13 @@
         self._method = b""
         self._target = b""
         self._headers: header_names.Headers = []
-        self._body: list[bytes] = []
-        self._body_size = 0
+        # One object: a list of one-byte parts takes nine times their size.
+        self._body = bytearray()
+        # Whether the last byte was part of a body.
+        self._in_text = False
         self._head_size = 0
+        # Size of the incomplete line at the end, which the parser holds.
+        self._line_bytes = 0
 
     def _count_head(self, size: int) -> None:
         self._head_size += size
--- a/amaranthpulley/protocol/forwarding/errors.py
+++ b/amaranthpulley/protocol/forwarding/errors.py
@@ -19,3 +19,12 @@
     def __init__(self, status: http.HTTPStatus) -> None:
         super().__init__(status.phrase)
         self.status = status
+
+
+class MemorySpentError(BadRequestError):
+    """A request is refused as not run: too much is held for clients already."""
+
+    code = "overloaded"
+
+    def __init__(self) -> None:
+        super().__init__(http.HTTPStatus.SERVICE_UNAVAILABLE)
--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -8,14 +8,15 @@
 
 import eventlet.hubs
 
+from amaranthpulley.coordination.forwarding import client_limits
 from amaranthpulley.protocol.forwarding import (
     client_answers,
     client_requests,
     errors,
 )
 from amaranthpulley.state import clock as clock_state
-from amaranthpulley.state.forwarding import routes
-from amaranthpulley.transport.forwarding import streams
+from amaranthpulley.state.forwarding import client_budget, routes
+from amaranthpulley.transport.forwarding import client_guard, streams
 
 # Interval between checks for connections that exceeded a timeout.
 SWEEP_INTERVAL_MS: Final = 500
@@ -26,6 +27,12 @@
 # next request may already be in transit.
 IDLE_GRACE_MS: Final = 1_000
 _TIMEOUT_STATUS: Final = 408
+# After this time, connections that hold memory and have stalled are recognised.
+_RETRY_AFTER: Final = b"Retry-After: %.3f\r\n" % (client_limits.STALLED_MS / 1000)
+# While a request is in progress, reading stops once this much of the next ones is held.
+PIPELINED_BYTES: Final = 65_536
+# Memory of a request in progress beside its text: its calls and attempts.
+REQUEST_OVERHEAD_BYTES: Final = 16_384
 
 
 OnRequest = Callable[["ClientConnection", client_requests.ClientRequest], None]
@@ -64,7 +71,9 @@
         self._queued: collections.deque[client_requests.ClientRequest] = (
             collections.deque()
         )
+        self._queued_bytes = 0
         self.current: client_requests.ClientRequest | None = None
+        self._current_bytes = 0
         self.key = 0
         # Start of the idle time or of the request that is being received.
         self.since_ms = server.now_ms()
@@ -78,6 +87,7 @@
         self._pending_error: errors.BadRequestError | None = None
         self._stream = streams.Stream(connection, self._on_data, self._on_end)
         self._stream.start()
+        self._holding = server.guard.add(server.kind)
 
     @property
     def idle(self) -> bool:
@@ -101,21 +111,26 @@
 
     @property
     def in_request(self) -> bool:
-        """Whether a request has been read in part."""
-        return self.current is None and self._reader.in_request
+        """Whether a request has been read in part, and nothing comes before it."""
+        return (
+            self.current is None
+            and not self._queued
+            and self._reader.in_request
+            and not self._stream.unsent_bytes
+        )
 
     def answer(self, data: bytes, closes: bool) -> None:
         """Send the answer to the current request, without its body to HEAD."""
         method = self.current.method if self.current is not None else b""
         self.current = None
-        self.since_ms = self._server.now_ms()
+        self._current_bytes = 0
+        self.since_ms = self._holding.moved_ms = self._server.now_ms()
+        self._holding.served = True
         self._write(data, method)
         self._closing = closes
-        if closes:
-            self._stream.when_sent(self.close)
-        elif self._queued or self._pending_error is not None:
-            # A client that does not read gets no further answers to buffer.
-            self._stream.when_sent(self._continue)
+        self._update_holding()
+        # A client that does not read gets no further answers to buffer.
+        self._stream.when_sent(self.close if closes else self._continue)
 
     def read_pending(self) -> None:
         """Read what has come since, which shows whether the client has disconnected."""
@@ -128,7 +143,17 @@
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
-        self._server.forget(self)
+        self._forget()
+
+    def watch(self) -> None:
+        """Let the guard of the process close or empty the connection."""
+        callbacks = client_guard.Callbacks(self._release, self._close_surplus)
+        self._server.guard.watch(self._holding, callbacks)
+
+    def note_progress(self, now_ms: int) -> None:
+        """Note that the client has accepted a part of the answer."""
+        self._holding.moved_ms = self.progressed_ms = now_ms
+        self._update_holding()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has come or may be on its way."""
@@ -146,14 +171,17 @@
     def _on_data(self, data: bytes) -> None:
         if self._pending_error is not None or self._closing:
             return
+        now_ms = self._holding.moved_ms = self._server.now_ms()
         if self.idle:
-            self.since_ms = self._server.now_ms()
+            self.since_ms = now_ms
         try:
-            self._queued.extend(self._reader.feed(data))
+            for request in self._reader.feed(data):
+                self._queued.append(request)
+                self._queued_bytes += client_requests.size_of(request)
         except errors.BadRequestError as error:
             self._pending_error = error
             if self.current is None and not self._queued:
-                self._refuse(error)
+                self._refuse(error, self._reader.method)
                 return
         if self._pending_error is None:
             self._pending_error = self._reader.error or self._surplus_error()
@@ -161,6 +189,49 @@
             self._stream.write(client_answers.CONTINUE)
         if self.current is None and self._queued:
             self._stream.when_sent(self._continue)
+        self._update_holding()
+
+    def _update_holding(self) -> None:
+        """Account for what is held; stop or resume reading."""
+        if self._stream.closed:
+            return
+        unsent_bytes = self._stream.unsent_bytes
+        in_progress = self.current is not None
+        held_bytes = self._queued_bytes + self._reader.held_bytes
+        waits = in_progress or self._queued or unsent_bytes
+        if waits and (
+            held_bytes >= PIPELINED_BYTES
+            or len(self._queued) >= client_requests.MAXIMUM_PIPELINED_REQUESTS
+        ):
+            self._stream.pause()
+        else:
+            self._stream.start()
+        self._server.guard.update(
+            self._holding, self._current_bytes, held_bytes + unsent_bytes
+        )
+
+    def _release(self) -> None:
+        """Give up all but a request in progress; what was not begun has not run."""
+        unsent_bytes = self._stream.unsent_bytes
+        error = errors.MemorySpentError()
+        if self.current is None:
+            if not unsent_bytes:
+                self._write_error(error, self._reader.method)
+            self.close()
+            return
+        self._drop_unstarted()
+        self._pending_error = error
+        self._update_holding()
+
+    def _drop_unstarted(self) -> None:
+        self._queued.clear()
+        self._queued_bytes = 0
+        self._reader.discard()
+
+    def _close_surplus(self) -> None:
+        self.read_pending()
+        if self.current is None:
+            self.close()
 
     def _surplus_error(self) -> errors.BadRequestError | None:
         if len(self._queued) <= client_requests.MAXIMUM_PIPELINED_REQUESTS:
@@ -171,28 +242,52 @@
         if self._stream.closed or self.current is not None:
             return
         if self._queued:
-            self._begin(self._queued.popleft())
+            request = self._queued.popleft()
+            self._queued_bytes -= client_requests.size_of(request)
+            self._begin(request)
         elif self._pending_error is not None:
-            self._refuse(self._pending_error)
+            self._refuse(self._pending_error, self._reader.method)
+        else:
+            self.since_ms = self._server.now_ms()
+            self._update_holding()
 
     def _begin(self, request: client_requests.ClientRequest) -> None:
+        size_bytes = REQUEST_OVERHEAD_BYTES + client_requests.size_of(request)
+        if not self._server.guard.may_begin(self._holding, size_bytes):
+            self._drop_unstarted()
+            self._pending_error = errors.MemorySpentError()
+            self._refuse(self._pending_error, request.method)
+            return
         self.current = request
+        self._current_bytes = size_bytes
+        self._update_holding()
         self._used = True
         self._server.handler.on_request(self, request)
 
-    def _refuse(self, error: errors.BadRequestError) -> None:
-        status = error.status
-        data = client_answers.encode_status(status.value, error.code, True)
-        self._write(data, self._reader.method)
+    def _refuse(self, error: errors.BadRequestError, method: bytes) -> None:
+        self._write_error(error, method)
         self._stream.when_sent(self.close)
 
+    def _write_error(self, error: errors.BadRequestError, method: bytes) -> None:
+        status = error.status
+        extra = _RETRY_AFTER if status == http.HTTPStatus.SERVICE_UNAVAILABLE else b""
+        data = client_answers.encode_status(status.value, error.code, True, extra)
+        self._write(data, method)
+
     def _write(self, data: bytes, method: bytes) -> None:
         if method == client_requests.HEAD:
             data = client_answers.without_body(data)
         self._stream.write(data)
 
-    def _on_end(self, was_reset: bool) -> None:
+    def _forget(self) -> None:
+        self._server.guard.remove(self._holding)
         self._server.forget(self)
+        # The connection and its stream refer to each other: without this, the memory
+        # would be held until the next collection of cycles.
+        self._drop_unstarted()
+
+    def _on_end(self, was_reset: bool) -> None:
+        self._forget()
         if self.current is not None:
             self._server.handler.on_disconnect(self)
 
@@ -210,6 +305,10 @@
         Callbacks for requests and disconnects.
     limits : ClientLimits
         Limits of requests and connections.
+    guard : ClientGuard or None
+        The budget that it shares with the other servers of the process.
+    kind : Server
+        Which server of the process it is.
 
     Attributes
     ----------
@@ -223,8 +322,12 @@
         clock: clock_state.Clock,
         handler: Handler,
         limits: routes.ClientLimits = routes.DEFAULT_LIMITS,
+        guard: client_guard.ClientGuard | None = None,
+        kind: client_budget.Server = client_budget.Server.FRONT,
     ) -> None:
         self.handler = handler
+        self.guard = guard or client_guard.ClientGuard(clock)
+        self.kind = kind
         self.limits = limits
         self.now_ms = clock.monotonic_ms
         self._connections: set[ClientConnection] = set()
@@ -259,7 +362,9 @@
         return len(self._connections)
 
     def _accept(self, connection: socket.socket) -> None:
-        self._connections.add(ClientConnection(connection, self))
+        accepted = ClientConnection(connection, self)
+        self._connections.add(accepted)
+        accepted.watch()
 
     def _sweep(self) -> None:
         now_ms = self.now_ms()
@@ -281,7 +386,7 @@
         unsent_bytes = connection.unsent_bytes
         if unsent_bytes != connection.swept_unsent_bytes:
             connection.swept_unsent_bytes = unsent_bytes
-            connection.progressed_ms = now_ms
+            connection.note_progress(now_ms)
         elif unsent_bytes:
             if now_ms - connection.progressed_ms > self.limits.idle_timeout_ms:
                 connection.close()
--- a/amaranthpulley/transport/forwarding/delegate_calls.py
+++ b/amaranthpulley/transport/forwarding/delegate_calls.py
@@ -79,12 +79,14 @@
             self._feed(events.DelegateFailed(number, end))
 
         data = delegation_codec.encode_request(
-            head, request.body, self._names, command.budget_ms, command.origin
+            head, b"", self._names, command.budget_ms, command.origin
         )
         connection = self.connections.acquire(command.address, commands.Reuse.ANY)
         connection.on_interim = lambda: self._feed(events.DelegateHeard(number))
         is_head = request.method == b"HEAD"
-        connection.exchange(data, request_id, is_head, on_answer, on_failure)
+        connection.exchange(
+            data, request_id, is_head, on_answer, on_failure, request.body
+        )
         return connection
 
 
--- a/amaranthpulley/transport/forwarding/gateway_metrics.py
+++ b/amaranthpulley/transport/forwarding/gateway_metrics.py
@@ -6,6 +6,7 @@
 import prometheus_client
 from prometheus_client import core as prometheus_core
 
+from amaranthpulley.state.forwarding import client_budget, client_holdings
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.transport import counter_collector
 from amaranthpulley.transport.forwarding import runtime
@@ -22,11 +23,17 @@
         The daemon's state; read only.
     gateway_runtime : Runtime
         The runtime; read only.
+    holdings : ClientHoldings
+        What is held for clients; read only.
     """
 
     def __init__(
-        self, gateway: gateway_state.Gateway, gateway_runtime: runtime.Runtime
+        self,
+        gateway: gateway_state.Gateway,
+        gateway_runtime: runtime.Runtime,
+        holdings: client_holdings.ClientHoldings,
     ) -> None:
+        self._holdings = holdings
         self._gateway = gateway
         self._runtime = gateway_runtime
         self._registry = prometheus_client.CollectorRegistry()
@@ -57,6 +64,14 @@
                 self._runtime.leaves.opened,
                 "Connections opened to leaves",
             ),
+            "client_held_bytes": (
+                self._holdings.total_bytes,
+                "Bytes held for clients, of those in client_budget_bytes",
+            ),
+            "client_budget_bytes": (
+                self._holdings.budget.memory_bytes,
+                "Bytes that may be held for clients",
+            ),
             "configuration_version": (
                 configuration.version if configuration is not None else 0,
                 "Version of the configuration in force",
@@ -65,8 +80,19 @@
         for name, (value, text) in values.items():
             full_name = counter_collector.PREFIX + name
             yield prometheus_core.GaugeMetricFamily(full_name, text, value)
+        yield self._connections()
         yield self._latencies()
 
+    def _connections(self) -> prometheus_core.Metric:
+        family = prometheus_core.GaugeMetricFamily(
+            f"{counter_collector.PREFIX}client_connections",
+            "Open connections of each server of the process",
+            labels=("server",),
+        )
+        for server in client_budget.Server:
+            family.add_metric((server.value,), self._holdings.count(server))
+        return family
+
     def _latencies(self) -> prometheus_core.Metric:
         family = prometheus_core.GaugeMetricFamily(
             f"{counter_collector.PREFIX}forward_latency_ms",
--- a/amaranthpulley/transport/forwarding/leaf_connections.py
+++ b/amaranthpulley/transport/forwarding/leaf_connections.py
@@ -69,7 +69,7 @@
         self._on_failure: OnFailure | None = None
         self._connected = False
         self._settled = False
-        self._unsent = b""
+        self._unsent: tuple[bytes, ...] = ()
         self._stream = streams.connect(
             address, self._on_data, self._on_end, self._on_connected
         )
@@ -94,29 +94,33 @@
         without_body: bool,
         on_answer: OnAnswer,
         on_failure: OnFailure,
+        body: bytes = b"",
     ) -> None:
         """Send a request; calls one of the callbacks once, or none after `close`.
 
         Parameters
         ----------
         data : bytes
-            The whole request.
+            The whole request, or all of it before `body`.
         request_id : bytes
             Answers with a different request id are skipped. One without an id is
             accepted only on a new connection: on another it may be a late copy of an
             earlier answer. An id is used once on a connection.
         without_body : bool
             The answer has no body, whatever its headers say (``HEAD``).
+        body : bytes
+            The end of the request. It is not copied, and may be sent to several leaves.
         """
         self._reused, self.used = self.used, True
         self._request_id = request_id
         self._without_body = without_body
         self._on_answer, self._on_failure = on_answer, on_failure
         self._reader.expect(without_body)
+        parts = (data, body) if body else (data,)
         if self._settled:
-            self._stream.write(data)
+            self._stream.write(*parts)
         else:
-            self._unsent = data
+            self._unsent = parts
 
     def read_pending(self) -> None:
         """Read what has come since."""
@@ -126,6 +130,7 @@
         """Close the connection."""
         self._timer.cancel()
         self._on_answer = self._on_failure = None
+        self._unsent = ()
         self._count_buffered(0)
         self._stream.close()
         self._pool.forget(self)
@@ -139,8 +144,8 @@
     def _settle(self) -> None:
         self._settled = True
         if self._unsent:
-            unsent, self._unsent = self._unsent, b""
-            self._stream.write(unsent)
+            unsent, self._unsent = self._unsent, ()
+            self._stream.write(*unsent)
             self.on_sent()
 
     def _time_out_connecting(self) -> None:
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -23,11 +23,12 @@
 )
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import hybrid_clock, log_events
+from amaranthpulley.state.forwarding import client_budget, requests, routes
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import requests, routes
 from amaranthpulley.transport import line_writer, log_sink, process_signals
 from amaranthpulley.transport.forwarding import (
     client_connections,
+    client_guard,
     datagrams,
     loss_publisher,
     peer_feed,
@@ -35,6 +36,7 @@
     runtime,
     store_feed,
     store_view,
+    streams,
 )
 
 # Shares of the grace period after which a draining daemon closes idle connections, and
@@ -79,6 +81,8 @@
         Processor time that the process gets in a second, in seconds of one core.
     names : HeaderNames
         Names of the headers that the gateway interprets.
+    budget : Budget
+        What it may hold for its clients.
     """
 
     place: gateway_state.Place
@@ -91,6 +95,7 @@
     delegate_address: str
     speed: float
     names: header_names.HeaderNames
+    budget: client_budget.Budget = client_guard.DEFAULT_BUDGET
 
 
 def member_of(setup: ProcessSettings) -> gateway_state.Member:
@@ -136,27 +141,39 @@
             setup.place, setup.limits, clock.monotonic_ms()
         )
         self._view = store_view.StoreView(store_calls.decode, self._handle)
-        self._relay = relay.Relay(setup.peer_address, self._view, clock)
+        self._guard = client_guard.ClientGuard(
+            clock, setup.budget, self.gateway.counters
+        )
+        self._relay = relay.Relay(setup.peer_address, self._view, clock, self._guard)
         self._datagrams = datagrams.DatagramSocket(self._relay.address, self._handle)
         self._losses = loss_publisher.LossPublisher(
             store_calls.losses, self._handle, clock
         )
         self.runtime = self._open_runtime(setup.names)
-        self._front = client_connections.HttpServer(
-            setup.front_address, clock, self.runtime.handler, routes.STARTING_LIMITS
+        self._open_servers(setup)
+        self._metrics_text: Callable[[], bytes] | None = None
+        self._peers = self._peer_feed()
+        self._feed = self._store_feed(store_calls)
+        self._ended = eventlet.event.Event()
+
+    def _open_servers(self, setup: ProcessSettings) -> None:
+        kinds = client_budget.Server
+        self._front = self._open_server(
+            setup.front_address,
+            self.runtime.handler,
+            kinds.FRONT,
+            routes.STARTING_LIMITS,
         )
-        self._delegated = client_connections.HttpServer(
+        self._delegated = self._open_server(
             setup.delegate_address,
-            clock,
             self.runtime.delegated_handler,
+            kinds.DELEGATED,
             DELEGATED_LIMITS,
         )
-        self._ready = self._open_server(setup.ready_address, self._answer_ready)
-        self._metrics = self._open_server(setup.metrics_address, self._answer_metrics)
-        self._metrics_text: Callable[[], bytes] | None = None
-        self._peers = self._peer_feed()
-        self._feed = self._store_feed(store_calls)
-        self._ended = eventlet.event.Event()
+        ready = client_connections.Handler(self._answer_ready, streams.ignore)
+        self._ready = self._open_server(setup.ready_address, ready, kinds.READINESS)
+        metrics = client_connections.Handler(self._answer_metrics, streams.ignore)
+        self._metrics = self._open_server(setup.metrics_address, metrics, kinds.METRICS)
 
     def _open_runtime(self, names: header_names.HeaderNames) -> runtime.Runtime:
         message_handlers = {
@@ -197,10 +214,15 @@
         )
 
     def _open_server(
-        self, address: str, answer: client_connections.OnRequest
+        self,
+        address: str,
+        handler: client_connections.Handler,
+        kind: client_budget.Server,
+        limits: routes.ClientLimits = routes.DEFAULT_LIMITS,
     ) -> client_connections.HttpServer:
-        handler = client_connections.Handler(answer, lambda _connection: None)
-        return client_connections.HttpServer(address, self._clock, handler)
+        return client_connections.HttpServer(
+            address, self._clock, handler, limits, self._guard, kind
+        )
 
     @property
     def front_address(self) -> str:
@@ -264,6 +286,7 @@
             if dropped > reported:
                 self._log(log_events.LOG_LINES_DROPPED, lines=dropped - reported)
                 reported = dropped
+            self._guard.report(self._write_log)
             self._lines.flush()
             eventlet.sleep(LOG_FLUSH_INTERVAL_MS / 1000)
 
@@ -320,7 +343,9 @@
             # Imported on first use: the import takes a fifth of the start-up time.
             from amaranthpulley.transport.forwarding import gateway_metrics
 
-            metrics = gateway_metrics.GatewayMetrics(self.gateway, self.runtime)
+            metrics = gateway_metrics.GatewayMetrics(
+                self.gateway, self.runtime, self._guard.holdings
+            )
             self._metrics_text = metrics.text
         closes = not request.keep_alive
         answer = requests.LeafAnswer(
--- a/amaranthpulley/transport/forwarding/relay.py
+++ b/amaranthpulley/transport/forwarding/relay.py
@@ -10,8 +10,12 @@
     relay_codec,
 )
 from amaranthpulley.state import clock as clock_state
-from amaranthpulley.state.forwarding import requests
-from amaranthpulley.transport.forwarding import client_connections, store_view
+from amaranthpulley.state.forwarding import client_budget, requests
+from amaranthpulley.transport.forwarding import (
+    client_connections,
+    client_guard,
+    store_view,
+)
 
 MAXIMUM_WAIT_MS: Final = 10_000
 _HEADERS: Final = ((b"Content-Type", b"application/octet-stream"),)
@@ -28,16 +32,24 @@
         The view that is served.
     clock : Clock
         Source of time.
+    guard : ClientGuard or None
+        The budget that it shares with the other servers of the process.
     """
 
     def __init__(
-        self, address: str, view: store_view.StoreView, clock: clock_state.Clock
+        self,
+        address: str,
+        view: store_view.StoreView,
+        clock: clock_state.Clock,
+        guard: client_guard.ClientGuard | None = None,
     ) -> None:
         self._view = view
         self._now_ms = clock.monotonic_ms
         self._waiting: dict[client_connections.ClientConnection, int] = {}
         handler = client_connections.Handler(self._receive, self._forget)
-        self._server = client_connections.HttpServer(address, clock, handler)
+        self._server = client_connections.HttpServer(
+            address, clock, handler, guard=guard, kind=client_budget.Server.RELAY
+        )
         view.add_listener(self._answer_all)
 
     @property
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -222,7 +222,7 @@
     def _send(self, command: commands.SendAttempt) -> None:
         request, head, request_id, used = self._pending_requests[command.request_key]
         data = leaf_messages.encode_request(
-            head, request.body, self.names, command.leaf_id, command.budget_ms
+            head, b"", self.names, command.leaf_id, command.budget_ms
         )
         number = command.attempt
         connection = self.leaves.acquire(command.address, command.reuse, used)
@@ -240,7 +240,9 @@
             self.feed(events.AttemptFailed(number, end))
 
         is_head = request.method == _HEAD
-        connection.exchange(data, request_id, is_head, on_answer, on_failure)
+        connection.exchange(
+            data, request_id, is_head, on_answer, on_failure, request.body
+        )
         if connection.opening:
             connection.on_sent = lambda: self.feed(events.AttemptSent(number))
             self.feed(events.AttemptOpening(number))
--- a/amaranthpulley/transport/forwarding/streams.py
+++ b/amaranthpulley/transport/forwarding/streams.py
@@ -4,10 +4,12 @@
 listener calls a function instead.
 """
 
+import collections
 import errno
+import itertools
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import eventlet.hubs
@@ -17,6 +19,8 @@
 
 _plain_socket: Final = eventlet.patcher.original("socket")
 _READ_BYTES: Final = 65_536
+# Buffers that are given to the kernel at once.
+_SENT_BUFFERS: Final = 16
 # The operation would block; it is repeated when the hub reports the socket as ready.
 WOULD_BLOCK_ERRNOS: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
 _LOGGER: Final = logging.getLogger("amaranthpulley.streams")
@@ -51,7 +55,9 @@
         self._socket = connection
         self._on_data = on_data
         self._on_end = on_end
-        self._unsent = bytearray()
+        # Not joined, so that a body that is sent to several leaves is held once.
+        self._unsent: collections.deque[memoryview] = collections.deque()
+        self._unsent_bytes = 0
         self._hub = eventlet.hubs.get_hub()
         self._reader: object | None = None
         self._writer: object | None = None
@@ -67,11 +73,18 @@
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes that the kernel has not accepted yet."""
-        return len(self._unsent)
+        return self._unsent_bytes
 
     def start(self) -> None:
-        """Start reading."""
-        self._reader = self._add_listener(self._hub.READ, self._read)
+        """Start reading, or resume it."""
+        if self._reader is None and not self._closed:
+            self._reader = self._add_listener(self._hub.READ, self._read)
+
+    def pause(self) -> None:
+        """Stop reading; the end of the connection is not noticed meanwhile."""
+        if self._reader is not None:
+            self._hub.remove(self._reader)
+            self._reader = None
 
     def await_connected(self, on_connected: OnConnected) -> None:
         """Call a function once the connection is open."""
@@ -83,16 +96,16 @@
         if self._reader is not None:
             self._read(self._socket.fileno())
 
-    def write(self, data: bytes) -> None:
-        """Send bytes, or buffer them until the kernel accepts them."""
+    def write(self, *parts: bytes) -> None:
+        """Send bytes, or keep them until the kernel accepts them."""
         if self._closed:
             return
         if self._unsent or self._on_connected is not None:
-            self._unsent += data
+            self._keep(parts, 0)
             return
-        sent = self._send(data)
-        if sent < len(data) and not self._closed:
-            self._unsent += memoryview(data)[sent:]
+        sent = self._send(parts)
+        if sent < sum(map(len, parts)) and not self._closed:
+            self._keep(parts, sent)
             self._writer = self._add_listener(self._hub.WRITE, self._flush)
 
     def when_sent(self, on_sent: OnSent) -> None:
@@ -111,6 +124,8 @@
             if listener is not None:
                 self._hub.remove(listener)
         self._reader = self._writer = None
+        self._unsent.clear()
+        self._unsent_bytes = 0
         self._socket.close()
 
     def _add_listener(self, kind: str, callback: Callable[[int], None]) -> object:
@@ -147,8 +162,9 @@
         self.start()
         connected()
         if self._unsent and not self._closed:
-            unsent, self._unsent = bytes(self._unsent), bytearray()
-            self.write(unsent)
+            unsent = tuple(self._unsent)
+            self._drop_unsent(self._unsent_bytes)
+            self.write(*unsent)
 
     def _flush(self, _fileno: int) -> None:
         if self._closed:
@@ -156,16 +172,34 @@
         sent = self._send(self._unsent)
         if self._closed:
             return
-        del self._unsent[:sent]
+        self._drop_unsent(sent)
         if not self._unsent:
             self._stop_writer()
             on_sent, self._on_sent = self._on_sent, None
             if on_sent is not None:
                 on_sent()
 
-    def _send(self, data: bytes | bytearray) -> int:
+    def _keep(self, parts: Sequence[bytes], sent: int) -> None:
+        """Keep parts, the first bytes of which have been sent."""
+        self._unsent.extend(memoryview(part) for part in parts if part)
+        self._unsent_bytes += sum(map(len, parts))
+        self._drop_unsent(sent)
+
+    def _drop_unsent(self, size: int) -> None:
+        """Drop the first bytes of those that are kept."""
+        self._unsent_bytes -= size
+        while size:
+            first = self._unsent.popleft()
+            if len(first) > size:
+                self._unsent.appendleft(first[size:])
+                return
+            size -= len(first)
+
+    def _send(self, parts: Sequence[bytes | memoryview]) -> int:
         try:
-            return self._socket.send(data)
+            if len(parts) == 1:
+                return self._socket.send(parts[0])
+            return self._socket.sendmsg(itertools.islice(parts, _SENT_BUFFERS))
         except OSError as error:
             if error.errno not in WOULD_BLOCK_ERRNOS:
                 self._end(True)
