Test the budget of clients; account for bodies in the other front end

The callers' port refuses a body with 503 once the bodies that it receives take the budget. A listening socket without free descriptors is not looked at for 250 ms. A connection too many never raises the number beyond the limit.

--- a/amaranthpulley/coordination/forwarding/client_limits.py
+++ b/amaranthpulley/coordination/forwarding/client_limits.py
@@ -47,6 +47,11 @@
     return found
 
 
+def may_receive(holdings: client_holdings.ClientHoldings, body_bytes: int) -> bool:
+    """Return whether a body may be received by a server that cannot release others."""
+    return holdings.total_bytes + body_bytes <= holdings.budget.memory_bytes
+
+
 def may_begin(
     holdings: client_holdings.ClientHoldings,
     server: client_budget.Server,
--- a/amaranthpulley/protocol/forwarding/client_requests.py
+++ b/amaranthpulley/protocol/forwarding/client_requests.py
@@ -106,6 +106,8 @@
         self._error: errors.BadRequestError | None = None
         self._started = False
         self._expects_continue = False
+        # Whether the bytes that were parsed last have completed a request.
+        self._completed = False
         self._reset()
 
     @property
@@ -182,7 +184,8 @@
         The parser reports a header only with its last byte, and neither the text after
         a chunk's size nor empty lines before a request.
         """
-        if self._in_text:
+        completed, self._completed = self._completed, False
+        if self._in_text or not self._started:
             self._line_bytes = 0
             return
         end = data.rfind(b"\n")
@@ -190,7 +193,11 @@
             self._line_bytes += len(data)
         else:
             self._line_bytes = len(data) - end - 1
-        limit_bytes = self._limits().header_bytes + _LINE_MARGIN_BYTES
+            self._line_margin_bytes = _LINE_MARGIN_BYTES
+        if completed:
+            # The end of the last body may be counted as a part of this line.
+            self._line_margin_bytes = _LINE_MARGIN_BYTES + self._line_bytes
+        limit_bytes = self._limits().header_bytes + self._line_margin_bytes
         if self._line_bytes > limit_bytes and self._error is None:
             status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             self._error = errors.BadRequestError(status)
@@ -257,6 +264,7 @@
         self._requests.append(request)
         self._reset()
         self._started = False
+        self._completed = True
         if len(self._requests) > MAXIMUM_PIPELINED_REQUESTS:
             self._fail(http.HTTPStatus.BAD_REQUEST)
 
@@ -271,6 +279,7 @@
         self._head_size = 0
         # Size of the incomplete line at the end, which the parser holds.
         self._line_bytes = 0
+        self._line_margin_bytes = _LINE_MARGIN_BYTES
 
     def _count_head(self, size: int) -> None:
         self._head_size += size
--- a/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_client_requests.py
@@ -110,6 +110,98 @@
             reader.feed(b"GET / HTTP/1.1\r\n")
 
 
+class HeldMemoryTest(unittest.TestCase):
+    """What an incomplete request holds, and lines that do not end."""
+
+    LINE_BYTES = 1_000 + 1_024
+
+    def _feed_until_refused(self, first: bytes, part: bytes) -> tuple[int, int]:
+        """Return the bytes that are taken before the refusal, and its status."""
+        reader = _reader()
+        reader.feed(first)
+        sent = 0
+        try:
+            while sent < 1_000_000:
+                sent += len(part)
+                reader.feed(part)
+        except errors.BadRequestError as error:
+            return sent, error.status
+        return sent, 0
+
+    def test_lines_without_end_are_refused(self) -> None:
+        # Guards against a line that the parser keeps without bound: it reports a header
+        # only when it is complete.
+        chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "header": (HEAD + b"X: ", b"y"),
+            "name": (HEAD, b"y"),
+            "target": (b"GET /", b"y"),
+            "chunk size": (chunked + b"1;", b"y"),
+            "second chunk size": (chunked + b"1\r\nx\r\n1;", b"y"),
+            "trailer": (chunked + b"0\r\nX: ", b"y"),
+            "trailer after a chunk": (chunked + b"1\r\nx\r\n0\r\nX: ", b"y"),
+            "empty lines": (b"\r\n", b"\r\n"),
+        }
+        for name, (first, part) in cases.items():
+            for size in (1, 100, 10_000):
+                with self.subTest(name, size=size):
+                    sent, status = self._feed_until_refused(first, part * size)
+                    self.assertEqual(status, 431)
+                    self.assertLessEqual(sent, self.LINE_BYTES + 2 * size * len(part))
+
+    def test_a_line_that_comes_with_the_end_of_a_chunk_is_counted(self) -> None:
+        # Guards against a held line that is taken for a part of the body.
+        reader = _reader()
+        with self.assertRaises(errors.BadRequestError):
+            reader.feed(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            reader.feed(b"1\r\nx\r\n0\r\nX: " + b"x" * 60_000)
+            reader.feed(b"x")
+
+    def test_requests_within_the_limits_are_read_from_single_bytes(self) -> None:
+        # Guards against limits of lines that a body or a long head reaches.
+        limits = routes.ClientLimits()
+        body = b"x\n" * (limits.body_bytes // 2)
+        lines = b"".join(b"N%d: %b\r\n" % (n, b"v" * 70) for n in range(190))
+        chunks = b"4000\r\n" + body[:0x4000] + b"\r\n0\r\n\r\n"
+        cases = {
+            "sized": HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(body), body),
+            "no line ends": HEAD + b"Content-Length: 99999\r\n\r\n" + b"x" * 99_999,
+            "many headers": HEAD + lines + b"\r\n",
+            "one header": HEAD + b"X: " + b"y" * 16_000 + b"\r\n\r\n",
+            "chunked": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks,
+        }
+        for name, data in cases.items():
+            for size in (1, 1_000, 40_003, 65_536):
+                with self.subTest(name, size=size):
+                    reader = client_requests.RequestReader(lambda: limits)
+                    found = []
+                    for start in range(0, 2 * len(data), size):
+                        found += reader.feed((data * 2)[start : start + size])
+                    self.assertEqual(len(found), 2)
+
+    def test_what_is_held_is_counted(self) -> None:
+        chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "line": (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 500, 500),
+            "headers": (HEAD + b"a:b\r\n" * 100, 100 * 160),
+            "chunks": (chunked + b"1\r\nx\r\n" * 90, 90),
+        }
+        for name, (data, least) in cases.items():
+            with self.subTest(name):
+                reader = _reader()
+                reader.feed(data)
+                self.assertGreaterEqual(reader.held_bytes, least)
+                self.assertLess(reader.held_bytes, 2 * least + 1_000)
+                reader.discard()
+                self.assertEqual(reader.held_bytes, 0)
+
+    def test_nothing_is_held_after_a_request(self) -> None:
+        reader = _reader()
+        (request,) = reader.feed(HEAD + b"Content-Length: 50\r\n\r\n" + b"x" * 50)
+        self.assertEqual(reader.held_bytes, 0)
+        self.assertGreater(client_requests.size_of(request), 50)
+
+
 class FingerprintTest(unittest.TestCase):
     """What makes two requests the same one, sent again."""
 
--- a/amaranthpulley/transport/callers.py
+++ b/amaranthpulley/transport/callers.py
@@ -8,6 +8,7 @@
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.state import daemon as daemon_state
 from amaranthpulley.state import requests
+from amaranthpulley.state.forwarding import client_budget, client_holdings
 from amaranthpulley.transport import errors, runtime, web
 
 Decode = Callable[[bytes, str], runtime.Request]
@@ -15,22 +16,28 @@
 
 def routes(driver: runtime.Runtime) -> dict[tuple[str, str], web.Handler]:
     """Return the handlers of the callers' port by method and path."""
+    holdings = client_holdings.ClientHoldings(client_budget.budget_of())
     return {
         ("POST", "/v1/search"): _handler(
-            driver, caller_api.decode_search, events.SearchReceived
+            driver, caller_api.decode_search, events.SearchReceived, holdings
         ),
         ("POST", "/v1/order"): _handler(
-            driver, caller_api.decode_order, events.OrderReceived
+            driver, caller_api.decode_order, events.OrderReceived, holdings
         ),
         ("GET", "/ready"): lambda environ: readiness_reply(driver.daemon),
     }
 
 
-def _handler(driver: runtime.Runtime, decode: Decode, event_type: type) -> web.Handler:
+def _handler(
+    driver: runtime.Runtime,
+    decode: Decode,
+    event_type: type,
+    holdings: client_holdings.ClientHoldings,
+) -> web.Handler:
     def handle(environ: web.Environ) -> web.Reply:
         request_id = driver.daemon.next_id("request")
         try:
-            body = web.read_body(environ, caller_api.MAXIMUM_BODY_BYTES)
+            body = web.read_body(environ, caller_api.MAXIMUM_BODY_BYTES, holdings)
             request = decode(body, request_id)
         except (errors.TransportError, protocol_errors.ProtocolError) as error:
             return _refuse(request_id, error)
@@ -46,6 +53,7 @@
 _STATUS_BY_CODE = {
     errors.BodyTooLargeError.code: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     errors.BodyTooSlowError.code: http.HTTPStatus.REQUEST_TIMEOUT,
+    errors.BodyMemorySpentError.code: http.HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 
--- a/amaranthpulley/transport/errors.py
+++ b/amaranthpulley/transport/errors.py
@@ -37,6 +37,12 @@
     code = "body_too_slow"
 
 
+class BodyMemorySpentError(TransportError):
+    """Too much is held for callers; the request has not run."""
+
+    code = "overloaded"
+
+
 class PlatformUnreachableError(TransportError):
     """The platform's store or VM list did not reply."""
 
--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -68,7 +68,8 @@
     def __init__(self, connection: socket.socket, server: "HttpServer") -> None:
         self._server = server
         self._reader = client_requests.RequestReader(lambda: server.limits)
-        self._queued: collections.deque[client_requests.ClientRequest] = (
+        # With the memory that each takes.
+        self._queued: collections.deque[tuple[client_requests.ClientRequest, int]] = (
             collections.deque()
         )
         self._queued_bytes = 0
@@ -147,7 +148,9 @@
 
     def watch(self) -> None:
         """Let the guard of the process close or empty the connection."""
-        callbacks = client_guard.Callbacks(self._release, self._close_surplus)
+        callbacks = client_guard.Callbacks(
+            self._release, self._close_unused, self.close
+        )
         self._server.guard.watch(self._holding, callbacks)
 
     def note_progress(self, now_ms: int) -> None:
@@ -176,8 +179,9 @@
             self.since_ms = now_ms
         try:
             for request in self._reader.feed(data):
-                self._queued.append(request)
-                self._queued_bytes += client_requests.size_of(request)
+                size_bytes = client_requests.size_of(request)
+                self._queued.append((request, size_bytes))
+                self._queued_bytes += size_bytes
         except errors.BadRequestError as error:
             self._pending_error = error
             if self.current is None and not self._queued:
@@ -228,7 +232,7 @@
         self._queued_bytes = 0
         self._reader.discard()
 
-    def _close_surplus(self) -> None:
+    def _close_unused(self) -> None:
         self.read_pending()
         if self.current is None:
             self.close()
@@ -242,17 +246,16 @@
         if self._stream.closed or self.current is not None:
             return
         if self._queued:
-            request = self._queued.popleft()
-            self._queued_bytes -= client_requests.size_of(request)
-            self._begin(request)
+            request, size_bytes = self._queued.popleft()
+            self._queued_bytes -= size_bytes
+            self._begin(request, REQUEST_OVERHEAD_BYTES + size_bytes)
         elif self._pending_error is not None:
             self._refuse(self._pending_error, self._reader.method)
         else:
             self.since_ms = self._server.now_ms()
             self._update_holding()
 
-    def _begin(self, request: client_requests.ClientRequest) -> None:
-        size_bytes = REQUEST_OVERHEAD_BYTES + client_requests.size_of(request)
+    def _begin(self, request: client_requests.ClientRequest, size_bytes: int) -> None:
         if not self._server.guard.may_begin(self._holding, size_bytes):
             self._drop_unstarted()
             self._pending_error = errors.MemorySpentError()
--- a/amaranthpulley/transport/forwarding/client_guard.py
+++ b/amaranthpulley/transport/forwarding/client_guard.py
@@ -22,12 +22,15 @@
     ----------
     release : callable
         Gives up all but a request in progress, to free memory.
-    close_surplus : callable
+    close_unused : callable
         Closes the connection unless a request has come meanwhile.
+    close : callable
+        Closes the connection.
     """
 
     release: Callable[[], None]
-    close_surplus: Callable[[], None]
+    close_unused: Callable[[], None]
+    close: Callable[[], None]
 
 
 class ClientGuard:
@@ -67,10 +70,13 @@
         """Set a new connection's callbacks; close those that are too many with it."""
         self._callbacks[holding] = added
         for other in client_limits.surplus(self.holdings, holding, self._now_ms()):
+            self._count(other.server, "connections")
             callbacks = self._callbacks.get(other)
-            if callbacks is not None:
-                self._count(other.server, "connections")
-                callbacks.close_surplus()
+            if callbacks is not None and other is not holding:
+                callbacks.close_unused()
+        maximum = self.holdings.budget.connections[holding.server]
+        if self.holdings.count(holding.server) > maximum:
+            added.close()
 
     def remove(self, holding: client_holdings.Holding) -> None:
         """Remove a closed connection."""
--- a/amaranthpulley/transport/forwarding/streams.py
+++ b/amaranthpulley/transport/forwarding/streams.py
@@ -23,6 +23,10 @@
 _SENT_BUFFERS: Final = 16
 # The operation would block; it is repeated when the hub reports the socket as ready.
 WOULD_BLOCK_ERRNOS: Final = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
+# Without free descriptors, a listening socket stays readable: it is not looked at for
+# this time.
+ACCEPT_PAUSE_MS: Final = 250
+_EXHAUSTED_ERRNOS: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
 _LOGGER: Final = logging.getLogger("amaranthpulley.streams")
 
 OnData = Callable[[bytes], None]
@@ -103,8 +107,9 @@
         if self._unsent or self._on_connected is not None:
             self._keep(parts, 0)
             return
+        size = len(parts[0]) if len(parts) == 1 else sum(map(len, parts))
         sent = self._send(parts)
-        if sent < sum(map(len, parts)) and not self._closed:
+        if sent < size and not self._closed:
             self._keep(parts, sent)
             self._writer = self._add_listener(self._hub.WRITE, self._flush)
 
@@ -288,9 +293,9 @@
         self._socket = listener
         self._on_accepted = on_accepted
         self._hub = eventlet.hubs.get_hub()
-        self._reader = self._hub.add(
-            self._hub.READ, listener.fileno(), self._accept, ignore, ignore
-        )
+        self._closed = False
+        self._reader: object | None = None
+        self._resume()
 
     @property
     def address(self) -> str:
@@ -301,9 +306,21 @@
     def close(self) -> None:
         """Stop accepting connections, after those that are already established."""
         self._accept(self._socket.fileno())
-        self._hub.remove(self._reader)
+        self._closed = True
+        self._stop_reading()
         self._socket.close()
 
+    def _resume(self) -> None:
+        if not self._closed:
+            self._reader = self._hub.add(
+                self._hub.READ, self._socket.fileno(), self._accept, ignore, ignore
+            )
+
+    def _stop_reading(self) -> None:
+        if self._reader is not None:
+            self._hub.remove(self._reader)
+            self._reader = None
+
     def _accept(self, _fileno: int) -> None:
         while True:
             try:
@@ -311,6 +328,10 @@
             except OSError as error:
                 if error.errno not in WOULD_BLOCK_ERRNOS:
                     _LOGGER.warning("cannot accept a connection: %s", error)
+                if error.errno in _EXHAUSTED_ERRNOS and self._reader is not None:
+                    self._stop_reading()
+                    delay_s = ACCEPT_PAUSE_MS / 1000
+                    self._hub.schedule_call_global(delay_s, self._resume)
                 return
             connection.setblocking(False)
             _disable_nagle(connection)
--- a/amaranthpulley/transport/forwarding/tests/test_client_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_client_connections.py
@@ -4,6 +4,7 @@
 
 loop.prepare_loop()
 
+import contextlib  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
 from typing import Final  # noqa: E402
@@ -14,15 +15,148 @@
     client_answers,
     client_requests,
 )
-from amaranthpulley.state.forwarding import routes  # noqa: E402
+from amaranthpulley.state import counters  # noqa: E402
+from amaranthpulley.state.forwarding import client_budget, routes  # noqa: E402
 from amaranthpulley.transport import system_clock  # noqa: E402
-from amaranthpulley.transport.forwarding import client_connections  # noqa: E402
+from amaranthpulley.transport.forwarding import (  # noqa: E402
+    client_connections,
+    client_guard,
+)
 
 REQUEST: Final = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 LARGE_BYTES: Final = 8_000_000
 WAIT_S: Final = 5.0
 
 
+class BudgetTest(unittest.TestCase):
+    """What is closed or refused when the budget is spent, over sockets."""
+
+    BODY: Final = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+
+    def setUp(self) -> None:
+        self.begun: list[client_connections.ClientConnection] = []
+        self.counters = counters.Counters()
+        # A socket that nothing refers to is closed.
+        self.clients: list[socket.socket] = []
+
+    def _serve(self, memory_bytes: int, connections: int = 100) -> None:
+        limits = dict.fromkeys(client_budget.Server, connections)
+        clock = system_clock.system_clock()
+        self.guard = client_guard.ClientGuard(
+            clock, client_budget.Budget(memory_bytes, limits), self.counters
+        )
+        handler = client_connections.Handler(
+            lambda connection, _request: self.begun.append(connection),
+            lambda _connection: None,
+        )
+        self.server = client_connections.HttpServer(
+            "127.0.0.1:0", clock, handler, guard=self.guard
+        )
+        self.addCleanup(self.server.stop_listening)
+
+    def _connect(self, data: bytes = b"") -> socket.socket:
+        host, port = self.server.address.rsplit(":", 1)
+        client = socket.create_connection((host, int(port)), timeout=WAIT_S)
+        self.addCleanup(client.close)
+        self.clients.append(client)
+        client.sendall(data)
+        eventlet.sleep(0.05)
+        return client
+
+    def _count(self, limit: str) -> float:
+        return self.counters.total("clients_cut_total", server="front", limit=limit)
+
+    def test_an_incomplete_request_is_refused_as_not_run(self) -> None:
+        self._serve(250_000)
+        first = self._connect(self.BODY + b"x" * 150_000)
+        self._connect(self.BODY + b"x" * 120_000)
+        received = first.recv(65_536)
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+        self.assertIn(b"Retry-After: 1.000", received)
+        self.assertEqual(first.recv(100), b"")
+        self.assertEqual(self.server.connections, 1)
+        self.assertEqual(self._count("memory"), 1)
+        self.assertLess(self.guard.holdings.total_bytes, 200_000)
+
+    def test_a_request_in_progress_is_not_aborted(self) -> None:
+        self._serve(330_000)
+        working = self._connect(self.BODY + b"x" * 200_000)
+        self._connect(self.BODY + b"x" * 150_000)
+        self.assertEqual(self.server.connections, 1)
+        data = client_answers.encode_status(200, "ok", False)
+        self.begun[0].answer(data, False)
+        self.assertTrue(working.recv(65_536).startswith(b"HTTP/1.1 200 "))
+
+    def test_what_comes_behind_a_request_in_progress_is_refused(self) -> None:
+        self._serve(330_000)
+        client = self._connect(self.BODY + b"x" * 200_000)
+        client.sendall(self.BODY + b"x" * 60_000)
+        eventlet.sleep(0.05)
+        self._connect(self.BODY + b"x" * 50_000)
+        self.assertEqual(self._count("memory"), 1)
+        self.assertEqual(self.server.connections, 2)
+        data = client_answers.encode_status(200, "ok", False)
+        self.begun[0].answer(data, False)
+        received = b""
+        while part := client.recv(65_536):
+            received += part
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "))
+        self.assertIn(b"HTTP/1.1 503 ", received)
+        self.assertEqual(len(self.begun), 1)
+
+    def test_no_request_begins_without_room(self) -> None:
+        self._serve(500_000)
+        self._connect(self.BODY + b"x" * 200_000)
+        second = self._connect(self.BODY + b"x" * 200_000)
+        self.assertTrue(second.recv(65_536).startswith(b"HTTP/1.1 503 "))
+        self.assertEqual(len(self.begun), 1)
+        self.assertEqual(self._count("in_progress"), 1)
+
+    def test_reading_stops_behind_a_request_in_progress(self) -> None:
+        # Guards against a client that fills the memory with pipelined bodies.
+        self._serve(50_000_000)
+        client = self._connect(REQUEST)
+        client.setblocking(False)
+        request = self.BODY + b"x" * 200_000
+        for _ in range(20):
+            with contextlib.suppress(OSError):
+                client.send(request)
+            eventlet.sleep(0.01)
+        held_bytes = self.guard.holdings.total_bytes
+        limit_bytes = client_connections.PIPELINED_BYTES + 65_536 + 30_000
+        self.assertLess(held_bytes, limit_bytes)
+        data = client_answers.encode_status(200, "ok", False)
+        self.begun[0].answer(data, False)
+        eventlet.sleep(0.1)
+        self.assertEqual(len(self.begun), 2)
+
+    def test_a_connection_too_many_replaces_an_idle_one(self) -> None:
+        self._serve(50_000_000, connections=2)
+        working = self._connect(REQUEST)
+        idle = self._connect()
+        self._connect(REQUEST)
+        self.assertEqual(idle.recv(100), b"")
+        self.assertEqual(len(self.begun), 2)
+        self.assertEqual(self._connect(REQUEST).recv(100), b"")
+        self.assertEqual(self._count("connections"), 2)
+        data = client_answers.encode_status(200, "ok", False)
+        self.begun[0].answer(data, False)
+        self.assertTrue(working.recv(65_536).startswith(b"HTTP/1.1 200 "))
+
+    def test_closed_connections_hold_nothing(self) -> None:
+        self._serve(50_000_000)
+        clients = [
+            self._connect(self.BODY + b"x" * 50_000),
+            self._connect(self.BODY + b"x" * 200_000),
+            self._connect(),
+        ]
+        self.assertGreater(self.guard.holdings.total_bytes, 250_000)
+        for client in clients:
+            client.close()
+        eventlet.sleep(0.1)
+        self.assertEqual(self.guard.holdings.total_bytes, 0)
+
+
 class ClientConnectionTest(unittest.TestCase):
     """Memory and answers of connections whose client misbehaves."""
 
--- a/amaranthpulley/transport/tests/test_web.py
+++ b/amaranthpulley/transport/tests/test_web.py
@@ -5,6 +5,7 @@
 loop.prepare_loop()
 
 import http  # noqa: E402
+import io  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
 
@@ -12,7 +13,11 @@
 import eventlet.event  # noqa: E402
 import urllib3  # noqa: E402
 
-from amaranthpulley.transport import http_connections, web  # noqa: E402
+from amaranthpulley.state.forwarding import (  # noqa: E402
+    client_budget,
+    client_holdings,
+)
+from amaranthpulley.transport import errors, http_connections, web  # noqa: E402
 
 _LONG_GRACE_MS = 30_000
 _ANSWER_TIME_S = 0.1
@@ -39,6 +44,28 @@
         self.assertEqual([body for _, _, body in received], [b"", b"whole"])
 
 
+class ReadBodyTest(unittest.TestCase):
+    """Bodies that a process receives at the same time."""
+
+    BUDGET = client_budget.budget_of()._replace(memory_bytes=20_000)
+
+    def _environ(self, body: bytes) -> web.Environ:
+        return {"CONTENT_LENGTH": str(len(body)), "wsgi.input": io.BytesIO(body)}
+
+    def test_a_body_beyond_the_budget_is_refused(self) -> None:
+        # Guards against bodies that stop short and together fill the memory.
+        holdings = client_holdings.ClientHoldings(self.BUDGET)
+        other = client_holdings.Holding(client_budget.Server.FRONT, 0)
+        holdings.add(other)
+        holdings.update(other, 0, 12_000)
+        with self.assertRaises(errors.BodyMemorySpentError):
+            web.read_body(self._environ(b"x" * 5_000), 10_000, holdings)
+        holdings.remove(other)
+        read = web.read_body(self._environ(b"x" * 5_000), 10_000, holdings)
+        self.assertEqual(read, b"x" * 5_000)
+        self.assertEqual(holdings.total_bytes, 0)
+
+
 class WebServerTest(unittest.TestCase):
     """The shutdown of a server."""
 
--- a/amaranthpulley/transport/web.py
+++ b/amaranthpulley/transport/web.py
@@ -8,6 +8,8 @@
 import eventlet
 import eventlet.wsgi
 
+from amaranthpulley.coordination.forwarding import client_limits
+from amaranthpulley.state.forwarding import client_budget, client_holdings
 from amaranthpulley.transport import errors
 
 READ_TIMEOUT_SECONDS: Final = 5
@@ -133,11 +135,22 @@
     return serve
 
 
-def read_body(environ: Environ, maximum_bytes: int) -> bytes:
+def read_body(
+    environ: Environ,
+    maximum_bytes: int,
+    holdings: client_holdings.ClientHoldings | None = None,
+) -> bytes:
     """Return the body of a request.
 
+    Parameters
+    ----------
+    holdings : ClientHoldings or None
+        The bodies that the process receives, to which this one is added.
+
     Raises
     ------
+    BodyMemorySpentError
+        When the process holds as much as its budget allows.
     BodyTooLargeError
         When it exceeds the limit.
     BodyTooSlowError
@@ -149,6 +162,20 @@
         length = 0
     if length > maximum_bytes:
         raise errors.BodyTooLargeError(f"the body is over {maximum_bytes} bytes")
+    if holdings is None:
+        return _receive_body(environ, length)
+    if not client_limits.may_receive(holdings, length):
+        raise errors.BodyMemorySpentError("send the request to another VM")
+    holding = client_holdings.Holding(client_budget.Server.FRONT, 0)
+    holdings.add(holding)
+    holdings.update(holding, 0, length)
+    try:
+        return _receive_body(environ, length)
+    finally:
+        holdings.remove(holding)
+
+
+def _receive_body(environ: Environ, length: int) -> bytes:
     timeout_error = errors.BodyTooSlowError(
         f"the body took over {READ_TIMEOUT_SECONDS} s to arrive"
     )
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -120,6 +120,16 @@
         self.assertEqual(result.stderr, "")
         return result.returncode, result.stdout.splitlines()
 
+    def test_jobs_that_load_the_machine_run_last(self) -> None:
+        # Guards against a module whose load disturbs others, or is disturbed.
+        passing = _MODULE[: _MODULE.index("    def test_fails")]
+        for name in ("test_untrusted_clients", "test_zebra"):
+            self._write(f"tests/{name}.py", passing)
+        exit_code, lines = self._run("tests.test_untrusted_clients", "tests.test_zebra")
+        self.assertEqual(exit_code, 0)
+        names = [line.partition(":")[0] for line in lines[:2]]
+        self.assertEqual(names, ["tests.test_zebra", "tests.test_untrusted_clients"])
+
     def test_outcomes_of_a_module(self) -> None:
         self._write("tests/test_example.py", _MODULE)
         exit_code, lines = self._run("tests.test_example")
