--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -31,10 +31,14 @@
 _RETRY_AFTER: Final = b"Retry-After: %.3f\r\n" % (client_limits.STALLED_MS / 1000)
 # While a request is in progress, reading stops once this much of the next ones is held.
 PIPELINED_BYTES: Final = 65_536
-# Memory of a request in progress beside its text: its calls and attempts.
+# Memory of a request in progress beside its text: its encoded head and its state.
 REQUEST_OVERHEAD_BYTES: Final = 16_384
+# Measured: a request with 54 calls and as many attempts takes 77 KB.
+CALL_BYTES: Final = 1_430
 
 
+# A request and the memory that it takes.
+_Queued = tuple[client_requests.ClientRequest, int]
 OnRequest = Callable[["ClientConnection", client_requests.ClientRequest], None]
 
 
@@ -68,10 +72,7 @@
     def __init__(self, connection: socket.socket, server: "HttpServer") -> None:
         self._server = server
         self._reader = client_requests.RequestReader(lambda: server.limits)
-        # With the memory that each takes.
-        self._queued: collections.deque[tuple[client_requests.ClientRequest, int]] = (
-            collections.deque()
-        )
+        self._queued: collections.deque[_Queued] = collections.deque()
         self._queued_bytes = 0
         self.current: client_requests.ClientRequest | None = None
         self._current_bytes = 0
@@ -133,6 +134,12 @@
         # A client that does not read gets no further answers to buffer.
         self._stream.when_sent(self.close if closes else self._continue)
 
+    def count_calls(self, number: int) -> None:
+        """Account for the calls of the request in progress."""
+        if self.current is not None:
+            self._current_bytes += number * CALL_BYTES
+            self._update_holding()
+
     def read_pending(self) -> None:
         """Read what has come since, which shows whether the client has disconnected."""
         self._stream.read_pending()
@@ -200,9 +207,8 @@
         if self._stream.closed:
             return
         unsent_bytes = self._stream.unsent_bytes
-        in_progress = self.current is not None
         held_bytes = self._queued_bytes + self._reader.held_bytes
-        waits = in_progress or self._queued or unsent_bytes
+        waits = self.current is not None or self._queued or unsent_bytes
         if waits and (
             held_bytes >= PIPELINED_BYTES
             or len(self._queued) >= client_requests.MAXIMUM_PIPELINED_REQUESTS
@@ -216,16 +222,15 @@
 
     def _release(self) -> None:
         """Give up all but a request in progress; what was not begun has not run."""
-        unsent_bytes = self._stream.unsent_bytes
         error = errors.MemorySpentError()
         if self.current is None:
-            if not unsent_bytes:
+            if not self._stream.unsent_bytes:
                 self._write_error(error, self._reader.method)
             self.close()
-            return
-        self._drop_unstarted()
-        self._pending_error = error
-        self._update_holding()
+        else:
+            self._drop_unstarted()
+            self._pending_error = error
+            self._update_holding()
 
     def _drop_unstarted(self) -> None:
         self._queued.clear()
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -213,6 +213,9 @@
             origin,
         )
         self.feed(events.RequestArrived(incoming))
+        accepted = self.gateway.requests.get(key)
+        if accepted is not None and key in self._clients:
+            connection.count_calls(len(accepted.calls))
 
     def _on_disconnect(self, connection: client_connections.ClientConnection) -> None:
         self._clients.pop(connection.key, None)
