--- a/amaranthpulley/transport/forwarding/tests/test_client_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_client_connections.py
@@ -214,6 +214,21 @@
         self.assertEqual(received.count(b"HTTP/1.1 200 OK"), 3)
         self.assertGreater(len(received), 3 * LARGE_BYTES)
 
+    def test_a_request_behind_an_unread_answer_is_not_timed_out(self) -> None:
+        # Guards against an answer that is cut because the next request is not complete.
+        self.server.limits = routes.ClientLimits(header_timeout_ms=200)
+        self.body = b"b" * LARGE_BYTES
+        self.client.sendall(REQUEST + REQUEST[:-2])
+        eventlet.sleep((200 + 2 * client_connections.SWEEP_INTERVAL_MS) / 1000)
+        self.assertEqual(self.server.connections, 1)
+        received = 0
+        with eventlet.Timeout(WAIT_S):
+            while received < LARGE_BYTES:
+                received += len(self.client.recv(65_536))
+        self.body = b"ok"
+        self.client.sendall(b"\r\n")
+        self.assertIn(b"HTTP/1.1 200 ", self.client.recv(65_536)[-100:])
+
     def test_connection_without_progress_is_closed(self) -> None:
         self.server.limits = routes.ClientLimits(idle_timeout_ms=300)
         self.body = b"b" * LARGE_BYTES
