Estimate the wait of gathered requests on arrival, and defer those that miss their objective

A request without hope of its coverage before its deadline is refused as not run. A due call no longer puts the whole queue of its service in order when no leaf has room, and attempts that wait for a connection are cancelled when a request ends.

--- a/amaranthpulley/coordination/forwarding/overload/admission.py
+++ b/amaranthpulley/coordination/forwarding/overload/admission.py
@@ -2,12 +2,14 @@
 
 Load pattern: a service whose leaves are lost or full for longer than the clients wait.
 Requests that would wait to their deadline for nothing are refused on arrival, as not
-run and with the time until there is room.
+run and with the time until there is room. In a burst of gathered requests, those that
+would miss their objective wait behind those that can meet theirs.
 
 Refused clients would all return together. Their times are spread, more urgent routes
 first, and are never later than a client would honour.
 """
 
+import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -18,8 +20,12 @@
 )
 from amaranthpulley.coordination.forwarding.overload import fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, routes
+from amaranthpulley.state.forwarding import leaves, requests, routes
 
+# A gathered request is deferred if its coverage is expected after this share of its
+# objective. With 0.8, a burst of 2.6 times the usual rate had 0.53 of its requests in
+# time, with 1.0 it had 0.64.
+TIMELY_SHARE: Final = 1.0
 # Bounds of the time after which a refused client may return.
 SHORTEST_RETURN_MS: Final = 30
 LONGEST_RETURN_MS: Final = 1_000
@@ -60,6 +66,7 @@
     service: str,
     now_ms: int,
     account: str = "",
+    late_before_ms: float = -math.inf,
 ) -> float:
     """Return the time until a new request of a route would be answered by a service.
 
@@ -67,6 +74,8 @@
     ----------
     account : str
         Name of its client account; empty without one.
+    late_before_ms : float
+        Calls of requests that arrived before this time do not go first.
     """
     usable = [
         leaf
@@ -75,7 +84,9 @@
     ]
     if not usable:
         return float(route.timeout_ms)
-    ahead = fair_queue.count_ahead(gateway.waiting, service, route.rank, account)
+    ahead = fair_queue.count_ahead(
+        gateway.waiting, service, route.rank, account, late_before_ms
+    )
     mean_ms = gateway.latency_of(route).mean_ms
     per_ms = sum(_throughput_per_ms(gateway, leaf, mean_ms) for leaf in usable)
     soonest_ms = min(
@@ -86,6 +97,56 @@
     return ahead / per_ms + soonest_ms
 
 
+def gathered_answer_ms(
+    gateway: gateway_state.Gateway,
+    route: routes.Route,
+    services: Sequence[str],
+    now_ms: int,
+    account: str = "",
+    only_timely: bool = False,
+) -> float:
+    """Return the time until a new gathered request would have its coverage.
+
+    This is the time of the slowest of the shards that the coverage needs, without the
+    slower ones that it can do without. It is 0 while enough shards have no waiting
+    calls. Only one shard is looked at, the one that the numbers of waiting calls for
+    each leaf single out, since the estimate is made for every request of a burst.
+    """
+    counts = gateway.waiting.counts_of(services)
+    needed = math.ceil(route.minimum_coverage * len(services))
+    spared = len(services) - max(1, needed)
+    if len(counts) <= spared:
+        return 0.0
+    by_queue = sorted(
+        (count / max(1, len(gateway.directory.of_service(service))), service)
+        for count, service in counts
+    )
+    _, slowest = by_queue[len(by_queue) - spared - 1]
+    late_before_ms = -math.inf
+    if only_timely:
+        late_before_ms = now_ms + gateway.latency_of(route).mean_ms - route.objective_ms
+    return expected_answer_ms(gateway, route, slowest, now_ms, account, late_before_ms)
+
+
+def must_defer(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    services: Sequence[str],
+    now_ms: int,
+) -> bool:
+    """Return whether an accepted gathered request would miss its objective anyway.
+
+    Its calls then wait behind those that can meet theirs. Otherwise all requests of a
+    burst would get some of their parts in time and few all that their coverage needs.
+    """
+    route = request.route
+    if not route.shards:
+        return False
+    account = fair_queue.account_of(request)
+    wait_ms = gathered_answer_ms(gateway, route, services, now_ms, account, True)
+    return wait_ms > TIMELY_SHARE * route.objective_ms
+
+
 def return_after_ms(rank: int, room_ms: float, left_ms: int, key: int) -> int:
     """Return the time after which a refused client may come back.
 
--- a/amaranthpulley/coordination/forwarding/overload/fair_queue.py
+++ b/amaranthpulley/coordination/forwarding/overload/fair_queue.py
@@ -33,14 +33,32 @@
 def entry_of(request: requests.ForwardedRequest, shard: int) -> waiting.WaitingCall:
     """Return the entry of a request's call in the queue of its service."""
     rank, key, account = request.route.rank, request.incoming.key, account_of(request)
-    return waiting.WaitingCall(rank, request.arrived_ms, key, shard, account)
+    return waiting.WaitingCall(
+        rank, request.arrived_ms, key, shard, account, request.deferred
+    )
 
 
 def count_ahead(
-    calls: waiting.WaitingCalls, service: str, rank: waiting.Rank, account: str
+    calls: waiting.WaitingCalls,
+    service: str,
+    rank: waiting.Rank,
+    account: str,
+    late_before_ms: float = -math.inf,
 ) -> int:
-    """Return the number of calls that a new one of an account would wait behind."""
-    queued = calls.of_service(service)
+    """Return the number of calls that a new one of an account would wait behind.
+
+    Parameters
+    ----------
+    late_before_ms : float
+        Calls of requests that arrived before this time and deferred ones miss their
+        objective, so they go after a new one.
+    """
+    queued = [
+        call
+        for call in calls.of_service(service)
+        if late_before_ms == -math.inf
+        or (call.arrived_ms >= late_before_ms and not call.deferred)
+    ]
     if not queued:
         return 0
     counts = _counts(queued)
--- a/amaranthpulley/coordination/forwarding/overload/waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/waiting.py
@@ -14,6 +14,7 @@
 from amaranthpulley.coordination.forwarding import (
     attempt_dispatch,
     commands,
+    connection_shares,
     crash_attribution,
     leaf_selection,
     request_completion,
@@ -54,6 +55,24 @@
     return decided
 
 
+def check_due(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    shard: int,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Send the waiting calls of a due call's service, if it has room.
+
+    Otherwise only the due call is looked at: each call of a long queue is due many
+    times a second, and the whole queue must not be put in order each time.
+    """
+    call = request.calls[shard]
+    if call.waiting is None or _has_room(gateway, call.service, now_ms):
+        return send_next(gateway, call.service, now_ms, random)
+    return _try(gateway, call.service, call.waiting, now_ms, random) or []
+
+
 def send_all(
     gateway: gateway_state.Gateway, now_ms: int, random: leaf_selection.RandomSource
 ) -> list[commands.Command]:
@@ -64,6 +83,14 @@
     return decided
 
 
+def _has_room(gateway: gateway_state.Gateway, service: str, now_ms: int) -> bool:
+    return any(
+        leaf.full_until_ms <= now_ms
+        and leaf.in_flight < connection_shares.maximum_concurrency(gateway, leaf)
+        for leaf in gateway.directory.of_service(service)
+    )
+
+
 def _order(
     gateway: gateway_state.Gateway, waiting_call: waiting.WaitingCall, now_ms: int
 ) -> tuple[waiting.Rank, bool, int]:
@@ -76,6 +103,8 @@
     gateway: gateway_state.Gateway, request: requests.ForwardedRequest, now_ms: int
 ) -> bool:
     """Return whether an answer of the usual time would miss the objective."""
+    if request.deferred:
+        return True
     answered_ms = now_ms + gateway.latency_of(request.route).mean_ms
     return answered_ms > request_completion.answer_by_ms(request)
 
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -63,8 +63,7 @@
     refused = _admit(gateway, request, services, now_ms)
     if refused:
         return refused
-    gateway.requests[incoming.key] = request
-    return fan_out.start(gateway, request, services, now_ms, random)
+    return _start(gateway, request, services, now_ms, random)
 
 
 def _admit(
@@ -86,12 +85,8 @@
         reason = commands.Refusal.OVERLOADED if has_any else commands.Refusal.NO_LEAF
         room_ms = admission.next_leaf_ms(gateway, route, services, now_ms)
     else:
-        if route.shards:
-            return []
         reason = commands.Refusal.OVERLOADED
-        room_ms = admission.expected_answer_ms(
-            gateway, route, services[0], now_ms, fair_queue.account_of(request)
-        )
+        room_ms = _wait_ms(gateway, request, services, now_ms)
         spare_ms = 0.0
         if gateway.drain_end_ms is not None and not route.idempotent:
             # An answer that does not come before the end leaves the outcome unknown.
@@ -102,6 +97,37 @@
     return _refuse(gateway, incoming, reason, after_ms, now_ms)
 
 
+def _start(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    services: tuple[str, ...],
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    gateway.requests[request.incoming.key] = request
+    if admission.must_defer(gateway, request, services, now_ms):
+        request.deferred = True
+        gateway.counters.add("forward_deferred_total")
+    return fan_out.start(gateway, request, services, now_ms, random)
+
+
+def _wait_ms(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    services: tuple[str, ...],
+    now_ms: int,
+) -> float:
+    """Return the time until a new request would be answered."""
+    account = fair_queue.account_of(request)
+    if request.route.shards:
+        return admission.gathered_answer_ms(
+            gateway, request.route, services, now_ms, account
+        )
+    return admission.expected_answer_ms(
+        gateway, request.route, services[0], now_ms, account
+    )
+
+
 def _create_request(
     gateway: gateway_state.Gateway,
     incoming: requests.IncomingRequest,
--- a/amaranthpulley/coordination/forwarding/request_completion.py
+++ b/amaranthpulley/coordination/forwarding/request_completion.py
@@ -178,7 +178,8 @@
 ) -> list[commands.Command]:
     request.answered = True
     not_run = is_not_run(request)
-    cancelled = cancel_unsent(gateway, request) if not_run else []
+    # Also if others have run: an attempt that is sent later only takes a leaf's place.
+    cancelled = cancel_unsent(gateway, request)
     if not_run and reason is commands.Refusal.TIMED_OUT:
         reason = commands.Refusal.OVERLOADED
     key, route = request.incoming.key, request.route
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -173,7 +173,7 @@
             if call.answer is not None or call.closed:
                 continue
             if call.retry_due_ms is not None and call.retry_due_ms <= now_ms:
-                decided += waiting.send_next(gateway, call.service, now_ms, random)
+                decided += waiting.check_due(gateway, request, shard, now_ms, random)
                 if call.retry_due_ms is None or call.answer is not None:
                     continue
                 decided += attempt_dispatch.retry(
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -278,6 +278,8 @@
         self.cautious = False
         # Whether one of its parts is held.
         self.held = False
+        # Whether its calls go behind those that can still meet their objective.
+        self.deferred = False
         self.answered = False
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
--- a/amaranthpulley/state/forwarding/waiting.py
+++ b/amaranthpulley/state/forwarding/waiting.py
@@ -1,6 +1,7 @@
 """Calls that wait because every leaf of their service is busy."""
 
 import bisect
+from collections.abc import Sequence
 from typing import NamedTuple
 
 # The account's priority, then the route's.
@@ -20,6 +21,8 @@
         The request, and the index of the shard in its calls.
     account : str
         Name of the client account; empty without one.
+    deferred : bool
+        Whether the request goes behind those that can still meet their objective.
     """
 
     rank: Rank
@@ -27,6 +30,7 @@
     request_key: int
     shard: int
     account: str = ""
+    deferred: bool = False
 
 
 class Turns:
@@ -78,6 +82,16 @@
                 del self._by_service[service]
                 self._turns.pop(service, None)
 
+    def counts_of(self, services: Sequence[str]) -> list[tuple[int, str]]:
+        """Return the numbers of waiting calls of services, without those with none."""
+        found: list[tuple[int, str]] = []
+        if self._by_service:
+            for service in services:
+                waiting = self._by_service.get(service)
+                if waiting:
+                    found.append((len(waiting), service))
+        return found
+
     def of_service(self, service: str) -> list[WaitingCall]:
         """Return the calls that wait for a service."""
         return list(self._by_service.get(service, ()))
