Send no hedge to a leaf that is slower than the slow machine it is for

An attempt is late by the time that its leaf's machine explains. The route's mean is looked up once for each choice of a leaf, so that the figure costs nothing.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -153,7 +153,7 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
-    call = request.calls[shard]
+    call, route = request.calls[shard], request.route
     call.hedge_due_ms = None
     if request.withdrawn or crash_attribution.refuses(gateway, request.incoming):
         return []
@@ -161,9 +161,7 @@
         request.held = call.hedge_held = True
         call.hedge_due_ms = now_ms + HELD_CHECK_MS
         return []
-    if not request.route.idempotent or not retry_budget.may_use_another_leaf(
-        request, call
-    ):
+    if not route.idempotent or not retry_budget.may_use_another_leaf(request, call):
         return []
     if not retry_budget.allows_send(gateway, call, now_ms, retry_budget.HEDGE_SHARE):
         call.hedge_due_ms = now_ms + BUDGET_RETRY_MS
@@ -173,9 +171,13 @@
         # The room is for first sends.
         call.hedge_due_ms = now_ms + LONGEST_WAIT_CHECK_MS
         return []
-    leaf = leaf_selection.choose_leaf(gateway, call, request.route, now_ms, random)
-    if leaf is None or leaf_selection.is_stalled(leaf, now_ms) or leaf.suspected:
-        call.hedge_due_ms = now_ms + BUSY_HEDGE_RETRY_MS
+    leaf = leaf_selection.choose_leaf(gateway, call, route, now_ms, random)
+    delay_ms = BUSY_HEDGE_RETRY_MS
+    if leaf is not None:
+        rest_ms = leaf_selection.hedge_delay_ms(gateway, call, route, leaf, now_ms)
+        delay_ms = max(delay_ms, math.ceil(rest_ms)) if rest_ms else 0
+    if leaf is None or delay_ms:
+        call.hedge_due_ms = now_ms + delay_ms
         return []
     gateway.counters.add("forward_hedges_total")
     return [send(gateway, request, shard, leaf, now_ms)]
@@ -189,7 +191,7 @@
     now_ms: int,
 ) -> commands.SendAttempt:
     """Record an attempt at a leaf and return the command that sends it."""
-    call = request.calls[shard]
+    call, route = request.calls[shard], request.route
     fair_queue.record_turn(gateway.waiting, call)
     stop_waiting(gateway, call)
     number = gateway.next_attempt
@@ -201,7 +203,7 @@
     call.attempts[number] = attempt
     call.tried.add(leaf_id)
     scarcity = retry_budget.scarcity(gateway, call.service, now_ms)
-    late_ms = leaf_selection.late_after_ms(gateway, leaf, request.route, scarcity)
+    late_ms = leaf_selection.late_after_ms(gateway, leaf, route, scarcity, now_ms)
     leaf.overdue_at_ms[number] = now_ms + late_ms
     keep = connection_warmup.may_keep_connection(gateway, leaf, now_ms)
     if keep:
@@ -211,7 +213,7 @@
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
     call.count_run(leaf_id)
-    if call.hedge_due_ms is None and len(call.runs) < request.route.maximum_leaves:
+    if call.hedge_due_ms is None and len(call.runs) < route.maximum_leaves:
         call.hedge_due_ms = now_ms + int(late_ms)
     tracing.record_decision(request, now_ms, "sent", call.service, leaf_id)
     budget_ms = max(MINIMUM_LEAF_BUDGET_MS, request.give_up_ms - now_ms)
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -88,12 +88,14 @@
     leaf: leaves.Leaf,
     route: routes.Route,
     scarcity: float = 1.0,
+    now_ms: int = 0,
 ) -> float:
     """Return the time after its send at which an attempt is late.
 
     This is the earlier of two times: when the attempt takes unusually long, and the
     last moment at which a second leaf in another region can still answer within the
-    objective, though not before 1.5 times the route's mean.
+    objective, though not before 1.5 times the route's mean. A leaf whose machine is
+    slow, as it reports, takes longer without being late.
 
     Parameters
     ----------
@@ -104,7 +106,10 @@
     deviation_range = MAXIMUM_LATE_DEVIATIONS - MINIMUM_LATE_DEVIATIONS
     deviations = MINIMUM_LATE_DEVIATIONS + scarcity * deviation_range
     work_ms = latency.mean_ms + deviations * latency.deviation_ms
-    outlier_ms = extra_round_trip_ms(gateway, leaf) + work_ms + LATE_MARGIN_MS
+    usual_ms = work_ms
+    if leaf.machine is not None:
+        usual_ms *= max(1.0, machine_slowness.current(leaf, now_ms))
+    outlier_ms = extra_round_trip_ms(gateway, leaf) + usual_ms + LATE_MARGIN_MS
     hedge_ms = gateway.distances.farthest_ms(DEFAULT_EXTRA_ROUND_TRIP_MS) + work_ms
     last_hedge_ms = route.objective_ms - CLIENT_MARGIN_MS - hedge_ms
     return min(outlier_ms, max(last_hedge_ms, 1.5 * latency.mean_ms))
@@ -137,10 +142,23 @@
 
     A failing leaf costs its failure share of the objective on top.
     """
-    total_ms = answer_time_ms(gateway, leaf, route, now_ms)
-    if is_stalled(leaf, now_ms):
+    mean_ms = gateway.latency_of(route).mean_ms
+    return _expected_answer_ms(gateway, leaf, mean_ms, route.objective_ms, now_ms)
+
+
+def _expected_answer_ms(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    mean_ms: float,
+    objective_ms: int,
+    now_ms: int,
+) -> float:
+    total_ms = _answer_time_ms(gateway, leaf, mean_ms, now_ms)
+    if leaf.overdue_at_ms and is_stalled(leaf, now_ms):
         total_ms += max(MINIMUM_STALL_MS, float(now_ms - leaf.last_response_ms))
-    return total_ms + current_failure_share(leaf, now_ms) * route.objective_ms
+    if leaf.failure_share < MINIMUM_FAILURE_SHARE:
+        return total_ms
+    return total_ms + current_failure_share(leaf, now_ms) * objective_ms
 
 
 def answer_time_ms(
@@ -150,7 +168,14 @@
     now_ms: int,
 ) -> float:
     """Return the time that a leaf takes for a request unless it fails or pauses."""
-    work_ms = gateway.latency_of(route).mean_ms * current_slowness(leaf, now_ms)
+    mean_ms = gateway.latency_of(route).mean_ms
+    return _answer_time_ms(gateway, leaf, mean_ms, now_ms)
+
+
+def _answer_time_ms(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, mean_ms: float, now_ms: int
+) -> float:
+    work_ms = mean_ms * current_slowness(leaf, now_ms)
     if leaf.machine is not None:
         work_ms *= machine_slowness.current(leaf, now_ms)
     slots = max(1, leaf.entry.slots)
@@ -166,6 +191,47 @@
     return total_ms
 
 
+def hedge_delay_ms(
+    gateway: gateway_state.Gateway,
+    call: requests.ShardCall,
+    route: routes.Route,
+    other: leaves.Leaf,
+    now_ms: int,
+) -> float:
+    """Return for how long a hedge to another leaf is of no use; 0 if it is now."""
+    if is_stalled(other, now_ms) or other.suspected:
+        return 1.0
+    rest_ms = _rest_ms(gateway, call, route, now_ms)
+    if rest_ms <= answer_time_ms(gateway, other, route, now_ms):
+        return rest_ms
+    return 0.0
+
+
+def _rest_ms(
+    gateway: gateway_state.Gateway,
+    call: requests.ShardCall,
+    route: routes.Route,
+    now_ms: int,
+) -> float:
+    """Return the rest of the time of a call's running attempts at slow machines.
+
+    It is 0 if one of them has already taken as long as its leaf should take, or if a
+    leaf reports no slow machine: then nothing explains why the attempt takes so long.
+    """
+    rests: list[float] = []
+    for attempt in call.attempts.values():
+        leaf = gateway.directory.get(attempt.leaf_id)
+        if leaf is None or leaf.machine is None:
+            return 0.0
+        machine = machine_slowness.current(leaf, now_ms)
+        if machine <= 1.0 or leaf.suspected or is_stalled(leaf, now_ms):
+            return 0.0
+        work_ms = gateway.latency_of(route).mean_ms * current_slowness(leaf, now_ms)
+        end_ms = attempt.sent_ms + machine * work_ms
+        rests.append(end_ms + extra_round_trip_ms(gateway, leaf) - now_ms)
+    return max(0.0, min(rests, default=0.0))
+
+
 def fastest_answer_ms(gateway: gateway_state.Gateway, route: routes.Route) -> float:
     """Return a low estimate of the time that a leaf takes for a route."""
     latency = gateway.latency_of(route)
@@ -185,6 +251,8 @@
     random: RandomSource,
 ) -> leaves.Leaf | None:
     """Return the best leaf for the next send, or None when none can take it."""
+    mean_ms = gateway.latency_of(route).mean_ms
+    objective_ms = route.objective_ms
     best: tuple[int, float] | None = None
     chosen: leaves.Leaf | None = None
     for leaf in gateway.directory.of_service(call.service):
@@ -193,7 +261,9 @@
         if leaf_permits.hold_of(gateway, leaf, route, now_ms) is not None:
             continue
         # Breaks ties at random, so that daemons do not all choose the same leaf.
-        expected = expected_answer_ms(gateway, leaf, route, now_ms) + random()
+        expected = random() + _expected_answer_ms(
+            gateway, leaf, mean_ms, objective_ms, now_ms
+        )
         rank = (_preference_tier(leaf), expected)
         if best is None or rank < best:
             best, chosen = rank, leaf
@@ -221,4 +291,6 @@
 def _preference_tier(leaf: leaves.Leaf) -> int:
     if leaf.suspected:
         return 2
+    if leaf.leaving_since_ms is None and leaf.backpressure is None:
+        return 0
     return 0 if leaf_permits.leaving_since_ms(leaf) is None else 1
--- a/amaranthpulley/coordination/forwarding/machine_slowness.py
+++ b/amaranthpulley/coordination/forwarding/machine_slowness.py
@@ -31,11 +31,12 @@
     machine = leaf.machine
     if machine is None:
         return leaves.INITIAL_SLOWNESS
-    mean = mean_of(leaf, now_ms)
-    age_ms = now_ms - machine.reported_ms
+    latest, mean, reported_ms = machine
+    age_ms = now_ms - reported_ms
     if age_ms >= FIGURE_VALID_MS:
-        return mean
-    return mean + (machine.latest - mean) * math.exp(-age_ms / FIGURE_DECAY_MS)
+        return mean_of(leaf, now_ms)
+    # The mean has hardly decayed by then. This is on the path of every selection.
+    return mean + (latest - mean) * math.exp(-age_ms / FIGURE_DECAY_MS)
 
 
 def mean_of(leaf: leaves.Leaf, now_ms: int) -> float:
--- a/amaranthpulley/coordination/forwarding/tests/test_machine_slowness.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_machine_slowness.py
@@ -109,3 +109,55 @@
     def test_health_checks_report_it_too(self) -> None:
         self.site.feed(events.ProbeEnded("l0", True, load=_load(4.0)))
         self.assertEqual(self._answer(WORK_MS, None), "l1")
+
+
+class HedgeTest(unittest.TestCase):
+    """A hedge is sent because a machine is known to be slow, to a slower leaf."""
+
+    def setUp(self) -> None:
+        self.site = gateway_site.GatewaySite()
+        self.route = gateway_site.single(objective_ms=600)
+        found = gateway_site.configuration(self.route)
+        entries = [gateway_site.entry(f"l{n}", "visits") for n in range(2)]
+        self.site.begin(found, *entries)
+        for _ in range(40):
+            key = self.site.request("/visit/1")
+            self.site.advance(WORK_MS)
+            answer = gateway_site.answer(load=_load(1.0))
+            self.site.reply(self.site.sends_of(key)[0], answer)
+
+    def _sends_after(self, first: float, second: float, passed_ms: int) -> int:
+        """Return the sends of a request whose leaf's machine is the first one."""
+        for number in range(2):
+            leaf = self.site.gateway.directory.get(f"l{number}")
+            machine_slowness.record(leaf, _load(1.0), self.site.now_ms)
+        key = self.site.request("/visit/1")
+        chosen = self.site.sends_of(key)[0].command.leaf_id
+        for _ in range(passed_ms // 10):
+            for number in range(2):
+                leaf = self.site.gateway.directory.get(f"l{number}")
+                told = first if leaf.entry.leaf_id == chosen else second
+                machine_slowness.record(leaf, _load(told), self.site.now_ms)
+                leaf.last_response_ms = self.site.now_ms
+            self.site.advance(10)
+        return len(self.site.sends_of(key))
+
+    def test_none_is_sent_while_the_other_leaf_is_slower_still(self) -> None:
+        self.assertEqual(self._sends_after(3.0, 6.0, 2 * WORK_MS), 1)
+
+    def test_one_is_sent_if_the_other_leaf_is_faster(self) -> None:
+        self.assertEqual(self._sends_after(6.0, 1.0, 3 * WORK_MS), 2)
+
+    def test_one_is_sent_when_the_leaf_is_late_for_its_machine(self) -> None:
+        self.assertEqual(self._sends_after(2.0, 2.0, 4 * WORK_MS), 2)
+
+    def test_an_attempt_at_a_slow_machine_is_late_later(self) -> None:
+        leaf = self.site.gateway.directory.get("l0")
+        now_ms = self.site.now_ms
+        late_ms = leaf_selection.late_after_ms
+        gateway = self.site.gateway
+        machine_slowness.record(leaf, _load(1.0), now_ms)
+        usual_ms = late_ms(gateway, leaf, self.route, 1.0, now_ms)
+        machine_slowness.record(leaf, _load(2.0), now_ms)
+        slow_ms = late_ms(gateway, leaf, self.route, 1.0, now_ms)
+        self.assertAlmostEqual(slow_ms / usual_ms, 1.9, delta=0.15)
