--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -13,7 +13,10 @@
     request_completion,
     tracing,
 )
-from amaranthpulley.coordination.forwarding.client_accounts import authentication
+from amaranthpulley.coordination.forwarding.client_accounts import (
+    authentication,
+    quota_tokens,
+)
 from amaranthpulley.coordination.forwarding.overload import admission, fair_queue
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
@@ -21,7 +24,7 @@
 
 # Subtracted from the client's deadline, so that the answer reaches it in time.
 DEADLINE_MARGIN_MS: Final = 20
-# A daemon has the configuration within this time of its start.
+# A daemon has the configuration within this time of its start, if the store answers.
 START_MS: Final = 200
 # Assumed for clients that do not say how long they wait.
 DEFAULT_DEADLINE_MS: Final = 1_000
@@ -55,6 +58,31 @@
     request = _create_request(gateway, incoming, route, account, now_ms)
     if route.shards and incoming.origin is None:
         gateway.own_searches.add_request(now_ms)
+    taking = quota_tokens.take(gateway, request, now_ms)
+    if taking.outcome is quota_tokens.Outcome.TAKEN:
+        return taking.commands + resume(gateway, request, now_ms, random)
+    if taking.outcome is quota_tokens.Outcome.WAITING:
+        return taking.commands
+    after_ms = taking.retry_after_ms
+    return taking.commands + refuse_over_quota(gateway, request, after_ms, now_ms)
+
+
+def resume(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Send the first attempts of a request that its account's quota allows."""
+    incoming = request.incoming
+    refusal = _apply_version(gateway, request)
+    if refusal is not None:
+        quota_tokens.give_back(gateway, request, now_ms)
+        return _refuse(gateway, incoming, refusal, 0, now_ms)
+    route = request.route
+    if gateway.drain_end_ms is not None:
+        # The drain may have started while it waited for a token.
+        request.give_up_ms = min(request.give_up_ms, gateway.drain_end_ms)
     handed_over = delegation.hand_over(gateway, request, now_ms)
     if handed_over:
         gateway.requests[incoming.key] = request
@@ -62,10 +90,46 @@
     services = route.shards or (_next_service(gateway, route, random),)
     refused = _admit(gateway, request, services, now_ms)
     if refused:
+        quota_tokens.give_back(gateway, request, now_ms)
         return refused
     return _start(gateway, request, services, now_ms, random)
 
 
+def _apply_version(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest
+) -> commands.Refusal | None:
+    """Apply a version that came into force while a request waited for its token.
+
+    Returns why the request is refused, if its key is no longer valid.
+    """
+    configuration = gateway.configuration
+    if configuration is None or configuration.version == request.version:
+        return None
+    if configuration.accounts is None:
+        return None
+    account = authentication.identify(
+        configuration, request.own_route, request.incoming
+    )
+    if isinstance(account, commands.Refusal):
+        return account
+    request.set_account(account, authentication.leaf_name(account))
+    return None
+
+
+def refuse_over_quota(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    retry_after_ms: int,
+    now_ms: int,
+) -> list[commands.Command]:
+    """Refuse a request for which its account's quota has no token."""
+    incoming = request.incoming
+    after_ms = admission.return_after_ms(
+        0, retry_after_ms, max(1, request.give_up_ms - now_ms), incoming.key
+    )
+    return _refuse(gateway, incoming, commands.Refusal.OVER_QUOTA, after_ms, now_ms)
+
+
 def _admit(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
@@ -176,7 +240,9 @@
     gateway: gateway_state.Gateway, incoming: requests.IncomingRequest, now_ms: int
 ) -> list[commands.Command]:
     left_ms = incoming.deadline_ms or DEFAULT_DEADLINE_MS
-    after_ms = admission.return_after_ms(0, START_MS, left_ms, incoming.key)
+    # While the store is away, the wait lasts about as long again as it has so far.
+    room_ms = max(START_MS, now_ms - gateway.started_ms)
+    after_ms = admission.return_after_ms(0, room_ms, left_ms, incoming.key)
     reason = commands.Refusal.NO_CONFIGURATION
     return _refuse(gateway, incoming, reason, after_ms, now_ms)
 
@@ -190,7 +256,10 @@
 ) -> list[commands.Command]:
     request_completion.count_outcome(gateway, incoming, reason.value)
     crash_attribution.end_trial(gateway, incoming)
+    # Clients without a valid key may come in any number, and leave room in the log.
+    is_unknown = reason is commands.Refusal.UNAUTHORIZED
+    reserved = tracing.RESERVED_LINES if is_unknown else 0
     return [
         commands.Refuse(incoming.key, reason, True, retry_after_ms),
-        *tracing.refusal_lines(gateway, incoming, reason.value, now_ms),
+        *tracing.refusal_lines(gateway, incoming, reason.value, now_ms, reserved),
     ]
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.state.forwarding import delegations, leaves, routes, waiting
-from amaranthpulley.state.forwarding.client_accounts import accounts
+from amaranthpulley.state.forwarding.client_accounts import accounts, tokens
 
 
 class IncomingRequest(NamedTuple):
@@ -274,12 +274,12 @@
         # Attempts at leaves that were lost while no shard had answered, until they are
         # recorded as losses.
         self.lost_attempts: list[Attempt] = []
-        # Whether it is sent to one leaf until a leaf answers.
-        self.cautious = False
-        # Whether one of its parts is held.
-        self.held = False
+        # Whether it is sent to one leaf until one answers; whether a part is held.
+        self.cautious = self.held = False
         # Whether its calls go behind those that can still meet their objective.
         self.deferred = False
+        # The token of its account's quota, if it needed one.
+        self.token: tokens.Token | None = None
         self.answered = False
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
