Roll out a version of a service under an exposure bound

Orders and steps come from the store; every daemon sends at most its share of its own requests and its part of the slack to the ordered version.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -12,6 +12,7 @@
     retry_budget,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.rollouts import exposure
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, waiting
 
@@ -205,6 +206,7 @@
     if keep:
         leaf.connection_used_ms = now_ms
     leaf_permits.record_send(leaf, now_ms)
+    exposure.record_send(gateway, leaf, number)
     if call.sends:
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -16,6 +16,7 @@
     tracing,
 )
 from amaranthpulley.coordination.forwarding.overload import waiting
+from amaranthpulley.coordination.forwarding.rollouts import exposure, progress
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, routes
@@ -251,6 +252,8 @@
     """Do the periodic work on leaves, attempts and connections."""
     decided: list[commands.Command] = []
     gateway.losses.discard_ended(now_ms)
+    if event.wall_ms is not None:
+        gateway.rollouts.wall_offset_ms = event.wall_ms - now_ms
     for leaf in gateway.directory.all():
         if leaf.deleted_ms is not None:
             if now_ms - leaf.deleted_ms >= DELETED_GRACE_MS:
@@ -259,8 +262,11 @@
         elif not leaf_permits.may_probe(leaf, now_ms):
             continue
         elif leaf.suspected and now_ms >= leaf.probe_due_ms:
+            if exposure.is_barred(gateway, leaf, now_ms):
+                continue
             decided += _probe(gateway, leaf, now_ms)
     decided += request_progress.sweep_attempts(gateway, now_ms)
+    decided += progress.tick(gateway, now_ms)
     decided += waiting.send_all(gateway, now_ms, random)
     return decided + connection_warmup.open_connections(gateway, now_ms)
 
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -9,6 +9,7 @@
     delegations,
     peer_messages,
     requests,
+    rollouts,
 )
 
 
@@ -211,6 +212,23 @@
     losses: tuple[crashes.Loss, ...]
 
 
+class WriteRolloutStep(NamedTuple):
+    """Write a step of a roll-out, unless one of its items has changed.
+
+    Attributes
+    ----------
+    order, previous, status : int
+        Numbers of the revisions that the order, the step before and the status must
+        have; 0 for an item that must not exist.
+    """
+
+    service: str
+    step: rollouts.Step
+    order: int
+    previous: int
+    status: int
+
+
 Command = (
     SendAttempt
     | SendToDelegate
@@ -225,5 +243,6 @@
     | SendToPeers
     | PublishLosses
     | WithdrawLosses
+    | WriteRolloutStep
     | commands.Log
 )
--- a/amaranthpulley/coordination/forwarding/connection_warmup.py
+++ b/amaranthpulley/coordination/forwarding/connection_warmup.py
@@ -13,6 +13,7 @@
     leaf_permits,
     leaf_selection,
 )
+from amaranthpulley.coordination.forwarding.rollouts import exposure
 from amaranthpulley.state import rendezvous
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, routes
@@ -66,7 +67,7 @@
         service = shards[gateway.warmup_index]
         if not may_keep_connections(gateway, service, now_ms):
             continue
-        for leaf in _preferred_leaves(gateway, service):
+        for leaf in _preferred_leaves(gateway, service, now_ms):
             if now_ms - leaf.connection_used_ms >= leaf_selection.CONNECTION_REUSE_MS:
                 leaf.connection_used_ms = now_ms
                 decided.append(commands.OpenConnection(leaf.entry.address))
@@ -74,7 +75,7 @@
 
 
 def _preferred_leaves(
-    gateway: gateway_state.Gateway, service: str
+    gateway: gateway_state.Gateway, service: str, now_ms: int
 ) -> list[leaves.Leaf]:
     usable = {
         leaf.entry.leaf_id: leaf
@@ -82,6 +83,7 @@
         if leaf_permits.leaving_since_ms(leaf) is None
         and not leaf.suspected
         and leaf.entry.failure_domain not in gateway.evacuated
+        and not exposure.is_barred(gateway, leaf, now_ms)
         and connection_shares.kept_connections(gateway, leaf)
     }
     near = [i for i, leaf in usable.items() if leaf.region == gateway.place.region]
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -15,7 +15,9 @@
     request_progress,
     slowness_reports,
 )
+from amaranthpulley.coordination.forwarding.rollouts import evidence, progress
 from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import peer_messages
 
 Handler = Callable[
     [gateway_state.Gateway, events.Event, int, leaf_selection.RandomSource],
@@ -23,7 +25,9 @@
 ]
 
 # Handlers of `PeerMessageReceived`, by the type of its message.
-_MESSAGE_HANDLERS: Final[dict[type, Handler]] = {}
+_MESSAGE_HANDLERS: Final[dict[type, Handler]] = {
+    peer_messages.RolloutEvidence: evidence.handle_message,
+}
 
 
 def _handle_peer_message(
@@ -66,6 +70,10 @@
     events.DelegateHeard: delegation.handle_sign_of_life,
     events.DelegateAnswered: delegation.handle_answer,
     events.DelegateFailed: delegation.handle_failure,
+    events.RolloutOrdered: progress.handle_order,
+    events.RolloutStepRead: progress.handle_step,
+    events.RolloutStatusRead: progress.handle_status,
+    events.RolloutWriteEnded: progress.handle_write_end,
     events.TickDue: cluster_updates.tick,
     events.DrainRequested: cluster_updates.start_drain,
 }
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -14,6 +14,7 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination.forwarding import connection_shares, delegates
+from amaranthpulley.coordination.forwarding.rollouts import exposure
 from amaranthpulley.state.forwarding import backpressure, leaves, routes
 from amaranthpulley.state.forwarding import gateway as gateway_state
 
@@ -46,6 +47,7 @@
     FULL = "full"
     CONNECTIONS = "connections"
     UNREACHABLE = "unreachable"
+    ROLLOUT = "rollout"
 
 
 class Hold(NamedTuple):
@@ -70,6 +72,7 @@
 _EVACUATED: Final = Hold(HoldReason.EVACUATED, lasting=True)
 _LEAVING: Final = Hold(HoldReason.LEAVING, lasting=True)
 _COLD: Final = Hold(HoldReason.COLD, lasting=True)
+_ROLLOUT: Final = Hold(HoldReason.ROLLOUT, lasting=True)
 _CONNECTIONS: Final = Hold(HoldReason.CONNECTIONS)
 _RETURN: Final = Hold(HoldReason.RETURN)
 
@@ -85,6 +88,8 @@
         return _REGION
     if leaf.entry.failure_domain in gateway.evacuated:
         return _EVACUATED
+    if gateway.rollouts.by_service and exposure.holds(gateway, leaf, now_ms):
+        return _ROLLOUT
     leaving_ms = leaving_since_ms(leaf)
     if leaving_ms is not None:
         if now_ms - leaving_ms > gateway.limits.drain_ms * LEAVING_SHARE:
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import leaf_permits
+from amaranthpulley.coordination.forwarding.rollouts import exposure
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, routes
 
@@ -182,7 +183,8 @@
     random: RandomSource,
 ) -> leaves.Leaf | None:
     """Return the best leaf for the next send, or None when none can take it."""
-    best: tuple[int, float] | None = None
+    best: tuple[int, int, float] | None = None
+    in_rollout = gateway.rollouts.ordered(call.service) is not None
     chosen: leaves.Leaf | None = None
     for leaf in gateway.directory.of_service(call.service):
         if not may_send_to(call, route, leaf.entry.leaf_id):
@@ -191,7 +193,10 @@
             continue
         # Breaks ties at random, so that daemons do not all choose the same leaf.
         expected = expected_answer_ms(gateway, leaf, route, now_ms) + random()
-        rank = (_preference_tier(leaf), expected)
+        preference = 0
+        if in_rollout and not is_stalled(leaf, now_ms):
+            preference = exposure.preference(gateway, call, leaf) - 1
+        rank = (_preference_tier(leaf), preference, expected)
         if best is None or rank < best:
             best, chosen = rank, leaf
     return chosen
--- a/amaranthpulley/coordination/forwarding/request_progress.py
+++ b/amaranthpulley/coordination/forwarding/request_progress.py
@@ -17,6 +17,7 @@
     tracing,
 )
 from amaranthpulley.coordination.forwarding.overload import waiting
+from amaranthpulley.coordination.forwarding.rollouts import evidence
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests, routes
 
@@ -46,6 +47,8 @@
     request = gateway.requests.get(attempt.request_key)
     if request is None:
         return demands
+    usable = _is_usable(request, answer)
+    evidence.record_answer(gateway, request, attempt, event, usable, now_ms)
     slowness = leaf_health.record_answer(
         gateway, attempt, request.route, answer, event.opened, now_ms
     )
@@ -55,12 +58,11 @@
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
     call.unsent.discard(attempt.number)
-    if _is_usable(request, answer):
+    if usable:
         cleared = crash_attribution.handle_answer(gateway, request, now_ms)
         _trace_late_answer(request, call, attempt, now_ms)
         return [
-            *report,
-            *cleared,
+            *(report + cleared),
             *_accept(gateway, request, call, answer, now_ms),
             *attempt_dispatch.send_held(gateway, request, now_ms, random),
             *waiting.send_next(gateway, call.service, now_ms, random),
@@ -144,6 +146,7 @@
     call = request.calls[attempt.shard]
     call.attempts.pop(attempt.number, None)
     call.unsent.discard(attempt.number)
+    evidence.record_failure(gateway, request, attempt, event.end, now_ms)
     crash: list[commands.Command] = []
     if event.end is requests.AttemptEnd.LOST:
         crash = crash_attribution.handle_loss(gateway, request, attempt, now_ms)
@@ -325,6 +328,7 @@
         for number, attempt in list(call.attempts.items()):
             del call.attempts[number]
             gateway.attempts.pop(number, None)
+            evidence.record_cancelled(gateway, request, attempt, now_ms)
             decided.append(commands.CancelAttempt(number))
             leaf = gateway.directory.get(attempt.leaf_id)
             if leaf is None:
--- /dev/null
+++ b/amaranthpulley/coordination/forwarding/rollouts/exposure.py
@@ -0,0 +1,179 @@
+"""Bounds what the leaves of an ordered version get, by the counts of this daemon.
+
+Load pattern: a version that is bad gets requests from all daemons. Each daemon sends at
+most a share of its own requests there, and its part of the slack. So the sum over all
+daemons is within the bound whatever messages are lost.
+
+A request is counted for the share once, when a leaf has answered it; a send to the
+ordered version is counted when it is made, whether first, retry or hedge.
+"""
+
+import functools
+from typing import Final
+
+from amaranthpulley.coordination.forwarding import delegates
+from amaranthpulley.state import rendezvous
+from amaranthpulley.state.forwarding import gateway as gateway_state
+from amaranthpulley.state.forwarding import leaves, requests, rollouts
+
+# Length of a period in which the new leaves get all requests, as far as the bound
+# allows. Most daemons have spent what they may after this time.
+FULL_LOAD_MS: Final = 3_000
+_THRESHOLDS: Final = 1_000
+
+
+def holds(gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int) -> bool:
+    """Return whether the roll-out of its service keeps requests from a leaf."""
+    rollout = gateway.rollouts.ordered(leaf.entry.service)
+    if rollout is None or rollout.order is None:
+        return False
+    if leaf.entry.version == rollout.order.target:
+        return not _target_may_get(gateway, rollout, leaf.entry.service, now_ms)
+    if leaf.entry.version in rollout.barred():
+        return True
+    return has_moved(rollout) and _has_target_leaf(gateway, leaf, rollout.order.target)
+
+
+def is_barred(gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int) -> bool:
+    """Return whether a leaf gets nothing at the moment, whatever is left to spend.
+
+    No connections are opened to such a leaf, and it gets no health checks.
+    """
+    rollout = gateway.rollouts.ordered(leaf.entry.service)
+    if rollout is None or rollout.order is None:
+        return False
+    if leaf.entry.version != rollout.order.target:
+        return holds(gateway, leaf, now_ms)
+    return not _is_open(rollout, now_ms)
+
+
+def has_moved(rollout: rollouts.Rollout) -> bool:
+    """Return whether all requests of the service go to the ordered version."""
+    step = rollout.current_step()
+    if step is None:
+        return False
+    if step.phase is rollouts.Phase.MOVING:
+        return not rollout.distrusted
+    return step.phase is rollouts.Phase.COMPLETED
+
+
+def preference(
+    gateway: gateway_state.Gateway,
+    call: requests.ShardCall,
+    leaf: leaves.Leaf,
+) -> int:
+    """Return a rank by which a leaf that is not held is selected, the lowest first.
+
+    Otherwise a version that is expected to be slightly slower would get no requests,
+    and no evidence about it would arise. Repeats prefer the old leaves, so that a bad
+    answer costs the client little.
+    """
+    rollout = gateway.rollouts.ordered(leaf.entry.service)
+    if rollout is None or rollout.order is None:
+        return 0
+    is_target = leaf.entry.version == rollout.order.target
+    return int(is_target) if call.sends else int(not is_target)
+
+
+def record_send(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, attempt: int
+) -> None:
+    """Count a send to a leaf."""
+    rollout = gateway.rollouts.ordered(leaf.entry.service)
+    if rollout is None or rollout.order is None:
+        return
+    # The version is that of the send, since an entry may change it meanwhile.
+    is_target = leaf.entry.version == rollout.order.target
+    rollout.attempts[attempt] = is_target
+    if is_target:
+        rollout.sent += 1
+        rollout.step_sent += 1
+
+
+def record_reached(rollout: rollouts.Rollout, call: requests.ShardCall) -> None:
+    """Count a request that has reached a leaf of the service, once."""
+    if not call.reached:
+        call.reached = True
+        rollout.requests += 1
+        rollout.step_requests += 1
+
+
+def slack_part(
+    gateway: gateway_state.Gateway, rollout: rollouts.Rollout, now_ms: int
+) -> float:
+    """Return this daemon's part of the slack.
+
+    It is divided by the greatest number of daemons that were registered since the
+    order: what a daemon that has left has spent is not given to the others again. A
+    daemon that did not run when the order came may have spent its part in its previous
+    life, and one whose registration has lapsed is not counted by the others.
+    """
+    step = rollout.current_step()
+    daemons = max(rollout.daemons_seen, delegates.daemon_count(gateway))
+    rollout.daemons_seen = max(daemons, step.daemons if step is not None else 0)
+    if not rollout.seen_live or not delegates.is_registered(gateway, now_ms):
+        return 0.0
+    return gateway.limits.exposure_slack / rollout.daemons_seen
+
+
+def _is_open(rollout: rollouts.Rollout, now_ms: int) -> bool:
+    """Return whether the ordered version may get requests at all."""
+    step = rollout.current_step()
+    if step is None:
+        return False
+    if step.phase is rollouts.Phase.COMPLETED:
+        return True
+    if step.phase is rollouts.Phase.REVERTED or rollout.distrusted:
+        return False
+    if step.phase is rollouts.Phase.MOVING:
+        return True
+    # Without news of its end, an order that was not judged good counts as reverted.
+    return rollout.deadline_ms is None or now_ms < rollout.deadline_ms
+
+
+def _target_may_get(
+    gateway: gateway_state.Gateway,
+    rollout: rollouts.Rollout,
+    service: str,
+    now_ms: int,
+) -> bool:
+    """Return whether the ordered version may get one more request of this daemon."""
+    if not _is_open(rollout, now_ms):
+        return False
+    step = rollout.current_step()
+    if step is None or step.phase is not rollouts.Phase.GROWING:
+        return True
+    slack = slack_part(gateway, rollout, now_ms)
+    if rollout.sent + 1 > gateway.limits.exposure_share * rollout.requests + slack:
+        return False
+    full_at_ms = rollout.full_at_ms
+    if full_at_ms is not None and full_at_ms <= now_ms < full_at_ms + FULL_LOAD_MS:
+        return True
+    threshold = _rounding_threshold(gateway.place.name, service)
+    return rollout.step_sent + threshold <= step.share * rollout.step_requests
+
+
+@functools.lru_cache(maxsize=4_096)
+def _rounding_threshold(daemon: str, service: str) -> float:
+    """Return by how much, from 0 to 1, a step's share must exceed the sends so far.
+
+    Spread evenly over the daemons, so that daemons with few requests send together what
+    the step allows. The bound itself is not rounded this way.
+    """
+    weight = rendezvous.weight_of(daemon, f"rollout/{service}")
+    return (weight % _THRESHOLDS + 1) / _THRESHOLDS
+
+
+def _has_target_leaf(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, target: str
+) -> bool:
+    """Return whether the service has a leaf of the version that does not leave.
+
+    Without one, the old leaves are used again rather than none.
+    """
+    return any(
+        other.entry.version == target
+        and other.leaving_since_ms is None
+        and (other.backpressure is None or other.backpressure.leaving_since_ms is None)
+        for other in gateway.directory.of_service(leaf.entry.service)
+    )
--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from amaranthpulley.coordination.forwarding import events
-from amaranthpulley.platform import configuration, names
+from amaranthpulley.platform import configuration, names, rollout_items
 from amaranthpulley.protocol import errors, json_codec
 from amaranthpulley.state import store
 from amaranthpulley.state.forwarding import crashes, gateway, leaves
@@ -59,7 +59,8 @@
     all other items keep their state.
     """
     try:
-        return _event_of(change.key, change.value)
+        found = rollout_items.decode(change)
+        return found or _event_of(change.key, change.value)
     except errors.MalformedMessageError as error:
         leaf_id = None
         if change.key.startswith(names.LEAF_PREFIX):
--- a/amaranthpulley/platform/names.py
+++ b/amaranthpulley/platform/names.py
@@ -36,10 +36,14 @@
 
 CONFIGURATION_KEY: Final = "op/config"
 EVACUATION_PREFIX: Final = "op/evacuate/"
+ROLLOUT_ORDER_PREFIX: Final = "op/rollout/"
 LEAF_PREFIX: Final = "servers/"
 # Written by this system; operators and leaves write the other keys.
 DAEMON_PREFIX: Final = "amaranthpulley/daemons/"
 LOSS_PREFIX: Final = "amaranthpulley/losses/"
+ROLLOUT_STEP_PREFIX: Final = "amaranthpulley/rollouts/"
+# Read by operators.
+ROLLOUT_STATUS_PREFIX: Final = "status/rollout/"
 
 IDEMPOTENT: Final = "idempotent"
 DRAINING: Final = "draining"
--- a/amaranthpulley/platform/settings.py
+++ b/amaranthpulley/platform/settings.py
@@ -117,4 +117,7 @@
         cold_slack=number("WarmupSlack", defaults.cold_slack),
         contact_ms=int(number("ContactMs", defaults.contact_ms)),
         configuration_ms=int(number("ConfigApplyMs", defaults.configuration_ms)),
+        exposure_share=number("ExposureShare", defaults.exposure_share),
+        exposure_slack=int(number("ExposureSlack", defaults.exposure_slack)),
+        rollback_ms=int(number("RollbackMs", defaults.rollback_ms)),
     )
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -6,14 +6,19 @@
 
 import urllib3
 
-from amaranthpulley.coordination.forwarding import store_watchers
-from amaranthpulley.platform import entries, names
+from amaranthpulley.coordination.forwarding import commands, store_watchers
+from amaranthpulley.platform import entries, names, rollout_items
 from amaranthpulley.protocol import errors as protocol_errors
 from amaranthpulley.protocol import json_codec
 from amaranthpulley.state import store
 from amaranthpulley.state.forwarding import crashes
 from amaranthpulley.transport import errors, http_connections
-from amaranthpulley.transport.forwarding import loss_publisher, store_feed, store_view
+from amaranthpulley.transport.forwarding import (
+    loss_publisher,
+    rollout_publisher,
+    store_feed,
+    store_view,
+)
 
 # A call takes 4 ms, or 240 ms when the store is 60 times slower.
 CALL_TIMEOUT_MS: Final = 1_000
@@ -23,6 +28,7 @@
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
+_CONDITION_FAILED: Final = 412
 _Wire = TypeVar("_Wire")
 
 
@@ -103,6 +109,7 @@
             self.renew,
             self.unregister,
             loss_publisher.LossCalls(self.grant_lease, self.write_losses),
+            rollout_publisher.RolloutCalls(self.write_step, self.read_rollout),
             entries.decode,
         )
 
@@ -200,6 +207,37 @@
             raise errors.PlatformUnreachableError(f"losses: status {status}")
         return status == _OK
 
+    def write_step(self, command: commands.WriteRolloutStep) -> bool:
+        """Write a step under its conditions; False if an item has changed.
+
+        Any other answer, and none, leave open whether it is written.
+        """
+        change = rollout_items.encode(command)
+        path = names.TRANSACTION_PATH
+        status = self._send("POST", path, {}, change, CALL_TIMEOUT_MS).status
+        if status not in (_OK, _CONDITION_FAILED):
+            raise errors.PlatformUnreachableError(f"roll-out: status {status}")
+        return status == _OK
+
+    def read_rollout(self, service: str) -> tuple[store.Change, ...]:
+        """Return the items of a service's roll-out, in ascending order of revision."""
+        found: list[store.Change] = []
+        for key in rollout_items.keys_of(service):
+            query = {"PathPrefix": key}
+            answer = self._send("GET", names.RANGE_PATH, query, None, CALL_TIMEOUT_MS)
+            if answer.status != _OK:
+                raise errors.PlatformUnreachableError(
+                    f"roll-out: status {answer.status}"
+                )
+            page = _decode(answer.body, _Range)
+            # Other services may have names that begin with this one.
+            found += [
+                _change_of(answer.era, item)
+                for item in page["items"]
+                if item["Key"] == key
+            ]
+        return tuple(sorted(found, key=lambda change: change.revision))
+
     def _post(self, path: str, body: object) -> bytes:
         answer = self._send("POST", path, {}, body, CALL_TIMEOUT_MS)
         if answer.status != _OK:
--- a/amaranthpulley/platform/tests/standin_store.py
+++ b/amaranthpulley/platform/tests/standin_store.py
@@ -171,6 +171,10 @@
         if path == names.RANGE_PATH:
             return self._range(fields)
         if path == names.TRANSACTION_PATH:
+            current = [self._items.get(row["Key"]) for row in body["Expect"]]
+            for row, item in zip(body["Expect"], current, strict=True):
+                if row["Revision"] != (item["Revision"] if item else 0):
+                    return 412, {"items": [item for item in current if item]}
             used = {put.get("Lease", 0) for put in body["Puts"]} - {0}
             if not used <= set(self._leases):
                 return 404, {}
--- a/amaranthpulley/protocol/forwarding/peer_message_codec.py
+++ b/amaranthpulley/protocol/forwarding/peer_message_codec.py
@@ -17,6 +17,7 @@
 _KINDS: Final[dict[int, type]] = {
     1: peer_messages.TokenRequest,
     2: peer_messages.TokenGrant,
+    3: peer_messages.RolloutEvidence,
 }
 _NUMBERS: Final = {kind: number for number, kind in _KINDS.items()}
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -11,6 +11,7 @@
     leaves,
     requests,
     retry_window,
+    rollouts,
     token_bucket,
     waiting,
 )
@@ -39,6 +40,12 @@
         that changed meanwhile must be in force.
     configuration_ms : int
         Time within which a change must be in force where there was no outage.
+    exposure_share : float
+        Share of a service's requests that a version may get before it is judged.
+    exposure_slack : int
+        Further requests that all daemons together may send to it.
+    rollback_ms : int
+        Time after the bound of bad answers from which it must get no more requests.
     """
 
     retry_ratio: float = 0.2
@@ -49,6 +56,9 @@
     cold_slack: float = 5.0
     contact_ms: int = 5_000
     configuration_ms: int = 3_000
+    exposure_share: float = 0.1
+    exposure_slack: int = 50
+    rollback_ms: int = 5_000
 
 
 class Place(NamedTuple):
@@ -129,6 +139,8 @@
         By route and service, the current weights of the smooth weighted round robin.
     losses : LossTable
         Leaves that were lost while running a request.
+    rollouts : RolloutTable
+        Roll-outs of versions, by service.
     publication_tokens : TokenBucket
         Losses that this daemon may publish.
     cautious_until_ms : int
@@ -170,6 +182,7 @@
         self.retry_windows: dict[str, retry_window.RetryWindow] = {}
         self.turns: dict[str, dict[str, float]] = {}
         self.losses = crashes.LossTable()
+        self.rollouts = rollouts.RolloutTable()
         self.publication_tokens = token_bucket.TokenBucket(1.0, started_ms)
         self.cautious_until_ms = started_ms
         self.counters = counters_state.Counters()
--- a/amaranthpulley/state/forwarding/peer_messages.py
+++ b/amaranthpulley/state/forwarding/peer_messages.py
@@ -39,4 +39,47 @@
     retry_after_ms: int
 
 
-PeerMessage = TokenRequest | TokenGrant
+class RouteCounts(NamedTuple):
+    """Answers of a route in a step of a roll-out.
+
+    Attributes
+    ----------
+    counts : tuple of int
+        All, failed and slow answers of the ordered version, then those of the old one.
+    """
+
+    route: str
+    counts: tuple[int, int, int, int, int, int]
+
+
+class RolloutEvidence(NamedTuple):
+    """Tells the deciding daemons what a daemon has counted for a roll-out.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    order : int
+        Number of the order's revision.
+    number : int
+        The step for which the routes are counted.
+    source : str
+        The daemon; empty for the sum of all daemons that the sender knows of.
+    life : int
+        Start of the daemon's process: a later one counts from 0.
+    routes : tuple of RouteCounts
+        Counts since the step.
+    total : tuple of int
+        Counts since the order.
+    """
+
+    service: str
+    order: int
+    number: int
+    source: str
+    life: int
+    routes: tuple[RouteCounts, ...]
+    total: tuple[int, int, int, int, int, int]
+
+
+PeerMessage = TokenRequest | TokenGrant | RolloutEvidence
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -206,6 +206,8 @@
         # A leaf's error response, passed on if no leaf succeeds.
         self.failure: LeafAnswer | None = None
         self.closed = False
+        # Whether it is counted among the requests that reached its service.
+        self.reached = False
         # Whether it, or its send to a second leaf, waits until another part shows what
         # its leaf does.
         self.held = False
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -32,6 +32,7 @@
     loss_publisher,
     peer_feed,
     relay,
+    rollout_publisher,
     runtime,
     store_feed,
     store_view,
@@ -138,9 +139,7 @@
         self._view = store_view.StoreView(store_calls.decode, self._handle)
         self._relay = relay.Relay(setup.peer_address, self._view, clock)
         self._datagrams = datagrams.DatagramSocket(self._relay.address, self._handle)
-        self._losses = loss_publisher.LossPublisher(
-            store_calls.losses, self._handle, clock
-        )
+        self._losses, self._rollouts = self._publishers(store_calls)
         self.runtime = self._open_runtime(setup.names)
         self._front = client_connections.HttpServer(
             setup.front_address, clock, self.runtime.handler, routes.STARTING_LIMITS
@@ -158,12 +157,23 @@
         self._feed = self._store_feed(store_calls)
         self._ended = eventlet.event.Event()
 
+    def _publishers(
+        self, store_calls: store_feed.StoreCalls
+    ) -> tuple[loss_publisher.LossPublisher, rollout_publisher.RolloutPublisher]:
+        return (
+            loss_publisher.LossPublisher(store_calls.losses, self._handle, self._clock),
+            rollout_publisher.RolloutPublisher(
+                store_calls.rollouts, self._view, self._handle
+            ),
+        )
+
     def _open_runtime(self, names: header_names.HeaderNames) -> runtime.Runtime:
         message_handlers = {
             forwarding_commands.ReportSlowness: self._datagrams.send_slowness,
             forwarding_commands.SendToPeers: self._datagrams.send_message,
             forwarding_commands.PublishLosses: self._publish_losses,
             forwarding_commands.WithdrawLosses: self._losses.withdraw,
+            forwarding_commands.WriteRolloutStep: self._rollouts.write,
         }
         return runtime.Runtime(
             self.gateway,
@@ -230,6 +240,7 @@
         eventlet.spawn_n(self._flush_log_lines)
         self._feed.start()
         self._losses.start()
+        self._rollouts.start()
         self._peers.start()
         process_signals.on_termination_signals(self.drain)
         process_signals.on_signal(signal.SIGHUP, self._reload_settings)
--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -90,6 +90,7 @@
             self._receive_delegated, self._on_disconnect
         )
         self._now_ms = clock.monotonic_ms
+        self._wall_ms = clock.wall_ms
         self._random = random
         self._write_log = write_log
         self._hub = eventlet.hubs.get_hub()
@@ -160,7 +161,7 @@
 
     def _tick(self) -> None:
         self._hub.schedule_call_global(TICK_INTERVAL_MS / 1000, self._tick)
-        self.feed(events.TickDue())
+        self.feed(events.TickDue(self._wall_ms()))
         self.leaves.close_expired()
         self.delegates.connections.close_expired()
 
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -14,7 +14,11 @@
 from amaranthpulley.state import clock as clock_state
 from amaranthpulley.state import store
 from amaranthpulley.transport import errors
-from amaranthpulley.transport.forwarding import loss_publisher, store_view
+from amaranthpulley.transport.forwarding import (
+    loss_publisher,
+    rollout_publisher,
+    store_view,
+)
 
 # Timeout of a page of a listing, doubled after each failure. It is short, so that a
 # call without an answer is soon retried: a daemon serves no requests before its first
@@ -55,6 +59,8 @@
         Ends the registration.
     losses : LossCalls
         Calls that publish and withdraw losses.
+    rollouts : RolloutCalls
+        Calls that write the steps of roll-outs and read them back.
     decode : callable
         Turns a change into an event; None when the change is not used.
     """
@@ -65,6 +71,7 @@
     renew: Callable[[], bool]
     unregister: Callable[[], None]
     losses: loss_publisher.LossCalls
+    rollouts: rollout_publisher.RolloutCalls
     decode: store_view.DecodeChange
 
 
--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -16,6 +16,7 @@
 from amaranthpulley.transport import errors, system_clock  # noqa: E402
 from amaranthpulley.transport.forwarding import (  # noqa: E402
     loss_publisher,
+    rollout_publisher,
     store_feed,
     store_view,
 )
@@ -62,6 +63,7 @@
             loss_publisher.LossCalls(
                 lambda life_ms: 1, lambda published, withdrawn, lease: True
             ),
+            rollout_publisher.RolloutCalls(lambda command: True, lambda service: ()),
             lambda change: None,
         )
         self.feed = store_feed.StoreFeed(
