--- a/amaranthpulley/coordination/forwarding/rollouts/evidence.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/evidence.py
@@ -214,7 +214,7 @@
     say: it must not stay on the old leaves when they end.
     """
     rollout = gateway.rollouts.of_service(service)
-    if now_ms < rollout.next_judgement_ms:
+    if now_ms < rollout.next_judgement_ms or rollout.distrusted:
         return
     rollout.next_judgement_ms = now_ms + JUDGEMENT_INTERVAL_MS
     rollout.gathered = gather(gateway, service)
--- a/amaranthpulley/coordination/forwarding/rollouts/progress.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/progress.py
@@ -26,6 +26,9 @@
 # Time before the deadline at which an order that is not judged good is reverted, so
 # that the third daemon in turn still writes it in time.
 REVERT_MARGIN_MS: Final = 3_500
+# Time after the planned one in which the move may still begin, out of the 8 s that are
+# reserved for the last writes.
+LATE_MOVE_MS: Final = 4_000
 # Latest time before the deadline at which `COMPLETED` may be written.
 COMPLETE_MARGIN_MS: Final = 300
 
@@ -166,6 +169,7 @@
         return
     rollout.begin_step()
     rollout.step_seen_ms = now_ms
+    rollout.step_seen_live = gateway.listed
     offset_ms = gateway.rollouts.wall_offset_ms
     read_ms = [step.deadline_ms - offset_ms, rollout.seen_ms + order.duration_ms]
     if rollout.deadline_ms is not None:
@@ -199,9 +203,13 @@
             return steps.ended(step, rollouts.Phase.REVERTED, "deadline")
         if rollout.distrusted:
             return None
-        if now_ms - rollout.step_seen_ms < steps.move_ms(gateway, service):
-            return None
-        return steps.ended(step, rollouts.Phase.COMPLETED, "all daemons have moved")
+        moved_ms = rollout.step_seen_ms + steps.move_ms(gateway, service)
+        if now_ms >= moved_ms:
+            return steps.ended(step, rollouts.Phase.COMPLETED, "all daemons have moved")
+        # Written at once, since a write may take seconds to happen.
+        if rollout.step_seen_live and moved_ms >= deadline_ms - COMPLETE_MARGIN_MS:
+            return steps.ended(step, rollouts.Phase.REVERTED, "moved too late")
+        return None
     if now_ms >= deadline_ms - REVERT_MARGIN_MS:
         return steps.ended(step, rollouts.Phase.REVERTED, "deadline")
     if not decider.is_judge(gateway, service):
@@ -238,11 +246,11 @@
     deadline_ms = rollout.deadline_ms or now_ms
     is_good = rollout.verdict is rollouts.Verdict.GOOD
     latest_move_ms = steps.latest_move_ms(gateway, service, deadline_ms)
+    if now_ms >= latest_move_ms + LATE_MOVE_MS:
+        return steps.ended(step, rollouts.Phase.REVERTED, "not judged in time")
     if now_ms >= latest_move_ms:
         if is_good and step.number >= steps.EARLIEST_LAST_STAGE:
             return steps.ended(step, rollouts.Phase.MOVING, "judged good")
-        if now_ms >= latest_move_ms + RETRY_MS:
-            return steps.ended(step, rollouts.Phase.REVERTED, "not judged in time")
         return None
     begun_ms = rollout.step_seen_ms
     if now_ms < steps.end_ms(gateway, service, order, step, deadline_ms, begun_ms):
--- a/amaranthpulley/state/forwarding/rollouts.py
+++ b/amaranthpulley/state/forwarding/rollouts.py
@@ -148,8 +148,12 @@
         The order; None when there is none.
     order_revision, step_revision, status_revision : int
         Revisions of the stored items; 0 for those that do not exist.
-    seen_ms : int
-        When this daemon learned of the order.
+    must_rewrite : bool
+        Whether the store holds less than was known, since it is from a copy.
+    seen_ms, step_seen_ms : int
+        When this daemon learned of the order, and of the step.
+    step_seen_live : bool
+        Whether the daemon ran when the step came, so that it knows its age.
     seen_live : bool
         Whether the daemon ran when the order came. One that started later does not know
         what its previous life spent, so it has no slack.
@@ -190,6 +194,7 @@
         self.step: Step | None = None
         self.step_revision = 0
         self.step_seen_ms = 0
+        self.step_seen_live = False
         self.must_rewrite = False
         self.status_revision = 0
         self.replaced: set[str] = set()
