--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -15,7 +15,11 @@
     request_progress,
     slowness_reports,
 )
-from amaranthpulley.coordination.forwarding.rollouts import evidence, progress
+from amaranthpulley.coordination.forwarding.rollouts import (
+    evidence,
+    progress,
+    rollout_events,
+)
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import peer_messages
 
@@ -70,10 +74,10 @@
     events.DelegateHeard: delegation.handle_sign_of_life,
     events.DelegateAnswered: delegation.handle_answer,
     events.DelegateFailed: delegation.handle_failure,
-    events.RolloutOrdered: progress.handle_order,
-    events.RolloutStepRead: progress.handle_step,
-    events.RolloutStatusRead: progress.handle_status,
-    events.RolloutWriteEnded: progress.handle_write_end,
+    rollout_events.RolloutOrdered: progress.handle_order,
+    rollout_events.RolloutStepRead: progress.handle_step,
+    rollout_events.RolloutStatusRead: progress.handle_status,
+    rollout_events.RolloutWriteEnded: progress.handle_write_end,
     events.TickDue: cluster_updates.tick,
     events.DrainRequested: cluster_updates.start_drain,
 }
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -1,14 +1,14 @@
 """Events that the runtime feeds to the engine, each once."""
 
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
+from amaranthpulley.coordination.forwarding.rollouts import rollout_events
 from amaranthpulley.state.forwarding import (
     crashes,
     gateway,
     leaves,
     peer_messages,
     requests,
-    rollouts,
     routes,
 )
 
@@ -288,61 +288,6 @@
     end: requests.AttemptEnd
 
 
-class RolloutOrdered(NamedTuple):
-    """An order for a service's version was written, or deleted.
-
-    Attributes
-    ----------
-    order : Order or None
-        The order; None if it was deleted.
-    revision : int
-        Revision of the change.
-    """
-
-    service: str
-    order: rollouts.Order | None
-    revision: int
-
-
-class RolloutStepRead(NamedTuple):
-    """A step of a roll-out was written, or deleted."""
-
-    service: str
-    step: rollouts.Step | None
-    revision: int
-
-
-class RolloutStatusRead(NamedTuple):
-    """The status of a roll-out was written; the revision is 0 if it was deleted."""
-
-    service: str
-    revision: int
-
-
-# Results of a write of a step.
-ROLLOUT_WRITTEN: Final = "written"
-ROLLOUT_CONFLICT: Final = "conflict"
-ROLLOUT_UNKNOWN: Final = "unknown"
-
-
-class RolloutWriteEnded(NamedTuple):
-    """The write of a step has ended.
-
-    Attributes
-    ----------
-    result : str
-        `ROLLOUT_UNKNOWN` if the store did not confirm it: it may take effect later.
-    reason : str
-        The error; empty if there was none.
-    """
-
-    service: str
-    step: int
-    phase: str
-    result: str
-    reason: str
-
-
 class TickDue(NamedTuple):
     """The periodic work is due.
 
@@ -388,10 +333,10 @@
     | DelegateHeard
     | DelegateAnswered
     | DelegateFailed
-    | RolloutOrdered
-    | RolloutStepRead
-    | RolloutStatusRead
-    | RolloutWriteEnded
+    | rollout_events.RolloutOrdered
+    | rollout_events.RolloutStepRead
+    | rollout_events.RolloutStatusRead
+    | rollout_events.RolloutWriteEnded
     | TickDue
     | DrainRequested
 )
--- a/amaranthpulley/coordination/forwarding/rollouts/progress.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/progress.py
@@ -5,13 +5,13 @@
 from amaranthpulley.coordination import commands as common
 from amaranthpulley.coordination.forwarding import (
     commands,
-    events,
     leaf_selection,
 )
 from amaranthpulley.coordination.forwarding.rollouts import (
     decider,
     evidence,
     exposure,
+    rollout_events,
     steps,
 )
 from amaranthpulley.state import log_events, store
@@ -35,7 +35,7 @@
 
 def handle_order(
     gateway: gateway_state.Gateway,
-    event: events.RolloutOrdered,
+    event: rollout_events.RolloutOrdered,
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
@@ -67,7 +67,7 @@
 
 def handle_step(
     gateway: gateway_state.Gateway,
-    event: events.RolloutStepRead,
+    event: rollout_events.RolloutStepRead,
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
@@ -107,7 +107,7 @@
 
 def handle_status(
     gateway: gateway_state.Gateway,
-    event: events.RolloutStatusRead,
+    event: rollout_events.RolloutStatusRead,
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
@@ -118,14 +118,14 @@
 
 def handle_write_end(
     gateway: gateway_state.Gateway,
-    event: events.RolloutWriteEnded,
+    event: rollout_events.RolloutWriteEnded,
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Log a write that did not succeed; the decision is made again from the store."""
     rollout = gateway.rollouts.of_service(event.service)
     gateway.counters.add("forward_rollout_writes_total", result=event.result)
-    if event.result == events.ROLLOUT_WRITTEN:
+    if event.result == rollout_events.WRITTEN:
         # The step itself comes by the watch.
         return []
     rollout.write_until_ms = now_ms + RETRY_MS
--- a/amaranthpulley/coordination/forwarding/rollouts/tests/rollout_fleet.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/tests/rollout_fleet.py
@@ -7,7 +7,8 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination.forwarding import commands, events
-from amaranthpulley.coordination.forwarding.rollouts import decider
+from amaranthpulley.coordination.forwarding.rollouts import decider, rollout_events
+from amaranthpulley.coordination.forwarding.rollouts.tests import faults
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import gateway, rollouts
 
@@ -27,31 +28,6 @@
 REGISTRATION_MS: Final = 30_000
 LOAD_WINDOW_MS: Final = 500
 
-GOOD: Final = "good"
-FAILING: Final = "failing"
-SLOW: Final = "slow"
-
-
-class Run(NamedTuple):
-    """A request at a leaf of the ordered version, as a fault sees it.
-
-    Attributes
-    ----------
-    since_ms : int
-        Time since the order.
-    path : str
-        Path of the request.
-    per_s : float
-        Requests a second at all leaves of the version.
-    """
-
-    since_ms: int
-    path: str
-    per_s: float
-
-
-Fault = Callable[[Run, random.Random], str]
-
 
 class Arrival(NamedTuple):
     """A send that reached a leaf, and what it was answered."""
@@ -77,7 +53,9 @@
         Of the chance.
     """
 
-    def __init__(self, count: int, per_s: float, fault: Fault, seed: int = 1) -> None:
+    def __init__(
+        self, count: int, per_s: float, fault: faults.Fault, seed: int = 1
+    ) -> None:
         self.random = random.Random(seed)
         self.per_s, self.fault = per_s, fault
         self.now_ms = START_MS
@@ -248,7 +226,7 @@
         sent: gateway_site.Sent,
     ) -> None:
         version = self._versions[sent.command.leaf_id]
-        kind = GOOD
+        kind = faults.GOOD
         if version == NEW:
             since_ms = self.now_ms - LOAD_WINDOW_MS
             recent = 0
@@ -258,15 +236,17 @@
                 recent += arrival.version == NEW
             path = self._paths[id(site), sent.command.request_key]
             per_s = 1_000 * recent / LOAD_WINDOW_MS
-            run = Run(self.now_ms - self.order_ms, path, per_s)
+            run = faults.Run(self.now_ms - self.order_ms, path, per_s)
             kind = self.fault(run, self.random)
         self.arrivals.append(Arrival(self.now_ms, number, version, kind))
         key = (id(site), sent.command.request_key)
         if key not in self.reached:
             self.reached.add(key)
             self.reached_at_ms.append(self.now_ms)
-        work_ms = int((SLOW_WORK_MS if kind == SLOW else WORK_MS) * self._jitter())
-        status = 500 if kind == FAILING else 200
+        work_ms = int(
+            (SLOW_WORK_MS if kind == faults.SLOW else WORK_MS) * self._jitter()
+        )
+        status = 500 if kind == faults.FAILING else 200
 
         def answer() -> None:
             if self.sites[number] is site:
@@ -280,20 +260,20 @@
 
     def _write(self, number: int, command: commands.WriteRolloutStep) -> None:
         def end(result: str) -> None:
-            ended = events.RolloutWriteEnded(
+            ended = rollout_events.RolloutWriteEnded(
                 SERVICE, command.step.number, command.step.phase.value, result, ""
             )
             self.sites[number].feed(ended)
             self._carry_out(number)
 
         if self.store_down or number in self.cut_off:
-            self._schedule(1_000, number, lambda: end(events.ROLLOUT_UNKNOWN))
+            self._schedule(1_000, number, lambda: end(rollout_events.UNKNOWN))
         elif self.loses_answers:
             self._schedule(self.late_write_ms, -1, lambda: self._apply(command))
-            self._schedule(1_000, number, lambda: end(events.ROLLOUT_UNKNOWN))
+            self._schedule(1_000, number, lambda: end(rollout_events.UNKNOWN))
         else:
             written = self._apply(command)
-            result = events.ROLLOUT_WRITTEN if written else events.ROLLOUT_CONFLICT
+            result = rollout_events.WRITTEN if written else rollout_events.CONFLICT
             self._schedule(WRITE_MS, number, lambda: end(result))
 
     def _apply(self, command: commands.WriteRolloutStep) -> bool:
@@ -333,7 +313,7 @@
         return [
             arrival.at_ms
             for arrival in self.arrivals
-            if arrival.kind != GOOD and arrival.at_ms >= self.order_ms
+            if arrival.kind != faults.GOOD and arrival.at_ms >= self.order_ms
         ]
 
     def exposure(self) -> tuple[int, float]:
@@ -369,40 +349,7 @@
 
 def _event_of(key: str, revision: int, value: object) -> events.Event:
     if key == "order":
-        return events.RolloutOrdered(SERVICE, value, revision)
+        return rollout_events.RolloutOrdered(SERVICE, value, revision)
     if key == "step":
-        return events.RolloutStepRead(SERVICE, value, revision)
-    return events.RolloutStatusRead(SERVICE, revision)
-
-
-def good(run: Run, chance: random.Random) -> str:
-    """Answer well."""
-    return GOOD
-
-
-def bad_from(after_ms: int, share: float, kind: str = FAILING) -> Fault:
-    """Return a version of whose answers a share is bad from a time after the order."""
-
-    def fault(run: Run, chance: random.Random) -> str:
-        is_bad = run.since_ms >= after_ms and chance.random() < share
-        return kind if is_bad else GOOD
-
-    return fault
-
-
-def bad_under_load(per_s: float, share: float, kind: str = FAILING) -> Fault:
-    """Return a version that is bad while it gets more requests than this."""
-
-    def fault(run: Run, chance: random.Random) -> str:
-        return kind if run.per_s > per_s and chance.random() < share else GOOD
-
-    return fault
-
-
-def bad_on_route(path: str, share: float, kind: str = FAILING) -> Fault:
-    """Return a version that is bad on one route only."""
-
-    def fault(run: Run, chance: random.Random) -> str:
-        return kind if run.path == path and chance.random() < share else GOOD
-
-    return fault
+        return rollout_events.RolloutStepRead(SERVICE, value, revision)
+    return rollout_events.RolloutStatusRead(SERVICE, revision)
--- a/amaranthpulley/platform/rollout_items.py
+++ b/amaranthpulley/platform/rollout_items.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from amaranthpulley.coordination.forwarding import commands, events
+from amaranthpulley.coordination.forwarding.rollouts import rollout_events
 from amaranthpulley.platform import names
 from amaranthpulley.protocol import errors, json_codec
 from amaranthpulley.state import store
@@ -51,14 +52,16 @@
     if key.startswith(names.ROLLOUT_ORDER_PREFIX):
         service = key.removeprefix(names.ROLLOUT_ORDER_PREFIX)
         order = None if value is None else _order(service, value)
-        return events.RolloutOrdered(service, order, revision)
+        return rollout_events.RolloutOrdered(service, order, revision)
     if key.startswith(names.ROLLOUT_STEP_PREFIX):
         service = key.removeprefix(names.ROLLOUT_STEP_PREFIX)
         step = None if value is None else json_codec.decode(value, rollouts.Step)
-        return events.RolloutStepRead(service, step, revision)
+        return rollout_events.RolloutStepRead(service, step, revision)
     if key.startswith(names.ROLLOUT_STATUS_PREFIX):
         service = key.removeprefix(names.ROLLOUT_STATUS_PREFIX)
-        return events.RolloutStatusRead(service, 0 if value is None else revision)
+        return rollout_events.RolloutStatusRead(
+            service, 0 if value is None else revision
+        )
     return None
 
 
--- a/amaranthpulley/transport/forwarding/rollout_publisher.py
+++ b/amaranthpulley/transport/forwarding/rollout_publisher.py
@@ -12,6 +12,7 @@
 import eventlet.event
 
 from amaranthpulley.coordination.forwarding import commands, events
+from amaranthpulley.coordination.forwarding.rollouts import rollout_events
 from amaranthpulley.state import store
 from amaranthpulley.transport import errors
 from amaranthpulley.transport.forwarding import store_view
@@ -79,9 +80,9 @@
         reason = ""
         try:
             written = self._calls.write(command)
-            result = events.ROLLOUT_WRITTEN if written else events.ROLLOUT_CONFLICT
+            result = rollout_events.WRITTEN if written else rollout_events.CONFLICT
         except errors.PlatformUnreachableError as error:
-            result, reason = events.ROLLOUT_UNKNOWN, str(error)
+            result, reason = rollout_events.UNKNOWN, str(error)
         # The daemon that decides should not wait for its own step by the watch.
         try:
             read = self._calls.read(command.service)
@@ -90,7 +91,7 @@
             reason = reason or f"read back: {error}"
         step = command.step
         self._handle_event(
-            events.RolloutWriteEnded(
+            rollout_events.RolloutWriteEnded(
                 command.service, step.number, step.phase.value, result, reason
             )
         )
