--- a/amaranthpulley/protocol/forwarding/tests/test_peer_message_codec.py
+++ b/amaranthpulley/protocol/forwarding/tests/test_peer_message_codec.py
@@ -6,9 +6,19 @@
 from amaranthpulley.protocol.forwarding import peer_message_codec
 from amaranthpulley.state.forwarding import peer_messages
 
+EVIDENCE = peer_messages.RolloutEvidence(
+    "visits",
+    11,
+    2,
+    "vm-1",
+    5,
+    (peer_messages.RouteCounts("visit", (4, 1, 0, 40, 0, 2)),),
+    (6, 1, 0, 60, 1, 2),
+)
 MESSAGES = (
     peer_messages.TokenRequest(7, "front-desk", 3),
     peer_messages.TokenGrant(7, 2, 40),
+    EVIDENCE,
 )
 
 
