--- a/amaranthpulley/coordination/forwarding/rollouts/exposure.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/exposure.py
@@ -9,6 +9,7 @@
 """
 
 import functools
+from collections.abc import Callable
 from typing import Final
 
 from amaranthpulley.coordination.forwarding import delegates
@@ -29,9 +30,12 @@
         return False
     if leaf.entry.version == rollout.order.target:
         return not _target_may_get(gateway, rollout, leaf.entry.service, now_ms)
-    if leaf.entry.version in rollout.barred():
-        return True
-    return has_moved(rollout) and _has_target_leaf(gateway, leaf, rollout.order.target)
+    target = rollout.order.target
+    barred = rollout.barred()
+    if leaf.entry.version in barred:
+        # The operators may have made it the service's only version since.
+        return _has_leaf(gateway, leaf, lambda v: v != target and v not in barred)
+    return has_moved(rollout) and _has_leaf(gateway, leaf, lambda v: v == target)
 
 
 def is_barred(gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int) -> bool:
@@ -164,15 +168,17 @@
     return (weight % _THRESHOLDS + 1) / _THRESHOLDS
 
 
-def _has_target_leaf(
-    gateway: gateway_state.Gateway, leaf: leaves.Leaf, target: str
+def _has_leaf(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    is_wanted: Callable[[str], bool],
 ) -> bool:
-    """Return whether the service has a leaf of the version that does not leave.
+    """Return whether the service has a leaf of a wanted version that does not leave.
 
-    Without one, the old leaves are used again rather than none.
+    Without one, the other leaves are used again rather than none.
     """
     return any(
-        other.entry.version == target
+        is_wanted(other.entry.version)
         and other.leaving_since_ms is None
         and (other.backpressure is None or other.backpressure.leaving_since_ms is None)
         for other in gateway.directory.of_service(leaf.entry.service)
--- a/amaranthpulley/coordination/forwarding/rollouts/tests/test_exposure.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/tests/test_exposure.py
@@ -161,6 +161,16 @@
             self.site.site.feed(events.LeafDeleted(f"visits-v2-{number}"))
         self.assertTrue(self.site.may_get("visits-v1-1"))
 
+    def test_a_barred_version_serves_when_there_is_no_other_old_one(self) -> None:
+        self.site.order()
+        self.site.step(rollouts.Phase.REVERTED)
+        self.site.revision = ORDER_REVISION + 50
+        self.site.order(target="v3")
+        self.assertEqual(self._versions(), (True, False))
+        for number in (1, 2):
+            self.site.site.feed(events.LeafDeleted(f"visits-v1-{number}"))
+        self.assertTrue(self.site.may_get("visits-v2-1"))
+
     def test_a_shard_of_a_sharded_route_is_held_and_counted(self) -> None:
         self.site.order(service=SHARD)
         self.site.step(rollouts.Phase.GROWING, service=SHARD, share=0.1)
