--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -206,7 +206,7 @@
     if keep:
         leaf.connection_used_ms = now_ms
     leaf_permits.record_send(leaf, now_ms)
-    exposure.record_send(gateway, leaf, number)
+    exposure.record_send(gateway, leaf, number, now_ms)
     if call.sends:
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
--- a/amaranthpulley/coordination/forwarding/rollouts/exposure.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/exposure.py
@@ -80,9 +80,11 @@
 
 
 def record_send(
-    gateway: gateway_state.Gateway, leaf: leaves.Leaf, attempt: int
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, attempt: int, now_ms: int
 ) -> None:
     """Count a send to a leaf."""
+    counted = leaf.recent_sends.at(now_ms)
+    leaf.recent_sends = counted._replace(current=counted.current + 1)
     rollout = gateway.rollouts.ordered(leaf.entry.service)
     if rollout is None or rollout.order is None:
         return
@@ -94,6 +96,20 @@
         rollout.step_sent += 1
 
 
+def charge_earlier_sends(
+    gateway: gateway_state.Gateway, service: str, now_ms: int
+) -> None:
+    """Count what the ordered version got just before this daemon read the order.
+
+    Until then all versions are used alike, and the order was written a little earlier.
+    """
+    rollout = gateway.rollouts.of_service(service)
+    for leaf in gateway.directory.of_service(service):
+        if rollout.order is not None and leaf.entry.version == rollout.order.target:
+            recent = leaf.recent_sends.at(now_ms)
+            rollout.sent += recent.current + recent.previous
+
+
 def record_reached(rollout: rollouts.Rollout, call: requests.ShardCall) -> None:
     """Count a request that has reached a leaf of the service, once."""
     if not call.reached:
--- a/amaranthpulley/coordination/forwarding/rollouts/progress.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/progress.py
@@ -52,6 +52,7 @@
     rollout.begin(now_ms, gateway.listed)
     if order is None:
         return [common.log(log_events.ROLLOUT_WITHDRAWN, service=event.service)]
+    exposure.charge_earlier_sends(gateway, event.service, now_ms)
     if rollout.current_step() is not None:
         _take_up(gateway, rollout, now_ms)
     return [
--- a/amaranthpulley/coordination/forwarding/rollouts/tests/test_rollout_fleet.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/tests/test_rollout_fleet.py
@@ -65,6 +65,20 @@
                 fleet = self.play(6, 80.0, faults.bad_from(0, 0.2), seed)
                 self.assert_rules(fleet, bad=True)
 
+    def test_it_is_bounded_when_its_leaves_were_used_before_the_order(self) -> None:
+        for seed in (1, 2, 3):
+            for share in (0.05, 0.3):
+                with self.subTest(seed=seed, share=share):
+                    fault = faults.bad_from(0, share)
+                    fleet = rollout_fleet.RolloutFleet(6, 120.0, fault, seed)
+                    fleet.advance(5_000)
+                    fleet.order(DURATION_MS)
+                    fleet.advance_to_end()
+                    moved = any(p is rollouts.Phase.MOVING for _, p, _ in fleet.status)
+                    got, allowed = fleet.exposure()
+                    self.assertTrue(moved or got <= allowed, (got, allowed))
+                    self.assertTrue(share < 0.3 or not moved)
+
     def test_one_that_turns_bad_while_the_service_moves_is_reverted(self) -> None:
         # The exposure can't be bounded here: the version has been judged good.
         fleet = self.play(6, 120.0, faults.bad_from(31_000, 0.3))
@@ -147,6 +161,15 @@
                     ]
                     self.assertEqual(len(finals), 1)
 
+    def test_another_takes_over_among_many(self) -> None:
+        fleet = rollout_fleet.RolloutFleet(77, 160.0, faults.good)
+        fleet.begin(DURATION_MS)
+        fleet.advance(20_000)
+        fleet.kill(fleet.leader())
+        fleet.advance_to_end()
+        self.assert_rules(fleet, bad=False)
+        self.assertEqual(fleet.end[1], rollouts.Phase.COMPLETED)
+
     def test_a_bad_version_is_reverted_by_another(self) -> None:
         for break_it in ("kill", "pause", "cut off"):
             with self.subTest(broken=break_it):
@@ -186,6 +209,19 @@
         fleet = self._play(faults.bad_from(15_000, 0.5), 14_500, 25_000)
         self.assert_rules(fleet, bad=True)
 
+    def test_a_bad_version_gets_nothing_from_many_daemons_either(self) -> None:
+        fleet = rollout_fleet.RolloutFleet(77, 160.0, faults.bad_from(20_500, 0.7))
+        fleet.begin(DURATION_MS)
+        fleet.advance(20_000)
+        fleet.store_down = True
+        fleet.advance(10_000)
+        self.assertGreater(len(fleet.bad_times()), 0)
+        last_ms = max(a.at_ms for a in fleet.arrivals if a.version == "v2")
+        self.assertLess(last_ms, fleet.now_ms - 2_000)
+        fleet.store_down = False
+        fleet.advance_to_end()
+        self.assert_rules(fleet, bad=True)
+
     def test_past_the_deadline_it_is_reverted_at_the_return(self) -> None:
         for at_ms in (10_000, 31_500):
             with self.subTest(at_ms=at_ms):
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -10,6 +10,10 @@
 MAXIMUM_KEPT: Final = 4_096
 
 
+# An order for a leaf's version is read so much later than it was written, as a rule.
+RECENT_SENDS_MS: Final = 700
+
+
 class LeafEntry(NamedTuple):
     """Entry of a leaf in the directory.
 
@@ -68,6 +72,22 @@
     slots: int
 
 
+class RecentSends(NamedTuple):
+    """Sends to a leaf in the last one to two periods of `RECENT_SENDS_MS`."""
+
+    begun_ms: int
+    current: int
+    previous: int
+
+    def at(self, now_ms: int) -> "RecentSends":
+        """Return the counts at a later time."""
+        passed_ms = now_ms - self.begun_ms
+        if passed_ms < RECENT_SENDS_MS:
+            return self
+        previous = self.current if passed_ms < 2 * RECENT_SENDS_MS else 0
+        return RecentSends(now_ms, 0, previous)
+
+
 class Leaf:
     """A leaf and this daemon's observations of it.
 
@@ -116,6 +136,8 @@
         self.cold_tokens = token_bucket.TokenBucket(0.0, now_ms)
         self.leaving_since_ms: int | None = now_ms if entry.draining else None
         self.deleted_ms: int | None = None
+        # Sends since the begin of the current period, and in the one before.
+        self.recent_sends = RecentSends(now_ms, 0, 0)
 
     @property
     def in_flight(self) -> int:
