--- a/amaranthpulley/coordination/forwarding/rollouts/progress.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/progress.py
@@ -161,9 +161,8 @@
 ) -> None:
     """Begin to count for the current step, and read its times by the own clock.
 
-    The times are read once, so a later step of the wall clock changes nothing. A wall
-    clock that is wrong cannot put the deadline later than the order's duration after
-    this daemon learned of it.
+    The deadline is read once for an order, so a later step of the wall clock changes
+    nothing.
     """
     step, order = rollout.current_step(), rollout.order
     if step is None or order is None:
@@ -172,10 +171,13 @@
     rollout.step_seen_ms = now_ms
     rollout.step_seen_live = gateway.listed
     offset_ms = gateway.rollouts.wall_offset_ms
-    read_ms = [step.deadline_ms - offset_ms, rollout.seen_ms + order.duration_ms]
-    if rollout.deadline_ms is not None:
-        read_ms.append(rollout.deadline_ms)
-    rollout.deadline_ms = min(read_ms)
+    if rollout.deadline_ms is None:
+        latest_ms = rollout.seen_ms + order.duration_ms
+        read_ms = min(step.deadline_ms - offset_ms, latest_ms)
+        if rollout.seen_live:
+            # The order was read within the time of a change, whatever the clocks say.
+            read_ms = max(read_ms, latest_ms - gateway.limits.configuration_ms)
+        rollout.deadline_ms = read_ms
     rollout.full_at_ms = None
     if step.full_at_ms:
         latest_ms = now_ms + steps.FULL_LOAD_DELAY_MS
--- a/amaranthpulley/coordination/forwarding/rollouts/tests/test_rollout_fleet.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/tests/test_rollout_fleet.py
@@ -258,7 +258,7 @@
         self.assertTrue(moved or got <= allowed, (got, allowed))
         self.assertIsNotNone(fleet.end)
 
-    def test_a_wrong_wall_clock_does_not_delay_the_end(self) -> None:
+    def test_a_wrong_wall_clock_neither_delays_the_end_nor_reverts(self) -> None:
         for offset_ms in (-3_600_000, -10_000, 10_000, 3_600_000):
             for turn in range(2):
                 with self.subTest(offset_ms=offset_ms, turn=turn):
@@ -267,8 +267,21 @@
                     table = fleet.sites[number].gateway.rollouts
                     table.wall_offset_ms = offset_ms
                     fleet.begin(DURATION_MS)
-                    fleet.advance(DURATION_MS)
+                    fleet.advance_to_end()
                     self.assert_rules(fleet, bad=False)
+                    self.assertEqual(fleet.end[1], rollouts.Phase.COMPLETED)
+
+    def test_a_step_of_the_wall_clock_changes_nothing(self) -> None:
+        for offset_ms in (-3_600_000, 3_600_000):
+            with self.subTest(offset_ms=offset_ms):
+                fleet = rollout_fleet.RolloutFleet(6, 60.0, faults.good)
+                fleet.begin(DURATION_MS)
+                fleet.advance(15_000)
+                leader = fleet.sites[fleet.leader()]
+                leader.gateway.rollouts.wall_offset_ms = offset_ms
+                fleet.advance_to_end()
+                self.assert_rules(fleet, bad=False)
+                self.assertEqual(fleet.end[1], rollouts.Phase.COMPLETED)
 
 
 class OrderTest(RolloutCase):
--- a/amaranthpulley/platform/rollout_items.py
+++ b/amaranthpulley/platform/rollout_items.py
@@ -92,8 +92,7 @@
     return {
         "Expect": [{"Key": key, "Revision": expected[key]} for key in expected],
         "Puts": [
-            {"Key": key, "Value": _text_of(value), "Lease": 0}
-            for key, value in written.items()
+            {"Key": key, "Value": _text_of(value)} for key, value in written.items()
         ],
         "Deletes": [],
     }
