--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -11,10 +11,16 @@
     leaf_health,
     leaf_permits,
     leaf_selection,
+    machine_slowness,
     request_completion,
     request_progress,
     tracing,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import (
+    quota_owners,
+    quota_waits,
+    version_changes,
+)
 from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.coordination.forwarding.rollouts import exposure, progress
 from amaranthpulley.state import log_events
@@ -40,6 +46,7 @@
     known = current.version if current is not None else -1
     if event.configuration.version <= known:
         return []
+    quota_owners.settle_changed(gateway, event.configuration.accounts, now_ms)
     gateway.configuration = event.configuration
     gateway.sharded_services = routes.sharded_services(event.configuration)
     gateway.connection_plans.clear()
@@ -48,7 +55,8 @@
             log_events.CONFIGURATION_IN_FORCE,
             version=event.configuration.version,
             previous=known,
-        )
+        ),
+        *version_changes.apply(gateway, event.configuration, now_ms),
     ]
 
 
@@ -160,7 +168,9 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Add or remove a daemon that shares connections and budgets."""
+    quota_owners.settle(gateway, now_ms)
     gateway.set_member(event.name, event.member)
+    quota_owners.note_member(gateway, event.name, event.member, now_ms)
     return []
 
 
@@ -171,6 +181,7 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Record until when the other daemons count this one."""
+    quota_owners.note_registration(gateway, event.until_ms, now_ms)
     gateway.registered_until_ms = event.until_ms
     return []
 
@@ -238,6 +249,7 @@
         return leaf_health.remove_replaced(gateway, event.leaf_id)
     decided = leaf_demands.apply(gateway, leaf.start, event.demands, False, now_ms)
     leaf_health.record_probe(leaf, event.healthy, now_ms)
+    machine_slowness.record_of_probe(leaf, event.load, now_ms)
     if event.healthy:
         decided.append(tracing.leaf_line(leaf, "healthy", 0))
     return decided
@@ -268,6 +280,7 @@
     decided += request_progress.sweep_attempts(gateway, now_ms)
     decided += progress.tick(gateway, now_ms)
     decided += waiting.send_all(gateway, now_ms, random)
+    decided += quota_waits.tick(gateway, now_ms, random)
     return decided + connection_warmup.open_connections(gateway, now_ms)
 
 
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -15,6 +15,10 @@
     request_progress,
     slowness_reports,
 )
+from amaranthpulley.coordination.forwarding.client_accounts import (
+    quota_owners,
+    quota_waits,
+)
 from amaranthpulley.coordination.forwarding.rollouts import (
     evidence,
     progress,
@@ -31,6 +35,10 @@
 # Handlers of `PeerMessageReceived`, by the type of its message.
 _MESSAGE_HANDLERS: Final[dict[type, Handler]] = {
     peer_messages.RolloutEvidence: evidence.handle_message,
+    peer_messages.TokenRequest: quota_owners.handle_token_request,
+    peer_messages.TokenGrant: quota_waits.handle_grant,
+    peer_messages.MembershipQuery: quota_owners.handle_query,
+    peer_messages.MembershipConfirmation: quota_owners.handle_confirmation,
 }
 
 
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -16,6 +16,7 @@
     waiting,
 )
 from amaranthpulley.state.forwarding import routes as routes_state
+from amaranthpulley.state.forwarding.client_accounts import quotas
 
 
 class Limits(NamedTuple):
@@ -46,6 +47,12 @@
         Further requests that all daemons together may send to it.
     rollback_ms : int
         Time after the bound of bad answers from which it must get no more requests.
+    quota_window_ms : int
+        Length of the sliding windows in which quotas of client accounts are judged.
+    quota_overage : float
+        Share by which an account's requests may exceed its quota in a window.
+    quota_slack : float
+        Further requests of an account in a window.
     """
 
     retry_ratio: float = 0.2
@@ -59,6 +66,9 @@
     exposure_share: float = 0.1
     exposure_slack: int = 50
     rollback_ms: int = 5_000
+    quota_window_ms: int = 5_000
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 class Place(NamedTuple):
@@ -143,6 +153,8 @@
         Roll-outs of versions, by service.
     publication_tokens : TokenBucket
         Losses that this daemon may publish.
+    quotas : Quotas
+        Tokens of client accounts that this daemon spends and grants.
     cautious_until_ms : int
         Until when sharded requests are sent to one leaf first.
     warmup_index : int
@@ -185,6 +197,7 @@
         self.rollouts = rollouts.RolloutTable()
         self.publication_tokens = token_bucket.TokenBucket(1.0, started_ms)
         self.cautious_until_ms = started_ms
+        self.quotas = quotas.Quotas(started_ms)
         self.counters = counters_state.Counters()
         self.latency_by_kind: dict[str, latency.LatencyHistogram] = {}
         self.warmup_index = 0
@@ -204,6 +217,7 @@
         self.connection_plans.clear()
         self.fleet = None
         self.watchers = None
+        self.quotas.owners.clear()
 
     def window_of(self, service: str) -> retry_window.RetryWindow:
         """Return the sliding window of a service's requests and repeats."""
--- a/amaranthpulley/state/forwarding/requests.py
+++ b/amaranthpulley/state/forwarding/requests.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.state.forwarding import delegations, leaves, routes, waiting
+from amaranthpulley.state.forwarding.client_accounts import accounts, tokens
 
 
 class IncomingRequest(NamedTuple):
@@ -115,8 +116,8 @@
     encoded : bool
         Whether the body has a content encoding. Leaves send none, so such an answer is
         not the leaf's own and is not used.
-    load : tuple of int or None
-        Running and waiting requests and slots, if the leaf reports them.
+    load : Load or None
+        The leaf's load, if it reports one.
     demands : LeafDemands
         What the leaf asks of the daemon.
     """
@@ -127,7 +128,7 @@
     signature: bytes
     not_run: bool
     encoded: bool
-    load: tuple[int, int, int] | None
+    load: leaves.Load | None
     demands: LeafDemands = NO_DEMANDS
 
 
@@ -254,7 +255,15 @@
         give_up_ms: int,
     ) -> None:
         self.incoming = incoming
+        # As the configuration states it; `route` has the account's limits applied.
+        self.own_route = route
         self.route = route
+        self.account: accounts.Account | None = None
+        # Account name for the leaves: None if they get the client's headers as they
+        # are, empty if the request has no account.
+        self.leaf_account: str | None = None
+        # Whether its key has been withdrawn: it is sent to no further leaf.
+        self.withdrawn = False
         self.version = version
         self.arrived_ms = arrived_ms
         self.give_up_ms = give_up_ms
@@ -271,7 +280,17 @@
         self.cautious = False
         # Whether one of its parts is held.
         self.held = False
+        # The token of its account's quota, if it needed one.
+        self.token: tokens.Token | None = None
         self.answered = False
         self.ended_ms: int | None = None
         self.wake_ms: int | None = None
         self.trace: list[TracedDecision] = []
+
+    def set_account(
+        self, account: accounts.Account | None, leaf_account: str | None
+    ) -> None:
+        """Set the account, and apply its priority and regions to the route."""
+        self.account = account
+        self.leaf_account = leaf_account
+        self.route = routes.with_account(self.own_route, account)
