--- a/amaranthpulley/transport/forwarding/runtime.py
+++ b/amaranthpulley/transport/forwarding/runtime.py
@@ -207,6 +207,12 @@
         self._pending_requests[key] = _PendingRequest(request, {}, request_id, set())
         incoming = client_requests.incoming_of(request, self.names, key, origin)
         self.feed(events.RequestArrived(incoming))
+        self._count_calls(key)
+
+    def _count_calls(self, key: int) -> None:
+        request, connection = self.gateway.requests.get(key), self._clients.get(key)
+        if request is not None and connection is not None:
+            connection.count_calls(len(request.calls))
 
     def _on_disconnect(self, connection: client_connections.ClientConnection) -> None:
         self._clients.pop(connection.key, None)
@@ -218,13 +224,16 @@
         request, _, request_id, used = pending
         data = leaf_messages.encode_request(
             self._head_of(pending, command.account is not None),
-            request.body,
+            b"",
             self.names,
             command.leaf_id,
             command.budget_ms,
             command.account,
         )
         number = command.attempt
+        if not used:
+            # A request that waited for a token had no calls on its arrival.
+            self._count_calls(command.request_key)
         connection = self.leaves.acquire(command.address, command.reuse, used)
         used.add(connection)
         self._attempts[number] = connection
@@ -240,7 +249,9 @@
             self.feed(events.AttemptFailed(number, end))
 
         is_head = request.method == _HEAD
-        connection.exchange(data, request_id, is_head, on_answer, on_failure)
+        connection.exchange(
+            data, request_id, is_head, on_answer, on_failure, request.body
+        )
         if connection.opening:
             connection.on_sent = lambda: self.feed(events.AttemptSent(number))
             self.feed(events.AttemptOpening(number))
