--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -14,6 +14,7 @@
 )
 from amaranthpulley.coordination.forwarding.client_accounts import quota_tokens
 from amaranthpulley.coordination.forwarding.overload import fair_queue
+from amaranthpulley.coordination.forwarding.rollouts import exposure
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests
 
@@ -211,6 +212,7 @@
     if keep:
         leaf.connection_used_ms = now_ms
     leaf_permits.record_send(leaf, now_ms)
+    exposure.record_send(gateway, leaf, number, now_ms)
     if call.sends:
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -19,6 +19,11 @@
     quota_owners,
     quota_waits,
 )
+from amaranthpulley.coordination.forwarding.rollouts import (
+    evidence,
+    progress,
+    rollout_events,
+)
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import peer_messages
 
@@ -29,6 +34,7 @@
 
 # Handlers of `PeerMessageReceived`, by the type of its message.
 _MESSAGE_HANDLERS: Final[dict[type, Handler]] = {
+    peer_messages.RolloutEvidence: evidence.handle_message,
     peer_messages.TokenRequest: quota_owners.handle_token_request,
     peer_messages.TokenGrant: quota_waits.handle_grant,
     peer_messages.MembershipQuery: quota_owners.handle_query,
@@ -76,6 +82,10 @@
     events.DelegateHeard: delegation.handle_sign_of_life,
     events.DelegateAnswered: delegation.handle_answer,
     events.DelegateFailed: delegation.handle_failure,
+    rollout_events.RolloutOrdered: progress.handle_order,
+    rollout_events.RolloutStepRead: progress.handle_step,
+    rollout_events.RolloutStatusRead: progress.handle_status,
+    rollout_events.RolloutWriteEnded: progress.handle_write_end,
     events.TickDue: cluster_updates.tick,
     events.DrainRequested: cluster_updates.start_drain,
 }
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from amaranthpulley.coordination.forwarding.rollouts import rollout_events
 from amaranthpulley.state.forwarding import (
     crashes,
     gateway,
@@ -291,7 +292,15 @@
 
 
 class TickDue(NamedTuple):
-    """The periodic work is due."""
+    """The periodic work is due.
+
+    Attributes
+    ----------
+    wall_ms : int or None
+        Reading of the wall clock, in milliseconds; None if it is not known.
+    """
+
+    wall_ms: int | None = None
 
 
 class DrainRequested(NamedTuple):
@@ -327,6 +336,10 @@
     | DelegateHeard
     | DelegateAnswered
     | DelegateFailed
+    | rollout_events.RolloutOrdered
+    | rollout_events.RolloutStepRead
+    | rollout_events.RolloutStatusRead
+    | rollout_events.RolloutWriteEnded
     | TickDue
     | DrainRequested
 )
--- a/amaranthpulley/protocol/forwarding/peer_message_codec.py
+++ b/amaranthpulley/protocol/forwarding/peer_message_codec.py
@@ -17,6 +17,7 @@
 _KINDS: Final[dict[int, type]] = {
     1: peer_messages.TokenRequest,
     2: peer_messages.TokenGrant,
+    3: peer_messages.RolloutEvidence,
     6: peer_messages.MembershipQuery,
     7: peer_messages.MembershipConfirmation,
 }
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -33,6 +33,7 @@
     loss_publisher,
     peer_feed,
     relay,
+    rollout_publisher,
     runtime,
     store_feed,
     store_view,
@@ -146,9 +147,7 @@
         )
         self._relay = relay.Relay(setup.peer_address, self._view, clock, self._guard)
         self._datagrams = datagrams.DatagramSocket(self._relay.address, self._handle)
-        self._losses = loss_publisher.LossPublisher(
-            store_calls.losses, self._handle, clock
-        )
+        self._losses, self._rollouts = self._publishers(store_calls)
         self.runtime = self._open_runtime(setup.names)
         self._open_servers(setup)
         self._metrics_text: Callable[[], bytes] | None = None
@@ -156,6 +155,16 @@
         self._feed = self._store_feed(store_calls)
         self._ended = eventlet.event.Event()
 
+    def _publishers(
+        self, store_calls: store_feed.StoreCalls
+    ) -> tuple[loss_publisher.LossPublisher, rollout_publisher.RolloutPublisher]:
+        return (
+            loss_publisher.LossPublisher(store_calls.losses, self._handle, self._clock),
+            rollout_publisher.RolloutPublisher(
+                store_calls.rollouts, self._view, self._handle
+            ),
+        )
+
     def _open_servers(self, setup: ProcessSettings) -> None:
         kinds = client_budget.Server
         self._front = self._open_server(
@@ -181,6 +190,7 @@
             forwarding_commands.SendToPeers: self._datagrams.send_message,
             forwarding_commands.PublishLosses: self._publish_losses,
             forwarding_commands.WithdrawLosses: self._losses.withdraw,
+            forwarding_commands.WriteRolloutStep: self._rollouts.write,
         }
         return runtime.Runtime(
             self.gateway,
@@ -252,6 +262,7 @@
         eventlet.spawn_n(self._flush_log_lines)
         self._feed.start()
         self._losses.start()
+        self._rollouts.start()
         self._peers.start()
         process_signals.on_termination_signals(self.drain)
         process_signals.on_signal(signal.SIGHUP, self._reload_settings)
