--- a/amaranthpulley/cli.py
+++ b/amaranthpulley/cli.py
@@ -10,6 +10,8 @@
   amaranthpulley bench [--only NAME] [--seed N] [--out DIR] [--quick]
                        [--leaves DIR] [--revision TEXT]
   amaranthpulley settings check FILE
+  amaranthpulley configuration check FILE [--in-force FILE] [--regions NAMES]
+                                     [--json]
   amaranthpulley ticket apply FILE (--settings FILE | --store ADDRESS)
   amaranthpulley ticket show (--settings FILE | --store ADDRESS)
   amaranthpulley ticket status NUMBER (--settings FILE | --store ADDRESS)
@@ -48,6 +50,9 @@
   --target NAME      Only the events of this target.
   --domain NAME      Only the events of targets in this failure domain.
   --ticket NUMBER    Only the events of this change ticket.
+  --in-force FILE    Also compare with this version of the configuration.
+  --regions NAMES    Names of all regions that have machines, separated by commas.
+  --json             Print one JSON object.
   --picture FILE     Also draw the time line, as SVG.
   --out DIR          Write the rows as JSON lines, and plots, into this folder.
   --quick            Small sizes, to try the tool out.
@@ -57,7 +62,7 @@
 
 Exit codes:
   0  success
-  1  the work could not be done
+  1  the work could not be done, or the checked configuration has errors
   2  wrong usage, settings or input, or a refused ticket; nothing was started or
      written
   78 the archive cannot be unpacked; see SHIV_ROOT in the README
@@ -187,6 +192,20 @@
     return EXIT_OK
 
 
+def _check_configuration(arguments: Arguments) -> int:
+    from amaranthpulley.platform import configuration_command
+
+    regions = arguments["--regions"]
+    return configuration_command.check(
+        arguments["FILE"],
+        arguments["--in-force"],
+        regions.split(",") if regions is not None else None,
+        arguments["--json"],
+        print,
+        _show_problem,
+    )
+
+
 def _export_customer(arguments: Arguments) -> int:
     window = iso_times.parse_window(arguments["--from"], arguments["--to"])
     loop.prepare_loop()
@@ -285,6 +304,7 @@
     "demo": _run_demo,
     "bench": _run_bench,
     "settings": _check_settings,
+    "configuration": _check_configuration,
     "customer": _export_customer,
     "timeline": _show_timeline,
     "trace": _trace_failures,
