Give leaves that start or recover their requests at a pace

Each daemon grows its share of such a leaf while the leaf answers like its peers, and cuts it at once where it does not. The switch is gateway.Limits.pace.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -206,7 +206,7 @@
     keep = connection_warmup.may_keep_connection(gateway, leaf, now_ms)
     if keep:
         leaf.connection_used_ms = now_ms
-    leaf_permits.record_send(leaf, now_ms)
+    leaf_permits.record_send(gateway, leaf, now_ms)
     if call.sends:
         gateway.window_of(call.service).add_repeat(now_ms)
     call.sends += 1
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -9,6 +9,7 @@
     events,
     leaf_demands,
     leaf_health,
+    leaf_pace,
     leaf_permits,
     leaf_selection,
     machine_slowness,
@@ -66,6 +67,7 @@
         pressure = gateway.directory.take_kept(entry)
         added = leaves.Leaf(entry, region, now_ms, pressure)
         gateway.directory.add(added)
+        leaf_pace.begin_start(gateway, added, now_ms)
         gateway.connection_plans.pop(entry.service, None)
         standing = "draining" if entry.draining else "known"
         return [tracing.leaf_line(added, standing, 0)]
@@ -237,7 +239,7 @@
     if event.replaced:
         return leaf_health.remove_replaced(gateway, event.leaf_id)
     decided = leaf_demands.apply(gateway, leaf.start, event.demands, False, now_ms)
-    leaf_health.record_probe(leaf, event.healthy, now_ms)
+    leaf_health.record_probe(gateway, leaf, event.healthy, now_ms)
     machine_slowness.record_of_probe(leaf, event.load, now_ms)
     if event.healthy:
         decided.append(tracing.leaf_line(leaf, "healthy", 0))
@@ -262,6 +264,8 @@
             continue
         elif leaf.suspected and now_ms >= leaf.probe_due_ms:
             decided += _probe(gateway, leaf, now_ms)
+    if gateway.paces.by_service:
+        decided += leaf_pace.grow(gateway, now_ms)
     decided += request_progress.sweep_attempts(gateway, now_ms)
     decided += waiting.send_all(gateway, now_ms, random)
     return decided + connection_warmup.open_connections(gateway, now_ms)
--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -5,6 +5,7 @@
 
 from amaranthpulley.coordination.forwarding import (
     commands,
+    leaf_pace,
     leaf_selection,
     machine_slowness,
     tracing,
@@ -56,10 +57,10 @@
     leaf = gateway.directory.get(attempt.leaf_id)
     if leaf is None:
         return leaves.INITIAL_SLOWNESS
-    _mark_responsive(leaf, attempt, now_ms)
+    _mark_responsive(gateway, leaf, attempt, now_ms)
     machine = machine_slowness.record(leaf, answer.load, now_ms)
     succeeded = not answer.not_run and answer.status < 500
-    _record_outcome(leaf, not succeeded, now_ms)
+    _record_outcome(gateway, leaf, not succeeded, now_ms)
     if answer.not_run:
         mean_ms = gateway.latency_of(route).mean_ms
         leaf.full_until_ms = now_ms + max(MINIMUM_FULL_MS, int(mean_ms))
@@ -89,7 +90,7 @@
     else:
         if end is requests.AttemptEnd.LOST:
             leaf.lost_ms = now_ms
-        _record_outcome(leaf, True, now_ms)
+        _record_outcome(gateway, leaf, True, now_ms)
 
 
 def remove_replaced(
@@ -108,8 +109,12 @@
     return [tracing.leaf_line(leaf, "replaced", 0)]
 
 
-def record_slowness(leaf: leaves.Leaf, observed: float, now_ms: int) -> None:
+def record_slowness(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, observed: float, now_ms: int
+) -> None:
     """Add one observation to the moving average of a leaf's slowness."""
+    if gateway.paces.by_service:
+        leaf_pace.record_time(gateway, leaf, observed, now_ms)
     slowness = leaf_selection.current_slowness(leaf, now_ms)
     elapsed_ms = now_ms - leaf.slowness_updated_ms
     weight = 1.0 - math.exp(-elapsed_ms / leaf_selection.SLOWNESS_DECAY_MS)
@@ -129,10 +134,12 @@
         leaf.probe_due_ms = now_ms + FIRST_PROBE_DELAY_MS
 
 
-def record_probe(leaf: leaves.Leaf, healthy: bool, now_ms: int) -> None:
+def record_probe(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, healthy: bool, now_ms: int
+) -> None:
     """Record the result of a health check."""
     if healthy:
-        _clear(leaf)
+        _clear(gateway, leaf, now_ms)
         leaf.last_response_ms = now_ms
         return
     leaf.probe_delay_ms = min(
@@ -141,19 +148,30 @@
     leaf.probe_due_ms = now_ms + leaf.probe_delay_ms
 
 
-def _mark_responsive(leaf: leaves.Leaf, attempt: requests.Attempt, now_ms: int) -> None:
+def _mark_responsive(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    attempt: requests.Attempt,
+    now_ms: int,
+) -> None:
     leaf.overdue_at_ms.pop(attempt.number, None)
     leaf.last_response_ms = now_ms
-    _clear(leaf)
+    _clear(gateway, leaf, now_ms)
 
 
-def _clear(leaf: leaves.Leaf) -> None:
+def _clear(gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int) -> None:
+    if leaf.suspected:
+        leaf_pace.begin_recovery(gateway, leaf, now_ms)
     leaf.suspected = False
     leaf.unreachable_until_ms = 0
     leaf.lost_ms = None
 
 
-def _record_outcome(leaf: leaves.Leaf, failed: bool, now_ms: int) -> None:
+def _record_outcome(
+    gateway: gateway_state.Gateway, leaf: leaves.Leaf, failed: bool, now_ms: int
+) -> None:
+    if gateway.paces.by_service:
+        leaf_pace.record_outcome(gateway, leaf, failed, now_ms)
     share = leaf_selection.current_failure_share(leaf, now_ms)
     leaf.failure_share = share + FAILURE_WEIGHT * (float(failed) - share)
     leaf.failure_share_updated_ms = now_ms
@@ -176,6 +194,6 @@
     work_ms = max(1.0, elapsed_ms - leaf_selection.extra_round_trip_ms(gateway, leaf))
     latency = gateway.latency_of(route)
     observed = work_ms / (max(1.0, latency.mean_ms) * machine)
-    record_slowness(leaf, observed, now_ms)
+    record_slowness(gateway, leaf, observed, now_ms)
     latency.observe(work_ms)
     return observed
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -13,7 +13,11 @@
 import math
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination.forwarding import connection_shares, delegates
+from amaranthpulley.coordination.forwarding import (
+    connection_shares,
+    delegates,
+    leaf_pace,
+)
 from amaranthpulley.state.forwarding import backpressure, leaves, routes
 from amaranthpulley.state.forwarding import gateway as gateway_state
 
@@ -46,6 +50,7 @@
     FULL = "full"
     CONNECTIONS = "connections"
     UNREACHABLE = "unreachable"
+    PACE = "pace"
 
 
 class Hold(NamedTuple):
@@ -71,9 +76,14 @@
 _LEAVING: Final = Hold(HoldReason.LEAVING, lasting=True)
 _COLD: Final = Hold(HoldReason.COLD, lasting=True)
 _CONNECTIONS: Final = Hold(HoldReason.CONNECTIONS)
+_PACE: Final = Hold(HoldReason.PACE)
 _RETURN: Final = Hold(HoldReason.RETURN)
 
 
+# A leaf that is held for one of these has only no room at the moment.
+_BUSY_REASONS: Final = frozenset({HoldReason.FULL, HoldReason.CONNECTIONS})
+
+
 def hold_of(
     gateway: gateway_state.Gateway,
     leaf: leaves.Leaf,
@@ -101,6 +111,8 @@
         return Hold(HoldReason.FULL, leaf.full_until_ms)
     if leaf.in_flight >= connection_shares.maximum_concurrency(gateway, leaf):
         return _CONNECTIONS
+    if leaf.pace is not None:
+        return _pace_hold(gateway, leaf, route, now_ms)
     return None
 
 
@@ -156,8 +168,10 @@
     return demanded.leaving_since_ms is None and demanded.paused_until_ms <= now_ms
 
 
-def record_send(leaf: leaves.Leaf, now_ms: int) -> None:
+def record_send(gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int) -> None:
     """Count a request that is sent to a leaf."""
+    if gateway.paces.by_service:
+        leaf_pace.record_send(gateway, leaf)
     if now_ms < leaf.cold_until_ms:
         leaf.cold_tokens.take()
     if leaf.backpressure is not None and leaf.backpressure.limit_tokens is not None:
@@ -180,6 +194,35 @@
     return total_per_s * delegates.share_of(gateway, leaf.entry.service)
 
 
+def _pace_hold(
+    gateway: gateway_state.Gateway,
+    leaf: leaves.Leaf,
+    route: routes.Route,
+    now_ms: int,
+) -> Hold | None:
+    """Return the hold of a leaf that starts or recovers.
+
+    There is none unless a leaf without a pace can take requests, now or as soon as it
+    has room: the only usable leaf is never left idle.
+    """
+    has_peer = is_peer_free = False
+    for peer in gateway.directory.of_service(leaf.entry.service):
+        if peer.pace is not None or peer.suspected or now_ms < peer.cold_until_ms:
+            continue
+        if leaving_since_ms(peer) is not None or peer.lost_ms is not None:
+            continue
+        hold = hold_of(gateway, peer, route, now_ms)
+        if hold is not None and hold.reason not in _BUSY_REASONS:
+            continue
+        has_peer = True
+        if hold is None and not leaf_pace.is_busy(peer, now_ms):
+            is_peer_free = True
+            break
+    if has_peer and leaf_pace.must_wait(leaf, is_peer_free, now_ms):
+        return _PACE
+    return None
+
+
 def _demanded_hold(
     gateway: gateway_state.Gateway,
     leaf: leaves.Leaf,
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -62,7 +62,7 @@
     if slowness != 1.0:
         passed_ms = now_ms - leaf.slowness_updated_ms
         slowness = 1.0 + (slowness - 1.0) * math.exp(-passed_ms / SLOWNESS_DECAY_MS)
-    if now_ms < leaf.cold_until_ms:
+    if now_ms < leaf.cold_until_ms and not leaf.is_proven:
         return max(slowness, COLD_SLOWNESS)
     return slowness
 
--- a/amaranthpulley/coordination/forwarding/slowness_reports.py
+++ b/amaranthpulley/coordination/forwarding/slowness_reports.py
@@ -60,7 +60,7 @@
     leaf = gateway.directory.get(event.leaf_id)
     if leaf is not None:
         gateway.counters.add("forward_slowness_heard_total")
-        leaf_health.record_slowness(leaf, event.slowness, now_ms)
+        leaf_health.record_slowness(gateway, leaf, event.slowness, now_ms)
     return []
 
 
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -9,6 +9,7 @@
     delegations,
     latencies,
     leaves,
+    pace,
     requests,
     retry_window,
     token_bucket,
@@ -39,6 +40,9 @@
         that changed meanwhile must be in force.
     configuration_ms : int
         Time within which a change must be in force where there was no outage.
+    pace : bool
+        Whether leaves that start or recover get their requests at a pace; this applies
+        to services for which a warm-up is stated.
     """
 
     retry_ratio: float = 0.2
@@ -49,6 +53,7 @@
     cold_slack: float = 5.0
     contact_ms: int = 5_000
     configuration_ms: int = 3_000
+    pace: bool = True
 
 
 class Place(NamedTuple):
@@ -125,6 +130,8 @@
         Sharded requests that clients sent to this daemon.
     waiting : WaitingCalls
         Calls that wait for a leaf, by service.
+    paces : PaceTable
+        Leaves that have started or recovered a short time ago.
     turns : dict
         By route and service, the current weights of the smooth weighted round robin.
     losses : LossTable
@@ -169,6 +176,7 @@
         self.distances = latencies.Distances()
         self.retry_windows: dict[str, retry_window.RetryWindow] = {}
         self.turns: dict[str, dict[str, float]] = {}
+        self.paces = pace.PaceTable()
         self.losses = crashes.LossTable()
         self.publication_tokens = token_bucket.TokenBucket(1.0, started_ms)
         self.cautious_until_ms = started_ms
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.state.forwarding import backpressure, token_bucket
+from amaranthpulley.state.forwarding import backpressure, pace, token_bucket
 
 # A new leaf is assumed to be as fast as the route's mean until it is measured.
 INITIAL_SLOWNESS: Final = 1.0
@@ -152,6 +152,10 @@
         self.lost_ms: int | None = None
         self.cold_until_ms = now_ms + entry.cold_ms
         self.cold_tokens = token_bucket.TokenBucket(0.0, now_ms)
+        # None unless the leaf has started or recovered a short time ago.
+        self.pace: pace.Pace | None = None
+        # Whether its answers have shown that it is no longer cold.
+        self.is_proven = False
         self.leaving_since_ms: int | None = now_ms if entry.draining else None
         self.deleted_ms: int | None = None
 
