--- a/amaranthpulley/coordination/forwarding/leaf_health.py
+++ b/amaranthpulley/coordination/forwarding/leaf_health.py
@@ -47,8 +47,6 @@
 ) -> float:
     """Record a leaf's answer and return its slowness: its time over the route's mean.
 
-    The part of its machine, as the leaf reports it, is left out.
-
     Parameters
     ----------
     opened : bool
@@ -109,12 +107,8 @@
     return [tracing.leaf_line(leaf, "replaced", 0)]
 
 
-def record_slowness(
-    gateway: gateway_state.Gateway, leaf: leaves.Leaf, observed: float, now_ms: int
-) -> None:
+def record_slowness(leaf: leaves.Leaf, observed: float, now_ms: int) -> None:
     """Add one observation to the moving average of a leaf's slowness."""
-    if gateway.paces.by_service:
-        leaf_pace.record_time(gateway, leaf, observed, now_ms)
     slowness = leaf_selection.current_slowness(leaf, now_ms)
     elapsed_ms = now_ms - leaf.slowness_updated_ms
     weight = 1.0 - math.exp(-elapsed_ms / leaf_selection.SLOWNESS_DECAY_MS)
@@ -185,15 +179,17 @@
     machine: float,
     now_ms: int,
 ) -> float:
-    """Record the time of an answer and return the leaf's own slowness in it.
+    """Record the time of an answer and return the slowness in it.
 
-    The machine's part is left out, since it is known from what the leaf reports.
+    The machine's part is not learned, since it is known from what the leaf reports.
     """
     elapsed_ms = now_ms - attempt.sent_ms
     gateway.distances.observe(leaf.entry.failure_domain, elapsed_ms)
     work_ms = max(1.0, elapsed_ms - leaf_selection.extra_round_trip_ms(gateway, leaf))
     latency = gateway.latency_of(route)
-    observed = work_ms / (max(1.0, latency.mean_ms) * machine)
-    record_slowness(gateway, leaf, observed, now_ms)
+    observed = work_ms / max(1.0, latency.mean_ms)
+    if gateway.paces.by_service:
+        leaf_pace.record_time(gateway, leaf, observed / machine, now_ms)
+    record_slowness(leaf, observed / machine, now_ms)
     latency.observe(work_ms)
     return observed
--- a/amaranthpulley/coordination/forwarding/slowness_reports.py
+++ b/amaranthpulley/coordination/forwarding/slowness_reports.py
@@ -3,6 +3,9 @@
 A daemon with few requests would need seconds to notice by itself that a leaf has become
 slow. One late answer is no proof, because leaves pause, so a received report weighs as
 much as one answer to the daemon itself.
+
+The reported slowness includes the part of the leaf's machine: other daemons have not
+heard the figure by which the leaf states it.
 """
 
 from typing import Final
@@ -11,7 +14,9 @@
     commands,
     events,
     leaf_health,
+    leaf_pace,
     leaf_selection,
+    machine_slowness,
     store_watchers,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -60,7 +65,11 @@
     leaf = gateway.directory.get(event.leaf_id)
     if leaf is not None:
         gateway.counters.add("forward_slowness_heard_total")
-        leaf_health.record_slowness(gateway, leaf, event.slowness, now_ms)
+        if gateway.paces.by_service:
+            # As far as this daemon has heard how slow the leaf's machine is.
+            machine = machine_slowness.current(leaf, now_ms)
+            leaf_pace.record_time(gateway, leaf, event.slowness / machine, now_ms)
+        leaf_health.record_slowness(leaf, event.slowness, now_ms)
     return []
 
 
