--- a/amaranthpulley/coordination/forwarding/leaf_pace.py
+++ b/amaranthpulley/coordination/forwarding/leaf_pace.py
@@ -60,11 +60,11 @@
 
 
 def begin_start(gateway: gateway_state.Gateway, leaf: leaves.Leaf, now_ms: int) -> None:
-    """Give a leaf a pace that this daemon sees for the first time.
+    """Give a new leaf a pace if its entry says that it is cold.
 
-    What is not cold by its entry and was there before this daemon is not young.
+    The entry of a warm leaf may be new, too: it lapses while the store is away.
     """
-    if leaf.entry.cold_ms > 0 or gateway.listed:
+    if leaf.entry.cold_ms > 0:
         _begin(gateway, leaf, pace.Cause.STARTED, STARTED_SHARE, now_ms)
 
 
@@ -256,7 +256,7 @@
         leaf.pace = None
         gateway.paces.remove(leaf.entry.service, leaf.entry.leaf_id)
         result = "whole" if one.share >= 1.0 else "expired"
-        leaf.is_proven = one.good_ms is not None
+        leaf.is_proven = one.share >= 1.0 and one.good_ms is not None
         gateway.counters.add("forward_paces_total", end=result)
         lines.append(_line(leaf, one, result, now_ms))
     return lines
