--- a/amaranthpulley/coordination/forwarding/leaf_pace.py
+++ b/amaranthpulley/coordination/forwarding/leaf_pace.py
@@ -47,7 +47,7 @@
 # Time constant with which slow answers are forgotten while there are none.
 FORGET_PER_TICK: Final = 0.97
 # A leaf that has returned within this time returns with half the share for each time,
-# and grows more slowly.
+# and grows more slowly while it has not answered.
 RETURN_VALID_MS: Final = 30_000
 MAXIMUM_RETURNS: Final = 3
 # Requests that a leaf may get at once, when it was not selected for a while.
@@ -247,8 +247,8 @@
         has_evidence = (
             one.good_ms is not None and now_ms - one.good_ms <= EVIDENCE_VALID_MS
         )
-        doubling_ms = DOUBLING_MS if has_evidence else BLIND_DOUBLING_MS
-        one.share *= 2.0 ** (passed_ms / (doubling_ms * 2**one.returns))
+        blind_ms = BLIND_DOUBLING_MS * 2**one.returns
+        one.share *= 2.0 ** (passed_ms / (DOUBLING_MS if has_evidence else blind_ms))
     one.answers.slowness = 1.0 + (one.answers.slowness - 1.0) * FORGET_PER_TICK
     one.answers.failures *= FORGET_PER_TICK
     end_ms = max(one.began_ms, leaf.cold_until_ms) + LONGEST_MS
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_pace.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_pace.py
@@ -271,6 +271,19 @@
         self.assertIsNone(site.gateway.directory.get("young").pace)
         self.assertEqual(site.gateway.paces.by_service, {})
 
+    def test_a_returned_leaf_that_answers_well_grows_as_fast_as_any(self) -> None:
+        """Leaves are suspected in an overload, too, and are needed soon after it."""
+        for answers, is_whole in ((True, True), (False, False)):
+            with self.subTest(answers=answers):
+                site = _site()
+                for number in range(4):
+                    leaf = self.start(site, born_ms=number)
+                for _ in range(25):
+                    if answers:
+                        self._answer(site, 1.0, 1.0)
+                    site.advance(100)
+                self.assertEqual(leaf.pace is None, is_whole)
+
     def test_a_leaf_that_stays_slow_is_left_to_its_slowness(self) -> None:
         site = _site_with_young()
         leaf = site.gateway.directory.get("young")
