Keep what daemons save for a cold leaf within its stated rate

With more daemons than the slack has requests, each saved one request in a calm, and all of them were sent in the first second of a burst: 24 where 20 are allowed. Such a request now lapses, and those of the daemons are evenly spaced.

--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -6,6 +6,7 @@
 from amaranthpulley.coordination.forwarding import (
     commands,
     connection_warmup,
+    delegates,
     events,
     leaf_demands,
     leaf_health,
@@ -21,7 +22,7 @@
 from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, routes
+from amaranthpulley.state.forwarding import leaves, routes, token_bucket
 
 # Entries that lapsed during an outage of the store are back within two seconds. Until
 # then a leaf with a deleted entry counts as leaving.
@@ -68,6 +69,8 @@
         region = gateway.place.regions.get(entry.failure_domain, "")
         pressure = gateway.directory.take_kept(entry)
         added = leaves.Leaf(entry, region, now_ms, pressure)
+        phase = delegates.phase_of(gateway, entry.leaf_id)
+        added.cold_tokens = token_bucket.TokenBucket(phase, now_ms)
         gateway.directory.add(added)
         leaf_pace.begin_start(gateway, added, now_ms)
         gateway.connection_plans.pop(entry.service, None)
--- a/amaranthpulley/coordination/forwarding/delegates.py
+++ b/amaranthpulley/coordination/forwarding/delegates.py
@@ -82,6 +82,12 @@
     return share
 
 
+def phase_of(gateway: gateway_state.Gateway, leaf_id: str) -> float:
+    """Return a number from 0 to 1 for a leaf that all daemons have evenly spaced."""
+    offset = rendezvous.fraction_of(leaf_id, "phase")
+    return (fleet_of(gateway).position + offset) % 1.0
+
+
 def is_registered(gateway: gateway_state.Gateway, now_ms: int) -> bool:
     """Return whether the other daemons count this one."""
     if gateway.members and gateway.place.name not in gateway.members:
@@ -112,9 +118,15 @@
         frozenset(runners),
         _count_by_region(gateway, runners),
         _count_by_region(gateway, gateway.members),
+        _position(gateway),
     )
 
 
+def _position(gateway: gateway_state.Gateway) -> float:
+    before = sum(name < gateway.place.name for name in gateway.members)
+    return before / max(1, len(gateway.members))
+
+
 def _count_by_region(
     gateway: gateway_state.Gateway, names: Iterable[str]
 ) -> dict[str, int]:
--- a/amaranthpulley/coordination/forwarding/leaf_pace.py
+++ b/amaranthpulley/coordination/forwarding/leaf_pace.py
@@ -19,8 +19,8 @@
 from typing import Final
 
 from amaranthpulley.coordination import commands as common
-from amaranthpulley.coordination.forwarding import commands
-from amaranthpulley.state import log_events, rendezvous
+from amaranthpulley.coordination.forwarding import commands, delegates
+from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, pace, routes
 
@@ -190,7 +190,7 @@
     returns = min(MAXIMUM_RETURNS, returns)
     share = max(LEAST_SHARE, share / 2**returns)
     # Daemons begin at different moments, so that their first requests are spread.
-    credit = rendezvous.fraction_of(gateway.place.name, leaf_id)
+    credit = delegates.phase_of(gateway, leaf_id)
     if leaf.pace is not None:
         share, credit = min(share, leaf.pace.share), leaf.pace.credit
     elif returns:
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -27,6 +27,8 @@
 LIMIT_SLACK: Final = 5.0
 # Share of that which is used; the rest covers requests that arrive late.
 USABLE_LIMIT_SHARE: Final = 0.95
+# In a second, a cold leaf may get its rate times the overage, and a slack.
+COLD_OVERAGE: Final = 1.5
 # Daemons rarely use their shares at the same time, so they are larger than equal parts.
 SHARE_OVERAGE: Final = 1.25
 # Least requests a second of all daemons, so that the end of a limit is learned.
@@ -256,5 +258,9 @@
     if rate <= 0.0:
         return True
     share = delegates.allowance(gateway, leaf.entry.service, now_ms)
-    size = max(1.0, gateway.limits.cold_slack * share)
-    return leaf.cold_tokens.refill(rate * share, size, now_ms) >= 1.0
+    slack = gateway.limits.cold_slack
+    if slack * share >= 1.0:
+        return leaf.cold_tokens.refill(rate * share, slack * share, now_ms) >= 1.0
+    # More daemons than the slack has requests: what all of them have saved must fit.
+    saved = USABLE_LIMIT_SHARE * (COLD_OVERAGE * rate + slack) - rate
+    return leaf.cold_tokens.refill_one(rate * share, saved / rate, now_ms)
--- a/amaranthpulley/coordination/forwarding/tests/test_delegates.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_delegates.py
@@ -56,6 +56,16 @@
                 fleet = delegates.fleet_of(_daemon("a1-0", members))
                 self.assertEqual(len(fleet.delegates["a1"]), expected)
 
+    def test_phases_for_a_leaf_are_evenly_spaced(self) -> None:
+        """Daemons that start together must not send their first requests together."""
+        members = _fleet(a1=5, b1=3)
+        phases = sorted(
+            delegates.phase_of(_daemon(name, members), "leaf") for name in members
+        )
+        gaps = [b - a for a, b in zip(phases, phases[1:], strict=False)]
+        for gap in gaps:
+            self.assertAlmostEqual(gap, 1 / len(members))
+
     def test_small_domains_have_none(self) -> None:
         members = _fleet(a1=7, b1=2)
         state = _daemon("a1-5", members)
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_pace.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_pace.py
@@ -330,25 +330,30 @@
         self.assertEqual(self.hold(site), leaf_permits.HoldReason.COLD)
 
     def test_a_cold_leaf_gets_no_more_than_its_stated_rate(self) -> None:
-        for daemons in (3, 12):
-            with self.subTest(daemons):
-                site = pace_site.PaceSite(daemons, True, 1, cold_per_s=20.0)
-                site.advance(500, 150.0)
-                leaf = site.start("visits", 1, 3_000)
-                site.advance(3_000, 250.0)
-                got = leaf.arrivals
-                most = max(
-                    sum(begin_ms <= at_ms < begin_ms + _WINDOW_MS for at_ms in got)
-                    for begin_ms in got
-                )
-                self.assertLessEqual(most, 20.0 * _OVERAGE + _SLACK)
+        """What many daemons save in a calm must not all be sent in the burst after."""
+        for daemons, per_s in ((3, 20.0), (24, 10.0), (30, 20.0)):
+            for has_pace in (False, True):
+                with self.subTest(daemons=daemons, per_s=per_s, has_pace=has_pace):
+                    site = pace_site.PaceSite(daemons, has_pace, 2, cold_per_s=per_s)
+                    leaf = site.start("visits", 2, 9_000)
+                    site.advance(2_600, 50.0)
+                    site.advance(1_200, 900.0)
+                    got = leaf.arrivals
+                    most = max(
+                        sum(begin_ms <= at_ms < begin_ms + _WINDOW_MS for at_ms in got)
+                        for begin_ms in got
+                    )
+                    self.assertLessEqual(most, per_s * _OVERAGE + _SLACK)
+                    self.assertGreater(len(got), per_s / 2)
 
 
 class ReplayTest(unittest.TestCase):
     """Replays with a pace are no worse than without it, and spare the leaf."""
 
     def _compare(self, replay: pace_replays.Replay) -> tuple[pace_site.Outcome, ...]:
-        seeds = range(1, 3)
+        # Under load the outcomes of single seeds differ by up to 0.05.
+        is_loaded = replay is pace_replays.one_leaf_back_under_load
+        seeds = range(1, 9 if is_loaded else 3)
         return tuple(pace_replays.mean(replay, 6, on, seeds) for on in (False, True))
 
     def test_leaves_that_come_back_cold_reject_fewer(self) -> None:
--- a/amaranthpulley/state/forwarding/delegations.py
+++ b/amaranthpulley/state/forwarding/delegations.py
@@ -16,12 +16,15 @@
         failure domain without them.
     runners_by_region, daemons_by_region : dict
         Numbers of runners and of all daemons by region.
+    position : float
+        Place of this daemon among all in the order of their names, from 0 to 1.
     """
 
     delegates: dict[str, tuple[str, ...]]
     runners: frozenset[str]
     runners_by_region: dict[str, int]
     daemons_by_region: dict[str, int]
+    position: float
 
 
 class Origin(NamedTuple):
--- a/amaranthpulley/state/forwarding/token_bucket.py
+++ b/amaranthpulley/state/forwarding/token_bucket.py
@@ -23,6 +23,20 @@
         self._refilled_ms = now_ms
         return self._level
 
+    def refill_one(self, per_s: float, valid_s: float, now_ms: int) -> bool:
+        """Add the tokens since the last call; return whether there is one to take.
+
+        One is kept at most, and it lapses when it was not taken in time. Buckets with
+        different levels at the start thus give their tokens at different moments, also
+        after a time in which none was taken.
+        """
+        self._level += (now_ms - self._refilled_ms) / 1000 * per_s
+        self._refilled_ms = now_ms
+        if per_s <= 0.0 or self._level < 1.0:
+            return False
+        self._level = 1.0 + self._level % 1.0
+        return self._level - 1.0 <= valid_s * per_s
+
     def take(self) -> None:
         """Take a token; the level may become negative."""
         self._level -= 1.0
