--- a/amaranthpulley/coordination/forwarding/tests/test_delegates.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_delegates.py
@@ -1,5 +1,6 @@
 """Tests of the selection of delegates and of the division among all daemons."""
 
+import itertools
 import unittest
 
 import hypothesis
@@ -62,7 +63,7 @@
         phases = sorted(
             delegates.phase_of(_daemon(name, members), "leaf") for name in members
         )
-        gaps = [b - a for a, b in zip(phases, phases[1:], strict=False)]
+        gaps = [b - a for a, b in itertools.pairwise(phases)]
         for gap in gaps:
             self.assertAlmostEqual(gap, 1 / len(members))
 
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -16,6 +16,7 @@
     waiting,
 )
 from amaranthpulley.state.forwarding import routes as routes_state
+from amaranthpulley.state.forwarding.client_accounts import quotas
 
 
 class Limits(NamedTuple):
@@ -43,6 +44,12 @@
     pace : bool
         Whether leaves that start or recover get their requests at a pace; this applies
         to services for which a warm-up is stated.
+    quota_window_ms : int
+        Length of the sliding windows in which quotas of client accounts are judged.
+    quota_overage : float
+        Share by which an account's requests may exceed its quota in a window.
+    quota_slack : float
+        Further requests of an account in a window.
     """
 
     retry_ratio: float = 0.2
@@ -54,6 +61,9 @@
     contact_ms: int = 5_000
     configuration_ms: int = 3_000
     pace: bool = True
+    quota_window_ms: int = 5_000
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 class Place(NamedTuple):
@@ -138,6 +148,8 @@
         Leaves that were lost while running a request.
     publication_tokens : TokenBucket
         Losses that this daemon may publish.
+    quotas : Quotas
+        Tokens of client accounts that this daemon spends and grants.
     cautious_until_ms : int
         Until when sharded requests are sent to one leaf first.
     warmup_index : int
@@ -180,6 +192,7 @@
         self.losses = crashes.LossTable()
         self.publication_tokens = token_bucket.TokenBucket(1.0, started_ms)
         self.cautious_until_ms = started_ms
+        self.quotas = quotas.Quotas(started_ms)
         self.counters = counters_state.Counters()
         self.latency_by_kind: dict[str, latency.LatencyHistogram] = {}
         self.warmup_index = 0
@@ -199,6 +212,7 @@
         self.connection_plans.clear()
         self.fleet = None
         self.watchers = None
+        self.quotas.owners.clear()
 
     def window_of(self, service: str) -> retry_window.RetryWindow:
         """Return the sliding window of a service's requests and repeats."""
