--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -6,9 +6,11 @@
 from amaranthpulley.coordination.forwarding import (
     commands,
     connection_warmup,
+    delegates,
     events,
     leaf_demands,
     leaf_health,
+    leaf_pace,
     leaf_permits,
     leaf_selection,
     machine_slowness,
@@ -25,7 +27,7 @@
 from amaranthpulley.coordination.forwarding.rollouts import exposure, progress
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import leaves, routes
+from amaranthpulley.state.forwarding import leaves, routes, token_bucket
 
 # Entries that lapsed during an outage of the store are back within two seconds. Until
 # then a leaf with a deleted entry counts as leaving.
@@ -73,7 +75,10 @@
         region = gateway.place.regions.get(entry.failure_domain, "")
         pressure = gateway.directory.take_kept(entry)
         added = leaves.Leaf(entry, region, now_ms, pressure)
+        phase = delegates.phase_of(gateway, entry.leaf_id)
+        added.cold_tokens = token_bucket.TokenBucket(phase, now_ms)
         gateway.directory.add(added)
+        leaf_pace.begin_start(gateway, added, now_ms)
         gateway.connection_plans.pop(entry.service, None)
         standing = "draining" if entry.draining else "known"
         return [tracing.leaf_line(added, standing, 0)]
@@ -248,7 +253,7 @@
     if event.replaced:
         return leaf_health.remove_replaced(gateway, event.leaf_id)
     decided = leaf_demands.apply(gateway, leaf.start, event.demands, False, now_ms)
-    leaf_health.record_probe(leaf, event.healthy, now_ms)
+    leaf_health.record_probe(gateway, leaf, event.healthy, now_ms)
     machine_slowness.record_of_probe(leaf, event.load, now_ms)
     if event.healthy:
         decided.append(tracing.leaf_line(leaf, "healthy", 0))
@@ -277,6 +282,8 @@
             if exposure.is_barred(gateway, leaf, now_ms):
                 continue
             decided += _probe(gateway, leaf, now_ms)
+    if gateway.paces.by_service:
+        decided += leaf_pace.grow(gateway, now_ms)
     decided += request_progress.sweep_attempts(gateway, now_ms)
     decided += progress.tick(gateway, now_ms)
     decided += waiting.send_all(gateway, now_ms, random)
--- a/amaranthpulley/coordination/forwarding/slowness_reports.py
+++ b/amaranthpulley/coordination/forwarding/slowness_reports.py
@@ -14,7 +14,9 @@
     commands,
     events,
     leaf_health,
+    leaf_pace,
     leaf_selection,
+    machine_slowness,
     store_watchers,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -63,6 +65,10 @@
     leaf = gateway.directory.get(event.leaf_id)
     if leaf is not None:
         gateway.counters.add("forward_slowness_heard_total")
+        if gateway.paces.by_service:
+            # As far as this daemon has heard how slow the leaf's machine is.
+            machine = machine_slowness.current(leaf, now_ms)
+            leaf_pace.record_time(gateway, leaf, event.slowness / machine, now_ms)
         leaf_health.record_slowness(leaf, event.slowness, now_ms)
     return []
 
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -9,6 +9,7 @@
     delegations,
     latencies,
     leaves,
+    pace,
     requests,
     retry_window,
     rollouts,
@@ -47,6 +48,9 @@
         Further requests that all daemons together may send to it.
     rollback_ms : int
         Time after the bound of bad answers from which it must get no more requests.
+    pace : bool
+        Whether leaves that start or recover get their requests at a pace; this applies
+        to services for which a warm-up is stated.
     quota_window_ms : int
         Length of the sliding windows in which quotas of client accounts are judged.
     quota_overage : float
@@ -66,6 +70,7 @@
     exposure_share: float = 0.1
     exposure_slack: int = 50
     rollback_ms: int = 5_000
+    pace: bool = True
     quota_window_ms: int = 5_000
     quota_overage: float = 0.1
     quota_slack: float = 20.0
@@ -145,6 +150,8 @@
         Sharded requests that clients sent to this daemon.
     waiting : WaitingCalls
         Calls that wait for a leaf, by service.
+    paces : PaceTable
+        Leaves that have started or recovered a short time ago.
     turns : dict
         By route and service, the current weights of the smooth weighted round robin.
     losses : LossTable
@@ -193,6 +200,7 @@
         self.distances = latencies.Distances()
         self.retry_windows: dict[str, retry_window.RetryWindow] = {}
         self.turns: dict[str, dict[str, float]] = {}
+        self.paces = pace.PaceTable()
         self.losses = crashes.LossTable()
         self.rollouts = rollouts.RolloutTable()
         self.publication_tokens = token_bucket.TokenBucket(1.0, started_ms)
--- a/amaranthpulley/state/forwarding/leaves.py
+++ b/amaranthpulley/state/forwarding/leaves.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from amaranthpulley.state.forwarding import backpressure, token_bucket
+from amaranthpulley.state.forwarding import backpressure, pace, token_bucket
 
 # A new leaf is assumed to be as fast as the route's mean until it is measured.
 INITIAL_SLOWNESS: Final = 1.0
@@ -164,14 +164,16 @@
         self.failure_share = 0.0
         self.failure_share_updated_ms = now_ms
         self.suspected = False
-        self.probe_due_ms = 0
-        self.probe_delay_ms = 0
-        self.full_until_ms = 0
-        self.unreachable_until_ms = 0
+        self.probe_due_ms = self.probe_delay_ms = 0
+        self.full_until_ms = self.unreachable_until_ms = 0
         # When its connection was last lost in a request; None if it has answered since.
         self.lost_ms: int | None = None
         self.cold_until_ms = now_ms + entry.cold_ms
         self.cold_tokens = token_bucket.TokenBucket(0.0, now_ms)
+        # None unless the leaf has started or recovered a short time ago.
+        self.pace: pace.Pace | None = None
+        # Whether its answers have shown that it is no longer cold.
+        self.is_proven = False
         self.leaving_since_ms: int | None = now_ms if entry.draining else None
         self.deleted_ms: int | None = None
         # Sends since the begin of the current period, and in the one before.
