--- a/amaranthpulley/platform/tests/test_settings.py
+++ b/amaranthpulley/platform/tests/test_settings.py
@@ -30,3 +30,19 @@
         for machine in ({"MemoryMb": "400"}, {"MaxFds": 0.5}):
             with self.subTest(machine), self.assertRaises(errors.InvalidSettingsError):
                 _budget(**machine)
+
+
+class PaceTest(unittest.TestCase):
+    """Whether leaves that start or recover get their requests at a pace."""
+
+    def test_a_pace_has_to_be_asked_for(self) -> None:
+        # Guards against a deployment that is served in another way than before.
+        text = json.loads(wire_samples.settings_text("vm-1", "127.0.0.1:1"))
+        for bounds, expected in (({}, False), ({"LeafPace": 0}, False)):
+            with self.subTest(bounds):
+                self.assertEqual(self._has_pace(text, bounds), expected)
+        self.assertTrue(self._has_pace(text, {"LeafPace": 1}))
+
+    def _has_pace(self, text: dict, bounds: dict[str, int]) -> bool:
+        changed = {**text, "Bounds": {**text["Bounds"], **bounds}}
+        return settings.decode(json.dumps(changed).encode())[0].limits.pace
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -70,7 +70,7 @@
     exposure_share: float = 0.1
     exposure_slack: int = 50
     rollback_ms: int = 5_000
-    pace: bool = True
+    pace: bool = False
     quota_window_ms: int = 5_000
     quota_overage: float = 0.1
     quota_slack: float = 20.0
