--- a/amaranthpulley/platform/settings.py
+++ b/amaranthpulley/platform/settings.py
@@ -127,7 +127,7 @@
         exposure_share=number("ExposureShare", defaults.exposure_share),
         exposure_slack=int(number("ExposureSlack", defaults.exposure_slack)),
         rollback_ms=int(number("RollbackMs", defaults.rollback_ms)),
-        pace=number("LeafPace", defaults.pace) > 0,
+        pace=number("LeafPace", float(defaults.pace)) > 0,
         quota_window_ms=int(1000 * number("QuotaWindowS", 5)),
         quota_overage=number("QuotaOverage", defaults.quota_overage),
         quota_slack=number("QuotaSlack", defaults.quota_slack),
