Keep the right to grant tokens of quotas in the registration

The field holds the era of the store, so that it does not count in a store that comes back from a copy. A renewal that such a store answers no longer counts as one, and a lease whose registration was not written is not renewed.

Claims move to quota_claims.py. In the fleet of the quota tests, a restart takes 300 ms now, as the bound of restarts rests on it.

--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_owners.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_owners.py
@@ -1,27 +1,20 @@
 """Owners of the quotas of client accounts: who they are, and what they grant.
 
 Each account has up to three owners, chosen by a rendezvous hash over the registered
-daemons. Each owner has an equal part of the account's token bucket.
-
-A daemon grants only while every daemon that may grant counts it. It claims this once,
-when it sees its own registration: it asks each registered daemon whether it counts it,
-and grants after all have confirmed. A daemon that registers later sees this one in the
-store and has to ask it in turn. So all daemons that grant know of each other, and a
-fourth owner of an account cannot exist. docs/design/quotas.md has the whole argument.
+daemons. Each owner has an equal part of the account's token bucket. Which daemons may
+grant is decided in `quota_claims`.
 """
 
-import itertools
 import math
 from typing import Final
 
-from amaranthpulley.coordination import commands as common
 from amaranthpulley.coordination.forwarding import (
     commands,
     delegates,
     events,
     leaf_selection,
 )
-from amaranthpulley.state import log_events, rendezvous
+from amaranthpulley.state import rendezvous
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import peer_messages, token_bucket
 from amaranthpulley.state.forwarding.client_accounts import accounts, quotas
@@ -30,16 +23,9 @@
 # Share of the slack that is added to an account's burst. Without it, an owner's part of
 # a small burst would be empty after one or two requests.
 BURST_SLACK_SHARE: Final = 0.5
-# A registration ends by its owner's clock within this time of its last renewal.
-REGISTRATION_LIFETIME_MS: Final = 30_000
-# Queries of a claim in one tick of 100 ms. With the confirmations that it sends, a
-# daemon stays under 30 KB a second when 300 start at once; these are asked in 3 s.
-QUERIES_PER_TICK: Final = 10
 # A daemon that may not grant is asked again after this time. Claims are confirmed
 # within one or two ticks.
 NOT_GRANTING_MS: Final = 100
-# A doubled datagram that comes later is answered with further tokens, which are lost.
-GRANT_MEMORY_MS: Final = 2_000
 # Bounds the grants in memory: over 10,000 token requests a second.
 MAXIMUM_GRANTS: Final = 20_000
 # Rounding errors of many refills stay below this part of a token.
@@ -79,11 +65,25 @@
 
     A draining daemon may not: it ends its registration soon, and others follow it.
     """
-    if gateway.draining_since_ms is not None or not _is_counted(gateway, now_ms):
+    if gateway.draining_since_ms is not None or not is_counted(gateway, now_ms):
         return False
     return gateway.quotas.confirmed_ms is not None
 
 
+def is_counted(gateway: gateway_state.Gateway, now_ms: int) -> bool:
+    """Return whether this daemon sees its registration and it has not ended.
+
+    A daemon that has just started and finds the registration of its previous process
+    waits until it has renewed it.
+    """
+    return (
+        gateway.listed
+        and gateway.place.name in gateway.members
+        and gateway.registered_until_ms is not None
+        and delegates.is_registered(gateway, now_ms)
+    )
+
+
 def take_own(
     gateway: gateway_state.Gateway, account: accounts.Account, wanted: int, now_ms: int
 ) -> tuple[int, int]:
@@ -141,65 +141,6 @@
     return [commands.SendToPeers(answer, (event.sender,))]
 
 
-def handle_query(
-    gateway: gateway_state.Gateway,
-    event: events.PeerMessageReceived,
-    now_ms: int,
-    random: leaf_selection.RandomSource,
-) -> list[commands.Command]:
-    """Confirm to another daemon that this one counts it; silent if it does not."""
-    message: peer_messages.MembershipQuery = event.message
-    member = gateway.members.get(message.name)
-    if member is None or member.address != event.sender or not gateway.listed:
-        return []
-    answer = peer_messages.MembershipConfirmation(message.number, gateway.place.name)
-    return [commands.SendToPeers(answer, (event.sender,))]
-
-
-def handle_confirmation(
-    gateway: gateway_state.Gateway,
-    event: events.PeerMessageReceived,
-    now_ms: int,
-    random: leaf_selection.RandomSource,
-) -> list[commands.Command]:
-    """Record that another daemon counts this one."""
-    message: peer_messages.MembershipConfirmation = event.message
-    if gateway.quotas.claim is None or message.number != gateway.quotas.claim:
-        return []
-    gateway.quotas.unconfirmed.pop(message.name, None)
-    return _confirm_if_all(gateway, now_ms)
-
-
-def maintain_claim(
-    gateway: gateway_state.Gateway, now_ms: int
-) -> list[commands.Command]:
-    """Claim to be counted by all daemons, ask those that have not confirmed it."""
-    table = gateway.quotas
-    _forget_grants(table, now_ms)
-    if not _is_counted(gateway, now_ms) or not _has_quotas(gateway):
-        table.drop_claim()
-        return []
-    if table.confirmed_ms is not None:
-        return []
-    if table.claim is None:
-        table.claim, table.claimed_ms = table.next_number(), now_ms
-        names = sorted(gateway.members)
-        own = names.index(gateway.place.name)
-        # Each daemon begins with its next one, so that none is asked by all at once.
-        table.unconfirmed = dict.fromkeys(names[own + 1 :] + names[:own])
-    decided = _confirm_if_all(gateway, now_ms)
-    if decided:
-        return decided
-    open_names = list(itertools.islice(table.unconfirmed, QUERIES_PER_TICK))
-    for name in open_names:
-        # To the end, so that silent daemons do not keep the others from being asked.
-        del table.unconfirmed[name]
-        table.unconfirmed[name] = None
-    addresses = tuple(gateway.members[name].address for name in open_names)
-    query = peer_messages.MembershipQuery(table.claim, gateway.place.name)
-    return [commands.SendToPeers(query, addresses)]
-
-
 def settle(gateway: gateway_state.Gateway, now_ms: int) -> None:
     """Bring all buckets up to date, before what they depend on changes."""
     for name, bucket in gateway.quotas.buckets.items():
@@ -261,15 +202,6 @@
                 del table.buckets[held]
 
 
-def note_registration(
-    gateway: gateway_state.Gateway, until_ms: int, now_ms: int
-) -> None:
-    """End the claim if the registration had lapsed before it was renewed."""
-    before_ms = gateway.registered_until_ms
-    if before_ms is not None and now_ms >= before_ms:
-        gateway.quotas.drop_claim()
-
-
 def _owner_count(gateway: gateway_state.Gateway, account: accounts.Account) -> int:
     """Return the number of owners; a part that holds less than a token is useless."""
     tokens = account.burst + BURST_SLACK_SHARE * gateway.limits.quota_slack
@@ -322,60 +254,3 @@
 ) -> float:
     per_ms, size = _part_of(gateway, account)
     return bucket.refill(per_ms * 1000, size, now_ms)
-
-
-def _is_counted(gateway: gateway_state.Gateway, now_ms: int) -> bool:
-    """Return whether this daemon sees its registration and it has not ended.
-
-    A daemon that has just started and finds the registration of its previous process
-    waits until it has renewed it.
-    """
-    return (
-        gateway.listed
-        and gateway.place.name in gateway.members
-        and gateway.registered_until_ms is not None
-        and delegates.is_registered(gateway, now_ms)
-    )
-
-
-def _has_quotas(gateway: gateway_state.Gateway) -> bool:
-    configuration = gateway.configuration
-    if configuration is None or configuration.accounts is None:
-        return False
-    return any(
-        account.rate_per_s > 0 for account in configuration.accounts.by_name.values()
-    )
-
-
-def _confirm_if_all(
-    gateway: gateway_state.Gateway, now_ms: int
-) -> list[commands.Command]:
-    """Start to grant when no daemon is left that may not count this one.
-
-    A daemon that never answers has seen this one, or its registration has ended, after
-    the lifetime of a registration and the time that a change takes to reach all.
-    """
-    table = gateway.quotas
-    if table.confirmed_ms is not None:
-        return []
-    waited_ms = now_ms - table.claimed_ms
-    longest_ms = REGISTRATION_LIFETIME_MS + gateway.limits.configuration_ms
-    if table.unconfirmed and waited_ms < longest_ms:
-        return []
-    table.confirmed_ms = now_ms
-    return [
-        common.log(
-            log_events.QUOTA_CLAIM_CONFIRMED,
-            members=len(gateway.members),
-            silent=len(table.unconfirmed),
-            waited_ms=waited_ms,
-        )
-    ]
-
-
-def _forget_grants(table: quotas.Quotas, now_ms: int) -> None:
-    """Forget old grants; a dictionary keeps them in the order of their times."""
-    for key, grant in list(table.grants.items()):
-        if now_ms - grant.at_ms < GRANT_MEMORY_MS:
-            break
-        del table.grants[key]
--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_waits.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_waits.py
@@ -9,7 +9,7 @@
 )
 from amaranthpulley.coordination.forwarding.client_accounts import (
     quota_asks,
-    quota_owners,
+    quota_claims,
     quota_tokens,
 )
 from amaranthpulley.state.forwarding import gateway as gateway_state
@@ -53,7 +53,7 @@
     gateway: gateway_state.Gateway, now_ms: int, random: leaf_selection.RandomSource
 ) -> list[commands.Command]:
     """Do the periodic work: the claim, overdue answers, idle accounts."""
-    decided = quota_owners.maintain_claim(gateway, now_ms)
+    decided = quota_claims.maintain_claim(gateway, now_ms)
     for name, table in list(gateway.quotas.accounts.items()):
         if table.asks or table.waiting:
             decided += _continue(gateway, name, now_ms, random)
--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_fleet.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_fleet.py
@@ -13,10 +13,14 @@
 from typing import Final, NamedTuple
 
 from amaranthpulley.coordination.forwarding import commands, engine, events
-from amaranthpulley.coordination.forwarding.client_accounts import quota_owners
+from amaranthpulley.coordination.forwarding.client_accounts import (
+    quota_claims,
+    quota_owners,
+)
+from amaranthpulley.coordination.forwarding.client_accounts.tests import quota_members
 from amaranthpulley.coordination.forwarding.tests import gateway_site
 from amaranthpulley.state.forwarding import gateway, peer_messages, requests
-from amaranthpulley.state.forwarding.client_accounts import accounts
+from amaranthpulley.state.forwarding.client_accounts import accounts, quotas
 
 # Six failure domains in three regions, as the deployments have.
 DOMAINS: Final = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -44,23 +48,6 @@
     refusal: commands.Refuse | None
 
 
-class Daemon:
-    """A daemon of the fleet and what reaches it."""
-
-    def __init__(self, name: str, domain: str) -> None:
-        self.name = name
-        self.member = gateway.Member(domain, f"{name}:1")
-        self.gateway: gateway.Gateway | None = None
-        self.life = 0
-        self.paused_until_ms = 0
-        # Cut off from the store, and from the daemons of the other side.
-        self.cut = False
-        # Position in the store's list of changes.
-        self.seen = 0
-        self.sent_bytes = self.sent = self.received_bytes = self.received = 0
-        self.wakes: dict[int, int] = {}
-
-
 class QuotaFleet:
     """Daemons, a store of registrations, and leaves that answer.
 
@@ -85,6 +72,8 @@
     ) -> None:
         self.limits = limits or gateway.Limits()
         self.links = Links()
+        # Whether confirmed claims are written into the registrations.
+        self.keeps_rights = True
         self.now_ms = 1_000_000
         self.work_ms = WORK_MS
         self.arrivals: dict[str, list[int]] = {account.name: [] for account in found}
@@ -93,9 +82,7 @@
         # Returns the bytes of a datagram; tests of the traffic replace it.
         self.size_of: Callable[[peer_messages.PeerMessage], int] = lambda _message: 0
         self.random = random.Random(seed)
-        # Changes of registrations, and when each registration lapses.
-        self.changes: list[events.MemberChanged] = []
-        self.registered: dict[str, int] = {}
+        self.store = quota_members.RegistrationStore(lambda: self.now_ms)
         self.version = 1
         self.accounts = found
         self._order = itertools.count()
@@ -105,19 +92,28 @@
         self._arrived: set[int] = set()
         domains = sorted(DOMAINS)
         self.daemons = [
-            Daemon(f"vm-{n + 1}", domains[n % len(domains)]) for n in range(count)
+            quota_members.Daemon(f"vm-{n + 1}", domains[n % len(domains)])
+            for n in range(count)
         ]
         self._by_address = {d.member.address: d for d in self.daemons}
         self._at(self.now_ms + 100, self._expire_registrations)
 
     def start(self, number: int) -> None:
-        """Start a daemon, or start it again: it knows nothing of before."""
+        """Start a daemon at once, or start it again: it knows nothing of before.
+
+        A daemon that has run before is without a process while the next one starts.
+        """
         daemon = self.daemons[number]
         daemon.life += 1
         daemon.gateway = None
         daemon.wakes.clear()
         daemon.paused_until_ms = 0
-        self._list_store(daemon, daemon.life)
+        life = daemon.life
+        if life == 1:
+            self._list_store(daemon, life)
+            return
+        at_ms = self.now_ms + quotas.RESTART_MS
+        self._at(at_ms, lambda: self._list_store(daemon, life))
 
     def stop(self, number: int) -> None:
         """Kill a daemon; its registration stays until it lapses."""
@@ -134,7 +130,7 @@
 
         def end() -> None:
             if daemon.life == life:
-                self._set_registration(daemon.name, None)
+                self.store.end(daemon.name)
                 self.stop(number)
 
         self._at(self.now_ms + 2_000, end)
@@ -207,7 +203,7 @@
         found = gateway_site.configuration(gateway_site.single(), version=self.version)
         return found._replace(accounts=table)
 
-    def _deliver_version(self, daemon: Daemon, version: int) -> None:
+    def _deliver_version(self, daemon: quota_members.Daemon, version: int) -> None:
         def deliver() -> None:
             if daemon.gateway is not None and self.version == version:
                 if daemon.cut:
@@ -217,7 +213,7 @@
 
         self._at(self.now_ms + self.random.randrange(1, 1_000), deliver)
 
-    def _list_store(self, daemon: Daemon, life: int) -> None:
+    def _list_store(self, daemon: quota_members.Daemon, life: int) -> None:
         if daemon.life != life:
             return
         if daemon.cut:
@@ -232,15 +228,15 @@
                 f"l{number}", "visits", leaf_domain, slots=100_000
             )
             self._feed(daemon, events.LeafWritten(entry))
-        for change in self.changes:
+        for change in self.store.changes:
             self._feed(daemon, change)
-        daemon.seen = len(self.changes)
+        daemon.seen = len(self.store.changes)
         self._feed(daemon, events.DirectoryListed())
         self._at(self.now_ms + 100, lambda: self._tick(daemon, life))
         self._follow_store(daemon, life)
         self._renew(daemon, life)
 
-    def _tick(self, daemon: Daemon, life: int) -> None:
+    def _tick(self, daemon: quota_members.Daemon, life: int) -> None:
         if daemon.life == life:
             self._feed(daemon, events.TickDue())
             self._at(
@@ -248,18 +244,18 @@
                 lambda: self._tick(daemon, life),
             )
 
-    def _follow_store(self, daemon: Daemon, life: int) -> None:
+    def _follow_store(self, daemon: quota_members.Daemon, life: int) -> None:
         """Feed the changes that a daemon has not seen, some time after each."""
         if daemon.life != life:
             return
         if not daemon.cut:
-            for change in self.changes[daemon.seen :]:
+            for change in self.store.changes[daemon.seen :]:
                 self._feed(daemon, change)
-            daemon.seen = len(self.changes)
+            daemon.seen = len(self.store.changes)
         delay_ms = self.random.randrange(5, 400)
         self._at(self.now_ms + delay_ms, lambda: self._follow_store(daemon, life))
 
-    def _renew(self, daemon: Daemon, life: int) -> None:
+    def _renew(self, daemon: quota_members.Daemon, life: int) -> None:
         if daemon.life != life:
             return
         if daemon.paused_until_ms > self.now_ms:
@@ -269,35 +265,29 @@
         if daemon.cut or daemon.gateway.draining_since_ms is not None:
             self._at(self.now_ms + 500, lambda: self._renew(daemon, life))
             return
-        until_ms = self.now_ms + quota_owners.REGISTRATION_LIFETIME_MS
+        until_ms = self.now_ms + quota_claims.REGISTRATION_LIFETIME_MS
 
         def answered() -> None:
             if daemon.life != life:
                 return
-            lifetime_ms = quota_owners.REGISTRATION_LIFETIME_MS
-            self._set_registration(daemon.name, daemon.member)
-            self.registered[daemon.name] = self.now_ms + lifetime_ms
-            self._feed(daemon, events.Registered(until_ms))
+            written = self.store.renew(daemon.name, daemon.member)
+            daemon.lease = self.store.leases[daemon.name]
+            self._feed(daemon, events.Registered(until_ms, written))
 
         self._at(self.now_ms + STORE_MS, answered)
         self._at(self.now_ms + RENEWAL_MS, lambda: self._renew(daemon, life))
 
-    def _set_registration(self, name: str, member: gateway.Member | None) -> None:
-        if (name in self.registered) == (member is not None):
-            return
-        self.changes.append(events.MemberChanged(name, member))
-        if member is None:
-            del self.registered[name]
-        else:
-            self.registered[name] = self.now_ms + quota_owners.REGISTRATION_LIFETIME_MS
-
     def _expire_registrations(self) -> None:
-        for name, until_ms in list(self.registered.items()):
-            if until_ms <= self.now_ms:
-                self._set_registration(name, None)
-        self._at(self.now_ms + 100, self._expire_registrations)
+        self.store.end_lapsed()
+        self._at(self.now_ms + quota_members.CHECK_MS, self._expire_registrations)
+
+    def _publish_grants(self, daemon: quota_members.Daemon) -> None:
+        lease = daemon.lease
+        write = self.store.publish_grants
+        at_ms = self.now_ms + STORE_MS
+        self._at(at_ms, lambda: write(daemon.name, daemon.member, lease))
 
-    def _feed(self, daemon: Daemon, event: events.Event) -> None:
+    def _feed(self, daemon: quota_members.Daemon, event: events.Event) -> None:
         if daemon.gateway is None:
             return
         if daemon.paused_until_ms > self.now_ms:
@@ -313,11 +303,14 @@
         for command in decided:
             self._execute(daemon, command)
 
-    def _execute(self, daemon: Daemon, command: commands.Command) -> None:
+    def _execute(self, daemon: quota_members.Daemon, command: commands.Command) -> None:
         if isinstance(command, commands.SendAttempt):
             self._send_attempt(daemon, command)
         elif isinstance(command, commands.SendToPeers):
             self._send_datagrams(daemon, command)
+        elif isinstance(command, commands.PublishGrants):
+            if not daemon.cut and self.keeps_rights:
+                self._publish_grants(daemon)
         elif isinstance(command, commands.WakeAt):
             self._wake_at(daemon, command)
         elif isinstance(command, commands.Refuse):
@@ -329,7 +322,7 @@
         account, asked_ms = self._asked[key]
         self.ended.append(Ended(account, asked_ms, self.now_ms, refusal))
 
-    def _wake_at(self, daemon: Daemon, command: commands.WakeAt) -> None:
+    def _wake_at(self, daemon: quota_members.Daemon, command: commands.WakeAt) -> None:
         key, due_ms, life = command.request_key, command.due_ms, daemon.life
         daemon.wakes[key] = due_ms
 
@@ -340,7 +333,9 @@
 
         self._at(max(self.now_ms, due_ms), wake)
 
-    def _send_attempt(self, daemon: Daemon, command: commands.SendAttempt) -> None:
+    def _send_attempt(
+        self, daemon: quota_members.Daemon, command: commands.SendAttempt
+    ) -> None:
         life = daemon.life
 
         def arrive() -> None:
@@ -358,7 +353,9 @@
         self._at(self.now_ms + way_ms, arrive)
         self._at(self.now_ms + 2 * way_ms + self.work_ms, answer)
 
-    def _send_datagrams(self, daemon: Daemon, command: commands.SendToPeers) -> None:
+    def _send_datagrams(
+        self, daemon: quota_members.Daemon, command: commands.SendToPeers
+    ) -> None:
         message = command.message
         name, size = type(message).__name__, self.size_of(message)
         event = events.PeerMessageReceived(message, daemon.member.address)
@@ -376,14 +373,18 @@
                     lambda other=other: self._receive(daemon, other, event, size),
                 )
 
-    def _way_ms(self, one: Daemon, other: Daemon) -> int:
+    def _way_ms(self, one: quota_members.Daemon, other: quota_members.Daemon) -> int:
         if self.random.random() < self.links.late:
             return self.random.randrange(self.links.late_ms)
         regions = {DOMAINS[d.member.failure_domain] for d in (one, other)}
         return 1 if len(regions) == 1 else 12
 
     def _receive(
-        self, sender: Daemon, daemon: Daemon, event: events.Event, size: int
+        self,
+        sender: quota_members.Daemon,
+        daemon: quota_members.Daemon,
+        event: events.Event,
+        size: int,
     ) -> None:
         if sender.cut != daemon.cut or daemon.gateway is None:
             return
--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/test_quota_bound.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/test_quota_bound.py
@@ -56,6 +56,51 @@
         flood(fleet, name, 1_200)
 
 
+def all_restart_four_times_in_a_window(
+    fleet: quota_fleet.QuotaFleet, name: str
+) -> None:
+    fleet.advance(5_000)
+    flood(fleet, name, 1_000)
+    for _ in range(4):
+        for number, daemon in enumerate(fleet.daemons):
+            if daemon.gateway is not None:
+                fleet.start(number)
+        flood(fleet, name, 900)
+    flood(fleet, name, 3_000)
+
+
+def owner_cut_off_while_the_others_restart(
+    fleet: quota_fleet.QuotaFleet, name: str
+) -> None:
+    fleet.advance(5_000)
+    away = owner_numbers(fleet)[0]
+    fleet.daemons[away].cut = True
+    for _ in range(8):
+        for number, daemon in enumerate(fleet.daemons):
+            if daemon.gateway is not None and number != away:
+                fleet.start(number)
+        flood(fleet, name, 5_000)
+
+
+def all_restart_after_their_registrations_have_lapsed(
+    fleet: quota_fleet.QuotaFleet, name: str
+) -> None:
+    fleet.advance(5_000)
+    owners = owner_numbers(fleet)
+    fleet.daemons[owners[0]].cut = True
+    running = [n for n, daemon in enumerate(fleet.daemons) if daemon.gateway]
+    for number in running:
+        if number != owners[0]:
+            fleet.stop(number)
+    flood(fleet, name, 22_000)
+    # Some find their registration, some do not any more.
+    for number in running:
+        if number != owners[0]:
+            fleet.start(number)
+            flood(fleet, name, 2_000)
+    flood(fleet, name, 6_000)
+
+
 def daemons_join_while_owners_are_cut_off(
     fleet: quota_fleet.QuotaFleet, name: str
 ) -> None:
@@ -70,6 +115,22 @@
     flood(fleet, name, 20_000)
 
 
+def joined_daemons_restart_while_owners_are_cut_off(
+    fleet: quota_fleet.QuotaFleet, name: str
+) -> None:
+    # Their claims are not confirmed: what they find in the store gives them no right.
+    owners = owner_numbers(fleet)
+    for number in owners:
+        fleet.daemons[number].cut = True
+    others = [n for n in range(len(fleet.daemons)) if n not in owners]
+    for number in others:
+        fleet.stop(number)
+    for _ in range(4):
+        for number in others:
+            fleet.start(number)
+        flood(fleet, name, 4_000)
+
+
 def many_join_at_once(fleet: quota_fleet.QuotaFleet, name: str) -> None:
     for number, daemon in enumerate(fleet.daemons):
         if daemon.gateway is None:
@@ -116,7 +177,11 @@
     many_ask_at_once,
     owners_cut_off_while_others_take_over,
     owners_restart_after_a_full_burst,
+    all_restart_four_times_in_a_window,
+    owner_cut_off_while_the_others_restart,
+    all_restart_after_their_registrations_have_lapsed,
     daemons_join_while_owners_are_cut_off,
+    joined_daemons_restart_while_owners_are_cut_off,
     many_join_at_once,
     datagrams_doubled,
     datagrams_late_and_lost,
@@ -155,6 +220,7 @@
             for scenario in (
                 many_ask_at_once,
                 owners_restart_after_a_full_burst,
+                all_restart_four_times_in_a_window,
                 datagrams_doubled,
             ):
                 with self.subTest(rate=rate, scenario=scenario.__name__):
@@ -178,6 +244,7 @@
 
 OPERATIONS = (
     "restart",
+    "restart_all",
     "stop",
     "leave",
     "join",
@@ -197,6 +264,10 @@
         daemon = fleet.daemons[number]
         if operation == "restart":
             fleet.start(number)
+        elif operation == "restart_all":
+            for other, found in enumerate(fleet.daemons):
+                if found.gateway is not None and not found.cut:
+                    fleet.start(other)
         elif operation == "stop":
             fleet.stop(number)
         elif operation == "leave":
--- a/amaranthpulley/coordination/forwarding/cluster_updates.py
+++ b/amaranthpulley/coordination/forwarding/cluster_updates.py
@@ -17,6 +17,7 @@
     tracing,
 )
 from amaranthpulley.coordination.forwarding.client_accounts import (
+    quota_claims,
     quota_owners,
     quota_waits,
     version_changes,
@@ -180,9 +181,9 @@
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
     """Record until when the other daemons count this one."""
-    quota_owners.note_registration(gateway, event.until_ms, now_ms)
+    decided = quota_claims.note_registration(gateway, event, now_ms)
     gateway.registered_until_ms = event.until_ms
-    return []
+    return decided
 
 
 def log_store_state(
--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -200,6 +200,10 @@
     addresses: tuple[str, ...]
 
 
+class PublishGrants(NamedTuple):
+    """Write into this daemon's registration that it grants tokens of quotas."""
+
+
 class PublishLosses(NamedTuple):
     """Write losses of leaves under requests to the store, and tell some daemons.
 
@@ -233,6 +237,7 @@
     | ProbeLeaf
     | ReportSlowness
     | SendToPeers
+    | PublishGrants
     | PublishLosses
     | WithdrawLosses
     | commands.Log
--- a/amaranthpulley/coordination/forwarding/engine.py
+++ b/amaranthpulley/coordination/forwarding/engine.py
@@ -16,6 +16,7 @@
     slowness_reports,
 )
 from amaranthpulley.coordination.forwarding.client_accounts import (
+    quota_claims,
     quota_owners,
     quota_waits,
 )
@@ -31,8 +32,8 @@
 _MESSAGE_HANDLERS: Final[dict[type, Handler]] = {
     peer_messages.TokenRequest: quota_owners.handle_token_request,
     peer_messages.TokenGrant: quota_waits.handle_grant,
-    peer_messages.MembershipQuery: quota_owners.handle_query,
-    peer_messages.MembershipConfirmation: quota_owners.handle_confirmation,
+    peer_messages.MembershipQuery: quota_claims.handle_query,
+    peer_messages.MembershipConfirmation: quota_claims.handle_confirmation,
 }
 
 
--- a/amaranthpulley/coordination/forwarding/events.py
+++ b/amaranthpulley/coordination/forwarding/events.py
@@ -134,9 +134,12 @@
     ----------
     until_ms : int
         Its end by the monotonic clock, counted from before the call.
+    replaced : bool
+        Whether it was written anew, because there was none that could be renewed.
     """
 
     until_ms: int
+    replaced: bool = False
 
 
 class StoreReached(NamedTuple):
--- a/amaranthpulley/platform/entries.py
+++ b/amaranthpulley/platform/entries.py
@@ -49,6 +49,9 @@
     address: str
     delegate_address: NotRequired[str]
     speed: NotRequired[float]
+    # Era of the store in which the daemon's claim to grant tokens was confirmed. A
+    # store that is back from a copy may hold a registration that had ended.
+    grants: NotRequired[int]
 
 
 def decode(change: store.Change) -> events.Event | None:
@@ -59,7 +62,7 @@
     all other items keep their state.
     """
     try:
-        return _event_of(change.key, change.value)
+        return _event_of(change)
     except errors.MalformedMessageError as error:
         leaf_id = None
         if change.key.startswith(names.LEAF_PREFIX):
@@ -68,7 +71,8 @@
         return events.ItemUnreadable(change.key, str(error), leaf_id)
 
 
-def _event_of(key: str, value: bytes | None) -> events.Event | None:
+def _event_of(change: store.Change) -> events.Event | None:
+    key, value = change.key, change.value
     if key == names.CONFIGURATION_KEY:
         if value is None:
             return None
@@ -83,7 +87,8 @@
         return events.EvacuationChanged(domain, value is not None)
     if key.startswith(names.DAEMON_PREFIX):
         name = key.removeprefix(names.DAEMON_PREFIX)
-        return events.MemberChanged(name, _daemon(value))
+        member = _daemon(value, store.era_of(change.revision))
+        return events.MemberChanged(name, member)
     if key.startswith(names.LOSS_PREFIX):
         loss = _loss(key.removeprefix(names.LOSS_PREFIX))
         if value is None:
@@ -100,8 +105,26 @@
 
 
 def encode_daemon(member: gateway.Member) -> bytes:
-    """Return the value of a daemon's registration."""
-    return json_codec.encode(Daemon(**member._asdict()))
+    """Return the value of a daemon's registration, without its right to grant."""
+    fields = member._asdict()
+    del fields["grants"]
+    return json_codec.encode(Daemon(**fields))
+
+
+def with_grants(registration: bytes, era: int) -> bytes:
+    """Return a registration with the right to grant, confirmed in an era."""
+    raw = json_codec.decode(registration, Daemon)
+    return json_codec.encode(Daemon(**{**raw, "grants": era}))
+
+
+def without_grants(registration: bytes) -> bytes:
+    """Return a registration without the right to grant; as it is if unreadable."""
+    try:
+        raw = json_codec.decode(registration, Daemon)
+    except errors.MalformedMessageError:
+        return registration
+    raw.pop("grants", None)
+    return json_codec.encode(raw)
 
 
 def _loss(text: str) -> crashes.Loss:
@@ -130,14 +153,15 @@
     )
 
 
-def _daemon(value: bytes | None) -> gateway.Member | None:
+def _daemon(value: bytes | None, era: int) -> gateway.Member | None:
     if value is None:
         return None
     raw = json_codec.decode(value, Daemon)
     _check_address(raw["address"], "address")
     if raw.get("delegate_address"):
         _check_address(raw["delegate_address"], "delegate_address")
-    return gateway.Member(**raw)
+    grants = raw.pop("grants", None) == era
+    return gateway.Member(**raw, grants=grants)
 
 
 def _check_address(address: str, field: str, lowest_port: int = 0) -> None:
--- a/amaranthpulley/platform/store_client.py
+++ b/amaranthpulley/platform/store_client.py
@@ -89,7 +89,7 @@
     ) -> None:
         self._pool = http_connections.connection_pool(address, MAXIMUM_IDLE_CONNECTIONS)
         self._key = registration_key
-        self._value = base64.b64encode(registration).decode()
+        self._registration = registration
         # Latest era that the store has named.
         self._era = 0
         self._lease: int | None = None
@@ -101,6 +101,7 @@
             self.watch,
             self.register,
             self.renew,
+            self.publish_grants,
             self.unregister,
             loss_publisher.LossCalls(self.grant_lease, self.write_losses),
             entries.decode,
@@ -148,26 +149,52 @@
 
     def _adopt_lease(self, items: list[_Item]) -> None:
         """Continue the registration of this daemon's previous life, if it is there."""
+        own = entries.without_grants(self._registration)
         for item in items:
-            if item["Key"] == self._key and item.get("Value") == self._value:
-                self._lease = self._lease or item.get("Lease") or None
+            if item["Key"] == self._key:
+                if entries.without_grants(_bytes_of(item)) == own:
+                    self._lease = self._lease or item.get("Lease") or None
 
     def register(self, life_ms: int) -> None:
         """Register this daemon under a new lease."""
-        self._lease = self.grant_lease(life_ms)
-        put = {"Key": self._key, "Value": self._value, "Lease": self._lease}
+        # A lease without a written registration must not be renewed as one.
+        self._lease = None
+        lease = self.grant_lease(life_ms)
+        era = self._era
+        if not self._write(self._registration, lease):
+            raise errors.PlatformUnreachableError("registration: the lease has ended")
+        self._lease = lease if self._era == era else None
+
+    def publish_grants(self) -> bool:
+        """Write the right to grant tokens under the lease; False if that has ended."""
+        if self._lease is None:
+            return False
+        value = entries.with_grants(self._registration, self._era)
+        return self._write(value, self._lease)
+
+    def _write(self, registration: bytes, lease: int) -> bool:
+        value = base64.b64encode(registration).decode()
+        put = {"Key": self._key, "Value": value, "Lease": lease}
         change = {"Expect": [], "Puts": [put], "Deletes": []}
-        self._post(names.TRANSACTION_PATH, change)
+        path = names.TRANSACTION_PATH
+        status = self._send("POST", path, {}, change, CALL_TIMEOUT_MS).status
+        if status not in (_OK, _NOT_FOUND):
+            raise errors.PlatformUnreachableError(f"registration: status {status}")
+        return status == _OK
 
     def renew(self) -> bool:
-        """Renew the lease; return False when there is none or it has expired."""
+        """Renew the lease; return False when there is none or it has expired.
+
+        A lease that was renewed by a store that has just come back from a copy may be
+        another daemon's, or that of a registration that had ended.
+        """
         if self._lease is None:
             return False
         path = f"{names.RENEW_PATH}{self._lease}"
         status = self._send("POST", path, {}, None, CALL_TIMEOUT_MS).status
         if status not in (_OK, _NOT_FOUND):
             raise errors.PlatformUnreachableError(f"renewal: status {status}")
-        return status == _OK
+        return status == _OK and self._lease is not None
 
     def unregister(self) -> None:
         """End the lease, which deletes the registration."""
--- a/amaranthpulley/platform/tests/test_entries.py
+++ b/amaranthpulley/platform/tests/test_entries.py
@@ -8,6 +8,7 @@
 from amaranthpulley.platform import entries, names
 from amaranthpulley.platform.tests import wire_samples
 from amaranthpulley.state import store
+from amaranthpulley.state.forwarding import gateway
 
 LEAF: dict[str, Any] = {
     "Service": "s",
@@ -156,6 +157,21 @@
                 event = _decoded(names.DAEMON_PREFIX + "vm", {**usual, **change})
                 self.assertIsInstance(event, events.ItemUnreadable)
 
+    def test_the_right_to_grant_counts_in_the_era_of_its_writing_only(self) -> None:
+        member = gateway.Member("a1", "10.0.0.1:80", "", 1.0)
+        usual = entries.encode_daemon(member)
+        # Earlier versions compare the value with their own, so nothing is added to it.
+        self.assertNotIn(b"grants", usual)
+        granting = entries.with_grants(usual, 2)
+        self.assertEqual(entries.without_grants(granting), usual)
+        key = names.DAEMON_PREFIX + "vm"
+        cases = ((granting, 2, True), (granting, 3, False), (usual, 0, False))
+        for value, era, grants in cases:
+            with self.subTest(era=era):
+                change = store.Change(key, store.revision_in(era, 5), value)
+                expected = events.MemberChanged("vm", member._replace(grants=grants))
+                self.assertEqual(entries.decode(change), expected)
+
     def test_other_keys(self) -> None:
         cases = {
             (names.EVACUATION_PREFIX + "a1", b"{}"): events.EvacuationChanged(
--- a/amaranthpulley/platform/tests/test_quota_path.py
+++ b/amaranthpulley/platform/tests/test_quota_path.py
@@ -131,6 +131,15 @@
                 self.assertGreater(float(answer.headers["Retry-After"]), 0)
                 self.assertEqual(json.loads(answer.data), {"code": "over_quota"})
 
+    def test_each_registration_says_that_its_daemon_grants(self) -> None:
+        # Otherwise each start of a daemon needs a claim, which a lost VM holds up.
+        members = self.daemons[0].gateway.members
+        self.site.wait_for(
+            lambda: all(member.grants for member in members.values()),
+            "all registrations have the right to grant",
+        )
+        self.assertEqual(len(members), DAEMONS)
+
     def test_account_without_a_rate_has_no_limit(self) -> None:
         self.put_account(3, RatePerS=0)
         first = itertools.repeat(self.daemons[0].front_address)
--- a/amaranthpulley/state/forwarding/client_accounts/quotas.py
+++ b/amaranthpulley/state/forwarding/client_accounts/quotas.py
@@ -16,6 +16,9 @@
 
 # An account's arrivals at this daemon are counted over this time.
 DEMAND_WINDOW_MS: Final = 1_000
+# The previous process of a daemon ended at least this long before the next one has
+# listed the store: the start of the interpreter and its imports take longer.
+RESTART_MS: Final = 300
 # A process sends fewer messages in a millisecond. Its numbers begin at its start times
 # this, so that a grant to its previous process is not taken for one of its own.
 _NUMBERS_PER_MS: Final = 65_536
@@ -129,7 +132,7 @@
         self.unconfirmed: dict[str, None] = {}
         self.confirmed_ms: int | None = None
         # Since when this daemon can only have lost accounts to others, not gained any.
-        self.gained_ms = started_ms
+        self.gained_ms = started_ms - RESTART_MS
         self._next_number = started_ms * _NUMBERS_PER_MS
 
     def next_number(self) -> int:
--- a/amaranthpulley/state/forwarding/gateway.py
+++ b/amaranthpulley/state/forwarding/gateway.py
@@ -90,12 +90,16 @@
         none.
     speed : float
         Processor time that it gets in a second, in seconds of one core.
+    grants : bool
+        Whether its claim to grant tokens of quotas was confirmed under this
+        registration.
     """
 
     failure_domain: str
     address: str
     delegate_address: str = ""
     speed: float = 0.0
+    grants: bool = False
 
 
 class Gateway:
@@ -197,10 +201,14 @@
 
     def set_member(self, name: str, member: Member | None) -> None:
         """Add, replace or remove a registered daemon."""
+        known = self.members.get(name)
         if member is None:
             self.members.pop(name, None)
         else:
             self.members[name] = member
+            if known is not None and known._replace(grants=member.grants) == member:
+                # Nothing else depends on the right to grant.
+                return
         self.connection_plans.clear()
         self.fleet = None
         self.watchers = None
--- a/amaranthpulley/transport/forwarding/process.py
+++ b/amaranthpulley/transport/forwarding/process.py
@@ -162,6 +162,7 @@
         message_handlers = {
             forwarding_commands.ReportSlowness: self._datagrams.send_slowness,
             forwarding_commands.SendToPeers: self._datagrams.send_message,
+            forwarding_commands.PublishGrants: self._publish_grants,
             forwarding_commands.PublishLosses: self._publish_losses,
             forwarding_commands.WithdrawLosses: self._losses.withdraw,
         }
@@ -174,6 +175,9 @@
             message_handlers,
         )
 
+    def _publish_grants(self, command: forwarding_commands.PublishGrants) -> None:
+        self._feed.publish_grants()
+
     def _publish_losses(self, command: forwarding_commands.PublishLosses) -> None:
         self._datagrams.send_losses(command)
         self._losses.publish(command)
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -51,6 +51,9 @@
     renew : callable
         Extends the registration, also that of a previous life if `read_all` found it;
         returns False when there is none or it has expired.
+    publish_grants : callable
+        Writes into the registration that this daemon grants tokens of quotas; returns
+        False if the registration has ended.
     unregister : callable
         Ends the registration.
     losses : LossCalls
@@ -63,6 +66,7 @@
     watch: Callable[[int, int], store.Changes | None]
     register: Callable[[int], None]
     renew: Callable[[], bool]
+    publish_grants: Callable[[], bool]
     unregister: Callable[[], None]
     losses: loss_publisher.LossCalls
     decode: store_view.DecodeChange
@@ -108,10 +112,14 @@
         self._needs_listing = True
         # When a restored store is listed again.
         self._relisting_ms: int | None = None
+        # Whether the registration must be renewed now, and whether it has yet to say
+        # that this daemon grants tokens.
+        self._renews = False
+        self._grants_due = False
         # Whether the registration has ended for good.
         self._stopped = False
         self._first_listing = eventlet.event.Event()
-        self._renewal_due = eventlet.event.Event()
+        self._registration_due = eventlet.event.Event()
         self._listing_timeout_ms = FIRST_LISTING_TIMEOUT_MS
 
     def start(self) -> None:
@@ -191,25 +199,58 @@
 
     def renew_registration(self) -> None:
         """Renew the registration now, because it is missing in the store."""
-        if not self._stopped and not self._renewal_due.ready():
-            self._renewal_due.send()
+        self._renews = True
+        self._wake_registration()
+
+    def publish_grants(self) -> None:
+        """Write into the registration that this daemon grants tokens of quotas."""
+        self._grants_due = True
+        self._wake_registration()
+
+    def _wake_registration(self) -> None:
+        if not self._stopped and not self._registration_due.ready():
+            self._registration_due.send()
 
     def _keep_registered(self) -> None:
         # The listing finds the registration of the previous life, which is renewed.
         self._first_listing.wait()
         while not self._stopped:
             until_ms = self._now_ms() + REGISTRATION_LIFETIME_MS
+            self._renews = False
             try:
-                if not self._calls.renew():
+                renewed = self._calls.renew()
+                if not renewed:
+                    # The right was confirmed under the registration that has ended.
+                    self._grants_due = False
                     self._calls.register(REGISTRATION_LIFETIME_MS)
             except errors.PlatformUnreachableError as error:
                 self._record_failure(str(error))
                 eventlet.sleep(REGISTRATION_RETRY_MS / 1000)
             else:
-                self._handle_event(events.Registered(until_ms))
-                with eventlet.Timeout(RENEWAL_INTERVAL_MS / 1000, False):
-                    self._renewal_due.wait()
-                self._renewal_due = eventlet.event.Event()
+                self._handle_event(events.Registered(until_ms, not renewed))
+                self._await_renewal()
+
+    def _await_renewal(self) -> None:
+        """Wait until the next renewal; write the right to grant meanwhile."""
+        due_ms = self._now_ms() + RENEWAL_INTERVAL_MS
+        while not self._renews and not self._stopped:
+            if self._grants_due:
+                self._write_grants()
+            left_ms = due_ms - self._now_ms()
+            if left_ms <= 0:
+                return
+            with eventlet.Timeout(left_ms / 1000, False):
+                self._registration_due.wait()
+            self._registration_due = eventlet.event.Event()
+
+    def _write_grants(self) -> None:
+        """Write the right to grant; after a failure again after the next renewal."""
+        try:
+            self._calls.publish_grants()
+        except errors.PlatformUnreachableError as error:
+            self._record_failure(str(error))
+        else:
+            self._grants_due = False
 
     def _retry_pause_ms(self) -> int:
         timing = self._timing()
--- a/amaranthpulley/transport/forwarding/tests/test_store_feed.py
+++ b/amaranthpulley/transport/forwarding/tests/test_store_feed.py
@@ -58,6 +58,7 @@
             self._call("watch", self._watch),
             self._call("register", self._register),
             self._call("renew", lambda: self.registered),
+            self._call("publish_grants", lambda: self.registered),
             self._call("unregister", lambda: None),
             loss_publisher.LossCalls(
                 lambda life_ms: 1, lambda published, withdrawn, lease: True
@@ -235,6 +236,48 @@
         registered = [type(e) for e in subject.received_events]
         self.assertEqual(registered.count(events.Registered), 2)
 
+    def _replaced(self, subject: _StoreSubject) -> list[bool]:
+        """Return of each registration whether it was written anew."""
+        found = subject.received_events
+        return [e.replaced for e in found if type(e) is events.Registered]
+
+    def test_the_right_to_grant_is_written_once_and_renews_nothing(self) -> None:
+        subject = self._subject(FOLLOWER)
+        self.assertEqual(self._replaced(subject), [True])
+        renewals = subject.calls["renew"]
+        subject.feed.publish_grants()
+        eventlet.sleep(0.1)
+        self.assertEqual(subject.calls["publish_grants"], 1)
+        self.assertEqual(subject.calls["renew"], renewals)
+        subject.feed.renew_registration()
+        eventlet.sleep(0.1)
+        self.assertEqual(subject.calls["publish_grants"], 1)
+        self.assertEqual(self._replaced(subject), [True, False])
+
+    def test_a_right_that_was_not_written_is_written_after_a_renewal(self) -> None:
+        subject = self._subject(FOLLOWER)
+        subject.refused = {"publish_grants"}
+        subject.feed.publish_grants()
+        eventlet.sleep(0.1)
+        subject.refused = set()
+        subject.feed.renew_registration()
+        eventlet.sleep(0.1)
+        self.assertEqual(subject.calls["publish_grants"], 2)
+
+    def test_a_right_is_not_written_into_a_registration_that_replaces_another(
+        self,
+    ) -> None:
+        # It was confirmed under the one that has ended.
+        subject = self._subject(FOLLOWER)
+        subject.refused = {"publish_grants"}
+        subject.feed.publish_grants()
+        eventlet.sleep(0.1)
+        subject.registered, subject.refused = False, set()
+        subject.feed.renew_registration()
+        eventlet.sleep(0.1)
+        self.assertEqual(subject.calls["register"], 2)
+        self.assertEqual(subject.calls["publish_grants"], 1)
+
     def test_nothing_is_registered_before_the_first_listing(self) -> None:
         subject = _StoreSubject(WATCHER)
         subject.refused = {"list"}
