Refuse accounts far over their quota sooner, and spread their returns

At three times the quota over 71 daemons, a refusal waited for three owners in turn (50 ms), and refused clients returned after the time of one token and were refused again. Owners now tell that they deny an account often. Daemons then ask the owner of their region and one other in turn, remember denials for two tokens, await late answers instead of asking another owner, and spread Retry-After over a third of the client's time.

--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_asks.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_asks.py
@@ -11,6 +11,7 @@
 from amaranthpulley.coordination import commands as common
 from amaranthpulley.coordination.forwarding import commands
 from amaranthpulley.coordination.forwarding.client_accounts import quota_owners
+from amaranthpulley.coordination.forwarding.overload import admission
 from amaranthpulley.state import log_events
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import peer_messages
@@ -31,6 +32,18 @@
 # Tokens beyond the waiting requests: those that are likely to be needed in this time.
 AHEAD_MS: Final = 300
 MAXIMUM_AHEAD: Final = 4
+# A denial that says more than this many times the time of a token is one of an account
+# far over its quota.
+PRESSED_TOKENS: Final = 1.5
+# An owner that denied such an account is not asked for the time of so many tokens. They
+# stay in its bucket, and other daemons ask it meanwhile.
+PRESSED_MEMORY_TOKENS: Final = 2.0
+# A request of such an account is not asked for again after this time: its own region's
+# owner has denied (5 ms), and one in another region (24 ms).
+PRESSED_WAIT_MS: Final = 20
+# Clients of such an account return from this part of the longest time on, also if the
+# next token comes later: else all return at the end of what they honour.
+SHORTEST_SHARE: Final = 0.75
 # Bounds of what a denial may say.
 LONGEST_DENIAL_MS: Final = 10_000
 # Part of the slack that pays for the time from a token request to the arrival at a
@@ -85,7 +98,10 @@
     now_ms: int,
 ) -> list[commands.Command]:
     """Ask an owner for the waiting requests that no token request covers yet."""
-    open_count = len(table.waiting) - in_flight(table)
+    served = list(table.waiting.values())
+    if is_pressed(table, now_ms):
+        served = [one for one in served if not _has_waited(one, now_ms)]
+    open_count = len(served) - in_flight(table)
     if open_count <= 0:
         return []
     owner = _next_owner(gateway, account, table, now_ms)
@@ -97,6 +113,8 @@
     timeout_ms = FAR_ANSWER_TIMEOUT_MS
     if _region_of(gateway, owner) == gateway.place.region:
         timeout_ms = ANSWER_TIMEOUT_MS
+    else:
+        table.far_asks += 1
     number = gateway.quotas.next_number()
     table.asks[number] = quotas.Ask(owner, wanted, now_ms, now_ms + timeout_ms)
     gateway.quotas.asked_for[number] = account.name
@@ -105,6 +123,29 @@
     return [commands.SendToPeers(message, (gateway.members[owner].address,))]
 
 
+def _has_waited(waiting: quotas.WaitingRequest, now_ms: int) -> bool:
+    return now_ms - waiting.request.arrived_ms >= PRESSED_WAIT_MS
+
+
+def is_pressed(table: quotas.AccountTokens, now_ms: int) -> bool:
+    """Return whether an account is known to be far over its quota."""
+    return now_ms < table.pressed_until_ms
+
+
+def uncovered(table: quotas.AccountTokens, now_ms: int) -> list[int]:
+    """Return the keys of the waiting requests that no answer can serve any more.
+
+    Of an account far over its quota, requests that have waited long are not asked for
+    again, but late answers are awaited: their tokens would lapse unused.
+    """
+    if not is_pressed(table, now_ms):
+        return [] if in_flight(table) else list(table.waiting)
+    # What was asked for ahead of requests is rarely granted.
+    awaited = len(table.asks)
+    oldest = list(table.waiting.items())[: max(0, len(table.waiting) - awaited)]
+    return [key for key, one in oldest if not awaited or _has_waited(one, now_ms)]
+
+
 def accept_grant(
     gateway: gateway_state.Gateway, message: peer_messages.TokenGrant, now_ms: int
 ) -> str | None:
@@ -122,12 +163,32 @@
     table.held.extend([ask.asked_ms] * granted)
     if message.retry_after_ms > 0:
         denial_ms = min(message.retry_after_ms, LONGEST_DENIAL_MS)
-        table.empty_until_ms[ask.owner] = now_ms + denial_ms
+        _note_denial(gateway, name, table, ask.owner, denial_ms, now_ms)
     else:
         table.empty_until_ms.pop(ask.owner, None)
     return name
 
 
+def _note_denial(
+    gateway: gateway_state.Gateway,
+    name: str,
+    table: quotas.AccountTokens,
+    owner: str,
+    denial_ms: int,
+    now_ms: int,
+) -> None:
+    """Remember until when an owner has no token, and whether others wait for them."""
+    account = quota_owners.limited_account(gateway, name)
+    if account is not None:
+        token_ms = quota_owners.token_ms(gateway, account)
+        if denial_ms > PRESSED_TOKENS * token_ms + 1:
+            member = gateway.members.get(owner)
+            if member is None or _region_of(gateway, owner) != gateway.place.region:
+                table.pressed_until_ms = now_ms + denial_ms
+            denial_ms = min(denial_ms, int(PRESSED_MEMORY_TOKENS * token_ms) + 1)
+    table.empty_until_ms[owner] = now_ms + denial_ms
+
+
 def note_silent_owners(
     gateway: gateway_state.Gateway,
     name: str,
@@ -199,6 +260,35 @@
     return max(1, min(told_ms, default=UNKNOWN_RETURN_MS))
 
 
+def return_ms(
+    table: quotas.AccountTokens, next_ms: int, left_ms: int, key: int, now_ms: int
+) -> float:
+    """Return after which time a refused client can expect a token.
+
+    Clients of an account far over its quota would be refused again after the time of
+    the next token, so their returns are spread over the time that owners told for
+    those that were denied lately, as far as the clients honour it.
+
+    Parameters
+    ----------
+    next_ms : int
+        Time until the next token.
+    left_ms : int
+        Time that the client has left.
+    key : int
+        Number of the request; successive numbers are spread.
+    """
+    if not is_pressed(table, now_ms):
+        return next_ms
+    honoured_ms = admission.longest_return_ms(left_ms)
+    shortest_ms = float(next_ms)
+    longest_ms = min(table.pressed_until_ms - now_ms, honoured_ms)
+    if next_ms >= honoured_ms:
+        shortest_ms, longest_ms = SHORTEST_SHARE * honoured_ms, honoured_ms
+    spread_ms = max(0.0, longest_ms - shortest_ms)
+    return shortest_ms + admission.spread(key) * spread_ms
+
+
 def _next_owner(
     gateway: gateway_state.Gateway,
     account: accounts.Account,
@@ -208,9 +298,10 @@
     """Return the owner to ask: of the own region first, silent ones last."""
     asked = {ask.owner for ask in table.asks.values() if not ask.overdue}
     silent = gateway.quotas.silent_until_ms
+    owners = quota_owners.owners_of(gateway, account)
     open_owners = [
         owner
-        for owner in quota_owners.owners_of(gateway, account)
+        for owner in owners
         if owner != gateway.place.name
         and owner not in asked
         and table.empty_until_ms.get(owner, 0) <= now_ms
@@ -220,6 +311,7 @@
         key=lambda owner: (
             silent.get(owner, 0) > now_ms,
             _region_of(gateway, owner) != gateway.place.region,
+            (owners.index(owner) + table.far_asks) % len(owners),
         ),
         default=None,
     )
--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_owners.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_owners.py
@@ -16,7 +16,7 @@
 )
 from amaranthpulley.state import rendezvous
 from amaranthpulley.state.forwarding import gateway as gateway_state
-from amaranthpulley.state.forwarding import peer_messages, token_bucket
+from amaranthpulley.state.forwarding import peer_messages, retry_window, token_bucket
 from amaranthpulley.state.forwarding.client_accounts import accounts, quotas
 
 MAXIMUM_OWNERS: Final = 3
@@ -26,6 +26,16 @@
 # A daemon that may not grant is asked again after this time. Claims are confirmed
 # within one or two ticks.
 NOT_GRANTING_MS: Final = 100
+# An account is far over its quota if an owner denied more token requests in a second
+# than this many times its tokens of a second. An account within its quota whose demand
+# is in one region is denied there 0.9 times as often as it is granted.
+PRESSED_SHARE: Final = 2.0
+# Fewer denials in a second say nothing.
+FEWEST_DENIALS: Final = 4
+# Added to a denial of such an account: its next tokens go to others that were denied.
+# It is longer than any client waits, a third of 2,520 ms.
+PRESSED_MS: Final = 1_000
+PRESSED_TOKENS: Final = 2.0
 # Bounds the grants in memory: over 10,000 token requests a second.
 MAXIMUM_GRANTS: Final = 20_000
 # Rounding errors of many refills stay below this part of a token.
@@ -94,7 +104,8 @@
     granted : int
         Number of tokens.
     retry_after_ms : int
-        Time until it has a token again; 0 if it granted all.
+        Time until it has a token again, longer for an account far over its quota; 0
+        if it granted all.
     """
     if gateway.place.name not in owners_of(gateway, account):
         return 0, NOT_GRANTING_MS
@@ -108,7 +119,14 @@
     if granted == wanted:
         return granted, 0
     per_ms, _ = _part_of(gateway, account)
-    return granted, max(1, math.ceil((1.0 - (level - granted)) / per_ms))
+    next_ms = max(1, math.ceil((1.0 - (level - granted)) / per_ms))
+    return granted, next_ms + _pressed_ms(gateway, account.name, per_ms, now_ms)
+
+
+def token_ms(gateway: gateway_state.Gateway, account: accounts.Account) -> float:
+    """Return the time in which one owner's part of a bucket gets a token."""
+    per_ms, _ = _part_of(gateway, account)
+    return 1 / per_ms
 
 
 def handle_token_request(
@@ -236,6 +254,22 @@
     return account.rate_per_s / count / 1000, size
 
 
+def _pressed_ms(
+    gateway: gateway_state.Gateway, name: str, per_ms: float, now_ms: int
+) -> int:
+    """Count a denial; return what is added if the account is far over its quota."""
+    denials = gateway.quotas.denials.get(name)
+    if denials is None:
+        denials = retry_window.RetryWindow(quotas.DENIAL_WINDOW_MS)
+        gateway.quotas.denials[name] = denials
+    denials.add_request(now_ms)
+    count, _ = denials.totals(now_ms)
+    often = PRESSED_SHARE * per_ms * quotas.DENIAL_WINDOW_MS
+    if count < FEWEST_DENIALS or count <= often:
+        return 0
+    return max(PRESSED_MS, math.ceil(PRESSED_TOKENS / per_ms))
+
+
 def _bucket_of(gateway: gateway_state.Gateway, name: str) -> token_bucket.TokenBucket:
     """Return this daemon's part; a new one has filled up since it can be its own."""
     table = gateway.quotas
--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_tokens.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_tokens.py
@@ -168,10 +168,9 @@
         return Progress([], [], 0, decided)
     if table.waiting:
         decided += quota_asks.ask_owner(gateway, account, table, now_ms)
-    if not quota_asks.in_flight(table):
-        for key, (request, _) in list(table.waiting.items()):
-            refused.append(request)
-            gateway.quotas.remove_waiting(key)
+    for key in quota_asks.uncovered(table, now_ms):
+        refused.append(table.waiting[key].request)
+        gateway.quotas.remove_waiting(key)
     decided += _wakes(table, now_ms)
     if refused:
         decided += _refusal_lines(account, table, now_ms)
--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_fleet.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_fleet.py
@@ -46,6 +46,7 @@
     asked_ms: int
     ended_ms: int
     refusal: commands.Refuse | None
+    key: int
 
 
 class QuotaFleet:
@@ -147,7 +148,7 @@
         for daemon in self.daemons:
             self._deliver_version(daemon, version)
 
-    def ask(self, number: int, account: str) -> int:
+    def ask(self, number: int, account: str, deadline_ms: int = DEADLINE_MS) -> int:
         """Send a client's request to a daemon; return its key."""
         daemon = self.daemons[number]
         if daemon.gateway is None:
@@ -157,7 +158,7 @@
         self._asked[key] = (account, self.now_ms)
         digest, host = account.encode(), gateway_site.HOST
         incoming = requests.IncomingRequest(
-            key, f"r{key}", host, "/visit/1", (key,), DEADLINE_MS, None, digest
+            key, f"r{key}", host, "/visit/1", (key,), deadline_ms, None, digest
         )
         self._feed(daemon, events.RequestArrived(incoming))
         return key
@@ -320,7 +321,7 @@
 
     def _end(self, key: int, refusal: commands.Refuse | None) -> None:
         account, asked_ms = self._asked[key]
-        self.ended.append(Ended(account, asked_ms, self.now_ms, refusal))
+        self.ended.append(Ended(account, asked_ms, self.now_ms, refusal, key))
 
     def _wake_at(self, daemon: quota_members.Daemon, command: commands.WakeAt) -> None:
         key, due_ms, life = command.request_key, command.due_ms, daemon.life
--- a/amaranthpulley/coordination/forwarding/overload/admission.py
+++ b/amaranthpulley/coordination/forwarding/overload/admission.py
@@ -101,11 +101,21 @@
         Number of the request; successive numbers are spread.
     """
     base_ms = min(LONGEST_RETURN_MS, max(SHORTEST_RETURN_MS, room_ms))
-    spread = key * _GOLDEN_FRACTION % 1.0 * SPREAD_SHARE
-    wanted_ms = base_ms * (1.0 + spread) + rank * RANK_STEP_MS
+    spread_share = spread(key) * SPREAD_SHARE
+    wanted_ms = base_ms * (1.0 + spread_share) + rank * RANK_STEP_MS
     return max(1, int(min(wanted_ms, HONOURED_SHARE * left_ms)))
 
 
+def spread(key: int) -> float:
+    """Return a number from 0 to 1 for a request; those of successive keys differ."""
+    return key * _GOLDEN_FRACTION % 1.0
+
+
+def longest_return_ms(left_ms: int) -> float:
+    """Return the longest time that clients honour, before it is spread."""
+    return HONOURED_SHARE * left_ms / (1.0 + SPREAD_SHARE)
+
+
 def next_leaf_ms(
     gateway: gateway_state.Gateway,
     route: routes.Route,
--- a/amaranthpulley/coordination/forwarding/request_arrival.py
+++ b/amaranthpulley/coordination/forwarding/request_arrival.py
@@ -15,6 +15,7 @@
 )
 from amaranthpulley.coordination.forwarding.client_accounts import (
     authentication,
+    quota_asks,
     quota_tokens,
 )
 from amaranthpulley.coordination.forwarding.overload import admission, fair_queue
@@ -125,9 +126,14 @@
 ) -> list[commands.Command]:
     """Refuse a request for which its account's quota has no token."""
     incoming = request.incoming
-    after_ms = admission.return_after_ms(
-        0, retry_after_ms, max(1, request.give_up_ms - now_ms), incoming.key
-    )
+    left_ms = max(1, request.give_up_ms - now_ms)
+    room_ms: float = retry_after_ms
+    table = gateway.quotas.accounts.get(request.account.name)
+    if table is not None:
+        room_ms = quota_asks.return_ms(
+            table, retry_after_ms, left_ms, incoming.key, now_ms
+        )
+    after_ms = admission.return_after_ms(0, room_ms, left_ms, incoming.key)
     return _refuse(gateway, incoming, commands.Refusal.OVER_QUOTA, after_ms, now_ms)
 
 
--- a/amaranthpulley/state/forwarding/client_accounts/quotas.py
+++ b/amaranthpulley/state/forwarding/client_accounts/quotas.py
@@ -19,6 +19,8 @@
 # The previous process of a daemon ended at least this long before the next one has
 # listed the store: the start of the interpreter and its imports take longer.
 RESTART_MS: Final = 300
+# An owner's denials of an account's token requests are counted over this time.
+DENIAL_WINDOW_MS: Final = 1_000
 # A process sends fewer messages in a millisecond. Its numbers begin at its start times
 # this, so that a grant to its previous process is not taken for one of its own.
 _NUMBERS_PER_MS: Final = 65_536
@@ -97,6 +99,10 @@
         self.asks: dict[int, Ask] = {}
         # By owner, when it has a token again.
         self.empty_until_ms: dict[str, int] = {}
+        # Until when this account is known to be far over its quota.
+        self.pressed_until_ms = now_ms
+        # Number of token requests to owners in other regions, which are asked in turn.
+        self.far_asks = 0
         self.demand = retry_window.RetryWindow(DEMAND_WINDOW_MS)
         self.used_ms = now_ms
         self.next_log_ms = now_ms
@@ -123,6 +129,8 @@
         # sender and number.
         self.buckets: dict[str, token_bucket.TokenBucket] = {}
         self.grants: dict[tuple[str, int], Grant] = {}
+        # As an owner, its recent denials by account.
+        self.denials: dict[str, retry_window.RetryWindow] = {}
         self.owners: dict[tuple[str, int], tuple[str, ...]] = {}
         # The claim to be counted by all daemons: its number, its time, the daemons that
         # have not confirmed it, and when the last one did.
@@ -159,3 +167,4 @@
         self.confirmed_ms = None
         self.unconfirmed.clear()
         self.buckets.clear()
+        self.denials.clear()
