--- a/amaranthpulley/coordination/forwarding/commands.py
+++ b/amaranthpulley/coordination/forwarding/commands.py
@@ -201,6 +201,10 @@
     addresses: tuple[str, ...]
 
 
+class PublishGrants(NamedTuple):
+    """Write into this daemon's registration that it grants tokens of quotas."""
+
+
 class PublishLosses(NamedTuple):
     """Write losses of leaves under requests to the store, and tell some daemons.
 
@@ -251,6 +255,7 @@
     | ProbeLeaf
     | ReportSlowness
     | SendToPeers
+    | PublishGrants
     | PublishLosses
     | WithdrawLosses
     | WriteRolloutStep
