Keep no copy of a configuration in UTF-16 or UTF-32

Such a text is no JSON for a daemon, and the marks by which one with keys is recognised have zeros between their letters: it was kept as it was, with its keys, and passed on to the daemons that follow.

--- a/amaranthpulley/platform/client_accounts.py
+++ b/amaranthpulley/platform/client_accounts.py
@@ -15,8 +15,9 @@
 _TENANTS: Final = "Tenants"
 # Fields that are kept when the keys are removed; another one might hold keys.
 _KEPT_FIELDS: Final = ("Name", "Priority", "RatePerS", "Burst", "AllowedRegions")
-# Without these, a text that is no JSON has no keys. A backslash may hide the others.
-_KEY_MARKS: Final = (b"Tenants", b"ApiKeys", b"\\")
+# Without these, a text that is no JSON has no keys. A backslash may hide the others, as
+# do the zeros between the letters of UTF-16 and UTF-32.
+_KEY_MARKS: Final = (b"Tenants", b"ApiKeys", b"\\", b"\0")
 # In place of what is not of the right type: reported as unreadable, without its value.
 _UNREADABLE: Final = 0
 
--- a/amaranthpulley/platform/tests/test_client_accounts.py
+++ b/amaranthpulley/platform/tests/test_client_accounts.py
@@ -177,6 +177,14 @@
             with self.subTest(text[:20]):
                 self.assertEqual(client_accounts.without_keys(text), b"")
 
+    def test_keys_in_another_encoding_are_not_kept(self) -> None:
+        # Guards against readable keys in the copy for other daemons when an operator's
+        # editor has saved the configuration as UTF-16.
+        for encoding in ("utf-16", "utf-16-le", "utf-16-be", "utf-32"):
+            with self.subTest(encoding):
+                text = _text([RED]).decode().encode(encoding)
+                self.assertEqual(client_accounts.without_keys(text), b"")
+
     def test_keys_under_an_escaped_name_are_replaced(self) -> None:
         hidden = _text([RED]).replace(b"ApiKeys", b"\\u0041piKeys")
         text = client_accounts.without_keys(
