--- a/amaranthpulley/transport/forwarding/tests/test_client_connections.py
+++ b/amaranthpulley/transport/forwarding/tests/test_client_connections.py
@@ -26,6 +26,8 @@
 REQUEST: Final = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 LARGE_BYTES: Final = 8_000_000
 WAIT_S: Final = 5.0
+# Work for clients that have left ends within this time.
+NOTICED_S: Final = 0.5
 
 
 class BudgetTest(unittest.TestCase):
@@ -230,6 +232,34 @@
         self.client.sendall(b"\r\n")
         self.assertIn(b"HTTP/1.1 200 ", self.client.recv(65_536)[-100:])
 
+    def test_the_end_of_a_client_whose_request_is_in_progress_is_noticed(self) -> None:
+        # Guards against work for a client that has left, after a request that is
+        # larger than what is held of the next ones.
+        self.holds = True
+        address = self.client.getpeername()
+        size = 2 * client_connections.PIPELINED_BYTES
+        post = REQUEST.replace(b"GET", b"POST")[:-2]
+        bodies = {
+            "none": REQUEST,
+            "whole": post + b"Content-Length: %d\r\n\r\n" % size + b"x" * size,
+            "chunked": post
+            + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % size
+            + b"x" * size
+            + b"\r\n0\r\n\r\n",
+        }
+        for name, data in bodies.items():
+            with self.subTest(name):
+                self.client = socket.create_connection(address)
+                received, disconnected = self.received, self.disconnected
+                self.client.sendall(data)
+                with eventlet.Timeout(WAIT_S):
+                    while self.received == received:
+                        eventlet.sleep(0.01)
+                self.client.close()
+                with eventlet.Timeout(NOTICED_S):
+                    while self.disconnected == disconnected:
+                        eventlet.sleep(0.01)
+
     def test_connection_without_progress_is_closed(self) -> None:
         self.server.limits = routes.ClientLimits(idle_timeout_ms=300)
         self.body = b"b" * LARGE_BYTES
