Send no repeat that cannot be answered before the deadline

Retries and hedges now keep the limit that waiting calls have. The call stays open: closing it made a gathered request end with 502 while other parts could still be rejected.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -73,6 +73,11 @@
         stop_waiting(gateway, call)
         close_if_idle(request, call)
         return []
+    if call.sends and now_ms > _latest_send_ms(gateway, request):
+        # Not closed: the other parts may still be rejected before the deadline, so that
+        # the request is known not to have run.
+        stop_waiting(gateway, call)
+        return []
     if crash_attribution.must_wait(gateway, request, call, now_ms):
         _hold(request, call, was_held, now_ms)
         return []
@@ -158,7 +163,11 @@
     """Send a late shard's request to a second leaf, if one is likely to be faster."""
     call, route = request.calls[shard], request.route
     call.hedge_due_ms = None
-    if request.withdrawn or crash_attribution.refuses(gateway, request.incoming):
+    if (
+        now_ms > _latest_send_ms(gateway, request)
+        or request.withdrawn
+        or crash_attribution.refuses(gateway, request.incoming)
+    ):
         return []
     if crash_attribution.must_not_hedge(gateway, request, now_ms):
         request.held = call.hedge_held = True
@@ -269,8 +278,7 @@
     for reason in reasons:
         gateway.counters.add("forward_leaf_holds_total", reason=reason)
     detail = ",".join(reasons)
-    fastest_ms = int(leaf_selection.fastest_answer_ms(gateway, request.route))
-    latest_ms = request.give_up_ms - fastest_ms
+    latest_ms = _latest_send_ms(gateway, request)
     if not any(
         hold is None or leaf_permits.may_end_by(hold, latest_ms) for hold in holds
     ):
@@ -287,6 +295,18 @@
         tracing.record_decision(request, now_ms, "leaves_busy", call.service, detail)
 
 
+def _latest_send_ms(
+    gateway: gateway_state.Gateway, request: requests.ForwardedRequest
+) -> int:
+    """Return the last time at which a send can still be answered.
+
+    A request that was rejected and is sent again later than this ends as one that may
+    have run: 504 in place of 503, which clients may repeat.
+    """
+    fastest_ms = leaf_selection.fastest_answer_ms(gateway, request.route)
+    return request.give_up_ms - int(fastest_ms)
+
+
 def close_if_idle(request: requests.ForwardedRequest, call: requests.ShardCall) -> None:
     """Give a call up unless an attempt is running or has answered."""
     if not call.attempts and call.answer is None and not call.closed:
--- a/amaranthpulley/coordination/forwarding/tests/test_retry_budget.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_retry_budget.py
@@ -75,6 +75,33 @@
         site.advance(50)
         self.assertEqual(len(site.sends_of(key)), 2)
 
+    def test_no_retry_is_sent_that_cannot_be_answered_in_time(self) -> None:
+        # Guards against a request that all leaves have rejected and that is sent again
+        # just before its deadline: the client gets 504 in place of 503 (REFUSED).
+        # A spent budget is checked every 20 ms, so that the last check comes at another
+        # distance from each of these deadlines.
+        for deadline_ms in range(300, 320):
+            with self.subTest(deadline_ms):
+                site = _site()
+                _failed_and_retried(site, 100)
+                site.advance(1_000)
+                key = site.request("/visit/1", deadline_ms=deadline_ms)
+                site.reply(site.sends_of(key)[0], gateway_site.REJECTED)
+                request = site.gateway.requests[key]
+                fastest_ms = leaf_selection.fastest_answer_ms(
+                    site.gateway, request.route
+                )
+                self.assertGreater(fastest_ms, 5)
+                latest_ms = request.give_up_ms - int(fastest_ms)
+                site.advance(latest_ms - site.now_ms)
+                # Further requests increase the budget.
+                for _ in range(30):
+                    site.request("/visit/1")
+                site.advance(request.give_up_ms - latest_ms)
+                late = [s.at_ms for s in site.sends_of(key) if s.at_ms > latest_ms]
+                self.assertEqual(late, [])
+                self.assertTrue(site.answers[key].not_run)
+
     def test_a_retry_after_an_unreachable_leaf_is_free(self) -> None:
         site = _site(started_ago_ms=0)
         key = site.request("/visit/1")
