Count late calls of other ranks and accounts in the estimated wait

A gathered request was taken for timely although late calls of a more urgent rank, or the turns of other accounts, went before it. Only late calls of its own rank and account go after it.

--- a/amaranthpulley/coordination/forwarding/overload/fair_queue.py
+++ b/amaranthpulley/coordination/forwarding/overload/fair_queue.py
@@ -51,12 +51,13 @@
     ----------
     late_before_ms : float
         Calls of requests that arrived before this time and deferred ones miss their
-        objective, so they go after a new one.
+        objective, so those of the same rank and account go after a new one.
     """
     queued = [
         call
         for call in calls.of_service(service)
         if late_before_ms == -math.inf
+        or (call.rank, call.account) != (rank, account)
         or (call.arrived_ms >= late_before_ms and not call.deferred)
     ]
     if not queued:
--- a/amaranthpulley/coordination/forwarding/overload/tests/test_fair_queue.py
+++ b/amaranthpulley/coordination/forwarding/overload/tests/test_fair_queue.py
@@ -215,6 +215,25 @@
         self.assertEqual(count(calls, SERVICE, (2, 0), "other"), 21)
         self.assertEqual(count(calls, "idle", RANK, "other"), 0)
 
+    def test_late_calls_of_others_keep_their_turns(self) -> None:
+        """Only calls of the same rank and account go by their objective."""
+        calls = waiting.WaitingCalls()
+        late = waiting.WaitingCall((0, 0), 0, 1, 0, "own", True)
+        calls.add(SERVICE, late)
+        for key in range(2, 6):
+            calls.add(SERVICE, waiting.WaitingCall(RANK, key, key, 0, "other", True))
+            own = waiting.WaitingCall(RANK, key, 10 + key, 0, "own", True)
+            calls.add(SERVICE, own)
+        new = waiting.WaitingCall(RANK, 90, 90, 0, "own")
+        queued = sorted(
+            [*calls.of_service(SERVICE), new],
+            key=lambda call: (call.rank, call.deferred, call.arrived_ms),
+        )
+        place = fair_queue.order(calls.turns_of(SERVICE), queued).index(new)
+        ahead = fair_queue.count_ahead(calls, SERVICE, RANK, "own", 50.0)
+        self.assertIn(ahead - place, (0, 1))
+        self.assertGreaterEqual(place, 1)
+
 
 class OrderTest(unittest.TestCase):
     """Without accounts the order changes, or an absent account saves turns up."""
