Send waiting calls before a new call that finds room

Tokens of a cold leaf and the pace of a leaf come without an event that wakes waiting calls. Less urgent arrivals took this room while more urgent calls waited for up to 50 ms.

--- a/amaranthpulley/coordination/forwarding/fan_out.py
+++ b/amaranthpulley/coordination/forwarding/fan_out.py
@@ -9,6 +9,7 @@
     leaf_selection,
     request_completion,
 )
+from amaranthpulley.coordination.forwarding.overload import waiting
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import requests
 
@@ -37,5 +38,7 @@
             call.sends = call.runs_elsewhere = 1
         else:
             gateway.window_of(call.service).add_request(now_ms)
+        # Some holds end without an event: waiting calls are sent before a new one.
+        decided += waiting.send_before(gateway, request, call, now_ms, random)
         decided += attempt_dispatch.retry(gateway, request, shard, now_ms, random)
     return decided + request_completion.answer_if_due(gateway, request, now_ms)
--- a/amaranthpulley/coordination/forwarding/overload/tests/test_waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/tests/test_waiting.py
@@ -143,6 +143,28 @@
         self.assertTrue(refused.not_run)
         self.assertEqual(self.site.sends_of(waiting), [])
 
+    def test_an_arrival_does_not_take_the_place_of_a_more_urgent_call(self) -> None:
+        """Tokens of a cold leaf come without an event that wakes waiting calls."""
+        site = self.site
+        found = site.gateway.configuration
+        limits = found.services["visits"]._replace(cold_requests_per_second=40.0)
+        services = {**found.services, "visits": limits}
+        site.feed(
+            events.ConfigurationRead(found._replace(version=2, services=services))
+        )
+        site.feed(
+            events.LeafWritten(gateway_site.entry("cold", "visits", cold_ms=5_000))
+        )
+        while site.sends_of(site.request("/visit/1")):
+            pass
+        urgent = site.request("/urgent/1")
+        self.assertEqual(site.sends_of(urgent), [])
+        before = len(site.sent)
+        while len(site.sent) == before:
+            site.advance(1)
+            site.request("/visit/1")
+        self.assertEqual(site.sent[before].command.request_key, urgent)
+
     def test_waiting_calls_are_not_polled_often(self) -> None:
         self.site.request("/visit/1")
         wakes = 0
--- a/amaranthpulley/coordination/forwarding/overload/waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/waiting.py
@@ -56,6 +56,22 @@
     return decided
 
 
+def send_before(
+    gateway: gateway_state.Gateway,
+    request: requests.ForwardedRequest,
+    new: requests.ShardCall,
+    now_ms: int,
+    random: leaf_selection.RandomSource,
+) -> list[commands.Command]:
+    """Send waiting calls of a service if a new call would be sent at once."""
+    if not gateway.waiting.has_calls(new.service):
+        return []
+    route = request.route
+    if leaf_selection.choose_leaf(gateway, new, route, now_ms, random) is None:
+        return []
+    return send_next(gateway, new.service, now_ms, random)
+
+
 def check_due(
     gateway: gateway_state.Gateway,
     request: requests.ForwardedRequest,
--- a/amaranthpulley/state/forwarding/waiting.py
+++ b/amaranthpulley/state/forwarding/waiting.py
@@ -92,6 +92,10 @@
                     found.append((len(waiting), service))
         return found
 
+    def has_calls(self, service: str) -> bool:
+        """Return whether calls wait for a service."""
+        return service in self._by_service
+
     def of_service(self, service: str) -> list[WaitingCall]:
         """Return the calls that wait for a service."""
         return list(self._by_service.get(service, ()))
