Let a repeat go to a leaf that only its pace holds

After a failed answer of the only other leaf, the repeat waited for the leaf's share, with few requests to its deadline. It now may go there as while the peers are busy.

--- a/amaranthpulley/coordination/forwarding/attempt_dispatch.py
+++ b/amaranthpulley/coordination/forwarding/attempt_dispatch.py
@@ -46,6 +46,8 @@
     """Send a shard's request to its best leaf, or wait for one that can take it."""
     call = request.calls[shard]
     leaf = leaf_selection.choose_leaf(gateway, call, request.route, now_ms, random)
+    if leaf is None:
+        leaf = leaf_selection.choose_for_repeat(gateway, call, request.route, now_ms)
     if leaf is None:
         _wait_or_close(gateway, request, shard, now_ms)
         return []
--- a/amaranthpulley/coordination/forwarding/leaf_permits.py
+++ b/amaranthpulley/coordination/forwarding/leaf_permits.py
@@ -86,7 +86,7 @@
 
 
 # A leaf that is held for one of these has only no room at the moment.
-_BUSY_REASONS: Final = frozenset({HoldReason.FULL, HoldReason.CONNECTIONS})
+BUSY_REASONS: Final = frozenset({HoldReason.FULL, HoldReason.CONNECTIONS})
 
 
 def hold_of(
@@ -219,7 +219,7 @@
         if leaving_since_ms(peer) is not None or peer.lost_ms is not None:
             continue
         hold = hold_of(gateway, peer, route, now_ms)
-        if hold is not None and hold.reason not in _BUSY_REASONS:
+        if hold is not None and hold.reason not in BUSY_REASONS:
             continue
         has_peer = True
         if hold is None and not leaf_pace.is_busy(peer, now_ms):
--- a/amaranthpulley/coordination/forwarding/leaf_selection.py
+++ b/amaranthpulley/coordination/forwarding/leaf_selection.py
@@ -11,7 +11,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from amaranthpulley.coordination.forwarding import leaf_permits, machine_slowness
+from amaranthpulley.coordination.forwarding import (
+    leaf_pace,
+    leaf_permits,
+    machine_slowness,
+)
 from amaranthpulley.coordination.forwarding.rollouts import exposure
 from amaranthpulley.state.forwarding import gateway as gateway_state
 from amaranthpulley.state.forwarding import leaves, requests, routes
@@ -275,6 +279,32 @@
     return chosen
 
 
+def choose_for_repeat(
+    gateway: gateway_state.Gateway,
+    call: requests.ShardCall,
+    route: routes.Route,
+    now_ms: int,
+) -> leaves.Leaf | None:
+    """Return a leaf that only its pace holds, if a repeat may go to no other one.
+
+    The peers for which the leaf is held have had the request. It gets as many requests
+    as while its peers are busy.
+    """
+    if not call.sends or call.attempts or call.service not in gateway.paces.by_service:
+        return None
+    chosen: leaves.Leaf | None = None
+    for leaf in gateway.directory.of_service(call.service):
+        if not may_send_to(call, route, leaf.entry.leaf_id):
+            continue
+        hold = leaf_permits.hold_of(gateway, leaf, route, now_ms)
+        if hold is None or hold.reason in leaf_permits.BUSY_REASONS:
+            return None
+        if hold.reason is leaf_permits.HoldReason.PACE and not leaf.suspected:
+            if not leaf_pace.must_wait(leaf, False, now_ms):
+                chosen = leaf
+    return chosen
+
+
 def may_send_to(call: requests.ShardCall, route: routes.Route, leaf_id: str) -> bool:
     """Return whether earlier sends of a shard's request allow sending it to a leaf.
 
--- a/amaranthpulley/coordination/forwarding/tests/test_leaf_pace.py
+++ b/amaranthpulley/coordination/forwarding/tests/test_leaf_pace.py
@@ -175,6 +175,14 @@
         hold = leaf_permits.hold_of(site.gateway, leaf, near, site.now_ms)
         self.assertIsNone(hold)
 
+    def test_a_repeat_that_may_go_to_no_other_leaf(self) -> None:
+        """It waited to its deadline for a share that few requests make grow."""
+        site = _site_with_young(peers=1)
+        site.gateway.directory.get("young").pace.credit = 0.0
+        key = site.request("/visit/1")
+        site.fail(site.sends_of(key)[0], requests.AttemptEnd.FAILED)
+        self.assertEqual(site.sends_of(key)[-1].command.leaf_id, "young")
+
     def test_busy_peers_let_it_have_one(self) -> None:
         site = _site_with_young()
         for number in range(2):
