--- a/amaranthpulley/coordination/forwarding/fan_out.py
+++ b/amaranthpulley/coordination/forwarding/fan_out.py
@@ -38,7 +38,7 @@
             call.sends = call.runs_elsewhere = 1
         else:
             gateway.window_of(call.service).add_request(now_ms)
-        # Some holds end without an event: waiting calls are sent before a new one.
+        # Some holds end without an event: more urgent calls may wait for this room.
         decided += waiting.send_before(gateway, request, call, now_ms, random)
         decided += attempt_dispatch.retry(gateway, request, shard, now_ms, random)
     return decided + request_completion.answer_if_due(gateway, request, now_ms)
--- a/amaranthpulley/coordination/forwarding/overload/waiting.py
+++ b/amaranthpulley/coordination/forwarding/overload/waiting.py
@@ -63,8 +63,12 @@
     now_ms: int,
     random: leaf_selection.RandomSource,
 ) -> list[commands.Command]:
-    """Send waiting calls of a service if a new call would be sent at once."""
-    if not gateway.waiting.has_calls(new.service):
+    """Send waiting calls if a new call would be sent before more urgent ones.
+
+    Among calls of one rank a new one may go first: in a replay of a burst of gathered
+    requests at six daemons, 0.53 were answered when it did not, and 0.58 when it did.
+    """
+    if not gateway.waiting.has_more_urgent(new.service, request.route.rank):
         return []
     route = request.route
     if leaf_selection.choose_leaf(gateway, new, route, now_ms, random) is None:
--- a/amaranthpulley/state/forwarding/waiting.py
+++ b/amaranthpulley/state/forwarding/waiting.py
@@ -92,9 +92,10 @@
                     found.append((len(waiting), service))
         return found
 
-    def has_calls(self, service: str) -> bool:
-        """Return whether calls wait for a service."""
-        return service in self._by_service
+    def has_more_urgent(self, service: str, rank: Rank) -> bool:
+        """Return whether a call of a more urgent rank waits for a service."""
+        waiting = self._by_service.get(service)
+        return waiting is not None and waiting[0].rank < rank
 
     def of_service(self, service: str) -> list[WaitingCall]:
         """Return the calls that wait for a service."""
