Keep the parts of the slack when a daemon lapses before the first step

Nothing has been spent before the first step, but each of the other daemons counted the lapsed one, did not know its position, and had the smallest part: none in a fleet of more than 50.

--- a/amaranthpulley/coordination/forwarding/rollouts/exposure.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/exposure.py
@@ -150,8 +150,8 @@
     if gateway.members and gateway.place.name not in gateway.members:
         rollout.fixed_slack = 0
         return
-    daemons = max(rollout.daemons_seen, delegates.daemon_count(gateway), step.daemons)
-    rollout.daemons_seen = daemons
+    daemons = max(delegates.daemon_count(gateway), step.daemons)
+    rollout.daemons_seen = max(rollout.daemons_seen, daemons)
     rollout.fixed_slack = _divided_slack(gateway, daemons)
 
 
--- a/amaranthpulley/coordination/forwarding/rollouts/tests/test_slack.py
+++ b/amaranthpulley/coordination/forwarding/rollouts/tests/test_slack.py
@@ -78,6 +78,20 @@
         site.set_members(5)
         self.assertEqual(self._part(site), 0)
 
+    def test_one_that_lapses_before_the_first_step_costs_the_others_nothing(
+        self,
+    ) -> None:
+        # Nothing has been spent yet; all others would have the smallest part, 0.
+        parts = []
+        for number in range(76):
+            site = exposure_site.Site(77, f"vm-{number + 1}")
+            site.order()
+            self._part(site)
+            site.set_members(76)
+            site.step(rollouts.Phase.GROWING, daemons=76)
+            parts.append(self._part(site))
+        self.assertEqual(sum(parts), LIMITS.exposure_slack)
+
     def test_what_was_divided_does_not_change_with_the_daemons(self) -> None:
         site = exposure_site.Site(members=77, name="vm-2")
         site.order()
