--- a/amaranthpulley/coordination/forwarding/client_accounts/quota_claims.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/quota_claims.py
@@ -19,6 +19,7 @@
     commands,
     events,
     leaf_selection,
+    store_watchers,
 )
 from amaranthpulley.coordination.forwarding.client_accounts import quota_owners
 from amaranthpulley.state import log_events
@@ -26,8 +27,6 @@
 from amaranthpulley.state.forwarding import peer_messages
 from amaranthpulley.state.forwarding.client_accounts import quotas
 
-# A registration ends by its owner's clock within this time of its last renewal.
-REGISTRATION_LIFETIME_MS: Final = 30_000
 # Queries of a claim in one tick of 100 ms. With the confirmations that it sends, a
 # daemon stays under 30 KB a second when 300 start at once; these are asked in 3 s.
 QUERIES_PER_TICK: Final = 10
@@ -140,7 +139,9 @@
     if table.confirmed_ms is not None:
         return []
     waited_ms = now_ms - table.claimed_ms
-    longest_ms = REGISTRATION_LIFETIME_MS + gateway.limits.configuration_ms
+    longest_ms = (
+        store_watchers.REGISTRATION_LIFETIME_MS + gateway.limits.configuration_ms
+    )
     if table.unconfirmed and waited_ms < longest_ms:
         return []
     table.confirmed_ms = now_ms
--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_members.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_members.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from amaranthpulley.coordination.forwarding import events
-from amaranthpulley.coordination.forwarding.client_accounts import quota_claims
+from amaranthpulley.coordination.forwarding import events, store_watchers
 from amaranthpulley.state.forwarding import gateway
 
 CHECK_MS: Final = 100
@@ -49,7 +48,7 @@
         if written:
             self.leases[name] = self.leases.get(name, 0) + 1
             self.changes.append(events.MemberChanged(name, member))
-        lifetime_ms = quota_claims.REGISTRATION_LIFETIME_MS
+        lifetime_ms = store_watchers.REGISTRATION_LIFETIME_MS
         self._until_ms[name] = self._now_ms() + lifetime_ms
         return written
 
--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/test_quota_owners.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/test_quota_owners.py
@@ -6,11 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from amaranthpulley.coordination.forwarding import events
-from amaranthpulley.coordination.forwarding.client_accounts import (
-    quota_claims,
-    quota_owners,
-)
+from amaranthpulley.coordination.forwarding import events, store_watchers
+from amaranthpulley.coordination.forwarding.client_accounts import quota_owners
 from amaranthpulley.coordination.forwarding.client_accounts.tests import (
     quota_fleet,
     quota_site,
@@ -129,7 +126,7 @@
 
     def test_silent_daemon_holds_it_up_for_the_life_of_a_registration(self) -> None:
         longest_ms = (
-            quota_claims.REGISTRATION_LIFETIME_MS
+            store_watchers.REGISTRATION_LIFETIME_MS
             + self.site.gateway.limits.configuration_ms
         )
         self.site.site.advance(20_000)
--- a/amaranthpulley/coordination/forwarding/store_watchers.py
+++ b/amaranthpulley/coordination/forwarding/store_watchers.py
@@ -38,6 +38,9 @@
 FOLLOWER_FALLBACK_DELAY_MS: Final = 500
 # A watcher whose next confirmation is overdue by this time is not up to date.
 CONFIRMATION_MARGIN_MS: Final = 900
+# Lifetime of a daemon's registration. By its own clock it ends within this time of its
+# last renewal, so that a daemon that is cut off knows when others stop counting it.
+REGISTRATION_LIFETIME_MS: Final = 30_000
 # Bounds of a follower's backoff. They are longer than a watcher's because failed calls
 # are charged, too, and the watchers already retry a store that is down for all.
 FOLLOWER_RETRY_MS: Final = 1_000
--- a/amaranthpulley/state/forwarding/client_holdings.py
+++ b/amaranthpulley/state/forwarding/client_holdings.py
@@ -5,7 +5,7 @@
 
 from amaranthpulley.state.forwarding import client_budget
 
-# Measured: 1,180 idle connections took 5 MB.
+# 1,180 idle connections take 5 MB.
 CONNECTION_BYTES: Final = 4_500
 
 
--- a/amaranthpulley/transport/forwarding/client_connections.py
+++ b/amaranthpulley/transport/forwarding/client_connections.py
@@ -33,7 +33,7 @@
 PIPELINED_BYTES: Final = 65_536
 # Memory of a request in progress beside its text: its encoded head and its state.
 REQUEST_OVERHEAD_BYTES: Final = 16_384
-# Measured: a request with 54 calls and as many attempts takes 77 KB.
+# A request with 54 calls and as many attempts takes 77 KB.
 CALL_BYTES: Final = 1_430
 # A request and the memory that it takes.
 _Queued = tuple[client_requests.ClientRequest, int]
--- a/amaranthpulley/transport/forwarding/store_feed.py
+++ b/amaranthpulley/transport/forwarding/store_feed.py
@@ -27,8 +27,7 @@
 LONGEST_LISTING_TIMEOUT_MS: Final = 1_000
 # Consecutive failures after which the store counts as lost.
 FAILURES_UNTIL_LOST: Final = 2
-# Lifetime of the registration's lease, and how often it is renewed.
-REGISTRATION_LIFETIME_MS: Final = 30_000
+# How often the registration's lease is renewed.
 RENEWAL_INTERVAL_MS: Final = 10_000
 # Pause after a failed registration or renewal. Several retries fit into the 20 s of the
 # lifetime that remain after a failed renewal.
@@ -222,14 +221,14 @@
         # The listing finds the registration of the previous life, which is renewed.
         self._first_listing.wait()
         while not self._stopped:
-            until_ms = self._now_ms() + REGISTRATION_LIFETIME_MS
+            until_ms = self._now_ms() + store_watchers.REGISTRATION_LIFETIME_MS
             self._renews = False
             try:
                 renewed = self._calls.renew()
                 if not renewed:
                     # The right was confirmed under the registration that has ended.
                     self._grants_due = False
-                    self._calls.register(REGISTRATION_LIFETIME_MS)
+                    self._calls.register(store_watchers.REGISTRATION_LIFETIME_MS)
             except errors.PlatformUnreachableError as error:
                 self._record_failure(str(error))
                 eventlet.sleep(REGISTRATION_RETRY_MS / 1000)
