--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_fleet.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_fleet.py
@@ -12,12 +12,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from amaranthpulley.coordination.forwarding import (
-    commands,
-    engine,
-    events,
-    store_watchers,
-)
+from amaranthpulley.coordination.forwarding import commands, engine, events
 from amaranthpulley.coordination.forwarding.client_accounts import quota_owners
 from amaranthpulley.coordination.forwarding.client_accounts.tests import quota_members
 from amaranthpulley.coordination.forwarding.tests import gateway_site
@@ -268,7 +263,7 @@
         if daemon.cut or daemon.gateway.draining_since_ms is not None:
             self._at(self.now_ms + 500, lambda: self._renew(daemon, life))
             return
-        until_ms = self.now_ms + store_watchers.REGISTRATION_LIFETIME_MS
+        until_ms = self.now_ms + quota_members.LIFETIME_MS
 
         def answered() -> None:
             if daemon.life != life:
--- a/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_members.py
+++ b/amaranthpulley/coordination/forwarding/client_accounts/tests/quota_members.py
@@ -7,6 +7,7 @@
 from amaranthpulley.state.forwarding import gateway
 
 CHECK_MS: Final = 100
+LIFETIME_MS: Final = store_watchers.REGISTRATION_LIFETIME_MS
 
 
 class Daemon:
@@ -48,8 +49,7 @@
         if written:
             self.leases[name] = self.leases.get(name, 0) + 1
             self.changes.append(events.MemberChanged(name, member))
-        lifetime_ms = store_watchers.REGISTRATION_LIFETIME_MS
-        self._until_ms[name] = self._now_ms() + lifetime_ms
+        self._until_ms[name] = self._now_ms() + LIFETIME_MS
         return written
 
     def publish_grants(self, name: str, member: gateway.Member, lease: int) -> None:
