--- /dev/null
+++ b/review/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and drivers of the cases of the second review."""
