--- a/review/tests/store.py
+++ b/review/tests/store.py
@@ -32,6 +32,14 @@
         self.address = ""
         self.calls: list[tuple[float, str]] = []
         self.server: asyncio.Server | None = None
+        # Set by each call.
+        self.called = asyncio.Event()
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def cut_calls(self) -> None:
+        """Reset the connections, also those of waiting watches."""
+        for writer in list(self.writers):
+            writer.transport.abort()
 
 
 class Store:
@@ -40,6 +48,8 @@
     def __init__(self) -> None:
         self.accesses: list[Access] = []
         self.revision = 1
+        # Changes up to here are no longer in the history.
+        self.dropped_revision = 0
         self.items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._leases: dict[int, tuple[float, int]] = {}
@@ -126,9 +136,11 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self._writers.add(writer)
+        access.writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while (request := await http_text.read_message(reader)) is not None:
                 access.calls.append((time.monotonic(), request.start))
+                access.called.set()
                 lost = access.mode == "silent"
                 status, answer = 503, {}
                 if access.mode == "open":
@@ -142,6 +154,7 @@
                 writer.write(http_text.encode(f"HTTP/1.1 {status} S", head, body))
                 await writer.drain()
         self._writers.discard(writer)
+        access.writers.discard(writer)
         writer.close()
 
     async def _answer(self, request: http_text.Message) -> Reply:
@@ -170,6 +183,8 @@
 
     async def _watch(self, after: int, wait_ms: int) -> Reply:
         changed = self._changed
+        if after < self.dropped_revision:
+            return 410, {}
         if after >= self.revision:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), wait_ms / 1000)
