--- a/review/tests/late_version.py
+++ b/review/tests/late_version.py
@@ -11,6 +11,30 @@
 CLIENTS: Final = 4
 
 
+async def _disturb(one: site.Site, log: record.Record, trouble: bool) -> float:
+    """Let a version come during an outage of one machine; return the outage's end."""
+    access = one.daemons[0].access
+    if trouble:
+        access.mode = "busy"
+        access.cut_calls()
+        log.add("the store turns edge-1 away with 503")
+    await asyncio.sleep(1)
+    one.configure(site.route(), site.route(Name="new", PathPrefix="/new/"))
+    log.add("version 2 is acknowledged")
+    await asyncio.sleep(BUSY_S - 1)
+    if trouble:
+        one.store.put("servers/i-2", one.leaves[2].entry(Version="v2"))
+        one.store.dropped_revision = one.store.revision
+        access.mode = "silent"
+        log.add("the store gives edge-1 no answers; the history is dropped")
+        access.called.clear()
+        await access.called.wait()
+        await asyncio.sleep(0.01)
+        access.mode = "open"
+    log.add("the store serves edge-1 again")
+    return time.monotonic()
+
+
 async def _case(log: record.Record, trouble: bool) -> int:
     one = site.Site()
     leaves = [leaf.Leaf(f"i-{n}", "visits", site.ZONES[n], 0.01) for n in range(3)]
@@ -19,27 +43,7 @@
         await one.start(leaves, 3)
         await asyncio.sleep(1)
         daemon = one.daemons[0]
-        access = daemon.access
-        if trouble:
-            access.mode = "busy"
-            access.cut_calls()
-            log.add("the store turns edge-1 away with 503")
-        await asyncio.sleep(1)
-        new = site.route(Name="new", PathPrefix="/new/")
-        one.configure(site.route(), new)
-        log.add("version 2 is acknowledged")
-        await asyncio.sleep(BUSY_S - 1)
-        if trouble:
-            one.store.put("servers/i-2", leaves[2].entry(Version="v2"))
-            one.store.dropped_revision = one.store.revision
-            access.mode = "silent"
-            log.add("the store gives edge-1 no answers; the history is dropped")
-            access.called.clear()
-            await access.called.wait()
-            await asyncio.sleep(0.01)
-            access.mode = "open"
-        back_s = time.monotonic()
-        log.add("the store serves edge-1 again")
+        back_s = await _disturb(one, log, trouble)
         await asyncio.sleep(CONTACT_S - 0.5)
         tasks = [
             asyncio.create_task(
@@ -52,8 +56,12 @@
         await asyncio.gather(*tasks)
     finally:
         await one.close()
-    for at_s, call in access.calls:
+    for at_s, call in daemon.access.calls:
         log.add(f"edge-1 calls {call[:70]}", at_s)
+    return _judge(log, outcomes, back_s)
+
+
+def _judge(log: record.Record, outcomes: list[clients.Outcome], back_s: float) -> int:
     denied = 0
     for outcome in outcomes:
         is_in_touch = outcome.sent_s > back_s + CONTACT_S
